Send digests in heartbeats instead of full records

Cause: a heartbeat carried 8 full records of about 70 bytes to 2 targets every 300 ms, and as many came back: the records hardly ever change, only the count of heartbeats does.

Ruled out: a longer interval (a loss would be noticed later).

--- a/crates/valvestage-balancer/src/control/admin_server.rs
+++ b/crates/valvestage-balancer/src/control/admin_server.rs
@@ -136,7 +136,7 @@
 fn balancer_status(state: &ControlState, snapshot: &DataSnapshot) -> BalancerStatus {
     let now = SystemTime::now();
     let configuration = state.configuration();
-    let heard = state.platform_heard(now).map_or(0, to_unix_millis);
+    let heard = state.platform_heard().map_or(0, to_unix_millis);
     let name_of = |id: &u32| {
         let known = configuration.as_ref().and_then(|known| known.backend(*id));
         known.map_or_else(|| format!("removed {id}"), |backend| backend.name.clone())
--- a/crates/valvestage-balancer/src/control/control_state.rs
+++ b/crates/valvestage-balancer/src/control/control_state.rs
@@ -12,7 +12,7 @@
 use valvestage_policy::control::{LeaseGrant, ObjectCache, ObjectKey, ObjectValue, OwnerMap};
 use valvestage_policy::flows::TokenKeys;
 use valvestage_policy::membership::{
-    HeartbeatOptions, HeartbeatTable, LiveView, PeerRecord, PeerState,
+    HeartbeatMessage, HeartbeatOptions, HeartbeatTable, LiveView, PeerRecord, PeerState,
 };
 
 use crate::commands::{Command, DataSnapshot};
@@ -36,7 +36,6 @@
     owner_map: Arc<OwnerMap>,
     view: LiveView,
     grant: Option<LeaseGrant>,
-    platform_heard: Option<SystemTime>,
     is_ready: bool,
 }
 
@@ -81,7 +80,6 @@
             configuration: None,
             owner_map: Arc::new(OwnerMap::default()),
             grant: None,
-            platform_heard: None,
             is_ready: false,
         };
         Self {
@@ -119,21 +117,21 @@
     }
 
     /// `beat` counts a heartbeat; gives the targets and the message.
-    pub fn beat(&self, now: SystemTime) -> (Vec<PeerRecord>, Vec<PeerRecord>) {
+    pub fn beat(&self, now: SystemTime) -> (Vec<PeerRecord>, HeartbeatMessage) {
         let mut changing = self.lock();
         let targets = changing.table.beat(now);
 
         (targets, changing.table.message(now))
     }
 
-    /// `message` gives the records to answer a heartbeat with.
-    pub fn message(&self, now: SystemTime) -> Vec<PeerRecord> {
+    /// `message` gives the answer to a heartbeat.
+    pub fn message(&self, now: SystemTime) -> HeartbeatMessage {
         self.lock().table.message(now)
     }
 
-    /// `merge` takes records in.
-    pub fn merge(&self, records: Vec<PeerRecord>, now: SystemTime) {
-        self.lock().table.merge(records, now);
+    /// `merge` takes a heartbeat in.
+    pub fn merge(&self, message: HeartbeatMessage, now: SystemTime) {
+        self.lock().table.merge(message, now);
     }
 
     /// `refresh_view` tells the decide thread of a changed set of live balancers.
@@ -233,28 +231,14 @@
 
     /// `on_platform_heard` notes an answer of the platform.
     pub fn on_platform_heard(&self, now: SystemTime) {
-        let mut changing = self.lock();
-
-        changing.platform_heard = Some(now);
-        changing.table.set_platform_heard(to_unix_millis(now));
+        self.lock().table.on_platform_heard(to_unix_millis(now));
     }
 
-    /// `platform_heard` gives when this balancer or a live peer last heard the platform.
-    pub fn platform_heard(&self, now: SystemTime) -> Option<SystemTime> {
-        let changing = self.lock();
-        let peers = changing
-            .table
-            .alive(now)
-            .map(|record| record.platform_heard_ms)
-            .max();
-        let peers = peers.filter(|heard| *heard > 0).map(from_unix_millis);
-
-        changing.platform_heard.max(peers)
-    }
+    /// `platform_heard` gives when any balancer heard of last heard the platform.
+    pub fn platform_heard(&self) -> Option<SystemTime> {
+        let heard = self.lock().table.platform_heard_ms();
 
-    /// `platform_heard_here` gives when this balancer last heard the platform itself.
-    pub fn platform_heard_here(&self) -> Option<SystemTime> {
-        self.lock().platform_heard
+        (heard > 0).then(|| from_unix_millis(heard))
     }
 
     /// `install_grant` takes the present lease, or that there is none.
@@ -376,7 +360,7 @@
         beat: 0,
         state: PeerState::Serving,
         lease_epoch: 0,
-        platform_heard_ms: 0,
+        revision: 0,
         configuration: 0,
         owner_map: 0,
         token_keys: 0,
--- a/crates/valvestage-balancer/src/control/heartbeat_task.rs
+++ b/crates/valvestage-balancer/src/control/heartbeat_task.rs
@@ -5,7 +5,7 @@
 
 use tokio::time::sleep;
 use valvestage_policy::control::ObjectKey;
-use valvestage_policy::membership::PeerRecord;
+use valvestage_policy::membership::{HeartbeatMessage, PeerRecord};
 use valvestage_wire::WireError;
 
 use super::control_state::ControlState;
@@ -40,10 +40,10 @@
     state: Arc<ControlState>,
     peers: PeerClients,
     target: PeerRecord,
-    message: Vec<PeerRecord>,
+    message: HeartbeatMessage,
 ) {
     match try_exchange(&peers, &target, message).await {
-        Ok(records) => state.merge(records, SystemTime::now()),
+        Ok(answer) => state.merge(answer, SystemTime::now()),
         Err(error) => log::debug!("{error}"),
     }
 }
@@ -51,8 +51,8 @@
 async fn try_exchange(
     peers: &PeerClients,
     target: &PeerRecord,
-    message: Vec<PeerRecord>,
-) -> Result<Vec<PeerRecord>, WireError> {
+    message: HeartbeatMessage,
+) -> Result<HeartbeatMessage, WireError> {
     let address = target.peer_address;
     let client = peers.get(address).await?;
     let result = client.heartbeat(call_context(), message).await;
@@ -96,7 +96,7 @@
         .set(count.received());
 
     let now = SystemTime::now();
-    if let Some(heard) = state.platform_heard(now) {
+    if let Some(heard) = state.platform_heard() {
         let age = now.duration_since(heard).unwrap_or_default();
         state
             .metrics
--- a/crates/valvestage-balancer/src/control/peer_server.rs
+++ b/crates/valvestage-balancer/src/control/peer_server.rs
@@ -10,7 +10,7 @@
 use valvestage_core::ids::ServiceId;
 use valvestage_policy::control::ObjectKey;
 use valvestage_policy::flows::Binding;
-use valvestage_policy::membership::PeerRecord;
+use valvestage_policy::membership::HeartbeatMessage;
 use valvestage_policy::operations::{DecisionRecord, Subject};
 use valvestage_policy::requests::HandedClaim;
 use valvestage_wire::peers::{ByteCount, PeerKey, PeerService, SharedObject, accept};
@@ -74,18 +74,14 @@
 }
 
 impl PeerService for PeerAnswers {
-    async fn heartbeat(self, _: Context, records: Vec<PeerRecord>) -> Vec<PeerRecord> {
+    async fn heartbeat(self, _: Context, message: HeartbeatMessage) -> HeartbeatMessage {
         let now = SystemTime::now();
-        let is_news = |record: &PeerRecord| {
-            let known = |key| self.state.object(key).map_or(0, |(version, _)| version);
-
-            record.configuration > known(ObjectKey::Configuration)
-                || record.owner_map > known(ObjectKey::OwnerMap)
-        };
+        let known = |key| self.state.object(key).map_or(0, |(version, _)| version);
+        let has_news = message.own.configuration > known(ObjectKey::Configuration)
+            || message.own.owner_map > known(ObjectKey::OwnerMap);
 
         // News travel on at once: the heartbeat task fetches them now.
-        let has_news = records.iter().any(is_news);
-        self.state.merge(records, now);
+        self.state.merge(message, now);
         if has_news {
             self.state.beat_now.notify_one();
         }
--- a/crates/valvestage-balancer/src/control/watch_task.rs
+++ b/crates/valvestage-balancer/src/control/watch_task.rs
@@ -56,7 +56,7 @@
     let is_chosen = mates.iter().take(WATCHERS_PER_ZONE).any(|id| *id == own);
 
     let is_stale = state
-        .platform_heard(now)
+        .platform_heard()
         .is_none_or(|heard| now.duration_since(heard).unwrap_or_default() > STALE_AFTER);
     is_chosen || is_stale
 }
--- a/crates/valvestage-policy/src/membership/heartbeat_table.rs
+++ b/crates/valvestage-policy/src/membership/heartbeat_table.rs
@@ -1,51 +1,28 @@
 //! Gossip of heartbeats: which balancers are alive.
 //!
-//! Each balancer counts its own heartbeats. At every interval it sends its freshest records to a
-//! few targets and merges what comes back; a balancer whose count stands still for too long is
-//! taken as dead. Bytes sent are bounded by `fanout * records_per_message`, whatever the size of
-//! the deployment.
+//! Each balancer counts its own heartbeats. At every interval it exchanges messages with a few
+//! targets; a balancer whose count stands still for too long is taken as dead. Counts travel as
+//! digests of a few bytes; a full record travels only after it has changed, a number of times that
+//! grows with the logarithm of the deployment, and when it is asked for. So the bytes of a message
+//! are bounded, whatever the size of the deployment.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, SystemTime};
 
 use valvestage_core::ids::{BalancerId, LeaseEpoch, ObjectVersion};
 
+use super::heartbeat_message::HeartbeatMessage;
+use super::heartbeat_options::HeartbeatOptions;
 use super::live_view::LiveView;
+use super::peer_entry::PeerEntry;
 use super::peer_record::{PeerRecord, PeerState};
 use crate::rendezvous::mix;
 
-/// `HeartbeatOptions` bounds the traffic and the time to detect a loss.
-#[derive(Debug, Clone, Copy)]
-pub struct HeartbeatOptions {
-    /// Targets of one heartbeat.
-    pub fanout: usize,
-    /// Records in one message, the own one included.
-    pub records_per_message: usize,
-    /// Silence after which a balancer is taken as dead.
-    pub dead_after: Duration,
-    /// Silence after which a dead balancer is forgotten.
-    pub forget_after: Duration,
-}
+/// Records asked for in one message.
+const MOST_WANTED: usize = 8;
 
-impl Default for HeartbeatOptions {
-    fn default() -> Self {
-        Self {
-            fanout: 2,
-            records_per_message: 8,
-            dead_after: Duration::from_secs(2),
-            forget_after: Duration::from_secs(3_600),
-        }
-    }
-}
-
-#[derive(Debug, Clone)]
-struct PeerEntry {
-    record: PeerRecord,
-    /// When the record was last superseded by a newer one; never in the future.
-    heard: SystemTime,
-    /// Whether any heartbeat was ever heard; a peer from the settings starts unheard.
-    confirmed: bool,
-}
+/// A changed record is announced this many times for each doubling of the deployment.
+const ANNOUNCEMENTS_PER_DOUBLING: u32 = 3;
 
 /// `HeartbeatTable` holds the latest record of each balancer.
 #[derive(Debug, Clone)]
@@ -54,6 +31,12 @@
     own: PeerRecord,
     /// Every other balancer ever heard of and not yet forgotten.
     peers: BTreeMap<BalancerId, PeerEntry>,
+    /// Balancers of which a full record is missing.
+    wanted: BTreeSet<BalancerId>,
+    /// Records that the last partner asked for.
+    asked: BTreeSet<BalancerId>,
+    platform_heard_ms: u64,
+    /// Counts messages; decides whose turn it is.
     round: u64,
 }
 
@@ -68,22 +51,16 @@
         let peers = seeds
             .into_iter()
             .filter(|seed| seed.id != own.id)
-            .map(|record| {
-                (
-                    record.id,
-                    PeerEntry {
-                        record,
-                        heard: now,
-                        confirmed: false,
-                    },
-                )
-            })
+            .map(|record| (record.id, PeerEntry::seed(record, now)))
             .collect();
 
         Self {
             options,
             own,
             peers,
+            wanted: BTreeSet::new(),
+            asked: BTreeSet::new(),
+            platform_heard_ms: 0,
             round: 0,
         }
     }
@@ -96,17 +73,12 @@
 
     /// `set_state` announces whether this balancer is staying.
     pub fn set_state(&mut self, state: PeerState) {
-        self.own.state = state;
+        self.change_own(|own| own.state = state);
     }
 
     /// `set_lease_epoch` announces the lease that this balancer holds; 0 for none.
     pub fn set_lease_epoch(&mut self, epoch: LeaseEpoch) {
-        self.own.lease_epoch = epoch;
-    }
-
-    /// `set_platform_heard` announces when the platform was last heard.
-    pub fn set_platform_heard(&mut self, at_ms: u64) {
-        self.own.platform_heard_ms = at_ms;
+        self.change_own(|own| own.lease_epoch = epoch);
     }
 
     /// `set_versions` announces the object versions that this balancer has.
@@ -116,148 +88,200 @@
         owner_map: ObjectVersion,
         token_keys: ObjectVersion,
     ) {
-        self.own.configuration = configuration;
-        self.own.owner_map = owner_map;
-        self.own.token_keys = token_keys;
+        self.change_own(|own| {
+            own.configuration = configuration;
+            own.owner_map = owner_map;
+            own.token_keys = token_keys;
+        });
+    }
+
+    fn change_own(&mut self, change: impl FnOnce(&mut PeerRecord)) {
+        let before = self.own.clone();
+
+        change(&mut self.own);
+        if self.own != before {
+            self.own.revision += 1;
+        }
+    }
+
+    /// `on_platform_heard` notes when anyone last heard the platform, Unix milliseconds.
+    pub fn on_platform_heard(&mut self, at_ms: u64) {
+        self.platform_heard_ms = self.platform_heard_ms.max(at_ms);
+    }
+
+    /// `platform_heard_ms` gives when anyone last heard the platform; 0 for never.
+    #[must_use]
+    pub fn platform_heard_ms(&self) -> u64 {
+        self.platform_heard_ms
     }
 
     /// `beat` counts one heartbeat and gives the targets of this interval.
     ///
     /// The targets rotate over all peers, so that each is met in turn, dead ones too: a healed
-    /// link is found again without help. One target a round lies in another availability zone.
+    /// link is found again without help. Live ones are met three times as often.
     pub fn beat(&mut self, now: SystemTime) -> Vec<PeerRecord> {
+        const LIVE_ROUNDS: u64 = 3;
+
         self.own.beat += 1;
         self.round += 1;
         self.forget(now);
 
-        let round = self.round;
-        let order = |id: BalancerId| mix(round, mix(self.own.id.into(), id.into()));
-        let mut near: Vec<_> = self
+        let (round, own) = (self.round, u64::from(self.own.id));
+        let live_only = round % (LIVE_ROUNDS + 1) != 0;
+        let mut candidates: Vec<_> = self
             .peers
             .values()
-            .filter(|peer| peer.record.zone == self.own.zone)
+            .filter(|peer| !live_only || peer.is_alive(now, self.options.dead_after))
             .collect();
-        let mut far: Vec<_> = self
-            .peers
-            .values()
-            .filter(|peer| peer.record.zone != self.own.zone)
-            .collect();
-        near.sort_by_key(|peer| order(peer.record.id));
-        far.sort_by_key(|peer| order(peer.record.id));
-
-        let near_count = self
-            .options
-            .fanout
-            .saturating_sub(usize::from(!far.is_empty()));
-        let mut targets: Vec<_> = near
+        if candidates.is_empty() {
+            candidates.extend(self.peers.values());
+        }
+
+        candidates.sort_by_key(|peer| mix(mix(round, own), peer.record.id.into()));
+        let chosen = candidates.into_iter().take(self.options.fanout);
+        chosen.map(|peer| peer.record.clone()).collect()
+    }
+
+    /// `message` gives what to tell a partner.
+    pub fn message(&mut self, now: SystemTime) -> HeartbeatMessage {
+        self.round += 1;
+
+        let records = self.records_to_send();
+        let digests = self.digests_to_send(now);
+        HeartbeatMessage {
+            own: self.own.clone(),
+            records,
+            digests,
+            wanted: self.wanted.iter().copied().take(MOST_WANTED).collect(),
+            platform_heard_ms: self.platform_heard_ms,
+        }
+    }
+
+    /// What the partner asked for, then what changed and was told the least.
+    fn records_to_send(&mut self) -> Vec<PeerRecord> {
+        let asked = std::mem::take(&mut self.asked);
+        let mut records: Vec<PeerRecord> = asked
             .iter()
-            .take(near_count)
-            .map(|p| p.record.clone())
+            .filter_map(|id| self.peers.get(id))
+            .filter(|peer| peer.is_confirmed)
+            .map(|peer| peer.record.clone())
             .collect();
-        let missing = self.options.fanout - targets.len();
-        targets.extend(far.iter().take(missing).map(|peer| peer.record.clone()));
-        targets
-    }
 
-    /// `message` gives the records to send: the own one, then the freshest others in rotation.
-    #[must_use]
-    pub fn message(&self, now: SystemTime) -> Vec<PeerRecord> {
-        let mut records = vec![self.own.clone()];
+        let mut changed: Vec<_> = self
+            .peers
+            .values_mut()
+            .filter(|peer| peer.announcements_left > 0)
+            .collect();
+        changed.sort_by_key(|peer| std::cmp::Reverse(peer.announcements_left));
+        for peer in changed.into_iter().take(self.options.full_records) {
+            peer.announcements_left -= 1;
+            if !asked.contains(&peer.record.id) {
+                records.push(peer.record.clone());
+            }
+        }
+        records
+    }
 
-        // Half the room for the most recently heard, the rest in rotation over all that live.
-        let mut fresh: Vec<_> = self
+    /// The live ones, in an order that changes from message to message.
+    fn digests_to_send(&self, now: SystemTime) -> Vec<super::BeatDigest> {
+        let dead_after = self.options.dead_after;
+        let mut live: Vec<_> = self
             .peers
             .values()
-            .filter(|peer| self.is_alive(peer, now))
+            .filter(|peer| peer.is_alive(now, dead_after))
             .collect();
-        fresh.sort_by_key(|peer| std::cmp::Reverse(peer.heard));
-        let room = self.options.records_per_message.saturating_sub(1);
-        let recent = room.div_ceil(2).min(fresh.len());
-        records.extend(fresh[..recent].iter().map(|peer| peer.record.clone()));
-
-        let mut rest: Vec<_> = fresh[recent..].to_vec();
-        rest.sort_by_key(|peer| mix(self.round, peer.record.id.into()));
-        records.extend(
-            rest.iter()
-                .take(room - recent)
-                .map(|peer| peer.record.clone()),
-        );
-        records
+
+        if live.len() > self.options.digests {
+            let round = self.round;
+            live.sort_by_cached_key(|peer| mix(round, peer.record.id.into()));
+            live.truncate(self.options.digests);
+        }
+        live.iter().map(|peer| peer.record.digest()).collect()
     }
 
-    /// `merge` takes records in; older ones than those known are ignored.
-    pub fn merge(&mut self, records: impl IntoIterator<Item = PeerRecord>, now: SystemTime) {
-        for record in records {
-            if record.id == self.own.id {
-                continue;
+    /// `merge` takes a partner's message in; what is older than what is known is ignored.
+    pub fn merge(&mut self, message: HeartbeatMessage, now: SystemTime) {
+        self.on_platform_heard(message.platform_heard_ms);
+        self.asked.extend(message.wanted);
+
+        for record in message.records.into_iter().chain([message.own]) {
+            self.merge_record(record, now);
+        }
+        for digest in message
+            .digests
+            .iter()
+            .filter(|digest| digest.id != self.own.id)
+        {
+            let peer = self.peers.get_mut(&digest.id);
+            if !peer.is_some_and(|peer| peer.take_digest(digest, now)) {
+                self.wanted.insert(digest.id);
             }
+        }
+    }
+
+    fn merge_record(&mut self, record: PeerRecord, now: SystemTime) {
+        if record.id == self.own.id {
+            return;
+        }
 
-            match self.peers.get_mut(&record.id) {
-                Some(entry) if entry.confirmed && !record.is_newer_than(&entry.record) => {}
-                Some(entry) => {
-                    *entry = PeerEntry {
-                        record,
-                        heard: now,
-                        confirmed: true,
-                    }
-                }
-                None => {
-                    let entry = PeerEntry {
-                        record,
-                        heard: now,
-                        confirmed: true,
-                    };
-                    self.peers.insert(entry.record.id, entry);
-                }
+        self.wanted.remove(&record.id);
+        let announcements = self.announcements();
+        match self.peers.get_mut(&record.id) {
+            Some(peer) if peer.is_confirmed && !record.is_newer_than(&peer.record) => {}
+            Some(peer) => {
+                let is_changed = !peer.is_confirmed
+                    || peer.record.revision != record.revision
+                    || peer.record.started_ms != record.started_ms;
+                let left = if is_changed {
+                    announcements
+                } else {
+                    peer.announcements_left
+                };
+                *peer = PeerEntry::heard(record, now, left);
+            }
+            None => {
+                self.peers
+                    .insert(record.id, PeerEntry::heard(record, now, announcements));
             }
         }
     }
 
+    fn announcements(&self) -> u32 {
+        let doublings = usize::BITS - self.peers.len().leading_zeros();
+
+        ANNOUNCEMENTS_PER_DOUBLING * doublings.max(1)
+    }
+
     /// `view` gives the balancers taken as alive and staying, this one included while it stays.
     #[must_use]
     pub fn view(&self, now: SystemTime) -> LiveView {
-        let peers = self
-            .peers
-            .values()
-            .filter(|peer| self.is_alive(peer, now) && peer.record.state == PeerState::Serving);
+        let in_state = |state| self.alive(now).filter(move |record| record.state == state);
         let own = (self.own.state == PeerState::Serving).then_some(&self.own);
-        let leaving = self
-            .peers
-            .values()
-            .filter(|peer| self.is_alive(peer, now) && peer.record.state == PeerState::Leaving);
-
-        LiveView::new(
-            peers
-                .map(|peer| &peer.record)
-                .chain(own)
-                .map(|record| (record.id, record.zone.clone())),
-        )
-        .with_leaving(leaving.map(|peer| peer.record.id))
+
+        let serving = in_state(PeerState::Serving).chain(own);
+        LiveView::new(serving.map(|record| (record.id, record.zone.clone())))
+            .with_leaving(in_state(PeerState::Leaving).map(|record| record.id))
     }
 
     /// `alive` lists the records of the other balancers taken as alive, leaving ones included.
     pub fn alive(&self, now: SystemTime) -> impl Iterator<Item = &PeerRecord> {
-        self.peers
-            .values()
-            .filter(move |peer| self.is_alive(peer, now))
-            .map(|peer| &peer.record)
+        self.known(now)
+            .filter(|(_, alive)| *alive)
+            .map(|(record, _)| record)
     }
 
     /// `known` lists the records of all other balancers, with whether each is taken as alive.
     pub fn known(&self, now: SystemTime) -> impl Iterator<Item = (&PeerRecord, bool)> {
+        let dead_after = self.options.dead_after;
+
         self.peers
             .values()
-            .map(move |peer| (&peer.record, self.is_alive(peer, now)))
-    }
-
-    fn is_alive(&self, peer: &PeerEntry, now: SystemTime) -> bool {
-        let silence = now.duration_since(peer.heard).unwrap_or(Duration::ZERO);
-
-        peer.confirmed && silence < self.options.dead_after
+            .map(move |peer| (&peer.record, peer.is_alive(now, dead_after)))
     }
 
     fn forget(&mut self, now: SystemTime) {
         let forget_after = self.options.forget_after;
+
         self.peers.retain(|_, peer| {
             now.duration_since(peer.heard).unwrap_or(Duration::ZERO) < forget_after
         });
--- a/crates/valvestage-wire/src/peers/peer_service.rs
+++ b/crates/valvestage-wire/src/peers/peer_service.rs
@@ -4,7 +4,7 @@
 use valvestage_core::ids::{ObjectVersion, ServiceId};
 use valvestage_policy::control::{ObjectKey, ObjectValue};
 use valvestage_policy::flows::Binding;
-use valvestage_policy::membership::PeerRecord;
+use valvestage_policy::membership::HeartbeatMessage;
 use valvestage_policy::operations::{DecisionRecord, Subject};
 use valvestage_policy::requests::HandedClaim;
 
@@ -22,8 +22,8 @@
 /// Each call carries a deadline of the caller (tarpc's context). All calls are idempotent.
 #[tarpc::service]
 pub trait PeerService {
-    /// Takes heartbeat records in, and gives some in return.
-    async fn heartbeat(records: Vec<PeerRecord>) -> Vec<PeerRecord>;
+    /// Takes a heartbeat in, and gives one in return.
+    async fn heartbeat(message: HeartbeatMessage) -> HeartbeatMessage;
 
     /// Gives the latest known version of an object, if any is known.
     async fn fetch(key: ObjectKey) -> Option<SharedObject>;
