Move the control decisions into the policy crate

Cause: gossip, fetches, lease and owner decisions stood in async tasks of the balancer, where neither the fault matrix nor another driver can step them.

Ruled out: driving the binaries in the matrix (slow, and not repeatable).

Change: ControlPolicy and PlannedStop, without I/O; the balancer's tasks carry out what they say.

--- a/crates/valvestage-balancer/src/control/admin_server.rs
+++ b/crates/valvestage-balancer/src/control/admin_server.rs
@@ -135,8 +135,10 @@
 
 fn balancer_status(state: &ControlState, snapshot: &DataSnapshot) -> BalancerStatus {
     let now = SystemTime::now();
-    let configuration = state.configuration();
-    let heard = state.platform_heard().map_or(0, to_unix_millis);
+    let configuration = state.read(|policy| policy.configuration().cloned());
+    let heard = state
+        .read(|policy| policy.platform_heard())
+        .map_or(0, to_unix_millis);
     let name_of = |id: &u32| {
         let known = configuration.as_ref().and_then(|known| known.backend(*id));
         known.map_or_else(|| format!("removed {id}"), |backend| backend.name.clone())
@@ -146,7 +148,7 @@
         id: state.settings.id,
         zone: state.settings.zone.clone(),
         ready: state.is_ready(),
-        has_lease: state.grant().is_some(),
+        has_lease: state.read(|policy| policy.grant().is_some()),
         configuration: snapshot.configuration,
         configuration_age_ms: to_unix_millis(now).saturating_sub(heard),
         flows: snapshot.flows,
@@ -156,15 +158,15 @@
             .map(|(id, n)| (name_of(id), *n))
             .collect(),
         services: service_statuses(state, snapshot),
-        peers: peer_statuses(state, now),
+        peers: peer_statuses(state),
     }
 }
 
 fn service_statuses(state: &ControlState, snapshot: &DataSnapshot) -> Vec<ServiceStatus> {
-    let Some(configuration) = state.configuration() else {
+    let Some(configuration) = state.read(|policy| policy.configuration().cloned()) else {
         return Vec::new();
     };
-    let owners = state.owner_map();
+    let owners = state.read(|policy| policy.owner_map().clone());
 
     let status = |service: &valvestage_core::Service| {
         let load = snapshot.loads.get(&service.id).copied().unwrap_or_default();
@@ -180,7 +182,7 @@
     configuration.services().map(status).collect()
 }
 
-fn peer_statuses(state: &ControlState, now: SystemTime) -> Vec<PeerStatus> {
+fn peer_statuses(state: &ControlState) -> Vec<PeerStatus> {
     let status = |(record, alive): (valvestage_policy::membership::PeerRecord, bool)| PeerStatus {
         id: record.id,
         zone: record.zone,
@@ -189,5 +191,5 @@
         configuration: record.configuration,
     };
 
-    state.known_peers(now).into_iter().map(status).collect()
+    state.known_peers().into_iter().map(status).collect()
 }
--- a/crates/valvestage-balancer/src/control/bindings_task.rs
+++ b/crates/valvestage-balancer/src/control/bindings_task.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 
 use tokio::time::sleep;
 use valvestage_core::ids::BalancerId;
@@ -48,7 +48,7 @@
         return;
     };
     let addresses: BTreeMap<BalancerId, SocketAddr> = state
-        .known_peers(SystemTime::now())
+        .known_peers()
         .into_iter()
         .map(|(record, _)| (record.id, record.peer_address))
         .collect();
--- a/crates/valvestage-balancer/src/control/control_state.rs
+++ b/crates/valvestage-balancer/src/control/control_state.rs
@@ -5,63 +5,47 @@
 
 use crossbeam_channel::Sender;
 use tokio::sync::{Notify, oneshot};
-use valvestage_core::Configuration;
-use valvestage_core::ids::{BalancerId, ObjectVersion, ServiceId, ZoneName};
+use valvestage_core::ids::{BalancerId, ObjectVersion};
 use valvestage_core::settings::BalancerSettings;
-use valvestage_core::time::{from_unix_millis, to_unix_millis};
-use valvestage_policy::control::{LeaseGrant, ObjectCache, ObjectKey, ObjectValue, OwnerMap};
-use valvestage_policy::flows::TokenKeys;
-use valvestage_policy::membership::{
-    HeartbeatMessage, HeartbeatOptions, HeartbeatTable, LiveView, PeerRecord, PeerState,
+use valvestage_core::time::to_unix_millis;
+use valvestage_policy::control::{
+    ControlAction, ControlOptions, ControlPolicy, Installation, LeaseOptions, ObjectKey,
+    ObjectValue,
 };
+use valvestage_policy::membership::{HeartbeatOptions, PeerRecord, PeerState};
 
 use crate::commands::{Command, DataSnapshot};
 use crate::metrics::BalancerMetrics;
 
-/// `ControlOptions` is what the control state starts with.
-pub struct ControlOptions {
-    /// The settings.
-    pub settings: BalancerSettings,
-    /// Shared with the data path.
-    pub metrics: Arc<BalancerMetrics>,
-    /// To the decide thread.
-    pub commands: Sender<Command>,
-}
-
-/// What changes; behind one lock that is never held across an await.
 struct Changing {
-    table: HeartbeatTable,
-    objects: ObjectCache,
-    configuration: Option<Arc<Configuration>>,
-    owner_map: Arc<OwnerMap>,
-    view: LiveView,
-    grant: Option<LeaseGrant>,
+    policy: ControlPolicy,
     is_ready: bool,
 }
 
-/// `ControlState` is shared by all control tasks, and by the admin server's threads.
+/// `ControlState` is shared by all control tasks, and by the admin server's thread.
 pub struct ControlState {
     /// The settings.
     pub settings: BalancerSettings,
     /// Shared with the data path.
     pub metrics: Arc<BalancerMetrics>,
-    /// Asks for a heartbeat now.
-    pub beat_now: Notify,
+    /// Asks for a step now.
+    pub step_now: Notify,
     /// Tells that the configuration or the view changed.
     pub placement_changed: Notify,
     commands: Sender<Command>,
+    /// Never held across an await.
     changing: Mutex<Changing>,
 }
 
 impl ControlState {
     /// `new` starts with the peers from the settings.
     #[must_use]
-    pub fn new(options: ControlOptions, now: SystemTime) -> Self {
-        let settings = options.settings;
-        let heartbeat_options = HeartbeatOptions {
-            dead_after: settings.dead_after,
-            ..HeartbeatOptions::default()
-        };
+    pub fn new(
+        settings: BalancerSettings,
+        metrics: Arc<BalancerMetrics>,
+        commands: Sender<Command>,
+        now: SystemTime,
+    ) -> Self {
         let own = own_record(&settings, now);
         let seeds = settings.peers.iter().map(|peer| PeerRecord {
             id: peer.id,
@@ -71,24 +55,18 @@
             started_ms: 0,
             ..own.clone()
         });
-        let table = HeartbeatTable::new(heartbeat_options, own.clone(), seeds, now);
+        let policy = ControlPolicy::new(control_options(&settings), own.clone(), seeds, now);
 
-        let changing = Changing {
-            view: table.view(now),
-            table,
-            objects: ObjectCache::default(),
-            configuration: None,
-            owner_map: Arc::new(OwnerMap::default()),
-            grant: None,
-            is_ready: false,
-        };
         Self {
             settings,
-            metrics: options.metrics,
-            beat_now: Notify::new(),
+            metrics,
+            step_now: Notify::new(),
             placement_changed: Notify::new(),
-            commands: options.commands,
-            changing: Mutex::new(changing),
+            commands,
+            changing: Mutex::new(Changing {
+                policy,
+                is_ready: false,
+            }),
         }
     }
 
@@ -96,172 +74,105 @@
         self.changing.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// `tell` sends a command to the decide thread, which never waits for control.
-    pub fn tell(&self, command: Command) {
-        if self.commands.send(command).is_err() {
-            log::debug!(step = "command"; "the decide thread has ended");
-        }
-    }
-
-    /// `ask` sends a question to the decide thread and waits for the answer; none if it has ended.
-    pub async fn ask<T>(&self, question: impl FnOnce(oneshot::Sender<T>) -> Command) -> Option<T> {
-        let (reply, answer) = oneshot::channel();
-
-        self.tell(question(reply));
-        answer.await.ok()
+    /// `read` looks at the control policy.
+    pub fn read<T>(&self, look: impl FnOnce(&ControlPolicy) -> T) -> T {
+        look(&self.lock().policy)
     }
 
-    /// `snapshot` asks the decide thread for its state.
-    pub async fn snapshot(&self) -> DataSnapshot {
-        self.ask(Command::TakeSnapshot).await.unwrap_or_default()
-    }
-
-    /// `beat` counts a heartbeat; gives the targets and the message.
-    pub fn beat(&self, now: SystemTime) -> (Vec<PeerRecord>, HeartbeatMessage) {
+    /// `step` lets the control policy do what is due, and gives what the driver has to do for it.
+    pub fn step(&self, now: SystemTime) -> Vec<ControlAction> {
+        let mut actions = Vec::new();
         let mut changing = self.lock();
-        let targets = changing.table.beat(now);
-
-        (targets, changing.table.message(now))
-    }
 
-    /// `message` gives the answer to a heartbeat.
-    pub fn message(&self, now: SystemTime) -> HeartbeatMessage {
-        self.lock().table.message(now)
+        changing.policy.step(now, &mut actions);
+        self.install_all(actions)
     }
 
-    /// `merge` takes a heartbeat in.
-    pub fn merge(&self, message: HeartbeatMessage, now: SystemTime) {
-        self.lock().table.merge(message, now);
-    }
-
-    /// `refresh_view` tells the decide thread of a changed set of live balancers.
-    pub fn refresh_view(&self, now: SystemTime) {
+    /// `change` lets the control policy take something in.
+    pub fn change<T>(
+        &self,
+        change: impl FnOnce(&mut ControlPolicy, &mut Vec<ControlAction>) -> T,
+    ) -> T {
+        let mut actions = Vec::new();
         let mut changing = self.lock();
-        let view = changing.table.view(now);
-        self.metrics
-            .live_balancers
-            .set(view.members().count() as u64);
-        if view == changing.view {
-            return;
-        }
+        let result = change(&mut changing.policy, &mut actions);
 
-        log::info!(live = view.members().count(); "the set of live balancers changed");
-        let addresses = changing
-            .table
-            .known(now)
-            .map(|(record, _)| (record.id, record.data_address))
-            .collect();
-        changing.view = view.clone();
-        drop(changing);
-
-        self.tell(Command::InstallView { view, addresses });
-        self.placement_changed.notify_one();
+        // Only a step asks for more than installations.
+        let others = self.install_all(actions);
+        debug_assert!(others.is_empty());
+        result
     }
 
-    /// `offer` takes an object in; a newer one is put in force and announced.
-    pub fn offer(&self, key: ObjectKey, version: ObjectVersion, value: ObjectValue) {
-        let mut changing = self.lock();
-        if version <= changing.objects.version(key) {
-            return;
-        }
+    /// Puts in force what is to be, and gives the rest. The caller holds the lock, so that the
+    /// decide thread sees installations in their order.
+    fn install_all(&self, actions: Vec<ControlAction>) -> Vec<ControlAction> {
+        let mut others = Vec::new();
 
-        let command = match value.clone() {
-            ObjectValue::Configuration(raw) => match Configuration::try_from((version, raw)) {
-                Ok(checked) => {
-                    let checked = Arc::new(checked);
-                    changing.configuration = Some(checked.clone());
-                    self.metrics.configuration_version.set(version);
-                    Command::InstallConfiguration(checked)
-                }
-                Err(error) => {
-                    log::error!(version; "a configuration is not put in force: {error}");
-                    return;
-                }
-            },
-            ObjectValue::OwnerMap(raw) => {
-                let map = Arc::new(OwnerMap { version, raw });
-                changing.owner_map = map.clone();
-                Command::InstallOwnerMap(map)
+        for action in actions {
+            match action {
+                ControlAction::Install(installation) => self.install(installation),
+                other => others.push(other),
             }
-            ObjectValue::TokenKeys(raw) => Command::InstallKeys(TokenKeys::new(version, raw)),
-            ObjectValue::Lease(_) => return,
-        };
-
-        log::info!(object = key.path().as_str(), version; "a newer object is in force");
-        changing.objects.offer(key, version, value);
-        let versions = [
-            ObjectKey::Configuration,
-            ObjectKey::OwnerMap,
-            ObjectKey::TokenKeys,
-        ]
-        .map(|key| changing.objects.version(key));
-        changing
-            .table
-            .set_versions(versions[0], versions[1], versions[2]);
-        drop(changing);
-
-        self.tell(command);
-        self.beat_now.notify_one();
-        self.placement_changed.notify_one();
-    }
-
-    /// `object` gives the latest known version of an object.
-    pub fn object(&self, key: ObjectKey) -> Option<(ObjectVersion, ObjectValue)> {
-        self.lock().objects.get(key).cloned()
+        }
+        others
     }
 
-    /// `newer_at` lists the objects of which a live peer has a newer version, with its address.
-    pub fn newer_at(&self, now: SystemTime) -> Vec<(PeerRecord, ObjectKey)> {
-        let changing = self.lock();
-        let mut newer = Vec::new();
-
-        for (key, version_of) in VERSIONED {
-            let best = changing
-                .table
-                .alive(now)
-                .max_by_key(|record| version_of(record));
-            if let Some(record) = best
-                && version_of(record) > changing.objects.version(key)
-            {
-                newer.push((record.clone(), key));
+    fn install(&self, installation: Installation) {
+        match installation {
+            Installation::Configuration(configuration) => {
+                let version = configuration.version;
+                log::info!(version; "a configuration is in force");
+                self.metrics.configuration_version.set(version);
+                self.tell(Command::InstallConfiguration(configuration));
+                self.placement_changed.notify_one();
+            }
+            Installation::OwnerMap(map) => {
+                log::info!(version = map.version; "the owners of services changed");
+                self.tell(Command::InstallOwnerMap(map));
+            }
+            Installation::Keys(keys) => {
+                log::info!(version = keys.version; "token keys are in force");
+                self.tell(Command::InstallKeys(keys));
             }
+            Installation::View { view, addresses } => {
+                let live = view.members().count() as u64;
+                log::info!(live; "the set of live balancers changed");
+                self.metrics.live_balancers.set(live);
+                self.tell(Command::InstallView { view, addresses });
+                self.placement_changed.notify_one();
+            }
+            Installation::Grant(grant) => self.tell(Command::InstallGrant(grant)),
         }
-        newer
+        self.step_now.notify_one();
     }
 
-    /// `on_platform_heard` notes an answer of the platform.
-    pub fn on_platform_heard(&self, now: SystemTime) {
-        self.lock().table.on_platform_heard(to_unix_millis(now));
+    /// `on_object` takes an object in from the platform or a peer.
+    pub fn on_object(&self, key: ObjectKey, version: ObjectVersion, value: ObjectValue) {
+        self.change(|policy, out| {
+            if let Err(error) = policy.on_object(key, version, value, out) {
+                log::error!(object = key.path().as_str(), version; "not put in force: {error}");
+            }
+        });
     }
 
-    /// `platform_heard` gives when any balancer heard of last heard the platform.
-    pub fn platform_heard(&self) -> Option<SystemTime> {
-        let heard = self.lock().table.platform_heard_ms();
-
-        (heard > 0).then(|| from_unix_millis(heard))
+    /// `tell` sends a command to the decide thread, which never waits for control.
+    pub fn tell(&self, command: Command) {
+        if self.commands.send(command).is_err() {
+            log::debug!(step = "command"; "the decide thread has ended");
+        }
     }
 
-    /// `install_grant` takes the present lease, or that there is none.
-    pub fn install_grant(&self, grant: Option<LeaseGrant>) {
-        let mut changing = self.lock();
-        if changing.grant == grant {
-            return;
-        }
+    /// `ask` sends a question to the decide thread and waits for the answer; none if it has ended.
+    pub async fn ask<T>(&self, question: impl FnOnce(oneshot::Sender<T>) -> Command) -> Option<T> {
+        let (reply, answer) = oneshot::channel();
 
-        if changing.grant.map(|grant| grant.epoch) != grant.map(|grant| grant.epoch) {
-            log::info!(epoch = grant.map_or(0, |grant| grant.epoch); "the lease changed");
-        }
-        changing.grant = grant;
-        changing
-            .table
-            .set_lease_epoch(grant.map_or(0, |grant| grant.epoch));
-        drop(changing);
-        self.tell(Command::InstallGrant(grant));
+        self.tell(question(reply));
+        answer.await.ok()
     }
 
-    /// `grant` gives the present lease.
-    pub fn grant(&self) -> Option<LeaseGrant> {
-        self.lock().grant
+    /// `snapshot` asks the decide thread for its state.
+    pub async fn snapshot(&self) -> DataSnapshot {
+        self.ask(Command::TakeSnapshot).await.unwrap_or_default()
     }
 
     /// `set_ready` says whether this balancer takes work.
@@ -275,81 +186,46 @@
         let changing = self.lock();
 
         changing.is_ready
-            && changing.configuration.is_some()
-            && changing.objects.version(ObjectKey::TokenKeys) > 0
-    }
-
-    /// `set_leaving` announces that this balancer leaves.
-    pub fn set_leaving(&self) {
-        self.lock().table.set_state(PeerState::Leaving);
-        self.beat_now.notify_one();
-    }
-
-    /// `configuration` gives the configuration in force.
-    pub fn configuration(&self) -> Option<Arc<Configuration>> {
-        self.lock().configuration.clone()
-    }
-
-    /// `owner_map` gives the owners of services.
-    pub fn owner_map(&self) -> Arc<OwnerMap> {
-        self.lock().owner_map.clone()
-    }
-
-    /// `owned_services` lists the services that this balancer owns under its present lease.
-    pub fn owned_services(&self) -> Vec<ServiceId> {
-        let changing = self.lock();
-        let lease = changing.grant.map(|grant| grant.epoch);
-        let entries = changing.owner_map.raw.entries.iter();
-
-        entries
-            .filter(|(_, entry)| entry.owner == self.settings.id && Some(entry.lease) == lease)
-            .map(|(service, _)| *service)
-            .collect()
-    }
-
-    /// `view` gives the live balancers.
-    pub fn view(&self) -> LiveView {
-        self.lock().view.clone()
+            && changing.policy.configuration().is_some()
+            && changing.policy.object(ObjectKey::TokenKeys).is_some()
     }
 
     /// `known_peers` lists the other balancers, with whether each is alive.
-    pub fn known_peers(&self, now: SystemTime) -> Vec<(PeerRecord, bool)> {
-        let changing = self.lock();
+    pub fn known_peers(&self) -> Vec<(PeerRecord, bool)> {
+        let now = SystemTime::now();
 
-        changing
-            .table
-            .known(now)
-            .map(|(record, alive)| (record.clone(), alive))
-            .collect()
+        self.read(|policy| {
+            policy
+                .known_peers(now)
+                .map(|(record, alive)| (record.clone(), alive))
+                .collect()
+        })
     }
 
-    /// `zone_mates` lists the live, staying balancers of this zone, this one included.
-    pub fn zone_mates(&self, now: SystemTime) -> Vec<BalancerId> {
-        let changing = self.lock();
-        let zone: &ZoneName = &self.settings.zone;
-        let peers = changing.table.alive(now);
-        let mates = peers
-            .filter(|record| record.zone == *zone && record.state == PeerState::Serving)
-            .map(|record| record.id);
-
-        mates.chain([self.settings.id]).collect()
+    /// `find_peer` gives the record of another balancer.
+    pub fn find_peer(&self, id: BalancerId) -> Option<PeerRecord> {
+        self.known_peers()
+            .into_iter()
+            .map(|(record, _)| record)
+            .find(|record| record.id == id)
     }
+}
 
-    /// `own_record` gives the own heartbeat record.
-    pub fn own_record(&self) -> PeerRecord {
-        self.lock().table.own().clone()
+fn control_options(settings: &BalancerSettings) -> ControlOptions {
+    ControlOptions {
+        heartbeat: HeartbeatOptions {
+            dead_after: settings.dead_after,
+            ..HeartbeatOptions::default()
+        },
+        heartbeat_interval: settings.heartbeat_interval,
+        lease: LeaseOptions {
+            length: settings.lease_length,
+            clock_bound: settings.clock_bound,
+        },
+        ..ControlOptions::default()
     }
 }
 
-type VersionOf = fn(&PeerRecord) -> ObjectVersion;
-
-/// The objects that balancers fetch from each other, and where a record tells their versions.
-const VERSIONED: [(ObjectKey, VersionOf); 3] = [
-    (ObjectKey::Configuration, |record| record.configuration),
-    (ObjectKey::OwnerMap, |record| record.owner_map),
-    (ObjectKey::TokenKeys, |record| record.token_keys),
-];
-
 fn own_record(settings: &BalancerSettings, now: SystemTime) -> PeerRecord {
     PeerRecord {
         id: settings.id,
@@ -357,10 +233,10 @@
         data_address: settings.data_address,
         peer_address: settings.peer_address,
         started_ms: to_unix_millis(now),
+        revision: 0,
         beat: 0,
         state: PeerState::Serving,
         lease_epoch: 0,
-        revision: 0,
         configuration: 0,
         owner_map: 0,
         token_keys: 0,
--- a/crates/valvestage-balancer/src/control/control_system.rs
+++ b/crates/valvestage-balancer/src/control/control_system.rs
@@ -11,10 +11,7 @@
 use super::control_state::ControlState;
 use super::peer_clients::PeerClients;
 use super::platform_driver::PlatformDriver;
-use super::{
-    admin_server, bindings_task, heartbeat_task, lease_task, owner_task, peer_server, stop_task,
-    watch_task,
-};
+use super::{admin_server, bindings_task, peer_server, step_task, stop_task, watch_task};
 use crate::errors::BalancerError;
 
 /// Longest wait for an answer of the platform.
@@ -53,14 +50,16 @@
     peer_server::start(state.clone(), inputs.peer_key, peers.byte_count()).await?;
     admin_server::start(state.clone(), inputs.admin_token)?;
 
-    let lease = lease_task::start(state.clone(), platform.clone());
-    actix_rt::spawn(heartbeat_task::run(state.clone(), peers.clone()));
+    actix_rt::spawn(step_task::run(
+        state.clone(),
+        peers.clone(),
+        platform.clone(),
+    ));
     actix_rt::spawn(watch_task::run(state.clone(), platform.clone()));
-    actix_rt::spawn(owner_task::run(state.clone(), platform.clone()));
     actix_rt::spawn(bindings_task::run(state.clone(), peers.clone()));
 
     state.set_ready(true);
     stop_task::wait_for_stop(&inputs.stop_asked).await;
-    stop_task::stop(&state, &peers, &platform, &lease).await;
+    stop_task::stop(&state, &peers, &platform).await;
     Ok(())
 }
--- a/crates/valvestage-balancer/src/control/peer_server.rs
+++ b/crates/valvestage-balancer/src/control/peer_server.rs
@@ -76,20 +76,17 @@
 impl PeerService for PeerAnswers {
     async fn heartbeat(self, _: Context, message: HeartbeatMessage) -> HeartbeatMessage {
         let now = SystemTime::now();
-        let known = |key| self.state.object(key).map_or(0, |(version, _)| version);
-        let has_news = message.own.configuration > known(ObjectKey::Configuration)
-            || message.own.owner_map > known(ObjectKey::OwnerMap);
-
-        // News travel on at once: the heartbeat task fetches them now.
-        self.state.merge(message, now);
-        if has_news {
-            self.state.beat_now.notify_one();
-        }
-        self.state.message(now)
+        let answer = self
+            .state
+            .change(|policy, _| policy.on_heartbeat(now, message));
+
+        // News travel on at once: the next step fetches them.
+        self.state.step_now.notify_one();
+        answer
     }
 
     async fn fetch(self, _: Context, key: ObjectKey) -> Option<SharedObject> {
-        let (version, value) = self.state.object(key)?;
+        let (version, value) = self.state.read(|policy| policy.object(key).cloned())?;
 
         Some(SharedObject { version, value })
     }
@@ -106,7 +103,7 @@
         claims: Vec<HandedClaim<Payload>>,
     ) -> bool {
         // Without a lease this balancer could not own the service.
-        let takes = self.state.is_ready() && self.state.grant().is_some();
+        let takes = self.state.is_ready() && self.state.read(|policy| policy.grant().is_some());
 
         if takes {
             self.state.tell(Command::OfferHandover {
--- a/crates/valvestage-balancer/src/control/platform_driver.rs
+++ b/crates/valvestage-balancer/src/control/platform_driver.rs
@@ -64,7 +64,8 @@
 
     fn count(&self, call: &'static str, result: PlatformResult) {
         if result != PlatformResult::NoAnswer {
-            self.state.on_platform_heard(SystemTime::now());
+            self.state
+                .change(|policy, _| policy.on_platform_heard(SystemTime::now()));
         }
 
         let label = PlatformLabel { call, result };
--- a/crates/valvestage-balancer/src/control/watch_task.rs
+++ b/crates/valvestage-balancer/src/control/watch_task.rs
@@ -1,28 +1,18 @@
-//! Reading the platform, on the balancers chosen for it.
-//!
-//! A watch that waits counts as a call, so only a few balancers of each zone watch; the others
-//! get new objects from peers.
+//! Watching the platform, on the balancers chosen for it.
 
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
 use tokio::time::sleep;
 use valvestage_platform::objects::{from_json, watched_key};
-use valvestage_policy::rendezvous::mix;
 use valvestage_wire::platform::WatchResult;
 
 use super::control_state::ControlState;
 use super::platform_driver::PlatformDriver;
 
-/// Balancers of one zone that watch.
-const WATCHERS_PER_ZONE: usize = 2;
-
 /// Longest wait of one watch.
 const WATCH_WAIT: Duration = Duration::from_secs(2);
 
-/// Without news of the platform for this long, a balancer looks for itself.
-const STALE_AFTER: Duration = Duration::from_secs(6);
-
 /// Pause after a failed watch, and of those that do not watch.
 const PAUSE: Duration = Duration::from_millis(300);
 
@@ -30,7 +20,7 @@
     let mut after = 0;
 
     loop {
-        if !should_watch(&state, SystemTime::now()) {
+        if !state.read(|policy| policy.should_watch(SystemTime::now())) {
             sleep(PAUSE).await;
             continue;
         }
@@ -49,18 +39,6 @@
     }
 }
 
-fn should_watch(state: &ControlState, now: SystemTime) -> bool {
-    let own = state.settings.id;
-    let mut mates = state.zone_mates(now);
-    mates.sort_by_key(|id| mix(u64::from(*id), 0));
-    let is_chosen = mates.iter().take(WATCHERS_PER_ZONE).any(|id| *id == own);
-
-    let is_stale = state
-        .platform_heard()
-        .is_none_or(|heard| now.duration_since(heard).unwrap_or_default() > STALE_AFTER);
-    is_chosen || is_stale
-}
-
 fn take_in(state: &ControlState, result: WatchResult) {
     for object in result.objects {
         let Some(key) = watched_key(&object) else {
@@ -68,7 +46,7 @@
         };
 
         match from_json(key, object.value) {
-            Ok(value) => state.offer(key, object.version, value),
+            Ok(value) => state.on_object(key, object.version, value),
             Err(error) => log::error!(version = object.version; "{error}"),
         }
     }
--- a/crates/valvestage-balancer/src/process.rs
+++ b/crates/valvestage-balancer/src/process.rs
@@ -15,7 +15,7 @@
 use valvestage_wire::peers::PeerKey;
 
 use crate::commands::Command;
-use crate::control::{self, ControlInputs, ControlOptions, ControlState};
+use crate::control::{self, ControlInputs, ControlState};
 use crate::data_path::{DataHandler, DataOptions};
 use crate::errors::BalancerError;
 use crate::metrics::BalancerMetrics;
@@ -117,7 +117,7 @@
             spawn("send", move || send_loop(&socket, &outbound, &metrics))?
         };
 
-        let state = control_state(settings, metrics, command_sender.clone());
+        let state = ControlState::new(settings, metrics, command_sender.clone(), SystemTime::now());
         let control = ControlInputs {
             state: Arc::new(state),
             peer_key,
@@ -207,18 +207,3 @@
 
     DataHandler::new(options, metrics, SystemTime::now())
 }
-
-fn control_state(
-    settings: BalancerSettings,
-    metrics: Arc<BalancerMetrics>,
-    commands: Sender<Command>,
-) -> ControlState {
-    ControlState::new(
-        ControlOptions {
-            settings,
-            metrics,
-            commands,
-        },
-        SystemTime::now(),
-    )
-}
--- a/crates/valvestage-policy/src/control.rs
+++ b/crates/valvestage-policy/src/control.rs
@@ -3,6 +3,9 @@
 //! The state machines here ask for [`PlatformCall`]s and take [`PlatformReply`]s; a driver carries
 //! them to the platform's object API.
 
+mod control_action;
+mod control_options;
+mod control_policy;
 mod lease_keeper;
 mod lease_record;
 mod object_cache;
@@ -10,8 +13,12 @@
 mod owner_coordinator;
 mod owner_handover;
 mod owner_map;
+mod planned_stop;
 mod platform_call;
 
+pub use control_action::{ControlAction, Installation, Machine};
+pub use control_options::ControlOptions;
+pub use control_policy::ControlPolicy;
 pub use lease_keeper::{LeaseGrant, LeaseKeeper, LeaseOptions};
 pub use lease_record::LeaseRecord;
 pub use object_cache::ObjectCache;
@@ -19,4 +26,5 @@
 pub use owner_coordinator::{CoordinatorInputs, OwnerCandidate, OwnerCoordinator};
 pub use owner_handover::{HandoverOutcome, OwnerHandover};
 pub use owner_map::{OwnerEntry, OwnerMap, RawOwnerMap};
+pub use planned_stop::{PlannedStop, StopStep};
 pub use platform_call::{PlatformCall, PlatformReply};
--- /dev/null
+++ b/crates/valvestage-policy/src/control/control_policy.rs
@@ -0,0 +1,393 @@
+//! The control decisions of one balancer: gossip, objects, lease, owners.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+
+use valvestage_core::Configuration;
+use valvestage_core::ids::{BalancerId, ObjectVersion, ServiceId};
+use valvestage_core::time::{from_unix_millis, to_unix_millis};
+
+use super::control_action::{ControlAction, Installation, Machine};
+use super::control_options::ControlOptions;
+use super::lease_keeper::{LeaseGrant, LeaseKeeper};
+use super::object_cache::ObjectCache;
+use super::object_key::{ObjectKey, ObjectValue};
+use super::owner_coordinator::{CoordinatorInputs, OwnerCandidate, OwnerCoordinator};
+use super::owner_map::OwnerMap;
+use super::platform_call::PlatformReply;
+use crate::errors::PolicyError;
+use crate::flows::TokenKeys;
+use crate::membership::{HeartbeatMessage, HeartbeatTable, LiveView, PeerRecord, PeerState};
+use crate::rendezvous::mix;
+
+/// The balancer that is home of this key looks after owners; two that do it at once do no harm.
+const COORDINATOR_KEY: u64 = 0x6f77_6e65;
+
+/// Separates the choice of watchers from that of lease holders.
+const WATCHER_SEED: u64 = 0x7761_7463;
+
+/// Separates the choice of lease holders from that of watchers.
+const HOLDER_SEED: u64 = 0x686f_6c64;
+
+/// A fetch without an answer is asked again after this.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
+
+type VersionOf = fn(&PeerRecord) -> ObjectVersion;
+
+/// The objects that balancers fetch from each other, and where a record tells their versions.
+const SHARED_OBJECTS: [(ObjectKey, VersionOf); 3] = [
+    (ObjectKey::Configuration, |record| record.configuration),
+    (ObjectKey::OwnerMap, |record| record.owner_map),
+    (ObjectKey::TokenKeys, |record| record.token_keys),
+];
+
+/// `ControlPolicy` decides what a balancer sends to peers and the platform, and what it puts in
+/// force. It has no part in the decision for a packet.
+#[derive(Debug)]
+pub struct ControlPolicy {
+    options: ControlOptions,
+    table: HeartbeatTable,
+    objects: ObjectCache,
+    configuration: Option<Arc<Configuration>>,
+    owner_map: Arc<OwnerMap>,
+    view: LiveView,
+    keeper: LeaseKeeper,
+    grant: Option<LeaseGrant>,
+    coordinator: OwnerCoordinator,
+    next_beat: SystemTime,
+    /// Fetches that are out, with the time at which they are given up.
+    fetches: BTreeMap<ObjectKey, SystemTime>,
+}
+
+impl ControlPolicy {
+    /// `new` starts with the own record and the peers known from the settings.
+    pub fn new(
+        options: ControlOptions,
+        own: PeerRecord,
+        seeds: impl IntoIterator<Item = PeerRecord>,
+        now: SystemTime,
+    ) -> Self {
+        let id = own.id;
+
+        Self {
+            table: HeartbeatTable::new(options.heartbeat, own, seeds, now),
+            objects: ObjectCache::new(options.newest_only),
+            configuration: None,
+            owner_map: Arc::default(),
+            view: LiveView::default(),
+            keeper: LeaseKeeper::new(id, options.lease, now),
+            grant: None,
+            coordinator: OwnerCoordinator::new(id, options.lease.clock_bound, now),
+            next_beat: now,
+            fetches: BTreeMap::new(),
+            options,
+        }
+    }
+
+    /// `step` gives everything that is due; it costs little and may be called often.
+    pub fn step(&mut self, now: SystemTime, out: &mut Vec<ControlAction>) {
+        self.beat_if_due(now, out);
+        self.refresh_view(now, out);
+        self.fetch_newer(now, out);
+        self.step_lease(now, out);
+        self.step_owners(now, out);
+    }
+
+    fn beat_if_due(&mut self, now: SystemTime, out: &mut Vec<ControlAction>) {
+        if now < self.next_beat {
+            return;
+        }
+
+        self.next_beat = now + self.options.heartbeat_interval;
+        for to in self.table.beat(now) {
+            let message = self.table.message(now);
+            out.push(ControlAction::Heartbeat { to, message });
+        }
+    }
+
+    fn refresh_view(&mut self, now: SystemTime, out: &mut Vec<ControlAction>) {
+        let view = self.table.view(now);
+        if view == self.view {
+            return;
+        }
+
+        self.view = view.clone();
+        let known = self.table.known(now);
+        let addresses = known
+            .map(|(record, _)| (record.id, record.data_address))
+            .collect();
+        out.push(ControlAction::Install(Installation::View {
+            view,
+            addresses,
+        }));
+    }
+
+    /// Fetches every object of which a live peer announced a newer version.
+    fn fetch_newer(&mut self, now: SystemTime, out: &mut Vec<ControlAction>) {
+        self.fetches.retain(|_, deadline| now < *deadline);
+
+        for (key, version_of) in SHARED_OBJECTS {
+            let best = self
+                .table
+                .alive(now)
+                .max_by_key(|record| version_of(record));
+            let known = self.objects.version(key);
+            if let Some(from) = best.filter(|record| version_of(record) > known)
+                && !self.fetches.contains_key(&key)
+            {
+                let from = from.clone();
+                self.fetches.insert(key, now + FETCH_TIMEOUT);
+                out.push(ControlAction::Fetch { from, key });
+            }
+        }
+    }
+
+    fn step_lease(&mut self, now: SystemTime, out: &mut Vec<ControlAction>) {
+        if self.may_hold_lease(now)
+            && let Some(call) = self.keeper.next_call(now)
+        {
+            out.push(ControlAction::Call {
+                machine: Machine::Lease,
+                call,
+            });
+        }
+
+        let grant = self.keeper.grant(now);
+        if grant != self.grant {
+            self.grant = grant;
+            self.table
+                .set_lease_epoch(grant.map_or(0, |grant| grant.epoch));
+            out.push(ControlAction::Install(Installation::Grant(grant)));
+        }
+    }
+
+    /// The balancers chosen in this zone, whoever owns a service, and whoever gives a lease back.
+    fn may_hold_lease(&self, now: SystemTime) -> bool {
+        self.keeper.gives_back()
+            || self.is_chosen(now, HOLDER_SEED, self.options.owners_per_zone)
+            || !self.owned_services().is_empty()
+    }
+
+    fn step_owners(&mut self, now: SystemTime, out: &mut Vec<ControlAction>) {
+        if self.view.home(COORDINATOR_KEY) != Some(self.own().id) {
+            return;
+        }
+
+        self.coordinator.on_map(&self.owner_map);
+        let services = self.configuration.iter().flat_map(|known| known.services());
+        let inputs = CoordinatorInputs {
+            services: services.map(|service| service.id).collect(),
+            candidates: self.candidates(now),
+        };
+        if let Some(call) = self.coordinator.next_call(now, &inputs) {
+            out.push(ControlAction::Call {
+                machine: Machine::Owners,
+                call,
+            });
+        }
+    }
+
+    /// `on_reply` takes the reply to a platform call.
+    pub fn on_reply(
+        &mut self,
+        now: SystemTime,
+        machine: Machine,
+        reply: PlatformReply,
+        out: &mut Vec<ControlAction>,
+    ) {
+        if reply != PlatformReply::Unknown {
+            self.on_platform_heard(now);
+        }
+
+        match machine {
+            Machine::Lease => self.keeper.on_reply(now, &reply),
+            Machine::Owners => {
+                if let Some(map) = self.coordinator.on_reply(now, reply) {
+                    self.on_owner_map(map, out);
+                }
+            }
+        }
+    }
+
+    /// `on_heartbeat` takes a peer's heartbeat and gives the answer.
+    pub fn on_heartbeat(&mut self, now: SystemTime, message: HeartbeatMessage) -> HeartbeatMessage {
+        self.table.merge(message, now);
+
+        self.table.message(now)
+    }
+
+    /// `on_heartbeat_answer` takes the answer to a heartbeat.
+    pub fn on_heartbeat_answer(&mut self, now: SystemTime, message: HeartbeatMessage) {
+        self.table.merge(message, now);
+    }
+
+    /// `on_owner_map` takes owners that this balancer wrote or read itself.
+    pub fn on_owner_map(&mut self, map: OwnerMap, out: &mut Vec<ControlAction>) {
+        // An owner map is always valid.
+        let value = ObjectValue::OwnerMap(map.raw);
+
+        let _ = self.on_object(ObjectKey::OwnerMap, map.version, value, out);
+    }
+
+    /// `on_object` takes an object from the platform or a peer; a newer one is put in force and
+    /// announced at once.
+    pub fn on_object(
+        &mut self,
+        key: ObjectKey,
+        version: ObjectVersion,
+        value: ObjectValue,
+        out: &mut Vec<ControlAction>,
+    ) -> Result<bool, PolicyError> {
+        self.fetches.remove(&key);
+        if !self.objects.is_news(key, version) {
+            return Ok(false);
+        }
+
+        let installation = match value.clone() {
+            ObjectValue::Configuration(raw) => {
+                let checked = Arc::new(Configuration::try_from((version, raw))?);
+                self.configuration = Some(checked.clone());
+                Installation::Configuration(checked)
+            }
+            ObjectValue::OwnerMap(raw) => {
+                self.owner_map = Arc::new(OwnerMap { version, raw });
+                Installation::OwnerMap(self.owner_map.clone())
+            }
+            ObjectValue::TokenKeys(raw) => Installation::Keys(TokenKeys::new(version, raw)),
+            ObjectValue::Lease(_) => return Ok(false),
+        };
+
+        self.objects.put(key, version, value);
+        self.table.set_versions(
+            self.objects.version(ObjectKey::Configuration),
+            self.objects.version(ObjectKey::OwnerMap),
+            self.objects.version(ObjectKey::TokenKeys),
+        );
+        self.next_beat = SystemTime::UNIX_EPOCH;
+        out.push(ControlAction::Install(installation));
+        Ok(true)
+    }
+
+    /// `should_watch` tells whether this balancer is to watch the platform now.
+    #[must_use]
+    pub fn should_watch(&self, now: SystemTime) -> bool {
+        let is_stale = self.platform_heard().is_none_or(|heard| {
+            now.duration_since(heard).unwrap_or_default() > self.options.stale_after
+        });
+
+        is_stale || self.is_chosen(now, WATCHER_SEED, self.options.watchers_per_zone)
+    }
+
+    /// Whether this balancer is among the first of its zone, in an order that all agree on.
+    fn is_chosen(&self, now: SystemTime, seed: u64, count: usize) -> bool {
+        let own = self.own();
+        let mates = self
+            .table
+            .alive(now)
+            .filter(|record| record.zone == own.zone && record.state == PeerState::Serving);
+        let rank = |id: BalancerId| mix(u64::from(id), seed);
+        let before = mates
+            .filter(|record| rank(record.id) < rank(own.id))
+            .count();
+
+        before < count
+    }
+
+    /// `on_platform_heard` notes an answer of the platform.
+    pub fn on_platform_heard(&mut self, now: SystemTime) {
+        self.table.on_platform_heard(to_unix_millis(now));
+    }
+
+    /// `platform_heard` gives when any balancer heard of last heard the platform.
+    #[must_use]
+    pub fn platform_heard(&self) -> Option<SystemTime> {
+        let heard = self.table.platform_heard_ms();
+
+        (heard > 0).then(|| from_unix_millis(heard))
+    }
+
+    /// `leave` announces that this balancer leaves.
+    pub fn leave(&mut self) {
+        self.table.set_state(PeerState::Leaving);
+        self.next_beat = SystemTime::UNIX_EPOCH;
+    }
+
+    /// `give_lease_back` closes the lease; call it once the services are handed over.
+    pub fn give_lease_back(&mut self) {
+        self.keeper.give_back();
+    }
+
+    /// `is_lease_given_back` tells whether no lease is held and none will be.
+    #[must_use]
+    pub fn is_lease_given_back(&self) -> bool {
+        self.keeper.is_given_back()
+    }
+
+    /// `candidates` lists live, staying balancers that hold a lease, this one included.
+    #[must_use]
+    pub fn candidates(&self, now: SystemTime) -> Vec<OwnerCandidate> {
+        let records = self.table.alive(now).chain([self.own()]);
+
+        records
+            .filter(|record| record.state == PeerState::Serving && record.lease_epoch > 0)
+            .map(|record| OwnerCandidate {
+                id: record.id,
+                lease: record.lease_epoch,
+            })
+            .collect()
+    }
+
+    /// `owned_services` lists the services that this balancer owns under its present lease.
+    #[must_use]
+    pub fn owned_services(&self) -> Vec<ServiceId> {
+        let lease = self.grant.map(|grant| grant.epoch);
+        let entries = self.owner_map.raw.entries.iter();
+
+        entries
+            .filter(|(_, entry)| entry.owner == self.own().id && Some(entry.lease) == lease)
+            .map(|(service, _)| *service)
+            .collect()
+    }
+
+    /// `object` gives the latest known version of an object.
+    #[must_use]
+    pub fn object(&self, key: ObjectKey) -> Option<&(ObjectVersion, ObjectValue)> {
+        self.objects.get(key)
+    }
+
+    /// `configuration` gives the configuration in force.
+    #[must_use]
+    pub fn configuration(&self) -> Option<&Arc<Configuration>> {
+        self.configuration.as_ref()
+    }
+
+    /// `owner_map` gives the owners of services.
+    #[must_use]
+    pub fn owner_map(&self) -> &Arc<OwnerMap> {
+        &self.owner_map
+    }
+
+    /// `view` gives the live balancers.
+    #[must_use]
+    pub fn view(&self) -> &LiveView {
+        &self.view
+    }
+
+    /// `grant` gives the present lease.
+    #[must_use]
+    pub fn grant(&self) -> Option<LeaseGrant> {
+        self.grant
+    }
+
+    /// `known_peers` lists the other balancers, with whether each is alive.
+    pub fn known_peers(&self, now: SystemTime) -> impl Iterator<Item = (&PeerRecord, bool)> {
+        self.table.known(now)
+    }
+
+    /// `own` gives the own heartbeat record.
+    #[must_use]
+    pub fn own(&self) -> &PeerRecord {
+        self.table.own()
+    }
+}
--- a/crates/valvestage-policy/src/control/lease_keeper.rs
+++ b/crates/valvestage-policy/src/control/lease_keeper.rs
@@ -72,7 +72,7 @@
     /// Whether a call is out; at most one is.
     is_waiting: bool,
     not_before: SystemTime,
-    gives_back: bool,
+    is_leaving: bool,
 }
 
 impl LeaseKeeper {
@@ -88,7 +88,7 @@
             in_flight: None,
             is_waiting: false,
             not_before: now,
-            gives_back: false,
+            is_leaving: false,
         }
     }
 
@@ -104,18 +104,24 @@
 
     /// `give_back` closes the lease at the next step and acquires no other.
     pub fn give_back(&mut self) {
-        self.gives_back = true;
+        self.is_leaving = true;
+    }
+
+    /// `gives_back` tells whether the lease is on its way out.
+    #[must_use]
+    pub fn gives_back(&self) -> bool {
+        self.is_leaving
     }
 
     /// `is_given_back` tells whether no lease is held and none will be.
     #[must_use]
     pub fn is_given_back(&self) -> bool {
-        self.gives_back && self.expires.is_none()
+        self.is_leaving && self.expires.is_none()
     }
 
     /// `next_call` gives the call that is due, if any.
     pub fn next_call(&mut self, now: SystemTime) -> Option<PlatformCall> {
-        if self.is_waiting || now < self.not_before || (self.gives_back && self.epoch.is_none()) {
+        if self.is_waiting || now < self.not_before || (self.is_leaving && self.epoch.is_none()) {
             return None;
         }
 
@@ -138,7 +144,7 @@
     ) -> Option<PlatformCall> {
         let is_own = !record.closed && self.epoch == Some(record.epoch);
 
-        if is_own && self.gives_back {
+        if is_own && self.is_leaving {
             return Some(self.write_closed(version, record));
         }
         if is_own {
--- a/crates/valvestage-policy/src/control/object_cache.rs
+++ b/crates/valvestage-policy/src/control/object_cache.rs
@@ -6,26 +6,43 @@
 
 /// `ObjectCache` keeps for each object the highest version ever seen, from the platform, from a
 /// watch that lags, or from another balancer: what is in force never reverts.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct ObjectCache {
+    /// Whether older versions are refused; only a baseline goes without.
+    newest_only: bool,
     configuration: Option<(ObjectVersion, ObjectValue)>,
     owner_map: Option<(ObjectVersion, ObjectValue)>,
     token_keys: Option<(ObjectVersion, ObjectValue)>,
 }
 
 impl ObjectCache {
-    /// `offer` takes an object in, and tells whether it is newer than the one known.
-    pub fn offer(&mut self, key: ObjectKey, version: ObjectVersion, value: ObjectValue) -> bool {
-        if version <= self.version(key) {
-            return false;
+    /// `new` starts empty.
+    #[must_use]
+    pub fn new(newest_only: bool) -> Self {
+        Self {
+            newest_only,
+            configuration: None,
+            owner_map: None,
+            token_keys: None,
         }
+    }
+
+    /// `is_news` tells whether a version is to be put in force.
+    #[must_use]
+    pub fn is_news(&self, key: ObjectKey, version: ObjectVersion) -> bool {
+        let known = self.version(key);
+
+        if self.newest_only {
+            version > known
+        } else {
+            version != known
+        }
+    }
 
-        match self.place_mut(key) {
-            Some(place) => {
-                *place = Some((version, value));
-                true
-            }
-            None => false,
+    /// `put` keeps an object that is news.
+    pub fn put(&mut self, key: ObjectKey, version: ObjectVersion, value: ObjectValue) {
+        if let Some(place) = self.place_mut(key) {
+            *place = Some((version, value));
         }
     }
 
