--- a/crates/valvectl/src/arguments.rs
+++ b/crates/valvectl/src/arguments.rs
@@ -142,23 +142,17 @@
     /// The intent that the API takes.
     pub fn intent(&self) -> Intent {
         match self.clone() {
-            Self::Add {
-                service,
-                zone,
-                address,
-                slots,
-                connections,
-                weight,
-                name,
-            } => Intent::AddBackend(NewBackend {
-                name,
-                service,
-                zone,
-                address,
-                slots,
-                connections,
-                weight,
-            }),
+            Self::Add { service, zone, address, slots, connections, weight, name } => {
+                Intent::AddBackend(NewBackend {
+                    name,
+                    service,
+                    zone,
+                    address,
+                    slots,
+                    connections,
+                    weight,
+                })
+            }
             Self::Drain { name } => Intent::DrainBackend { name },
             Self::Resume { name } => Intent::ResumeBackend { name },
             Self::Remove { name } => Intent::RemoveBackend { name },
--- a/crates/valvectl/src/calls.rs
+++ b/crates/valvectl/src/calls.rs
@@ -33,11 +33,7 @@
         let token = read_token(token_file)?;
         let client = Client::builder().timeout(TIMEOUT).finish();
 
-        Ok(Self {
-            client,
-            operator: operator.to_owned(),
-            token,
-        })
+        Ok(Self { client, operator: operator.to_owned(), token })
     }
 
     pub async fn bootstrap(
@@ -60,8 +56,7 @@
     }
 
     pub async fn status(&self) -> Result<StatusReport, CtlError> {
-        self.call(self.client.get(self.url("status")), None::<&()>)
-            .await
+        self.call(self.client.get(self.url("status")), None::<&()>).await
     }
 
     pub async fn why(&self, question: &Question) -> Result<Story, CtlError> {
@@ -79,8 +74,7 @@
         path: &str,
         body: &impl Serialize,
     ) -> Result<T, CtlError> {
-        self.call(self.client.post(self.url(path)), Some(body))
-            .await
+        self.call(self.client.post(self.url(path)), Some(body)).await
     }
 
     async fn call<T: DeserializeOwned>(
@@ -111,10 +105,6 @@
     }
 
     fn unreachable(&self, step: &'static str, cause: &dyn ToString) -> CtlError {
-        CtlError::Unreachable {
-            operator: self.operator.clone(),
-            step,
-            cause: cause.to_string(),
-        }
+        CtlError::Unreachable { operator: self.operator.clone(), step, cause: cause.to_string() }
     }
 }
--- a/crates/valvectl/src/errors.rs
+++ b/crates/valvectl/src/errors.rs
@@ -50,9 +50,7 @@
     pub fn exit_code(&self) -> u8 {
         match self {
             Self::Unreachable { .. } | Self::Said { status: 503, .. } => exit_codes::UNREACHABLE,
-            Self::Said {
-                status: 409 | 422, ..
-            } => exit_codes::REFUSED,
+            Self::Said { status: 409 | 422, .. } => exit_codes::REFUSED,
             Self::Said { .. } => exit_codes::FAILURE,
             Self::Token(_) | Self::Deployment(_) => exit_codes::USAGE,
         }
--- a/crates/valvectl/src/main.rs
+++ b/crates/valvectl/src/main.rs
@@ -77,10 +77,7 @@
 
 fn print(json: bool, value: &impl Serialize, sentences: String) {
     if json {
-        println!(
-            "{}",
-            serde_json::to_string_pretty(value).unwrap_or_default()
-        );
+        println!("{}", serde_json::to_string_pretty(value).unwrap_or_default());
     } else {
         print!("{sentences}");
     }
--- a/crates/valvectl/src/sentences.rs
+++ b/crates/valvectl/src/sentences.rs
@@ -48,11 +48,7 @@
             say!(text, "{}", refusal.remedy);
         }
         None => {
-            say!(
-                text,
-                "Nothing has happened yet. To carry it out: valvectl confirm {}",
-                plan.id
-            );
+            say!(text, "Nothing has happened yet. To carry it out: valvectl confirm {}", plan.id);
         }
     }
     text
@@ -65,10 +61,7 @@
     match report.accepted_version {
         Some(version) => say_version(&mut text, version),
         None => {
-            say!(
-                text,
-                "The platform does not answer; balancers go on with what they have."
-            );
+            say!(text, "The platform does not answer; balancers go on with what they have.");
         }
     }
     if report.behind.is_empty() {
@@ -95,11 +88,7 @@
 
 fn say_balancer(text: &mut String, status: &BalancerStatus) {
     let ready = if status.ready { "ready" } else { "not ready" };
-    let lease = if status.has_lease {
-        "with a lease"
-    } else {
-        "without a lease"
-    };
+    let lease = if status.has_lease { "with a lease" } else { "without a lease" };
     let live = status.peers.iter().filter(|peer| peer.alive).count();
 
     say!(
@@ -116,10 +105,7 @@
 
 /// Each service is counted at its owner.
 fn say_services(text: &mut String, report: &StatusReport) {
-    let statuses = report
-        .balancers
-        .iter()
-        .filter_map(|balancer| balancer.status.as_ref());
+    let statuses = report.balancers.iter().filter_map(|balancer| balancer.status.as_ref());
 
     for (status, service) in statuses.flat_map(|s| s.services.iter().map(move |v| (s, v))) {
         if service.owner == Some(status.id) {
@@ -141,19 +127,13 @@
     let mut text = String::new();
 
     if story.sentences.is_empty() {
-        say!(
-            text,
-            "No balancer that answers remembers anything about it."
-        );
+        say!(text, "No balancer that answers remembers anything about it.");
     }
     for told in &story.sentences {
         say!(text, "{} ms: {}", told.record.at_ms, told.sentence);
     }
     for address in &story.silent {
-        say!(
-            text,
-            "The balancer at {address} did not answer; its part may be missing."
-        );
+        say!(text, "The balancer at {address} did not answer; its part may be missing.");
     }
     text
 }
--- a/crates/valvestage-balancer/src/control/admin_server.rs
+++ b/crates/valvestage-balancer/src/control/admin_server.rs
@@ -53,24 +53,10 @@
     let metrics = &admin.state.metrics;
     metrics.flows.set(snapshot.flows);
     metrics.flow_table_bytes.set(snapshot.flow_table_bytes);
-    metrics.busy_slots.set(
-        snapshot
-            .loads
-            .values()
-            .map(|load| u64::from(load.busy_slots))
-            .sum(),
-    );
-    metrics.waiting.set(
-        snapshot
-            .loads
-            .values()
-            .map(|load| load.waiting as u64)
-            .sum(),
-    );
-
-    HttpResponse::Ok()
-        .content_type(OPEN_METRICS)
-        .body(metrics.text())
+    metrics.busy_slots.set(snapshot.loads.values().map(|load| u64::from(load.busy_slots)).sum());
+    metrics.waiting.set(snapshot.loads.values().map(|load| load.waiting as u64).sum());
+
+    HttpResponse::Ok().content_type(OPEN_METRICS).body(metrics.text())
 }
 
 async fn live() -> HttpResponse {
@@ -119,10 +105,7 @@
 }
 
 fn is_authorised(request: &HttpRequest, token: &str) -> bool {
-    let header = request
-        .headers()
-        .get(AUTHORIZATION)
-        .and_then(|value| value.to_str().ok());
+    let header = request.headers().get(AUTHORIZATION).and_then(|value| value.to_str().ok());
 
     header
         .and_then(|value| value.strip_prefix("Bearer "))
@@ -136,9 +119,7 @@
 fn balancer_status(state: &ControlState, snapshot: &DataSnapshot) -> BalancerStatus {
     let now = SystemTime::now();
     let configuration = state.read(|policy| policy.configuration().cloned());
-    let heard = state
-        .read(|policy| policy.platform_heard())
-        .map_or(0, to_unix_millis);
+    let heard = state.read(|policy| policy.platform_heard()).map_or(0, to_unix_millis);
     let name_of = |id: &u32| {
         let known = configuration.as_ref().and_then(|known| known.backend(*id));
         known.map_or_else(|| format!("removed {id}"), |backend| backend.name.clone())
--- a/crates/valvestage-balancer/src/control/control_state.rs
+++ b/crates/valvestage-balancer/src/control/control_state.rs
@@ -17,11 +17,6 @@
 use crate::commands::{Command, DataSnapshot};
 use crate::metrics::BalancerMetrics;
 
-struct Changing {
-    policy: ControlPolicy,
-    is_ready: bool,
-}
-
 /// `ControlState` is shared by all control tasks, and by the admin server's thread.
 pub struct ControlState {
     /// The settings.
@@ -34,7 +29,7 @@
     pub placement_changed: Notify,
     commands: Sender<Command>,
     /// Never held across an await.
-    changing: Mutex<Changing>,
+    policy: Mutex<ControlPolicy>,
 }
 
 impl ControlState {
@@ -63,28 +58,25 @@
             step_now: Notify::new(),
             placement_changed: Notify::new(),
             commands,
-            changing: Mutex::new(Changing {
-                policy,
-                is_ready: false,
-            }),
+            policy: Mutex::new(policy),
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, Changing> {
-        self.changing.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, ControlPolicy> {
+        self.policy.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// `read` looks at the control policy.
     pub fn read<T>(&self, look: impl FnOnce(&ControlPolicy) -> T) -> T {
-        look(&self.lock().policy)
+        look(&self.lock())
     }
 
     /// `step` lets the control policy do what is due, and gives what the driver has to do for it.
     pub fn step(&self, now: SystemTime) -> Vec<ControlAction> {
         let mut actions = Vec::new();
-        let mut changing = self.lock();
+        let mut policy = self.lock();
 
-        changing.policy.step(now, &mut actions);
+        policy.step(now, &mut actions);
         self.install_all(actions)
     }
 
@@ -94,8 +86,8 @@
         change: impl FnOnce(&mut ControlPolicy, &mut Vec<ControlAction>) -> T,
     ) -> T {
         let mut actions = Vec::new();
-        let mut changing = self.lock();
-        let result = change(&mut changing.policy, &mut actions);
+        let mut policy = self.lock();
+        let result = change(&mut policy, &mut actions);
 
         // Only a step asks for more than installations.
         let others = self.install_all(actions);
@@ -175,19 +167,16 @@
         self.ask(Command::TakeSnapshot).await.unwrap_or_default()
     }
 
-    /// `set_ready` says whether this balancer takes work.
-    pub fn set_ready(&self, is_ready: bool) {
-        self.lock().is_ready = is_ready;
+    /// `leave` begins the planned stop: this balancer takes no new work.
+    pub fn leave(&self) {
+        self.lock().leave();
+
+        self.step_now.notify_one();
     }
 
-    /// `is_ready` tells whether this balancer takes work: it has a configuration and keys, and is
-    /// not stopping.
+    /// `is_ready` tells whether this balancer takes work: it has joined and is not stopping.
     pub fn is_ready(&self) -> bool {
-        let changing = self.lock();
-
-        changing.is_ready
-            && changing.policy.configuration().is_some()
-            && changing.policy.object(ObjectKey::TokenKeys).is_some()
+        self.lock().is_serving()
     }
 
     /// `known_peers` lists the other balancers, with whether each is alive.
@@ -195,19 +184,13 @@
         let now = SystemTime::now();
 
         self.read(|policy| {
-            policy
-                .known_peers(now)
-                .map(|(record, alive)| (record.clone(), alive))
-                .collect()
+            policy.known_peers(now).map(|(record, alive)| (record.clone(), alive)).collect()
         })
     }
 
     /// `find_peer` gives the record of another balancer.
     pub fn find_peer(&self, id: BalancerId) -> Option<PeerRecord> {
-        self.known_peers()
-            .into_iter()
-            .map(|(record, _)| record)
-            .find(|record| record.id == id)
+        self.known_peers().into_iter().map(|(record, _)| record).find(|record| record.id == id)
     }
 }
 
@@ -218,10 +201,7 @@
             ..HeartbeatOptions::default()
         },
         heartbeat_interval: settings.heartbeat_interval,
-        lease: LeaseOptions {
-            length: settings.lease_length,
-            clock_bound: settings.clock_bound,
-        },
+        lease: LeaseOptions { length: settings.lease_length, clock_bound: settings.clock_bound },
         ..ControlOptions::default()
     }
 }
@@ -235,7 +215,7 @@
         started_ms: to_unix_millis(now),
         revision: 0,
         beat: 0,
-        state: PeerState::Serving,
+        state: PeerState::Joining,
         lease_epoch: 0,
         configuration: 0,
         owner_map: 0,
--- a/crates/valvestage-balancer/src/control/control_system.rs
+++ b/crates/valvestage-balancer/src/control/control_system.rs
@@ -50,15 +50,10 @@
     peer_server::start(state.clone(), inputs.peer_key, peers.byte_count()).await?;
     admin_server::start(state.clone(), inputs.admin_token)?;
 
-    actix_rt::spawn(step_task::run(
-        state.clone(),
-        peers.clone(),
-        platform.clone(),
-    ));
+    actix_rt::spawn(step_task::run(state.clone(), peers.clone(), platform.clone()));
     actix_rt::spawn(watch_task::run(state.clone(), platform.clone()));
     actix_rt::spawn(bindings_task::run(state.clone(), peers.clone()));
 
-    state.set_ready(true);
     stop_task::wait_for_stop(&inputs.stop_asked).await;
     stop_task::stop(&state, &peers, &platform).await;
     Ok(())
--- a/crates/valvestage-balancer/src/control/peer_clients.rs
+++ b/crates/valvestage-balancer/src/control/peer_clients.rs
@@ -24,11 +24,7 @@
 
 impl PeerClients {
     pub(super) fn new(key: PeerKey) -> Self {
-        Self {
-            key,
-            count: ByteCount::default(),
-            clients: Rc::default(),
-        }
+        Self { key, count: ByteCount::default(), clients: Rc::default() }
     }
 
     /// The bytes of all connections with peers, those that peers opened included.
--- a/crates/valvestage-balancer/src/control/peer_server.rs
+++ b/crates/valvestage-balancer/src/control/peer_server.rs
@@ -76,9 +76,7 @@
 impl PeerService for PeerAnswers {
     async fn heartbeat(self, _: Context, message: HeartbeatMessage) -> HeartbeatMessage {
         let now = SystemTime::now();
-        let answer = self
-            .state
-            .change(|policy, _| policy.on_heartbeat(now, message));
+        let answer = self.state.change(|policy, _| policy.on_heartbeat(now, message));
 
         // News travel on at once: the next step fetches them.
         self.state.step_now.notify_one();
@@ -106,11 +104,7 @@
         let takes = self.state.is_ready() && self.state.read(|policy| policy.grant().is_some());
 
         if takes {
-            self.state.tell(Command::OfferHandover {
-                service,
-                handover,
-                claims,
-            });
+            self.state.tell(Command::OfferHandover { service, handover, claims });
         }
         takes
     }
--- a/crates/valvestage-balancer/src/control/platform_driver.rs
+++ b/crates/valvestage-balancer/src/control/platform_driver.rs
@@ -53,26 +53,17 @@
 
         self.count(
             "watch",
-            if result.is_ok() {
-                PlatformResult::Done
-            } else {
-                PlatformResult::NoAnswer
-            },
+            if result.is_ok() { PlatformResult::Done } else { PlatformResult::NoAnswer },
         );
         result
     }
 
     fn count(&self, call: &'static str, result: PlatformResult) {
         if result != PlatformResult::NoAnswer {
-            self.state
-                .change(|policy, _| policy.on_platform_heard(SystemTime::now()));
+            self.state.change(|policy, _| policy.on_platform_heard(SystemTime::now()));
         }
 
         let label = PlatformLabel { call, result };
-        self.state
-            .metrics
-            .platform_calls
-            .get_or_create(&label)
-            .inc();
+        self.state.metrics.platform_calls.get_or_create(&label).inc();
     }
 }
--- a/crates/valvestage-balancer/src/control/step_task.rs
+++ b/crates/valvestage-balancer/src/control/step_task.rs
@@ -21,12 +21,7 @@
 pub(super) async fn run(state: Arc<ControlState>, peers: PeerClients, platform: PlatformDriver) {
     loop {
         for action in state.step(SystemTime::now()) {
-            actix_rt::spawn(perform(
-                action,
-                state.clone(),
-                peers.clone(),
-                platform.clone(),
-            ));
+            actix_rt::spawn(perform(action, state.clone(), peers.clone(), platform.clone()));
         }
         update_metrics(&state, &peers);
 
@@ -71,7 +66,10 @@
 ) {
     let reply = platform.execute(call).await;
 
-    state.change(|policy, out| policy.on_reply(SystemTime::now(), machine, reply, out));
+    let taken = state.change(|policy, out| policy.on_reply(SystemTime::now(), machine, reply, out));
+    if let Err(error) = taken {
+        log::error!("not put in force: {error}");
+    }
     state.step_now.notify_one();
 }
 
@@ -102,20 +100,11 @@
 fn update_metrics(state: &ControlState, peers: &PeerClients) {
     let count = peers.byte_count();
     let bytes = &state.metrics.control_bytes;
-    bytes
-        .get_or_create(&DirectionLabel { direction: "sent" })
-        .set(count.sent());
-    bytes
-        .get_or_create(&DirectionLabel {
-            direction: "received",
-        })
-        .set(count.received());
+    bytes.get_or_create(&DirectionLabel { direction: "sent" }).set(count.sent());
+    bytes.get_or_create(&DirectionLabel { direction: "received" }).set(count.received());
 
     if let Some(heard) = state.read(|policy| policy.platform_heard()) {
         let age = SystemTime::now().duration_since(heard).unwrap_or_default();
-        state
-            .metrics
-            .configuration_age_ms
-            .set(u64::try_from(age.as_millis()).unwrap_or(u64::MAX));
+        state.metrics.configuration_age_ms.set(u64::try_from(age.as_millis()).unwrap_or(u64::MAX));
     }
 }
--- a/crates/valvestage-balancer/src/control/stop_task.rs
+++ b/crates/valvestage-balancer/src/control/stop_task.rs
@@ -6,7 +6,7 @@
 
 use tokio::time::sleep;
 use valvestage_core::ids::{BalancerId, ServiceId};
-use valvestage_policy::control::{PlannedStop, StopStep};
+use valvestage_policy::control::StopStep;
 use valvestage_wire::WireError;
 
 use super::bindings_task::copy_exceptions;
@@ -35,9 +35,7 @@
     log::info!("stopping: no new work, services are handed over");
 
     // The fabric sees that this balancer is not ready, the peers that it leaves.
-    state.set_ready(false);
-    state.change(|policy, _| policy.leave());
-    state.step_now.notify_one();
+    state.leave();
     let announced = SystemTime::now();
 
     hand_over_all(state, peers, platform, deadline).await;
@@ -64,19 +62,14 @@
     platform: &PlatformDriver,
     deadline: SystemTime,
 ) {
-    let services = state.read(|policy| policy.owned_services());
-    let mut stop = PlannedStop::new(state.settings.id, services, SystemTime::now());
+    let mut stop = state.read(|policy| policy.planned_stop(SystemTime::now()));
 
     while !stop.is_done() && SystemTime::now() < deadline {
         let now = SystemTime::now();
         let step = state.read(|policy| stop.next(now, policy.owner_map(), &policy.candidates(now)));
 
         match step {
-            Some(StopStep::Offer {
-                to,
-                service,
-                handover,
-            }) => {
+            Some(StopStep::Offer { to, service, handover }) => {
                 let offered = offer(state, peers, to, service, handover).await;
                 let taken = offered.unwrap_or_else(|error| {
                     log::warn!("{error}");
@@ -87,11 +80,7 @@
             Some(StopStep::Call(call)) => {
                 stop.on_reply(SystemTime::now(), platform.execute(call).await);
             }
-            Some(StopStep::Settle {
-                service,
-                moved,
-                map,
-            }) => {
+            Some(StopStep::Settle { service, moved, map }) => {
                 if let Some(map) = map {
                     state.change(|policy, out| policy.on_owner_map(map, out));
                 }
@@ -117,8 +106,6 @@
 
     let address = record.peer_address;
     let client = peers.get(address).await?;
-    let result = client
-        .offer_handover(call_context(), service, handover, claims)
-        .await;
+    let result = client.offer_handover(call_context(), service, handover, claims).await;
     peers.check(address, "offer handover", result)
 }
--- a/crates/valvestage-balancer/src/data_path/backend_packets.rs
+++ b/crates/valvestage-balancer/src/data_path/backend_packets.rs
@@ -48,11 +48,7 @@
         out: &mut Vec<Outbound>,
     ) -> Result<(), RefusalReason> {
         let kind = envelope.header.kind;
-        let keys = self
-            .policy
-            .director()
-            .keys()
-            .ok_or(RefusalReason::NoConfiguration)?;
+        let keys = self.policy.director().keys().ok_or(RefusalReason::NoConfiguration)?;
         let key = keys.hasher().key(envelope.caller, sender.service);
         let mut header = Header::new(kind);
 
@@ -64,13 +60,7 @@
         }
 
         self.policy.on_backend_packet(key, sender.backend, kind);
-        self.push_to_caller(
-            &Envelope {
-                header,
-                ..*envelope
-            },
-            out,
-        );
+        self.push_to_caller(&Envelope { header, ..*envelope }, out);
         Ok(())
     }
 
@@ -94,14 +84,8 @@
         director.on_connections_full(key, sender.backend, now + FULL_PAUSE);
 
         let header = Header::new(PacketKind::Open);
-        let again = Envelope {
-            header,
-            ..*envelope
-        };
-        let hop = HopMark {
-            count: MAX_HOPS,
-            ..HopMark::FIRST
-        };
+        let again = Envelope { header, ..*envelope };
+        let hop = HopMark { count: MAX_HOPS, ..HopMark::FIRST };
         self.on_flow_packet(now, &again, sender.service, hop, out)
     }
 
@@ -117,8 +101,7 @@
         let payload = envelope.payload.to_vec();
 
         let mut actions = std::mem::take(&mut self.actions);
-        self.policy
-            .on_answer(now, sender.service, reply, place, payload, &mut actions);
+        self.policy.on_answer(now, sender.service, reply, place, payload, &mut actions);
         self.perform(&mut actions, out);
         self.actions = actions;
         Ok(())
@@ -136,8 +119,7 @@
         self.metrics.refused(reason);
 
         let mut actions = std::mem::take(&mut self.actions);
-        self.policy
-            .on_refused(now, sender.service, reply, reason, &mut actions);
+        self.policy.on_refused(now, sender.service, reply, reason, &mut actions);
         self.perform(&mut actions, out);
         self.actions = actions;
         Ok(())
--- a/crates/valvestage-balancer/src/data_path/caller_packets.rs
+++ b/crates/valvestage-balancer/src/data_path/caller_packets.rs
@@ -80,11 +80,7 @@
         hop: HopMark,
         out: &mut Vec<Outbound>,
     ) -> Result<(), RefusalReason> {
-        let keys = self
-            .policy
-            .director()
-            .keys()
-            .ok_or(RefusalReason::NoConfiguration)?;
+        let keys = self.policy.director().keys().ok_or(RefusalReason::NoConfiguration)?;
         let packet = FlowPacket {
             key: keys.hasher().key(envelope.caller, service),
             service,
@@ -95,23 +91,11 @@
         };
 
         match self.policy.on_flow(now, &packet) {
-            FlowVerdict::Forward {
-                backend,
-                incarnation,
-                source,
-                tell_binding,
-            } => {
+            FlowVerdict::Forward { backend, incarnation, source, tell_binding } => {
                 self.metrics.steered(source);
                 self.push_to_backend(envelope, service, backend, incarnation, out);
                 if tell_binding {
-                    self.push_binding(
-                        envelope,
-                        Binding {
-                            key: packet.key,
-                            backend,
-                        },
-                        out,
-                    );
+                    self.push_binding(envelope, Binding { key: packet.key, backend }, out);
                 }
             }
             FlowVerdict::Relay { peer, hop } => self.push_to_peer(envelope, peer, hop, out),
@@ -119,6 +103,7 @@
                 self.metrics.refused(reason);
                 self.push_flow_refusal(envelope, reason, out);
             }
+            FlowVerdict::Drop(reason) => return Err(reason),
         }
         Ok(())
     }
@@ -138,19 +123,8 @@
         };
 
         let mut header = Header::new(envelope.header.kind);
-        header.target = Some(Target {
-            service,
-            backend,
-            incarnation,
-        });
-        self.push(
-            record.address,
-            &Envelope {
-                header,
-                ..*envelope
-            },
-            out,
-        );
+        header.target = Some(Target { service, backend, incarnation });
+        self.push(record.address, &Envelope { header, ..*envelope }, out);
     }
 
     /// The balancer that is home now learns the binding that the former one knows.
@@ -162,15 +136,7 @@
 
         let mut header = Header::new(PacketKind::Binding);
         header.binding = Some(binding);
-        self.push(
-            *address,
-            &Envelope {
-                header,
-                payload: &[],
-                ..*envelope
-            },
-            out,
-        );
+        self.push(*address, &Envelope { header, payload: &[], ..*envelope }, out);
     }
 
     pub(super) fn push_to_peer(
@@ -185,19 +151,9 @@
             return;
         };
 
-        let header = Header {
-            hop: Some(hop),
-            ..envelope.header
-        };
+        let header = Header { hop: Some(hop), ..envelope.header };
         self.metrics.relayed.inc();
-        self.push(
-            *address,
-            &Envelope {
-                header,
-                ..*envelope
-            },
-            out,
-        );
+        self.push(*address, &Envelope { header, ..*envelope }, out);
     }
 
     fn push_flow_refusal(
@@ -210,14 +166,7 @@
         header.refusal = Some((Outcome::NotRun, reason));
         header.retry_after = Some(FLOW_RETRY_AFTER);
 
-        self.push_to_caller(
-            &Envelope {
-                header,
-                payload: &[],
-                ..*envelope
-            },
-            out,
-        );
+        self.push_to_caller(&Envelope { header, payload: &[], ..*envelope }, out);
     }
 
     fn on_request(
@@ -257,9 +206,7 @@
         let id = envelope.header.request.ok_or(RefusalReason::Malformed)?;
 
         let mut actions = std::mem::take(&mut self.actions);
-        let owner = self
-            .policy
-            .on_cancel(now, service, id, envelope.caller, &mut actions);
+        let owner = self.policy.on_cancel(now, service, id, envelope.caller, &mut actions);
         self.perform(&mut actions, out);
         self.actions = actions;
 
--- a/crates/valvestage-balancer/src/data_path/data_handler.rs
+++ b/crates/valvestage-balancer/src/data_path/data_handler.rs
@@ -84,9 +84,7 @@
         out: &mut Vec<Outbound>,
     ) -> Result<(), RefusalReason> {
         // The source decides what a packet may say, so it comes first.
-        let origin = self
-            .origin(source)
-            .ok_or(RefusalReason::UnauthorisedSource)?;
+        let origin = self.origin(source).ok_or(RefusalReason::UnauthorisedSource)?;
         if datagram.len() > MAX_DATAGRAM {
             return Err(RefusalReason::Oversized);
         }
@@ -141,7 +139,10 @@
                 self.policy.install_configuration(now, &configuration);
             }
             Command::InstallOwnerMap(map) => {
-                self.policy.install_owner_map(now, &map);
+                let mut actions = std::mem::take(&mut self.actions);
+                self.policy.install_owner_map(now, &map, &mut actions);
+                self.perform(&mut actions, out);
+                self.actions = actions;
             }
             Command::InstallKeys(keys) => {
                 self.policy.install_keys(keys);
@@ -160,12 +161,8 @@
             Command::SettleHandover { service, moved } => {
                 self.settle_handover(now, service, moved, out);
             }
-            Command::OfferHandover {
-                service,
-                handover,
-                claims,
-            } => {
-                self.policy.offer_handover(service, handover, claims);
+            Command::OfferHandover { service, handover, claims } => {
+                self.policy.offer_handover(now, service, handover, claims);
             }
             question => self.answer(now, question),
         }
@@ -204,8 +201,7 @@
     ) {
         let mut actions = std::mem::take(&mut self.actions);
 
-        self.policy
-            .settle_handover(now, service, moved, &mut actions);
+        self.policy.settle_handover(now, service, moved, &mut actions);
         self.perform(&mut actions, out);
         self.actions = actions;
     }
--- a/crates/valvestage-balancer/src/data_path/request_actions.rs
+++ b/crates/valvestage-balancer/src/data_path/request_actions.rs
@@ -25,14 +25,7 @@
 
     fn perform_one(&self, action: RequestAction<Payload>, out: &mut Vec<Outbound>) {
         match action {
-            RequestAction::Dispatch {
-                backend,
-                incarnation,
-                attempt,
-                deadline,
-                retry,
-                request,
-            } => {
+            RequestAction::Dispatch { backend, incarnation, attempt, deadline, retry, request } => {
                 self.metrics.dispatches.inc();
                 if let Some(reason) = retry {
                     self.metrics.retried(reason);
@@ -43,39 +36,18 @@
                 header.attempt = Some(attempt);
                 self.push_to_backend_server(&request, backend, incarnation, header, out);
             }
-            RequestAction::Cancel {
-                backend,
-                incarnation,
-                id,
-                service,
-                attempt,
-                caller,
-            } => {
+            RequestAction::Cancel { backend, incarnation, id, service, attempt, caller } => {
                 let mut header = Header::new(PacketKind::Cancel);
                 header.request = Some(id);
                 header.attempt = Some(attempt);
-                let target = Target {
-                    service,
-                    backend,
-                    incarnation,
-                };
+                let target = Target { service, backend, incarnation };
                 self.push_to_target(caller, target, header, &[], out);
             }
-            RequestAction::Answer {
-                id,
-                service,
-                caller,
-                segments,
-            } => {
+            RequestAction::Answer { id, service, caller, segments } => {
                 self.metrics.answers.inc();
                 self.push_answer(id, service, caller, &segments, out);
             }
-            RequestAction::Refuse {
-                id,
-                service,
-                caller,
-                refusal,
-            } => {
+            RequestAction::Refuse { id, service, caller, refusal } => {
                 self.metrics.refused(refusal.reason);
                 self.push_refusal(id, service, caller, refusal, out);
             }
@@ -103,11 +75,7 @@
         header: Header,
         out: &mut Vec<Outbound>,
     ) {
-        let target = Target {
-            service: request.service,
-            backend,
-            incarnation,
-        };
+        let target = Target { service: request.service, backend, incarnation };
 
         self.push_to_target(request.caller, target, header, &request.payload, out);
     }
@@ -128,16 +96,7 @@
         };
 
         header.target = Some(target);
-        self.push(
-            backend.address,
-            &Envelope {
-                caller,
-                service,
-                header,
-                payload,
-            },
-            out,
-        );
+        self.push(backend.address, &Envelope { caller, service, header, payload }, out);
     }
 
     fn push_answer(
@@ -157,15 +116,7 @@
             let mut header = Header::new(PacketKind::Answer);
             header.request = Some(id);
             header.segment = Some(Segment { index, count });
-            self.push_to_caller(
-                &Envelope {
-                    caller,
-                    service,
-                    header,
-                    payload,
-                },
-                out,
-            );
+            self.push_to_caller(&Envelope { caller, service, header, payload }, out);
         }
     }
 
@@ -185,23 +136,13 @@
         header.request = Some(id);
         header.refusal = Some((refusal.outcome, refusal.reason));
         header.retry_after = Some(refusal.retry_after);
-        self.push_to_caller(
-            &Envelope {
-                caller,
-                service,
-                header,
-                payload: &[],
-            },
-            out,
-        );
+        self.push_to_caller(&Envelope { caller, service, header, payload: &[] }, out);
     }
 
     fn service_address(&self, service: ServiceId) -> Option<SocketAddr> {
         let configuration = self.policy.director().history().current()?;
 
-        configuration
-            .service(service)
-            .map(|service| service.address)
+        configuration.service(service).map(|service| service.address)
     }
 }
 
--- a/crates/valvestage-balancer/src/errors.rs
+++ b/crates/valvestage-balancer/src/errors.rs
@@ -42,10 +42,6 @@
         step: &'static str,
         address: SocketAddr,
     ) -> impl FnOnce(io::Error) -> Self {
-        move |cause| Self::Socket {
-            step,
-            address,
-            cause,
-        }
+        move |cause| Self::Socket { step, address, cause }
     }
 }
--- a/crates/valvestage-balancer/src/metrics/balancer_metrics.rs
+++ b/crates/valvestage-balancer/src/metrics/balancer_metrics.rs
@@ -99,69 +99,25 @@
             "Datagrams not taken by the system",
             self.send_failures.clone(),
         );
-        r.register(
-            "ring_overflows",
-            "Batches shed at a full ring",
-            self.ring_overflows.clone(),
-        );
+        r.register("ring_overflows", "Batches shed at a full ring", self.ring_overflows.clone());
         r.register("refusals", "Refusals and drops", self.refusals.clone());
         r.register("retries", "Retries", self.retries.clone());
-        r.register(
-            "flow_packets",
-            "Flow packets steered",
-            self.flow_packets.clone(),
-        );
-        r.register(
-            "relayed",
-            "Packets relayed to other balancers",
-            self.relayed.clone(),
-        );
+        r.register("flow_packets", "Flow packets steered", self.flow_packets.clone());
+        r.register("relayed", "Packets relayed to other balancers", self.relayed.clone());
         r.register("answers", "Requests answered", self.answers.clone());
-        r.register(
-            "dispatches",
-            "Tries sent to backend servers",
-            self.dispatches.clone(),
-        );
+        r.register("dispatches", "Tries sent to backend servers", self.dispatches.clone());
         r.register("flows", "Flows in the table", self.flows.clone());
-        r.register(
-            "flow_table_bytes",
-            "Memory of the table",
-            self.flow_table_bytes.clone(),
-        );
+        r.register("flow_table_bytes", "Memory of the table", self.flow_table_bytes.clone());
         r.register("busy_slots", "Slots in use", self.busy_slots.clone());
         r.register("waiting", "Requests that wait", self.waiting.clone());
 
         // Control.
-        r.register(
-            "control_bytes",
-            "Control traffic with peers",
-            self.control_bytes.clone(),
-        );
-        r.register(
-            "platform_calls",
-            "Platform calls",
-            self.platform_calls.clone(),
-        );
-        r.register(
-            "configuration_version",
-            "In force",
-            self.configuration_version.clone(),
-        );
-        r.register(
-            "configuration_age_ms",
-            "Since heard",
-            self.configuration_age_ms.clone(),
-        );
-        r.register(
-            "live_balancers",
-            "Live balancers",
-            self.live_balancers.clone(),
-        );
-        r.register(
-            "bindings_copied",
-            "Bindings copied",
-            self.bindings_copied.clone(),
-        );
+        r.register("control_bytes", "Control traffic with peers", self.control_bytes.clone());
+        r.register("platform_calls", "Platform calls", self.platform_calls.clone());
+        r.register("configuration_version", "In force", self.configuration_version.clone());
+        r.register("configuration_age_ms", "Since heard", self.configuration_age_ms.clone());
+        r.register("live_balancers", "Live balancers", self.live_balancers.clone());
+        r.register("bindings_copied", "Bindings copied", self.bindings_copied.clone());
 
         registry
     }
--- a/crates/valvestage-balancer/src/metrics/labels.rs
+++ b/crates/valvestage-balancer/src/metrics/labels.rs
@@ -13,9 +13,7 @@
 
 impl From<RefusalReason> for ReasonLabel {
     fn from(reason: RefusalReason) -> Self {
-        Self {
-            reason: reason.label(),
-        }
+        Self { reason: reason.label() }
     }
 }
 
@@ -28,9 +26,7 @@
 
 impl From<RetryReason> for RetryLabel {
     fn from(reason: RetryReason) -> Self {
-        Self {
-            reason: reason.label(),
-        }
+        Self { reason: reason.label() }
     }
 }
 
--- a/crates/valvestage-balancer/src/process.rs
+++ b/crates/valvestage-balancer/src/process.rs
@@ -59,37 +59,19 @@
     pub fn new(settings: BalancerSettings) -> Result<Self, BalancerError> {
         let peer_key = PeerKey::read(&settings.peer_key_file)?;
         let admin_token = read_token(&settings.admin_token_file)?;
-        let platform_token = settings
-            .platform_token_file
-            .as_deref()
-            .map(read_token)
-            .transpose()?;
+        let platform_token = settings.platform_token_file.as_deref().map(read_token).transpose()?;
 
         let address = settings.data_address;
         let socket = UdpSocket::bind(address)
             .map_err(BalancerError::socket("open the data path on", address))?;
         prepare(&socket).map_err(BalancerError::socket("prepare the data path on", address))?;
 
-        Ok(Self {
-            stage: Starting {
-                settings,
-                peer_key,
-                platform_token,
-                admin_token,
-                socket,
-            },
-        })
+        Ok(Self { stage: Starting { settings, peer_key, platform_token, admin_token, socket } })
     }
 
     /// `serve` starts the threads of the data path.
     pub fn serve(self) -> Result<BalancerProcess<Serving>, BalancerError> {
-        let Starting {
-            settings,
-            peer_key,
-            platform_token,
-            admin_token,
-            socket,
-        } = self.stage;
+        let Starting { settings, peer_key, platform_token, admin_token, socket } = self.stage;
         let metrics = Arc::new(BalancerMetrics::default());
         let (command_sender, commands) = bounded(COMMAND_RING);
         let (inbound_sender, inbound) = batch_ring(metrics.clone());
@@ -125,14 +107,8 @@
             admin_token,
             stop_asked: Arc::new(AtomicBool::new(false)),
         };
-        let stage = Serving {
-            control,
-            receive,
-            decide,
-            send,
-            receive_stops,
-            commands: command_sender,
-        };
+        let stage =
+            Serving { control, receive, decide, send, receive_stops, commands: command_sender };
         Ok(BalancerProcess { stage })
     }
 }
@@ -146,14 +122,7 @@
 
     /// `run` runs the control thread here until the planned stop, then ends the data path.
     pub fn run(self) -> Result<(), BalancerError> {
-        let Serving {
-            control,
-            receive,
-            decide,
-            send,
-            receive_stops,
-            commands,
-        } = self.stage;
+        let Serving { control, receive, decide, send, receive_stops, commands } = self.stage;
         let result = control::run(control);
 
         // Decide ends, then send; what decide had put out is still sent.
@@ -183,9 +152,7 @@
 ) -> Result<UdpSocket, BalancerError> {
     let address = settings.data_address;
 
-    socket
-        .try_clone()
-        .map_err(BalancerError::socket("share the data path on", address))
+    socket.try_clone().map_err(BalancerError::socket("share the data path on", address))
 }
 
 fn spawn(
@@ -200,10 +167,7 @@
 fn data_handler(settings: &BalancerSettings, metrics: Arc<BalancerMetrics>) -> DataHandler {
     let mut policy = BalancerOptions::new(settings.id, settings.zone.clone());
     policy.requests.max_deadline = settings.max_deadline;
-    let options = DataOptions {
-        policy,
-        fabrics: settings.fabric_addresses.clone(),
-    };
+    let options = DataOptions { policy, fabrics: settings.fabric_addresses.clone() };
 
     DataHandler::new(options, metrics, SystemTime::now())
 }
--- a/crates/valvestage-balancer/src/threads/decide.rs
+++ b/crates/valvestage-balancer/src/threads/decide.rs
@@ -22,9 +22,7 @@
     let mut next_tick = SystemTime::now() + TICK;
 
     loop {
-        let wait = next_tick
-            .duration_since(SystemTime::now())
-            .unwrap_or(Duration::ZERO);
+        let wait = next_tick.duration_since(SystemTime::now()).unwrap_or(Duration::ZERO);
         let event = select_biased! {
             recv(commands) -> command => match command {
                 Ok(Command::Stop) | Err(_) => return,
--- a/crates/valvestage-balancer/src/threads/receive.rs
+++ b/crates/valvestage-balancer/src/threads/receive.rs
@@ -49,10 +49,7 @@
     buffers: &mut [[u8; BUFFER_BYTES]],
 ) -> Result<Vec<Inbound>, Errno> {
     let mut headers = MultiHeaders::<SockaddrStorage>::preallocate(buffers.len(), None);
-    let mut slices: Vec<_> = buffers
-        .iter_mut()
-        .map(|buffer| [IoSliceMut::new(buffer)])
-        .collect();
+    let mut slices: Vec<_> = buffers.iter_mut().map(|buffer| [IoSliceMut::new(buffer)]).collect();
 
     // Wait for the first datagram, take what else is there.
     let results = recvmmsg(
@@ -62,17 +59,13 @@
         MsgFlags::MSG_WAITFORONE,
         None,
     )?;
-    let lengths: Vec<(usize, Option<SocketAddr>)> = results
-        .map(|result| (result.bytes, result.address.as_ref().and_then(to_std)))
-        .collect();
+    let lengths: Vec<(usize, Option<SocketAddr>)> =
+        results.map(|result| (result.bytes, result.address.as_ref().and_then(to_std))).collect();
 
     let datagrams = lengths.into_iter().zip(buffers.iter());
     Ok(datagrams
         .filter_map(|((length, source), buffer)| {
-            Some(Inbound {
-                source: source?,
-                bytes: buffer[..length].to_vec(),
-            })
+            Some(Inbound { source: source?, bytes: buffer[..length].to_vec() })
         })
         .collect())
 }
@@ -82,7 +75,5 @@
         return Some(SocketAddr::new(v4.ip().into(), v4.port()));
     }
 
-    address
-        .as_sockaddr_in6()
-        .map(|v6| SocketAddr::new(v6.ip().into(), v6.port()))
+    address.as_sockaddr_in6().map(|v6| SocketAddr::new(v6.ip().into(), v6.port()))
 }
--- a/crates/valvestage-balancer/src/threads/rings.rs
+++ b/crates/valvestage-balancer/src/threads/rings.rs
@@ -39,10 +39,7 @@
             Err(TrySendError::Full(shed)) => {
                 self.metrics.ring_overflows.inc();
                 let label = RefusalReason::RingFull.into();
-                self.metrics
-                    .refusals
-                    .get_or_create(&label)
-                    .inc_by(shed.len() as u64);
+                self.metrics.refusals.get_or_create(&label).inc_by(shed.len() as u64);
                 true
             }
             Err(TrySendError::Disconnected(_)) => false,
--- a/crates/valvestage-balancer/src/threads/send.rs
+++ b/crates/valvestage-balancer/src/threads/send.rs
@@ -41,14 +41,9 @@
 fn send_batch(socket: &UdpSocket, batch: &[Outbound]) -> Result<usize, Errno> {
     const NO_CONTROL: [ControlMessage<'_>; 0] = [];
     let mut headers = MultiHeaders::<SockaddrStorage>::preallocate(batch.len(), None);
-    let slices: Vec<_> = batch
-        .iter()
-        .map(|datagram| [IoSlice::new(&datagram.bytes)])
-        .collect();
-    let addresses: Vec<_> = batch
-        .iter()
-        .map(|datagram| Some(SockaddrStorage::from(datagram.to)))
-        .collect();
+    let slices: Vec<_> = batch.iter().map(|datagram| [IoSlice::new(&datagram.bytes)]).collect();
+    let addresses: Vec<_> =
+        batch.iter().map(|datagram| Some(SockaddrStorage::from(datagram.to))).collect();
 
     let results = sendmmsg(
         socket.as_raw_fd(),
--- a/crates/valvestage-core/src/configuration.rs
+++ b/crates/valvestage-core/src/configuration.rs
@@ -122,9 +122,7 @@
     /// `backend_at` gives the backend server with an address.
     #[must_use]
     pub fn backend_at(&self, address: SocketAddr) -> Option<&Backend> {
-        self.backend_by_address
-            .get(&address)
-            .and_then(|id| self.backends.get(id))
+        self.backend_by_address.get(&address).and_then(|id| self.backends.get(id))
     }
 
     /// `eligible` lists the backend servers of a service that may take new work.
@@ -180,18 +178,10 @@
     fn add_service(&mut self, service: Service) -> Result<(), CoreError> {
         let refuse = |problem| Err(CoreError::bad_configuration(&service.name, problem));
 
-        if self
-            .services
-            .values()
-            .any(|known| known.name == service.name)
-        {
+        if self.services.values().any(|known| known.name == service.name) {
             return refuse("the service name is used twice");
         }
-        if self
-            .service_by_address
-            .insert(service.address, service.id)
-            .is_some()
-        {
+        if self.service_by_address.insert(service.address, service.id).is_some() {
             return refuse("the service address is used twice");
         }
         if self.services.contains_key(&service.id) {
@@ -209,18 +199,10 @@
         if !self.services.contains_key(&backend.service) {
             return refuse("the backend server names a service that does not exist");
         }
-        if self
-            .backends
-            .values()
-            .any(|known| known.name == backend.name)
-        {
+        if self.backends.values().any(|known| known.name == backend.name) {
             return refuse("the backend server name is used twice");
         }
-        if self
-            .backend_by_address
-            .insert(backend.address, backend.id)
-            .is_some()
-        {
+        if self.backend_by_address.insert(backend.address, backend.id).is_some() {
             return refuse("the backend server address is used twice");
         }
         if self.backends.contains_key(&backend.id) {
@@ -231,10 +213,7 @@
         }
 
         if self.takes_new_work(&backend) {
-            self.eligible
-                .entry(backend.service)
-                .or_default()
-                .push(backend.id);
+            self.eligible.entry(backend.service).or_default().push(backend.id);
         }
         self.backends.insert(backend.id, backend);
         Ok(())
--- a/crates/valvestage-core/src/errors.rs
+++ b/crates/valvestage-core/src/errors.rs
@@ -46,9 +46,6 @@
 impl CoreError {
     /// `bad_configuration` builds the error for a configuration that breaks an invariant.
     pub fn bad_configuration(subject: impl Into<String>, problem: &'static str) -> Self {
-        Self::BadConfiguration {
-            subject: subject.into(),
-            problem,
-        }
+        Self::BadConfiguration { subject: subject.into(), problem }
     }
 }
--- a/crates/valvestage-core/src/packets.rs
+++ b/crates/valvestage-core/src/packets.rs
@@ -42,10 +42,7 @@
     type Error = u8;
 
     fn try_from(raw: u8) -> Result<Self, u8> {
-        Self::ALL
-            .into_iter()
-            .find(|kind| *kind as u8 == raw)
-            .ok_or(raw)
+        Self::ALL.into_iter().find(|kind| *kind as u8 == raw).ok_or(raw)
     }
 }
 
--- a/crates/valvestage-core/src/reasons.rs
+++ b/crates/valvestage-core/src/reasons.rs
@@ -106,6 +106,8 @@
         ConnectionsFull = 29, "connections_full";
         /// A flow packet for which no binding can be determined.
         UnknownFlow = 30, "unknown_flow";
+        /// The balancer was paused, and what it knows may be old.
+        CatchingUp = 31, "catching_up";
     }
 }
 
--- a/crates/valvestage-core/src/settings.rs
+++ b/crates/valvestage-core/src/settings.rs
@@ -18,13 +18,9 @@
 pub fn read_raw<R: DeserializeOwned>(file: &Path) -> Result<R, CoreError> {
     let name = file.display().to_string();
 
-    let text = std::fs::read_to_string(file).map_err(|error| CoreError::Unreadable {
-        file: name.clone(),
-        cause: error.to_string(),
-    })?;
-
-    toml::from_str(&text).map_err(|error| CoreError::Malformed {
-        file: name,
-        cause: error.to_string(),
-    })
+    let text = std::fs::read_to_string(file)
+        .map_err(|error| CoreError::Unreadable { file: name.clone(), cause: error.to_string() })?;
+
+    toml::from_str(&text)
+        .map_err(|error| CoreError::Malformed { file: name, cause: error.to_string() })
 }
--- a/crates/valvestage-core/src/settings/balancer.rs
+++ b/crates/valvestage-core/src/settings/balancer.rs
@@ -155,12 +155,7 @@
 
     fn try_from((file, raw): (&Path, RawBalancerSettings)) -> Result<Self, CoreError> {
         let refuse = |key, value: String, accepted| {
-            Err(CoreError::BadSetting {
-                file: file.display().to_string(),
-                key,
-                value,
-                accepted,
-            })
+            Err(CoreError::BadSetting { file: file.display().to_string(), key, value, accepted })
         };
 
         // Names and lists.
@@ -193,11 +188,7 @@
             );
         }
         if !(1_000..=60_000).contains(&raw.max_deadline_ms) {
-            return refuse(
-                "max_deadline_ms",
-                raw.max_deadline_ms.to_string(),
-                "1000 to 60000",
-            );
+            return refuse("max_deadline_ms", raw.max_deadline_ms.to_string(), "1000 to 60000");
         }
 
         // Peers: unique ids, this balancer left out.
--- a/crates/valvestage-core/src/settings/deployment.rs
+++ b/crates/valvestage-core/src/settings/deployment.rs
@@ -66,20 +66,15 @@
             name: service.name.clone(),
             address: service.address,
         });
-        let backends = self.services.iter().flat_map(|service| {
-            service
-                .backends
-                .iter()
-                .map(move |backend| (service, backend))
-        });
+        let backends = self
+            .services
+            .iter()
+            .flat_map(|service| service.backends.iter().map(move |backend| (service, backend)));
 
         RawConfiguration {
             change_id: change_id.to_owned(),
             services: services.collect(),
-            backends: (1..)
-                .zip(backends)
-                .map(|(id, (s, b))| first_record(id, s, b))
-                .collect(),
+            backends: (1..).zip(backends).map(|(id, (s, b))| first_record(id, s, b)).collect(),
             stopped_zones: std::collections::BTreeSet::new(),
         }
     }
--- a/crates/valvestage-core/src/settings/operator.rs
+++ b/crates/valvestage-core/src/settings/operator.rs
@@ -61,21 +61,12 @@
 
     fn try_from((file, raw): (&Path, RawOperatorSettings)) -> Result<Self, CoreError> {
         let refuse = |key, value: String, accepted| {
-            Err(CoreError::BadSetting {
-                file: file.display().to_string(),
-                key,
-                value,
-                accepted,
-            })
+            Err(CoreError::BadSetting { file: file.display().to_string(), key, value, accepted })
         };
         let log_format = raw.log_format.unwrap_or_else(|| "text".to_owned());
 
         if raw.balancer_admin_addresses.is_empty() {
-            return refuse(
-                "balancer_admin_addresses",
-                "[]".into(),
-                "at least one address",
-            );
+            return refuse("balancer_admin_addresses", "[]".into(), "at least one address");
         }
         if log_format != "text" && log_format != "json" {
             return refuse("log_format", log_format, "\"text\" or \"json\"");
--- a/crates/valvestage-operator/src/api.rs
+++ b/crates/valvestage-operator/src/api.rs
@@ -59,20 +59,14 @@
         .route("/why", get().to(why))
         .route("/keys/rotate", post().to(rotate_keys));
 
-    service
-        .app_data(Data::new(api))
-        .service(calls)
-        .route("/livez", get().to(live));
+    service.app_data(Data::new(api)).service(calls).route("/livez", get().to(live));
 }
 
 async fn authorise(
     request: ServiceRequest,
     next: Next<impl MessageBody>,
 ) -> Result<ServiceResponse<impl MessageBody>, Error> {
-    let given = request
-        .headers()
-        .get(AUTHORIZATION)
-        .and_then(|value| value.to_str().ok());
+    let given = request.headers().get(AUTHORIZATION).and_then(|value| value.to_str().ok());
     let given = given.and_then(|value| value.strip_prefix("Bearer "));
     let api = request.app_data::<Data<Api>>();
 
@@ -100,25 +94,18 @@
     // The keys first: without them a configuration is of no use.
     key_rotation::ensure_keys(&api.platform).await?;
     let version = write_configuration(&api.platform, None, &raw).await?;
-    Ok(Json(ConfirmResult {
-        change_id: raw.change_id,
-        version,
-    }))
+    Ok(Json(ConfirmResult { change_id: raw.change_id, version }))
 }
 
 async fn plan(
     api: Data<Api>,
     intent: Json<Intent>,
 ) -> Result<Json<valvestage_policy::operations::Plan>, ApiError> {
-    make_plan(&api.platform, &api.balancers, intent.into_inner())
-        .await
-        .map(Json)
+    make_plan(&api.platform, &api.balancers, intent.into_inner()).await.map(Json)
 }
 
 async fn confirm(api: Data<Api>, id: Path<String>) -> Result<Json<ConfirmResult>, ApiError> {
-    confirm_plan(&api.platform, &api.balancers, &id)
-        .await
-        .map(Json)
+    confirm_plan(&api.platform, &api.balancers, &id).await.map(Json)
 }
 
 async fn status(api: Data<Api>) -> Result<Json<StatusReport>, ApiError> {
@@ -133,31 +120,18 @@
         }
     };
     let newest = balancers.iter().filter_map(|report| report.status.as_ref());
-    let newest = newest
-        .map(|status| status.configuration)
-        .max()
-        .max(accepted_version)
-        .unwrap_or(0);
+    let newest = newest.map(|status| status.configuration).max().max(accepted_version).unwrap_or(0);
     let statuses = balancers.iter().filter_map(|report| report.status.as_ref());
-    let behind = statuses
-        .filter(|status| status.configuration < newest)
-        .map(|s| s.id)
-        .collect();
-
-    Ok(Json(StatusReport {
-        accepted_version,
-        balancers,
-        behind,
-    }))
+    let behind = statuses.filter(|status| status.configuration < newest).map(|s| s.id).collect();
+
+    Ok(Json(StatusReport { accepted_version, balancers, behind }))
 }
 
 async fn why(
     api: Data<Api>,
     question: Query<StoryQuestion>,
 ) -> Result<Json<valvestage_wire::operators::Story>, ApiError> {
-    tell(&api.platform, &api.balancers, question.into_inner())
-        .await
-        .map(Json)
+    tell(&api.platform, &api.balancers, question.into_inner()).await.map(Json)
 }
 
 async fn rotate_keys(api: Data<Api>) -> Result<Json<ConfirmResult>, ApiError> {
--- a/crates/valvestage-operator/src/api/key_rotation.rs
+++ b/crates/valvestage-operator/src/api/key_rotation.rs
@@ -22,19 +22,15 @@
     let value = to_json(&ObjectValue::TokenKeys(raw))?;
 
     // A conflict means that there are keys: those stay.
-    platform
-        .write_json(&ObjectKey::TokenKeys.path(), None, &value)
-        .await?;
+    platform.write_json(&ObjectKey::TokenKeys.path(), None, &value).await?;
     Ok(())
 }
 
 /// `rotate` adds a key, makes new tokens with it, and drops the oldest ones.
 pub(super) async fn rotate(platform: &PlatformClient) -> Result<ConfirmResult, ApiError> {
     let key = ObjectKey::TokenKeys;
-    let missing = || ApiError::Missing {
-        what: "the token keys".into(),
-        remedy: "Run `valvectl bootstrap`.",
-    };
+    let missing =
+        || ApiError::Missing { what: "the token keys".into(), remedy: "Run `valvectl bootstrap`." };
 
     let stored = platform.read_json(&key.path()).await?.ok_or_else(missing)?;
     let ObjectValue::TokenKeys(mut raw) = from_json(key, stored.value)? else {
@@ -50,10 +46,7 @@
 
     let value = to_json(&ObjectValue::TokenKeys(raw))?;
     let change_id = format!("token-key-{next}");
-    match platform
-        .write_json(&key.path(), Some(stored.version), &value)
-        .await?
-    {
+    match platform.write_json(&key.path(), Some(stored.version), &value).await? {
         PlatformReply::Written { version } => Ok(ConfirmResult { change_id, version }),
         _ => Err(ApiError::Raced {
             base: stored.version,
--- a/crates/valvestage-operator/src/balancers.rs
+++ b/crates/valvestage-operator/src/balancers.rs
@@ -33,21 +33,14 @@
     pub fn new(addresses: Vec<SocketAddr>, token: String) -> Self {
         let client = Client::builder().timeout(BALANCER_TIMEOUT).finish();
 
-        Self {
-            client,
-            addresses,
-            token,
-        }
+        Self { client, addresses, token }
     }
 
     /// `reports` gives the status of each balancer that answers.
     pub async fn reports(&self) -> Vec<BalancerReport> {
         let asking = self.addresses.iter().map(|address| async move {
             let status: Option<BalancerStatus> = self.ask(*address, "status").await;
-            BalancerReport {
-                address: *address,
-                status,
-            }
+            BalancerReport { address: *address, status }
         });
 
         join_all(asking).await
@@ -94,9 +87,7 @@
     let statuses = reports.iter().filter_map(|report| report.status.as_ref());
 
     for status in statuses.flat_map(|status| &status.services) {
-        let service = configuration
-            .services()
-            .find(|service| service.name == status.name);
+        let service = configuration.services().find(|service| service.name == status.name);
         if let Some(service) = service {
             let sum = demand.entry(service.id).or_default();
             sum.busy_slots += status.busy_slots;
@@ -124,11 +115,7 @@
 
     text.bytes()
         .map(|byte| {
-            if is_unreserved(byte) {
-                char::from(byte).to_string()
-            } else {
-                format!("%{byte:02X}")
-            }
+            if is_unreserved(byte) { char::from(byte).to_string() } else { format!("%{byte:02X}") }
         })
         .collect()
 }
--- a/crates/valvestage-operator/src/changes.rs
+++ b/crates/valvestage-operator/src/changes.rs
@@ -95,9 +95,7 @@
     if let Some(error) = last {
         log::warn!(change = change_id; "{error}");
     }
-    Err(ApiError::Unsettled {
-        change_id: change_id.to_owned(),
-    })
+    Err(ApiError::Unsettled { change_id: change_id.to_owned() })
 }
 
 async fn find_change(
--- a/crates/valvestage-operator/src/errors.rs
+++ b/crates/valvestage-operator/src/errors.rs
@@ -88,10 +88,7 @@
     }
 
     fn error_response(&self) -> HttpResponse {
-        let problem = ApiProblem {
-            problem: self.to_string(),
-            remedy: self.remedy(),
-        };
+        let problem = ApiProblem { problem: self.to_string(), remedy: self.remedy() };
 
         HttpResponse::build(self.status_code()).json(problem)
     }
--- a/crates/valvestage-operator/src/main.rs
+++ b/crates/valvestage-operator/src/main.rs
@@ -63,11 +63,7 @@
 fn api_options(settings: &OperatorSettings) -> Result<ApiOptions, ProcessError> {
     let platform = PlatformOptions {
         address: settings.platform_address,
-        token: settings
-            .platform_token_file
-            .as_deref()
-            .map(read_token)
-            .transpose()?,
+        token: settings.platform_token_file.as_deref().map(read_token).transpose()?,
         timeout: PLATFORM_TIMEOUT,
     };
 
--- a/crates/valvestage-operator/src/plans.rs
+++ b/crates/valvestage-operator/src/plans.rs
@@ -27,16 +27,12 @@
     balancers: &BalancerClients,
     intent: Intent,
 ) -> Result<Plan, ApiError> {
-    let base = read_configuration(platform)
-        .await?
-        .ok_or_else(no_configuration)?;
+    let base = read_configuration(platform).await?.ok_or_else(no_configuration)?;
     let plan = draw(balancers, &base, intent).await?;
 
     // The id is a digest of the content, so that storing it twice does no harm.
     let value = serde_json::to_value(&plan).unwrap_or(Value::Null);
-    platform
-        .write_json(&plan_key(&plan.id), None, &value)
-        .await?;
+    platform.write_json(&plan_key(&plan.id), None, &value).await?;
     Ok(plan)
 }
 
@@ -49,14 +45,7 @@
     let id = plan_id(base.checked.version, &intent);
     let demand = demand(&base.checked, &reports);
 
-    Ok(draw_plan(
-        id,
-        &base.checked,
-        &base.raw,
-        intent,
-        &demand,
-        &flows_on(&reports),
-    )?)
+    Ok(draw_plan(id, &base.checked, &base.raw, intent, &demand, &flows_on(&reports))?)
 }
 
 /// `confirm_plan` carries a plan out, unless the configuration has changed since, or the plan
@@ -67,16 +56,11 @@
     id: &str,
 ) -> Result<ConfirmResult, ApiError> {
     let plan = read_plan(platform, id).await?;
-    let base = read_configuration(platform)
-        .await?
-        .ok_or_else(no_configuration)?;
+    let base = read_configuration(platform).await?.ok_or_else(no_configuration)?;
 
     // Confirmed before: the same answer again.
     if base.raw.change_id == plan.id {
-        return Ok(ConfirmResult {
-            change_id: plan.id,
-            version: base.checked.version,
-        });
+        return Ok(ConfirmResult { change_id: plan.id, version: base.checked.version });
     }
     if base.checked.version != plan.base_version {
         return Err(ApiError::Raced {
@@ -94,10 +78,7 @@
 
     let version = write_configuration(platform, Some(plan.base_version), &fresh.result).await?;
     log::info!(change = fresh.id.as_str(), version; "a change was accepted");
-    Ok(ConfirmResult {
-        change_id: fresh.id,
-        version,
-    })
+    Ok(ConfirmResult { change_id: fresh.id, version })
 }
 
 async fn read_plan(platform: &PlatformClient, id: &str) -> Result<Plan, ApiError> {
@@ -106,10 +87,7 @@
         remedy: "Make a plan first: `valvectl plan --help`.",
     };
 
-    let stored = platform
-        .read_json(&plan_key(id))
-        .await?
-        .ok_or_else(missing)?;
+    let stored = platform.read_json(&plan_key(id)).await?.ok_or_else(missing)?;
     serde_json::from_value(stored.value).map_err(|_| missing())
 }
 
@@ -121,9 +99,5 @@
     let intent = serde_json::to_string(intent).unwrap_or_default();
     let digest = Sha256::digest(format!("{base} {intent}"));
 
-    digest
-        .iter()
-        .take(ID_BYTES)
-        .map(|byte| format!("{byte:02x}"))
-        .collect()
+    digest.iter().take(ID_BYTES).map(|byte| format!("{byte:02x}")).collect()
 }
--- a/crates/valvestage-operator/src/stories.rs
+++ b/crates/valvestage-operator/src/stories.rs
@@ -41,17 +41,11 @@
 
     let silent = answers.iter().filter(|(_, records)| records.is_none());
     let silent = silent.map(|(address, _)| *address).collect();
-    let mut records: Vec<DecisionRecord> = answers
-        .into_iter()
-        .filter_map(|(_, records)| records)
-        .flatten()
-        .collect();
+    let mut records: Vec<DecisionRecord> =
+        answers.into_iter().filter_map(|(_, records)| records).flatten().collect();
     records.sort_by_key(|record| record.at_ms);
 
-    Ok(Story {
-        sentences: records.into_iter().map(told).collect(),
-        silent,
-    })
+    Ok(Story { sentences: records.into_iter().map(told).collect(), silent })
 }
 
 fn told(record: DecisionRecord) -> StorySentence {
@@ -65,29 +59,16 @@
     question: StoryQuestion,
 ) -> Result<Subject, ApiError> {
     match question {
-        StoryQuestion {
-            request: Some(id),
-            change: None,
-            caller: None,
-            service: None,
-        } => {
+        StoryQuestion { request: Some(id), change: None, caller: None, service: None } => {
             let parsed = RequestId::from_str_radix(&id, 16);
             parsed
                 .map(Subject::Request)
                 .map_err(|_| ApiError::Question(format!("{id} is not a request id (hexadecimal)")))
         }
-        StoryQuestion {
-            change: Some(version),
-            request: None,
-            caller: None,
-            service: None,
-        } => Ok(Subject::Change(version)),
-        StoryQuestion {
-            service: Some(name),
-            caller,
-            request: None,
-            change: None,
-        } => {
+        StoryQuestion { change: Some(version), request: None, caller: None, service: None } => {
+            Ok(Subject::Change(version))
+        }
+        StoryQuestion { service: Some(name), caller, request: None, change: None } => {
             let service = find_service(platform, &name).await?;
             match caller {
                 None => Ok(Subject::Service(service)),
@@ -105,27 +86,20 @@
 
 async fn find_service(platform: &PlatformClient, name: &str) -> Result<u16, ApiError> {
     let configuration = read_configuration(platform).await?;
-    let found = configuration.as_ref().and_then(|stored| {
-        stored
-            .checked
-            .services()
-            .find(|service| service.name == name)
-    });
+    let found = configuration
+        .as_ref()
+        .and_then(|stored| stored.checked.services().find(|service| service.name == name));
 
-    found
-        .map(|service| service.id)
-        .ok_or_else(|| ApiError::Missing {
-            what: format!("service {name}"),
-            remedy: "See `valvectl status` for the services.",
-        })
+    found.map(|service| service.id).ok_or_else(|| ApiError::Missing {
+        what: format!("service {name}"),
+        remedy: "See `valvectl status` for the services.",
+    })
 }
 
 async fn read_hasher(platform: &PlatformClient) -> Result<FlowHasher, ApiError> {
     let key = ObjectKey::TokenKeys;
-    let missing = || ApiError::Missing {
-        what: "the token keys".into(),
-        remedy: "Run `valvectl bootstrap`.",
-    };
+    let missing =
+        || ApiError::Missing { what: "the token keys".into(), remedy: "Run `valvectl bootstrap`." };
 
     let stored = platform.read_json(&key.path()).await?.ok_or_else(missing)?;
     match from_json(key, stored.value)? {
--- a/crates/valvestage-platform/src/client.rs
+++ b/crates/valvestage-platform/src/client.rs
@@ -53,11 +53,7 @@
     pub async fn execute(&self, call: PlatformCall) -> (PlatformReply, Option<PlatformError>) {
         let result = match call {
             PlatformCall::Read { key } => self.read(key).await,
-            PlatformCall::Write {
-                key,
-                expected,
-                value,
-            } => match to_json(&value) {
+            PlatformCall::Write { key, expected, value } => match to_json(&value) {
                 Ok(json) => self.write_json(&key.path(), expected, &json).await,
                 Err(error) => Err(error),
             },
@@ -75,10 +71,7 @@
         };
 
         let value = from_json(key, stored.value)?;
-        Ok(PlatformReply::Found {
-            version: stored.version,
-            value,
-        })
+        Ok(PlatformReply::Found { version: stored.version, value })
     }
 
     /// `read_json` reads any object; none if it does not exist.
@@ -86,10 +79,7 @@
         const STEP: &str = "read object";
         let request = self.request(self.client.get(self.url(&format!("objects/{key}"))));
 
-        let mut response = request
-            .send()
-            .await
-            .map_err(|error| self.no_answer(STEP, &error))?;
+        let mut response = request.send().await.map_err(|error| self.no_answer(STEP, &error))?;
         match response.status() {
             StatusCode::OK => {}
             StatusCode::NOT_FOUND => return Ok(None),
@@ -115,24 +105,17 @@
             None => request.insert_header(("If-None-Match", "*")),
         };
 
-        let mut response = request
-            .send_json(value)
-            .await
-            .map_err(|error| self.no_answer(STEP, &error))?;
+        let mut response =
+            request.send_json(value).await.map_err(|error| self.no_answer(STEP, &error))?;
         match response.status() {
             StatusCode::OK => {}
             StatusCode::PRECONDITION_FAILED => return Ok(PlatformReply::Conflict),
             status => return Err(self.bad_status(STEP, status)),
         }
 
-        let body = response
-            .body()
-            .await
-            .map_err(|error| self.no_answer(STEP, &error))?;
+        let body = response.body().await.map_err(|error| self.no_answer(STEP, &error))?;
         let result: WriteResult = self.parse(STEP, &body)?;
-        Ok(PlatformReply::Written {
-            version: result.version,
-        })
+        Ok(PlatformReply::Written { version: result.version })
     }
 
     /// `watch` waits for changes after a revision, at most for the time given.
@@ -176,19 +159,12 @@
     }
 
     fn no_answer(&self, step: &'static str, cause: &dyn ToString) -> PlatformError {
-        PlatformError::NoAnswer {
-            peer: self.options.address,
-            step,
-            cause: cause.to_string(),
-        }
+        PlatformError::NoAnswer { peer: self.options.address, step, cause: cause.to_string() }
     }
 
     fn bad_status(&self, step: &'static str, status: StatusCode) -> PlatformError {
         if status == StatusCode::UNAUTHORIZED {
-            return PlatformError::Unauthorised {
-                peer: self.options.address,
-                step,
-            };
+            return PlatformError::Unauthorised { peer: self.options.address, step };
         }
 
         self.no_answer(step, &format!("status {status}"))
--- a/crates/valvestage-platform/src/objects.rs
+++ b/crates/valvestage-platform/src/objects.rs
@@ -34,18 +34,11 @@
 /// watches.
 #[must_use]
 pub fn watched_key(object: &StoredObject) -> Option<ObjectKey> {
-    [
-        ObjectKey::Configuration,
-        ObjectKey::OwnerMap,
-        ObjectKey::TokenKeys,
-    ]
-    .into_iter()
-    .find(|key| key.path() == object.key)
+    [ObjectKey::Configuration, ObjectKey::OwnerMap, ObjectKey::TokenKeys]
+        .into_iter()
+        .find(|key| key.path() == object.key)
 }
 
 fn bad_object(key: impl Into<String>, error: &serde_json::Error) -> PlatformError {
-    PlatformError::BadObject {
-        key: key.into(),
-        cause: error.to_string(),
-    }
+    PlatformError::BadObject { key: key.into(), cause: error.to_string() }
 }
--- a/crates/valvestage-policy/src/balancer.rs
+++ b/crates/valvestage-policy/src/balancer.rs
@@ -6,3 +6,5 @@
 
 pub use balancer_options::BalancerOptions;
 pub use balancer_policy::BalancerPolicy;
+#[cfg(doc)]
+use request_routing::MOST_HELD;
--- a/crates/valvestage-policy/src/balancer/balancer_options.rs
+++ b/crates/valvestage-policy/src/balancer/balancer_options.rs
@@ -1,5 +1,7 @@
 //! Options of one balancer's policy.
 
+use std::time::Duration;
+
 use valvestage_core::ids::{BalancerId, ZoneName};
 
 use crate::flows::FlowOptions;
@@ -20,16 +22,17 @@
     pub pool: PoolOptions,
     /// Decisions kept for explanations.
     pub kept_decisions: usize,
+    /// A gap between two events or ticks that shows that the process was paused.
+    pub pause_limit: Duration,
+    /// After a pause, the time without new work, in which control learns what changed.
+    pub catch_up: Duration,
 }
 
 impl BalancerOptions {
     /// `new` gives the options of production for a balancer.
     #[must_use]
     pub fn new(own: BalancerId, own_zone: ZoneName) -> Self {
-        let pool = PoolOptions {
-            own_zone: own_zone.clone(),
-            ..PoolOptions::default()
-        };
+        let pool = PoolOptions { own_zone: own_zone.clone(), ..PoolOptions::default() };
 
         Self {
             own,
@@ -38,6 +41,8 @@
             requests: RequestOptions::default(),
             pool,
             kept_decisions: 4_096,
+            pause_limit: Duration::from_secs(1),
+            catch_up: Duration::from_secs(1),
         }
     }
 }
--- a/crates/valvestage-policy/src/balancer/balancer_policy.rs
+++ b/crates/valvestage-policy/src/balancer/balancer_policy.rs
@@ -5,21 +5,26 @@
 use std::time::SystemTime;
 
 use valvestage_core::ids::{BackendId, FlowKey, ServiceId};
-use valvestage_core::time::to_unix_millis;
-use valvestage_core::{Configuration, PacketKind};
+use valvestage_core::time::{Deadline, to_unix_millis};
+use valvestage_core::{Configuration, PacketKind, RefusalReason};
 
 use super::balancer_options::BalancerOptions;
 use crate::control::{LeaseGrant, OwnerMap};
 use crate::flows::{FlowDirector, FlowPacket, FlowSource, FlowVerdict, TokenKeys};
 use crate::membership::LiveView;
 use crate::operations::{Decision, DecisionLog, DecisionRecord, Subject};
-use crate::requests::{HandedClaim, RequestAction, ServiceDispatcher, ServiceLoad};
+use crate::requests::{HandedClaim, Request, RequestAction, ServiceDispatcher, ServiceLoad};
 
 /// `PendingImport` is the claims of a handover that is not settled yet.
 #[derive(Debug, Clone)]
 pub(super) struct PendingImport<P> {
     pub(super) handover: u64,
     pub(super) claims: Vec<HandedClaim<P>>,
+    /// Requests that the former owner sent on before the owner map came; at most
+    /// [`super::MOST_HELD`].
+    pub(super) held: Vec<Request<P>>,
+    /// Until when they are held.
+    pub(super) held_until: Deadline,
 }
 
 /// `BalancerPolicy` decides for one balancer.
@@ -35,6 +40,10 @@
     /// The owner from which a service's claims came, for copies of what runs there.
     pub(super) former_owners: BTreeMap<ServiceId, valvestage_core::ids::BalancerId>,
     pub(super) log: DecisionLog,
+    /// Time of the latest event or tick; none before the first.
+    latest: Option<SystemTime>,
+    /// Until then no new work is given out: the process was paused.
+    catches_up_until: Option<SystemTime>,
 }
 
 impl<P: Clone> BalancerPolicy<P> {
@@ -49,31 +58,35 @@
             imports: BTreeMap::new(),
             former_owners: BTreeMap::new(),
             log: DecisionLog::new(options.kept_decisions),
+            latest: None,
+            catches_up_until: None,
             options,
         }
     }
 
     /// `on_flow` gives the verdict for a flow packet.
     pub fn on_flow(&mut self, now: SystemTime, packet: &FlowPacket) -> FlowVerdict {
-        let verdict = self.director.decide(now, packet);
+        self.notice_pause(now);
+        let verdict = if packet.opening && self.is_catching_up(now) {
+            FlowVerdict::Drop(RefusalReason::CatchingUp)
+        } else {
+            self.director.decide(now, packet)
+        };
 
         // Packets of established flows are not recorded: that is nearly all of them.
         let decision = match verdict {
-            FlowVerdict::Forward {
-                backend, source, ..
-            } if packet.opening || source == FlowSource::History => {
+            FlowVerdict::Forward { backend, source, .. }
+                if packet.opening || source == FlowSource::History =>
+            {
                 let version = self.director.latest_version();
-                Some(Decision::FlowBound {
-                    backend,
-                    source,
-                    version,
-                })
+                Some(Decision::FlowBound { backend, source, version })
+            }
+            FlowVerdict::Relay { peer, hop } if packet.opening => {
+                Some(Decision::Relayed { peer, hops: hop.count })
+            }
+            FlowVerdict::Refuse(reason) | FlowVerdict::Drop(reason) => {
+                Some(Decision::FlowRefused { reason })
             }
-            FlowVerdict::Relay { peer, hop } if packet.opening => Some(Decision::Relayed {
-                peer,
-                hops: hop.count,
-            }),
-            FlowVerdict::Refuse(reason) => Some(Decision::FlowRefused { reason }),
             FlowVerdict::Forward { .. } | FlowVerdict::Relay { .. } => None,
         };
         if let Some(decision) = decision {
@@ -83,6 +96,26 @@
         verdict
     }
 
+    /// A process that was paused wakes with an old configuration and view, and with packets that
+    /// waited as long; it gives out no new work until control had the time to catch up.
+    pub(super) fn notice_pause(&mut self, now: SystemTime) {
+        let latest = self.latest.replace(now);
+        let gap = latest.and_then(|latest| now.duration_since(latest).ok()).unwrap_or_default();
+        if gap < self.options.pause_limit {
+            return;
+        }
+
+        let until = now + self.options.catch_up;
+        self.catches_up_until = Some(until);
+        for dispatcher in self.dispatchers.values_mut() {
+            dispatcher.hold_until(until);
+        }
+    }
+
+    pub(super) fn is_catching_up(&self, now: SystemTime) -> bool {
+        self.catches_up_until.is_some_and(|until| now < until)
+    }
+
     /// `on_backend_packet` notes a flow packet from a backend server.
     pub fn on_backend_packet(&mut self, key: FlowKey, backend: BackendId, kind: PacketKind) {
         self.director.on_heard(backend);
@@ -109,9 +142,7 @@
         }
         self.spread_lost_zones();
 
-        let decision = Decision::InForce {
-            change_id: next.change_id.clone(),
-        };
+        let decision = Decision::InForce { change_id: next.change_id.clone() };
         self.record(now, Subject::Change(next.version), decision);
         true
     }
@@ -153,6 +184,7 @@
 
     /// `tick` looks after everything whose time has come.
     pub fn tick(&mut self, now: SystemTime, out: &mut Vec<RequestAction<P>>) {
+        self.notice_pause(now);
         let first = out.len();
         let services: Vec<ServiceId> = self.dispatchers.keys().copied().collect();
 
@@ -162,23 +194,19 @@
                 dispatcher.tick(now, authority, out);
             }
         }
+        self.give_up_held(now, out);
         self.record_actions(now, &out[first..]);
     }
 
     /// `open_work` counts requests that have no final answer yet.
     #[must_use]
     pub fn open_work(&self) -> usize {
-        self.dispatchers
-            .values()
-            .map(ServiceDispatcher::open_work)
-            .sum()
+        self.dispatchers.values().map(ServiceDispatcher::open_work).sum()
     }
 
     /// `loads` gives the load of each service as this balancer counts it.
     pub fn loads(&self, now: SystemTime) -> impl Iterator<Item = (ServiceId, ServiceLoad)> {
-        self.dispatchers
-            .iter()
-            .map(move |(service, dispatcher)| (*service, dispatcher.load(now)))
+        self.dispatchers.iter().map(move |(service, dispatcher)| (*service, dispatcher.load(now)))
     }
 
     /// `dispatcher` gives the dispatcher of a service.
@@ -213,24 +241,13 @@
     pub(super) fn record(&mut self, now: SystemTime, subject: Subject, decision: Decision) {
         let at_ms = to_unix_millis(now);
 
-        self.log.push(DecisionRecord {
-            at_ms,
-            balancer: self.options.own,
-            subject,
-            decision,
-        });
+        self.log.push(DecisionRecord { at_ms, balancer: self.options.own, subject, decision });
     }
 
     pub(super) fn record_actions(&mut self, now: SystemTime, actions: &[RequestAction<P>]) {
         for action in actions {
             let (id, decision) = match action {
-                RequestAction::Dispatch {
-                    backend,
-                    attempt,
-                    retry,
-                    request,
-                    ..
-                } => {
+                RequestAction::Dispatch { backend, attempt, retry, request, .. } => {
                     let dispatcher = self.dispatchers.get(&request.service);
                     let load = dispatcher.map(|d| d.load(now)).unwrap_or_default();
                     let decision = Decision::Dispatched {
@@ -251,13 +268,9 @@
                     };
                     (*id, decision)
                 }
-                RequestAction::Relay { peer, hop, request } => (
-                    request.id,
-                    Decision::Relayed {
-                        peer: *peer,
-                        hops: hop.count,
-                    },
-                ),
+                RequestAction::Relay { peer, hop, request } => {
+                    (request.id, Decision::Relayed { peer: *peer, hops: hop.count })
+                }
                 RequestAction::Cancel { .. } => continue,
             };
 
--- a/crates/valvestage-policy/src/balancer/request_routing.rs
+++ b/crates/valvestage-policy/src/balancer/request_routing.rs
@@ -17,6 +17,12 @@
 /// When a caller may come back whose request's owner is out of reach.
 const OWNER_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Requests held for a service whose owner map is on its way.
+pub(super) const MOST_HELD: usize = 1_000;
+
+/// How long they are held at the most.
+const HELD_FOR: Duration = Duration::from_secs(2);
+
 impl<P: Clone> BalancerPolicy<P> {
     /// `authority` gives the right to decide for a service, if this balancer owns it under its
     /// present lease.
@@ -24,10 +30,7 @@
     pub fn authority(&self, service: ServiceId, now: SystemTime) -> Option<Authority> {
         let entry = self.owner_map.owner(service)?;
         let grant = self.grant?;
-        let authority = Authority {
-            covers_from: entry.covers_from(),
-            fence: grant.fence,
-        };
+        let authority = Authority { covers_from: entry.covers_from(), fence: grant.fence };
 
         let is_owner = entry.owner == self.options.own && entry.lease == grant.epoch;
         (is_owner && authority.is_valid(now)).then_some(authority)
@@ -41,6 +44,7 @@
         hop: HopMark,
         out: &mut Vec<RequestAction<P>>,
     ) {
+        self.notice_pause(now);
         let first = out.len();
 
         self.route_request(now, request, hop, out);
@@ -75,8 +79,22 @@
 
     fn accept(&mut self, now: SystemTime, request: Request<P>, out: &mut Vec<RequestAction<P>>) {
         let authority = self.authority(request.service, now);
+        let catches_up = self.is_catching_up(now);
+
+        // The claims are here and the map is on its way: it decides.
+        if authority.is_none()
+            && let Some(pending) = self.imports.get_mut(&request.service)
+            && now < pending.held_until
+            && pending.held.len() < MOST_HELD
+        {
+            pending.held.push(request);
+            return;
+        }
 
         match self.dispatchers.get_mut(&request.service) {
+            Some(known) if catches_up && known.claim(request.id).is_none() => {
+                refuse_unclaimed(&request, RefusalReason::CatchingUp, out);
+            }
             Some(dispatcher) => dispatcher.accept(now, request, authority, out),
             None => refuse_unclaimed(&request, RefusalReason::UnknownService, out),
         }
@@ -99,10 +117,12 @@
             };
         }
 
-        let owner = self
-            .owner_map
-            .owner(request.service)
-            .map(|entry| entry.owner);
+        // Its claims are here: the former owner has sent it on, and the map is on its way.
+        if hop.count > 0 && self.imports.contains_key(&request.service) {
+            return Decider::Own;
+        }
+
+        let owner = self.owner_map.owner(request.service).map(|entry| entry.owner);
         match owner {
             Some(owner) if owner == own => Decider::Own,
             Some(owner) if may_relay && view.is_reachable(owner) => Decider::Peer(owner),
@@ -178,7 +198,12 @@
     }
 
     /// `install_owner_map` takes a newer map of owners.
-    pub fn install_owner_map(&mut self, now: SystemTime, map: &OwnerMap) -> bool {
+    pub fn install_owner_map(
+        &mut self,
+        now: SystemTime,
+        map: &OwnerMap,
+        out: &mut Vec<RequestAction<P>>,
+    ) -> bool {
         if map.version <= self.owner_map.version {
             return false;
         }
@@ -190,15 +215,12 @@
             }
 
             let planned = entry.handover.is_some();
-            let decision = Decision::Owner {
-                owner: entry.owner,
-                planned,
-            };
+            let decision = Decision::Owner { owner: entry.owner, planned };
             self.record(now, Subject::Service(*service), decision);
 
             if entry.owner == self.options.own {
                 let former_owner = former.owner(*service).map(|entry| entry.owner);
-                self.finish_import(now, *service, entry.handover, former_owner);
+                self.finish_import(now, *service, entry.handover, former_owner, out);
             }
         }
         true
@@ -211,28 +233,28 @@
         service: ServiceId,
         handover: Option<u64>,
         former_owner: Option<BalancerId>,
+        out: &mut Vec<RequestAction<P>>,
     ) {
         let Some(pending) = self.imports.remove(&service) else {
             return;
         };
-        if Some(pending.handover) != handover {
-            return;
-        }
 
-        if let Some(dispatcher) = self.dispatchers.get_mut(&service) {
-            dispatcher.import(now, pending.claims);
+        if Some(pending.handover) == handover {
+            if let Some(dispatcher) = self.dispatchers.get_mut(&service) {
+                dispatcher.import(now, pending.claims);
+            }
+            if let Some(former) = former_owner {
+                self.former_owners.insert(service, former);
+            }
         }
-        if let Some(former) = former_owner {
-            self.former_owners.insert(service, former);
+        for request in pending.held {
+            self.on_request(now, request, HopMark::FIRST, out);
         }
     }
 
     /// `start_handover` copies a service's claims for its next owner and holds new work back.
     pub fn start_handover(&mut self, service: ServiceId) -> Vec<HandedClaim<P>> {
-        self.dispatchers
-            .get_mut(&service)
-            .map(|d| d.start_handover())
-            .unwrap_or_default()
+        self.dispatchers.get_mut(&service).map(|d| d.start_handover()).unwrap_or_default()
     }
 
     /// `settle_handover` goes on after the owner map was written, or was not.
@@ -248,11 +270,7 @@
         let Some(dispatcher) = self.dispatchers.get_mut(&service) else {
             return;
         };
-        let held = if moved {
-            dispatcher.complete_handover()
-        } else {
-            dispatcher.abort_handover()
-        };
+        let held = if moved { dispatcher.complete_handover() } else { dispatcher.abort_handover() };
 
         for request in held {
             self.on_request(now, request, HopMark::FIRST, out);
@@ -263,12 +281,24 @@
     /// count once the owner map names this handover.
     pub fn offer_handover(
         &mut self,
+        now: SystemTime,
         service: ServiceId,
         handover: u64,
         claims: Vec<HandedClaim<P>>,
     ) {
-        self.imports
-            .insert(service, PendingImport { handover, claims });
+        let held_until = now + HELD_FOR;
+        let pending = PendingImport { handover, claims, held: Vec::new(), held_until };
+
+        self.imports.insert(service, pending);
+    }
+
+    /// The map did not come in time: what was held is refused at once.
+    pub(super) fn give_up_held(&mut self, now: SystemTime, out: &mut Vec<RequestAction<P>>) {
+        let overdue = self.imports.values_mut().filter(|pending| now >= pending.held_until);
+
+        for request in overdue.flat_map(|pending| pending.held.drain(..)) {
+            refuse_unclaimed(&request, RefusalReason::OwnerUnreachable, out);
+        }
     }
 }
 
@@ -285,11 +315,7 @@
     reason: RefusalReason,
     out: &mut Vec<RequestAction<P>>,
 ) {
-    let refusal = Refusal {
-        outcome: Outcome::InDoubt,
-        reason,
-        retry_after: OWNER_RETRY_AFTER,
-    };
+    let refusal = Refusal { outcome: Outcome::InDoubt, reason, retry_after: OWNER_RETRY_AFTER };
 
     out.push(RequestAction::Refuse {
         id: request.id,
--- a/crates/valvestage-policy/src/control.rs
+++ b/crates/valvestage-policy/src/control.rs
@@ -6,6 +6,7 @@
 mod control_action;
 mod control_options;
 mod control_policy;
+mod first_read;
 mod lease_keeper;
 mod lease_record;
 mod object_cache;
@@ -19,6 +20,7 @@
 pub use control_action::{ControlAction, Installation, Machine};
 pub use control_options::ControlOptions;
 pub use control_policy::ControlPolicy;
+pub use first_read::FirstRead;
 pub use lease_keeper::{LeaseGrant, LeaseKeeper, LeaseOptions};
 pub use lease_record::LeaseRecord;
 pub use object_cache::ObjectCache;
--- a/crates/valvestage-policy/src/control/control_action.rs
+++ b/crates/valvestage-policy/src/control/control_action.rs
@@ -21,6 +21,8 @@
     Lease,
     /// The owners of services.
     Owners,
+    /// The first read of the configuration after the start.
+    FirstRead,
 }
 
 /// `Installation` is something to put in force in the [`crate::BalancerPolicy`].
--- a/crates/valvestage-policy/src/control/control_options.rs
+++ b/crates/valvestage-policy/src/control/control_options.rs
@@ -21,6 +21,8 @@
     pub watchers_per_zone: usize,
     /// Without news of the platform for this long, any balancer watches.
     pub stale_after: Duration,
+    /// A start without an answer of the platform for this long goes on with what peers have.
+    pub join_without_platform_after: Duration,
     /// Whether an object that is older than the one in force is ignored; off, a baseline.
     pub newest_only: bool,
 }
@@ -34,6 +36,7 @@
             owners_per_zone: 8,
             watchers_per_zone: 2,
             stale_after: Duration::from_secs(6),
+            join_without_platform_after: Duration::from_secs(5),
             newest_only: true,
         }
     }
--- a/crates/valvestage-policy/src/control/control_policy.rs
+++ b/crates/valvestage-policy/src/control/control_policy.rs
@@ -10,11 +10,13 @@
 
 use super::control_action::{ControlAction, Installation, Machine};
 use super::control_options::ControlOptions;
+use super::first_read::FirstRead;
 use super::lease_keeper::{LeaseGrant, LeaseKeeper};
 use super::object_cache::ObjectCache;
 use super::object_key::{ObjectKey, ObjectValue};
 use super::owner_coordinator::{CoordinatorInputs, OwnerCandidate, OwnerCoordinator};
 use super::owner_map::OwnerMap;
+use super::planned_stop::PlannedStop;
 use super::platform_call::PlatformReply;
 use crate::errors::PolicyError;
 use crate::flows::TokenKeys;
@@ -55,7 +57,10 @@
     keeper: LeaseKeeper,
     grant: Option<LeaseGrant>,
     coordinator: OwnerCoordinator,
+    first_read: FirstRead,
     next_beat: SystemTime,
+    /// Whether there is something that peers should hear of at once.
+    has_news: bool,
     /// Fetches that are out, with the time at which they are given up.
     fetches: BTreeMap<ObjectKey, SystemTime>,
 }
@@ -79,7 +84,9 @@
             keeper: LeaseKeeper::new(id, options.lease, now),
             grant: None,
             coordinator: OwnerCoordinator::new(id, options.lease.clock_bound, now),
+            first_read: FirstRead::new(now + options.join_without_platform_after),
             next_beat: now,
+            has_news: false,
             fetches: BTreeMap::new(),
             options,
         }
@@ -87,6 +94,7 @@
 
     /// `step` gives everything that is due; it costs little and may be called often.
     pub fn step(&mut self, now: SystemTime, out: &mut Vec<ControlAction>) {
+        self.step_first_read(now, out);
         self.beat_if_due(now, out);
         self.refresh_view(now, out);
         self.fetch_newer(now, out);
@@ -94,13 +102,32 @@
         self.step_owners(now, out);
     }
 
+    /// A balancer that starts knows nothing, and a watch may lag: it takes work only once it knows
+    /// that its configuration is the newest, or that nobody can tell.
+    fn step_first_read(&mut self, now: SystemTime, out: &mut Vec<ControlAction>) {
+        if self.own().state != PeerState::Joining {
+            return;
+        }
+
+        if let Some(call) = self.first_read.next_call(now) {
+            out.push(ControlAction::Call { machine: Machine::FirstRead, call });
+        }
+        let has_objects =
+            self.configuration.is_some() && self.objects.version(ObjectKey::TokenKeys) > 0;
+        if has_objects && self.first_read.is_done(now) {
+            self.table.set_state(PeerState::Serving);
+            self.has_news = true;
+        }
+    }
+
     fn beat_if_due(&mut self, now: SystemTime, out: &mut Vec<ControlAction>) {
-        if now < self.next_beat {
+        if now < self.next_beat && !self.has_news {
             return;
         }
 
         self.next_beat = now + self.options.heartbeat_interval;
-        for to in self.table.beat(now) {
+        let has_news = std::mem::take(&mut self.has_news);
+        for to in self.table.beat(now, has_news) {
             let message = self.table.message(now);
             out.push(ControlAction::Heartbeat { to, message });
         }
@@ -114,13 +141,8 @@
 
         self.view = view.clone();
         let known = self.table.known(now);
-        let addresses = known
-            .map(|(record, _)| (record.id, record.data_address))
-            .collect();
-        out.push(ControlAction::Install(Installation::View {
-            view,
-            addresses,
-        }));
+        let addresses = known.map(|(record, _)| (record.id, record.data_address)).collect();
+        out.push(ControlAction::Install(Installation::View { view, addresses }));
     }
 
     /// Fetches every object of which a live peer announced a newer version.
@@ -128,10 +150,7 @@
         self.fetches.retain(|_, deadline| now < *deadline);
 
         for (key, version_of) in SHARED_OBJECTS {
-            let best = self
-                .table
-                .alive(now)
-                .max_by_key(|record| version_of(record));
+            let best = self.table.alive(now).max_by_key(|record| version_of(record));
             let known = self.objects.version(key);
             if let Some(from) = best.filter(|record| version_of(record) > known)
                 && !self.fetches.contains_key(&key)
@@ -147,17 +166,13 @@
         if self.may_hold_lease(now)
             && let Some(call) = self.keeper.next_call(now)
         {
-            out.push(ControlAction::Call {
-                machine: Machine::Lease,
-                call,
-            });
+            out.push(ControlAction::Call { machine: Machine::Lease, call });
         }
 
         let grant = self.keeper.grant(now);
         if grant != self.grant {
             self.grant = grant;
-            self.table
-                .set_lease_epoch(grant.map_or(0, |grant| grant.epoch));
+            self.table.set_lease_epoch(grant.map_or(0, |grant| grant.epoch));
             out.push(ControlAction::Install(Installation::Grant(grant)));
         }
     }
@@ -181,10 +196,7 @@
             candidates: self.candidates(now),
         };
         if let Some(call) = self.coordinator.next_call(now, &inputs) {
-            out.push(ControlAction::Call {
-                machine: Machine::Owners,
-                call,
-            });
+            out.push(ControlAction::Call { machine: Machine::Owners, call });
         }
     }
 
@@ -195,12 +207,17 @@
         machine: Machine,
         reply: PlatformReply,
         out: &mut Vec<ControlAction>,
-    ) {
+    ) -> Result<bool, PolicyError> {
         if reply != PlatformReply::Unknown {
             self.on_platform_heard(now);
         }
 
         match machine {
+            Machine::FirstRead => {
+                if let Some((version, value)) = self.first_read.on_reply(now, reply) {
+                    return self.on_object(ObjectKey::Configuration, version, value, out);
+                }
+            }
             Machine::Lease => self.keeper.on_reply(now, &reply),
             Machine::Owners => {
                 if let Some(map) = self.coordinator.on_reply(now, reply) {
@@ -208,6 +225,7 @@
                 }
             }
         }
+        Ok(false)
     }
 
     /// `on_heartbeat` takes a peer's heartbeat and gives the answer.
@@ -264,7 +282,7 @@
             self.objects.version(ObjectKey::OwnerMap),
             self.objects.version(ObjectKey::TokenKeys),
         );
-        self.next_beat = SystemTime::UNIX_EPOCH;
+        self.has_news = true;
         out.push(ControlAction::Install(installation));
         Ok(true)
     }
@@ -287,9 +305,7 @@
             .alive(now)
             .filter(|record| record.zone == own.zone && record.state == PeerState::Serving);
         let rank = |id: BalancerId| mix(u64::from(id), seed);
-        let before = mates
-            .filter(|record| rank(record.id) < rank(own.id))
-            .count();
+        let before = mates.filter(|record| rank(record.id) < rank(own.id)).count();
 
         before < count
     }
@@ -307,10 +323,16 @@
         (heard > 0).then(|| from_unix_millis(heard))
     }
 
+    /// `is_serving` tells whether this balancer has joined and is not leaving.
+    #[must_use]
+    pub fn is_serving(&self) -> bool {
+        self.own().state == PeerState::Serving
+    }
+
     /// `leave` announces that this balancer leaves.
     pub fn leave(&mut self) {
         self.table.set_state(PeerState::Leaving);
-        self.next_beat = SystemTime::UNIX_EPOCH;
+        self.has_news = true;
     }
 
     /// `give_lease_back` closes the lease; call it once the services are handed over.
@@ -331,13 +353,19 @@
 
         records
             .filter(|record| record.state == PeerState::Serving && record.lease_epoch > 0)
-            .map(|record| OwnerCandidate {
-                id: record.id,
-                lease: record.lease_epoch,
-            })
+            .map(|record| OwnerCandidate { id: record.id, lease: record.lease_epoch })
             .collect()
     }
 
+    /// `planned_stop` prepares the handover of all services that this balancer owns.
+    #[must_use]
+    pub fn planned_stop(&self, now: SystemTime) -> PlannedStop {
+        let lease = self.grant.map_or(0, |grant| grant.epoch);
+        let from = OwnerCandidate { id: self.own().id, lease };
+
+        PlannedStop::new(from, self.owned_services(), now)
+    }
+
     /// `owned_services` lists the services that this balancer owns under its present lease.
     #[must_use]
     pub fn owned_services(&self) -> Vec<ServiceId> {
--- a/crates/valvestage-policy/src/control/lease_keeper.rs
+++ b/crates/valvestage-policy/src/control/lease_keeper.rs
@@ -27,10 +27,7 @@
 
 impl Default for LeaseOptions {
     fn default() -> Self {
-        Self {
-            length: Duration::from_secs(6),
-            clock_bound: Duration::from_millis(250),
-        }
+        Self { length: Duration::from_secs(6), clock_bound: Duration::from_millis(250) }
     }
 }
 
@@ -97,9 +94,7 @@
     pub fn grant(&self, now: SystemTime) -> Option<LeaseGrant> {
         let fence = self.expires?.checked_sub(self.options.clock_bound)?;
 
-        self.epoch
-            .filter(|_| now < fence)
-            .map(|epoch| LeaseGrant { epoch, fence })
+        self.epoch.filter(|_| now < fence).map(|epoch| LeaseGrant { epoch, fence })
     }
 
     /// `give_back` closes the lease at the next step and acquires no other.
@@ -126,9 +121,7 @@
         }
 
         let call = match &self.knowledge {
-            Knowledge::None => PlatformCall::Read {
-                key: ObjectKey::Lease(self.own),
-            },
+            Knowledge::None => PlatformCall::Read { key: ObjectKey::Lease(self.own) },
             Knowledge::Missing => self.write(None, self.fresh_epoch(now, 0), now),
             Knowledge::Known(version, record) => self.next_write(*version, &record.clone(), now)?,
         };
@@ -148,9 +141,7 @@
             return Some(self.write_closed(version, record));
         }
         if is_own {
-            return self
-                .renewal_is_due(now)
-                .then(|| self.write(Some(version), record.epoch, now));
+            return self.renewal_is_due(now).then(|| self.write(Some(version), record.epoch, now));
         }
 
         // Somebody closed it, or it is a former process's: that one may be paused and believe in
@@ -170,8 +161,7 @@
         let length = self.options.length;
         let renew_before = length - length / RENEWALS_PER_LEASE;
 
-        self.expires
-            .is_none_or(|expires| now + renew_before >= expires)
+        self.expires.is_none_or(|expires| now + renew_before >= expires)
     }
 
     fn fresh_epoch(&self, now: SystemTime, former: LeaseEpoch) -> LeaseEpoch {
@@ -185,12 +175,7 @@
         now: SystemTime,
     ) -> PlatformCall {
         let expires_ms = to_unix_millis(now + self.options.length);
-        let record = LeaseRecord {
-            holder: self.own,
-            epoch,
-            expires_ms,
-            closed: false,
-        };
+        let record = LeaseRecord { holder: self.own, epoch, expires_ms, closed: false };
 
         self.in_flight = Some(record.clone());
         PlatformCall::Write {
@@ -201,10 +186,7 @@
     }
 
     fn write_closed(&mut self, version: ObjectVersion, record: &LeaseRecord) -> PlatformCall {
-        let record = LeaseRecord {
-            closed: true,
-            ..record.clone()
-        };
+        let record = LeaseRecord { closed: true, ..record.clone() };
 
         // From here on it may be closed: nothing is run under it any more.
         self.expires = None;
@@ -226,10 +208,7 @@
                     self.adopt(*version, record);
                 }
             }
-            PlatformReply::Found {
-                version,
-                value: ObjectValue::Lease(record),
-            } => {
+            PlatformReply::Found { version, value: ObjectValue::Lease(record) } => {
                 // A write whose answer was lost shows here.
                 if self.in_flight.take().as_ref() == Some(record) {
                     self.adopt(*version, record.clone());
--- a/crates/valvestage-policy/src/control/object_cache.rs
+++ b/crates/valvestage-policy/src/control/object_cache.rs
@@ -19,12 +19,7 @@
     /// `new` starts empty.
     #[must_use]
     pub fn new(newest_only: bool) -> Self {
-        Self {
-            newest_only,
-            configuration: None,
-            owner_map: None,
-            token_keys: None,
-        }
+        Self { newest_only, configuration: None, owner_map: None, token_keys: None }
     }
 
     /// `is_news` tells whether a version is to be put in force.
@@ -32,11 +27,7 @@
     pub fn is_news(&self, key: ObjectKey, version: ObjectVersion) -> bool {
         let known = self.version(key);
 
-        if self.newest_only {
-            version > known
-        } else {
-            version != known
-        }
+        if self.newest_only { version > known } else { version != known }
     }
 
     /// `put` keeps an object that is news.
--- a/crates/valvestage-policy/src/control/owner_coordinator.rs
+++ b/crates/valvestage-policy/src/control/owner_coordinator.rs
@@ -78,11 +78,7 @@
 
     /// `on_map` takes in a newer map from elsewhere.
     pub fn on_map(&mut self, map: &OwnerMap) {
-        if self
-            .map
-            .as_ref()
-            .is_some_and(|known| known.version < map.version)
-        {
+        if self.map.as_ref().is_some_and(|known| known.version < map.version) {
             self.map = Some(map.clone());
         }
     }
@@ -107,22 +103,14 @@
 
         let Some(map) = self.map.clone() else {
             self.step = Step::ReadingMap;
-            return Some(PlatformCall::Read {
-                key: ObjectKey::OwnerMap,
-            });
+            return Some(PlatformCall::Read { key: ObjectKey::OwnerMap });
         };
 
         // Owners that are not live candidates: their leases decide.
-        let doubtful = map
-            .raw
-            .entries
-            .values()
-            .find(|entry| self.is_doubtful(entry, inputs));
+        let doubtful = map.raw.entries.values().find(|entry| self.is_doubtful(entry, inputs));
         if let Some(entry) = doubtful {
             self.step = Step::ReadingLease(entry.owner);
-            return Some(PlatformCall::Read {
-                key: ObjectKey::Lease(entry.owner),
-            });
+            return Some(PlatformCall::Read { key: ObjectKey::Lease(entry.owner) });
         }
 
         let next = self.next_map(now, &map, inputs)?;
@@ -164,11 +152,7 @@
             // A service that nobody ever owned is covered from the beginning. After a lapse, what
             // the former owner accepted is not known.
             let was_owned = map.raw.entries.contains_key(service);
-            let covers_from_ms = if was_owned {
-                to_unix_millis(now + self.clock_bound)
-            } else {
-                0
-            };
+            let covers_from_ms = if was_owned { to_unix_millis(now + self.clock_bound) } else { 0 };
             let candidate = pick_owner(*service, &entries, &inputs.candidates)?;
             let entry = OwnerEntry {
                 owner: candidate.id,
@@ -184,12 +168,7 @@
         }
 
         self.writes += 1;
-        let change_id = format!(
-            "owners-{}-{}-{}",
-            self.own,
-            to_unix_millis(now),
-            self.writes
-        );
+        let change_id = format!("owners-{}-{}-{}", self.own, to_unix_millis(now), self.writes);
         Some(RawOwnerMap { change_id, entries })
     }
 
@@ -202,10 +181,7 @@
             }
             (
                 Step::ReadingMap,
-                PlatformReply::Found {
-                    version,
-                    value: ObjectValue::OwnerMap(raw),
-                },
+                PlatformReply::Found { version, value: ObjectValue::OwnerMap(raw) },
             ) => {
                 let map = OwnerMap { version, raw };
                 self.lapsed.clear();
@@ -237,20 +213,14 @@
     fn on_lease_read(&mut self, now: SystemTime, owner: BalancerId, reply: &PlatformReply) {
         // Epochs of the map's entries of this owner.
         let entries = self.map.iter().flat_map(|map| map.raw.entries.values());
-        let owned: Vec<LeaseEpoch> = entries
-            .filter(|entry| entry.owner == owner)
-            .map(|entry| entry.lease)
-            .collect();
+        let owned: Vec<LeaseEpoch> =
+            entries.filter(|entry| entry.owner == owner).map(|entry| entry.lease).collect();
 
         match reply {
             PlatformReply::Missing => {
-                self.lapsed
-                    .extend(owned.into_iter().map(|epoch| (owner, epoch)));
+                self.lapsed.extend(owned.into_iter().map(|epoch| (owner, epoch)));
             }
-            PlatformReply::Found {
-                version,
-                value: ObjectValue::Lease(record),
-            } => {
+            PlatformReply::Found { version, value: ObjectValue::Lease(record) } => {
                 // A later lease is acquired only once the former one is over.
                 for epoch in owned.iter().filter(|epoch| **epoch < record.epoch) {
                     self.lapsed.insert((owner, *epoch));
@@ -261,10 +231,7 @@
                 } else if !record.has_lapsed(now, self.clock_bound) {
                     self.not_before = now + RETRY_PAUSE;
                 } else if owned.contains(&record.epoch) {
-                    let closed = LeaseRecord {
-                        closed: true,
-                        ..record.clone()
-                    };
+                    let closed = LeaseRecord { closed: true, ..record.clone() };
                     self.step = Step::CloseDue(*version, closed);
                 }
             }
@@ -281,10 +248,8 @@
 ) -> Option<OwnerCandidate> {
     let owned = |id: BalancerId| entries.values().filter(|entry| entry.owner == id).count();
 
-    candidates.iter().copied().min_by_key(|candidate| {
-        (
-            owned(candidate.id),
-            mix(service.into(), candidate.id.into()),
-        )
-    })
+    candidates
+        .iter()
+        .copied()
+        .min_by_key(|candidate| (owned(candidate.id), mix(service.into(), candidate.id.into())))
 }
--- a/crates/valvestage-policy/src/control/owner_handover.rs
+++ b/crates/valvestage-policy/src/control/owner_handover.rs
@@ -34,34 +34,27 @@
 }
 
 impl OwnerHandover {
-    /// `new` prepares the move of a service from its present owner; none if nobody owns it.
+    /// `new` prepares the move of a service; none if the balancer that hands over does not own it
+    /// any more: then the claims are not its to hand over.
     #[must_use]
     pub fn new(
         service: ServiceId,
         base: &OwnerMap,
+        from: OwnerCandidate,
         to: OwnerCandidate,
         now: SystemTime,
     ) -> Option<Self> {
-        let present = *base.owner(service)?;
+        let is_owner = |entry: &&OwnerEntry| entry.owner == from.id && entry.lease == from.lease;
+        let present = *base.owner(service).filter(is_owner)?;
         let id = to_unix_millis(now) << 16 | u64::from(service);
         let change_id = format!("handover-{}-{id}", present.owner);
 
         // What the claim table covers goes over with the claims.
-        let entry = OwnerEntry {
-            owner: to.id,
-            lease: to.lease,
-            handover: Some(id),
-            ..present
-        };
+        let entry = OwnerEntry { owner: to.id, lease: to.lease, handover: Some(id), ..present };
         let mut entries = base.raw.entries.clone();
         entries.insert(service, entry);
 
-        Some(Self {
-            service,
-            id,
-            base: base.clone(),
-            next: RawOwnerMap { change_id, entries },
-        })
+        Some(Self { service, id, base: base.clone(), next: RawOwnerMap { change_id, entries } })
     }
 
     /// `call` gives the conditional write that moves the service.
@@ -78,18 +71,16 @@
     #[must_use]
     pub fn on_reply(&self, reply: PlatformReply) -> HandoverOutcome {
         match reply {
-            PlatformReply::Written { version } => HandoverOutcome::Moved(OwnerMap {
-                version,
-                raw: self.next.clone(),
-            }),
+            PlatformReply::Written { version } => {
+                HandoverOutcome::Moved(OwnerMap { version, raw: self.next.clone() })
+            }
             // Conflicting with a write of our own whose answer was lost is possible, too.
-            PlatformReply::Conflict => HandoverOutcome::Call(PlatformCall::Read {
-                key: ObjectKey::OwnerMap,
-            }),
-            PlatformReply::Found {
-                version,
-                value: ObjectValue::OwnerMap(raw),
-            } => self.settle(OwnerMap { version, raw }),
+            PlatformReply::Conflict => {
+                HandoverOutcome::Call(PlatformCall::Read { key: ObjectKey::OwnerMap })
+            }
+            PlatformReply::Found { version, value: ObjectValue::OwnerMap(raw) } => {
+                self.settle(OwnerMap { version, raw })
+            }
             _ => HandoverOutcome::Unsettled,
         }
     }
--- a/crates/valvestage-policy/src/control/planned_stop.rs
+++ b/crates/valvestage-policy/src/control/planned_stop.rs
@@ -56,7 +56,8 @@
 /// `PlannedStop` moves the services of a balancer that leaves.
 #[derive(Debug, Clone)]
 pub struct PlannedStop {
-    own: BalancerId,
+    /// The balancer that leaves, under the lease by which it owns the services.
+    from: OwnerCandidate,
     /// Services still to be moved; the first one is under way.
     services: VecDeque<ServiceId>,
     progress: Option<Progress>,
@@ -66,16 +67,11 @@
 impl PlannedStop {
     /// `new` takes the services that the balancer owns.
     pub fn new(
-        own: BalancerId,
+        from: OwnerCandidate,
         services: impl IntoIterator<Item = ServiceId>,
         now: SystemTime,
     ) -> Self {
-        Self {
-            own,
-            services: services.into_iter().collect(),
-            progress: None,
-            not_before: now,
-        }
+        Self { from, services: services.into_iter().collect(), progress: None, not_before: now }
     }
 
     /// `is_done` tells whether every service is settled.
@@ -96,10 +92,8 @@
             return None;
         }
 
-        let progress = self
-            .progress
-            .take()
-            .unwrap_or_else(|| Progress::Choosing(self.rank(map, candidates)));
+        let progress =
+            self.progress.take().unwrap_or_else(|| Progress::Choosing(self.rank(map, candidates)));
         match progress {
             Progress::Choosing(left) => Some(self.offer_next(now, service, left, map)),
             Progress::Writing(handover, call) => {
@@ -108,11 +102,7 @@
             }
             Progress::Settling(moved, map) => {
                 self.services.pop_front();
-                Some(StopStep::Settle {
-                    service,
-                    moved,
-                    map,
-                })
+                Some(StopStep::Settle { service, moved, map })
             }
             out @ (Progress::Offering(..) | Progress::Waiting(_)) => {
                 self.progress = Some(out);
@@ -123,18 +113,9 @@
 
     /// The other candidates, those with fewer services first.
     fn rank(&self, map: &OwnerMap, candidates: &[OwnerCandidate]) -> VecDeque<OwnerCandidate> {
-        let owned = |id| {
-            map.raw
-                .entries
-                .values()
-                .filter(|entry| entry.owner == id)
-                .count()
-        };
-        let mut others: Vec<_> = candidates
-            .iter()
-            .filter(|candidate| candidate.id != self.own)
-            .copied()
-            .collect();
+        let owned = |id| map.raw.entries.values().filter(|entry| entry.owner == id).count();
+        let mut others: Vec<_> =
+            candidates.iter().filter(|candidate| candidate.id != self.from.id).copied().collect();
 
         others.sort_by_key(|candidate| owned(candidate.id));
         others.into()
@@ -148,26 +129,18 @@
         map: &OwnerMap,
     ) -> StopStep {
         let next = left.pop_front();
-        let handover = next.and_then(|to| OwnerHandover::new(service, map, to, now));
+        let handover = next.and_then(|to| OwnerHandover::new(service, map, self.from, to, now));
 
         match (next, handover) {
             (Some(to), Some(handover)) => {
                 let id = handover.id;
                 self.progress = Some(Progress::Offering(left, handover));
-                StopStep::Offer {
-                    to: to.id,
-                    service,
-                    handover: id,
-                }
+                StopStep::Offer { to: to.id, service, handover: id }
             }
-            // Nobody takes it: its requests go on here, and it is taken over after the lease.
+            // Nobody takes it, or it was taken away: what is held back goes to whoever owns it now.
             _ => {
                 self.services.pop_front();
-                StopStep::Settle {
-                    service,
-                    moved: false,
-                    map: None,
-                }
+                StopStep::Settle { service, moved: false, map: None }
             }
         }
     }
@@ -198,9 +171,7 @@
             HandoverOutcome::Stays(map) => Progress::Settling(false, Some(map)),
             HandoverOutcome::Unsettled => {
                 self.not_before = now + RETRY_PAUSE;
-                let call = PlatformCall::Read {
-                    key: ObjectKey::OwnerMap,
-                };
+                let call = PlatformCall::Read { key: ObjectKey::OwnerMap };
                 Progress::Writing(handover, call)
             }
         });
--- a/crates/valvestage-policy/src/flows/backend_watch.rs
+++ b/crates/valvestage-policy/src/flows/backend_watch.rs
@@ -37,9 +37,7 @@
     #[must_use]
     pub fn is_usable(&self, backend: &Backend, now: SystemTime) -> bool {
         let entry = self.entries.get(&backend.id);
-        let is_paused = entry
-            .and_then(|e| e.paused_until)
-            .is_some_and(|until| now < until);
+        let is_paused = entry.and_then(|e| e.paused_until).is_some_and(|until| now < until);
 
         !is_paused && !self.is_full(backend.id, now) && !self.lost_zones.contains(&backend.zone)
     }
@@ -49,9 +47,7 @@
     pub fn is_full(&self, backend: BackendId, now: SystemTime) -> bool {
         let entry = self.entries.get(&backend);
 
-        entry
-            .and_then(|entry| entry.full_until)
-            .is_some_and(|until| now < until)
+        entry.and_then(|entry| entry.full_until).is_some_and(|until| now < until)
     }
 
     /// `on_opening` counts an opening packet on its way to a backend server.
--- a/crates/valvestage-policy/src/flows/configuration_history.rs
+++ b/crates/valvestage-policy/src/flows/configuration_history.rs
@@ -20,9 +20,15 @@
 }
 
 impl ConfigurationHistory {
-    /// `install` puts a configuration in force if it is newer than the present one.
-    pub fn install(&mut self, configuration: Arc<Configuration>) -> bool {
-        if configuration.version <= self.version() {
+    /// `install` puts a configuration in force if it is newer than the present one; without
+    /// `newest_only`, a baseline, also if it is older.
+    pub fn install(&mut self, configuration: Arc<Configuration>, newest_only: bool) -> bool {
+        let is_news = if newest_only {
+            configuration.version > self.version()
+        } else {
+            configuration.version != self.version()
+        };
+        if !is_news {
             return false;
         }
 
@@ -41,8 +47,7 @@
     /// `version` gives the version in force; 0 before the first.
     #[must_use]
     pub fn version(&self) -> ObjectVersion {
-        self.current()
-            .map_or(0, |configuration| configuration.version)
+        self.current().map_or(0, |configuration| configuration.version)
     }
 
     /// `find` gives a backend server of a service from the newest version that has it.
@@ -52,19 +57,14 @@
     #[must_use]
     #[inline]
     pub fn find(&self, service: ServiceId, id: BackendId) -> Option<&Backend> {
-        let newest = self
-            .versions
-            .iter()
-            .find_map(|configuration| configuration.backend(id))?;
+        let newest = self.versions.iter().find_map(|configuration| configuration.backend(id))?;
         if newest.service != service {
             return None;
         }
 
         // The address may have been given to another record since.
         let holder = self.current()?.backend_at(newest.address);
-        holder
-            .is_none_or(|holder| holder.id == newest.id)
-            .then_some(newest)
+        holder.is_none_or(|holder| holder.id == newest.id).then_some(newest)
     }
 
     /// `find_incarnation` is like [`Self::find`], for one VM behind the record.
@@ -75,8 +75,7 @@
         id: BackendId,
         incarnation: Incarnation,
     ) -> Option<&Backend> {
-        self.find(service, id)
-            .filter(|backend| backend.incarnation == incarnation)
+        self.find(service, id).filter(|backend| backend.incarnation == incarnation)
     }
 
     /// `backend_services` gives the service of each backend server in any kept version.
--- a/crates/valvestage-policy/src/flows/exception_finder.rs
+++ b/crates/valvestage-policy/src/flows/exception_finder.rs
@@ -32,12 +32,7 @@
     pub fn new(own: BalancerId, history: &ConfigurationHistory, view: LiveView) -> Option<Self> {
         let configuration = history.current()?.clone();
 
-        Some(Self {
-            own,
-            configuration,
-            view,
-            services: history.backend_services(),
-        })
+        Some(Self { own, configuration, view, services: history.backend_services() })
     }
 
     /// `copies` gives for each balancer the bindings to copy to it.
@@ -68,9 +63,6 @@
         let home = self.view.home(binding.key);
         let next = self.view.home_without(binding.key, home);
 
-        [home, next]
-            .into_iter()
-            .flatten()
-            .filter(|id| *id != self.own)
+        [home, next].into_iter().flatten().filter(|id| *id != self.own)
     }
 }
--- a/crates/valvestage-policy/src/flows/flow_director.rs
+++ b/crates/valvestage-policy/src/flows/flow_director.rs
@@ -35,6 +35,8 @@
     pub former_home: bool,
     /// Check that the backend server serves the packet's service.
     pub service_check: bool,
+    /// Ignore configurations that are older than the one in force.
+    pub newest_only: bool,
 }
 
 impl Default for FlowLayers {
@@ -45,6 +47,7 @@
             table: true,
             former_home: true,
             service_check: true,
+            newest_only: true,
         }
     }
 }
@@ -81,11 +84,7 @@
 
 impl HopMark {
     /// The mark of a packet from the fabric.
-    pub const FIRST: Self = Self {
-        count: 0,
-        purpose: RelayPurpose::Home,
-        view_epoch: 0,
-    };
+    pub const FIRST: Self = Self { count: 0, purpose: RelayPurpose::Home, view_epoch: 0 };
 }
 
 /// `FlowPacket` is what the director needs to know of a packet.
@@ -139,8 +138,10 @@
         /// The mark to carry.
         hop: HopMark,
     },
-    /// Refuse it.
+    /// Refuse it, and tell the caller.
     Refuse(RefusalReason),
+    /// Drop it without a word: it may be much older than what the caller has been told since.
+    Drop(RefusalReason),
 }
 
 /// `Binding` tells one balancer which backend server a flow is bound to.
@@ -222,9 +223,7 @@
             return Some(FlowVerdict::Refuse(RefusalReason::WrongService));
         }
 
-        let found = self
-            .history
-            .find_incarnation(token.service, token.backend, token.incarnation);
+        let found = self.history.find_incarnation(token.service, token.backend, token.incarnation);
         Some(match found {
             Some(backend) => forward(backend, FlowSource::Token, false),
             None => FlowVerdict::Refuse(RefusalReason::BackendGone),
@@ -237,10 +236,7 @@
             return None;
         }
 
-        let peer = self
-            .view
-            .home(packet.key)
-            .filter(|home| *home != self.own)?;
+        let peer = self.view.home(packet.key).filter(|home| *home != self.own)?;
         Some(self.relay(packet, peer, RelayPurpose::Home))
     }
 
@@ -284,11 +280,7 @@
             return FlowVerdict::Refuse(RefusalReason::NoConfiguration);
         };
 
-        let source = if packet.opening {
-            FlowSource::Placement
-        } else {
-            FlowSource::History
-        };
+        let source = if packet.opening { FlowSource::Placement } else { FlowSource::History };
         let placed = if packet.opening {
             self.place_open(now, &configuration, packet)
         } else {
@@ -296,30 +288,20 @@
         };
         let Some(backend) = placed.and_then(|id| configuration.backend(id)) else {
             let has_any = !configuration.eligible(packet.service).is_empty();
-            let reason = if has_any {
-                RefusalReason::ConnectionsFull
-            } else {
-                RefusalReason::NoBackend
-            };
+            let reason =
+                if has_any { RefusalReason::ConnectionsFull } else { RefusalReason::NoBackend };
             return FlowVerdict::Refuse(reason);
         };
 
         if self.layers.table && !packet.closing {
-            let entry = FlowEntry {
-                backend: backend.id,
-                last_seen: unix_seconds(now),
-            };
+            let entry = FlowEntry { backend: backend.id, last_seen: unix_seconds(now) };
             self.table.insert(packet.key, entry);
         }
 
         if packet.opening {
             self.watch.on_opening(backend.id, now);
         }
-        forward(
-            backend,
-            source,
-            packet.hop.purpose == RelayPurpose::FormerHome,
-        )
+        forward(backend, source, packet.hop.purpose == RelayPurpose::FormerHome)
     }
 
     fn place_open(
@@ -329,9 +311,7 @@
         packet: &FlowPacket,
     ) -> Option<BackendId> {
         let is_usable = |id| {
-            configuration
-                .backend(id)
-                .is_some_and(|backend| self.watch.is_usable(backend, now))
+            configuration.backend(id).is_some_and(|backend| self.watch.is_usable(backend, now))
         };
 
         // If all that have room are silent or cut off, the one by hash is as good as any.
@@ -341,21 +321,14 @@
     }
 
     fn relay(&self, packet: &FlowPacket, peer: BalancerId, purpose: RelayPurpose) -> FlowVerdict {
-        let hop = HopMark {
-            count: packet.hop.count + 1,
-            purpose,
-            view_epoch: self.view.epoch(),
-        };
+        let hop = HopMark { count: packet.hop.count + 1, purpose, view_epoch: self.view.epoch() };
 
         FlowVerdict::Relay { peer, hop }
     }
 
     fn find(&self, service: ServiceId, id: BackendId) -> Option<&Backend> {
         if !self.layers.service_check {
-            return self
-                .history
-                .current()
-                .and_then(|configuration| configuration.backend(id));
+            return self.history.current().and_then(|configuration| configuration.backend(id));
         }
 
         self.history.find(service, id)
@@ -366,11 +339,7 @@
     pub fn on_connections_full(&mut self, key: FlowKey, backend: BackendId, until: SystemTime) {
         self.watch.on_full(backend, until);
 
-        if self
-            .table
-            .get(key, 0)
-            .is_some_and(|entry| entry.backend == backend)
-        {
+        if self.table.get(key, 0).is_some_and(|entry| entry.backend == backend) {
             self.table.remove(key);
         }
     }
@@ -388,17 +357,14 @@
 
     /// `on_binding` takes in a binding from another balancer; a known flow is not rebound.
     pub fn on_binding(&mut self, now: SystemTime, binding: Binding) {
-        let entry = FlowEntry {
-            backend: binding.backend,
-            last_seen: unix_seconds(now),
-        };
+        let entry = FlowEntry { backend: binding.backend, last_seen: unix_seconds(now) };
 
         self.table.insert_if_absent(binding.key, entry);
     }
 
     /// `install_configuration` puts a newer configuration in force.
     pub fn install_configuration(&mut self, configuration: Arc<Configuration>) -> bool {
-        let is_newer = self.history.install(configuration);
+        let is_newer = self.history.install(configuration, self.layers.newest_only);
 
         self.find_lost_zones();
         is_newer
@@ -411,20 +377,13 @@
         };
 
         let zones = configuration.backends().map(|backend| &backend.zone);
-        let lost = zones
-            .filter(|zone| !self.view.has_zone(zone))
-            .cloned()
-            .collect();
+        let lost = zones.filter(|zone| !self.view.has_zone(zone)).cloned().collect();
         self.watch.set_lost_zones(lost);
     }
 
     /// `install_keys` puts newer token keys in force.
     pub fn install_keys(&mut self, keys: TokenKeys) -> bool {
-        if self
-            .keys
-            .as_ref()
-            .is_some_and(|known| known.version >= keys.version)
-        {
+        if self.keys.as_ref().is_some_and(|known| known.version >= keys.version) {
             return false;
         }
 
@@ -448,22 +407,13 @@
     /// `bindings` copies the table, for work outside of the data path.
     #[must_use]
     pub fn bindings(&self) -> Vec<Binding> {
-        self.table
-            .iter()
-            .map(|(key, entry)| Binding {
-                key,
-                backend: entry.backend,
-            })
-            .collect()
+        self.table.iter().map(|(key, entry)| Binding { key, backend: entry.backend }).collect()
     }
 
     /// `flows_on` counts the flows of the table that are bound to a backend server.
     #[must_use]
     pub fn flows_on(&self, backend: BackendId) -> usize {
-        self.table
-            .iter()
-            .filter(|(_, entry)| entry.backend == backend)
-            .count()
+        self.table.iter().filter(|(_, entry)| entry.backend == backend).count()
     }
 
     /// `drop_idle` forgets flows without a packet since a time.
--- a/crates/valvestage-policy/src/flows/flow_table.rs
+++ b/crates/valvestage-policy/src/flows/flow_table.rs
@@ -24,9 +24,7 @@
     /// `with_capacity` makes room for that many flows.
     #[must_use]
     pub fn with_capacity(flows: usize) -> Self {
-        Self {
-            entries: HashMap::with_capacity_and_hasher(flows, BuildHasherDefault::default()),
-        }
+        Self { entries: HashMap::with_capacity_and_hasher(flows, BuildHasherDefault::default()) }
     }
 
     /// `get` gives the entry of a flow and marks it as seen.
@@ -74,8 +72,7 @@
     pub fn drop_idle(&mut self, seen_before: u32) -> usize {
         let before = self.entries.len();
 
-        self.entries
-            .retain(|_, entry| entry.last_seen >= seen_before);
+        self.entries.retain(|_, entry| entry.last_seen >= seen_before);
         before - self.entries.len()
     }
 
--- a/crates/valvestage-policy/src/membership/heartbeat_options.rs
+++ b/crates/valvestage-policy/src/membership/heartbeat_options.rs
@@ -10,6 +10,8 @@
 pub struct HeartbeatOptions {
     /// Targets of one heartbeat.
     pub fanout: usize,
+    /// Targets of a heartbeat that brings news, such as a new configuration.
+    pub news_fanout: usize,
     /// Full records in one message besides the own one.
     pub full_records: usize,
     /// Digests in one message.
@@ -24,6 +26,7 @@
     fn default() -> Self {
         Self {
             fanout: 1,
+            news_fanout: 4,
             full_records: 3,
             digests: 64,
             dead_after: Duration::from_secs(2),
--- a/crates/valvestage-policy/src/membership/heartbeat_table.rs
+++ b/crates/valvestage-policy/src/membership/heartbeat_table.rs
@@ -119,7 +119,7 @@
     ///
     /// The targets rotate over all peers, so that each is met in turn, dead ones too: a healed
     /// link is found again without help. Live ones are met three times as often.
-    pub fn beat(&mut self, now: SystemTime) -> Vec<PeerRecord> {
+    pub fn beat(&mut self, now: SystemTime, has_news: bool) -> Vec<PeerRecord> {
         const LIVE_ROUNDS: u64 = 3;
 
         self.own.beat += 1;
@@ -127,7 +127,7 @@
         self.forget(now);
 
         let (round, own) = (self.round, u64::from(self.own.id));
-        let live_only = round % (LIVE_ROUNDS + 1) != 0;
+        let live_only = has_news || round % (LIVE_ROUNDS + 1) != 0;
         let mut candidates: Vec<_> = self
             .peers
             .values()
@@ -138,7 +138,8 @@
         }
 
         candidates.sort_by_key(|peer| mix(mix(round, own), peer.record.id.into()));
-        let chosen = candidates.into_iter().take(self.options.fanout);
+        let fanout = if has_news { self.options.news_fanout } else { self.options.fanout };
+        let chosen = candidates.into_iter().take(fanout);
         chosen.map(|peer| peer.record.clone()).collect()
     }
 
@@ -167,11 +168,8 @@
             .map(|peer| peer.record.clone())
             .collect();
 
-        let mut changed: Vec<_> = self
-            .peers
-            .values_mut()
-            .filter(|peer| peer.announcements_left > 0)
-            .collect();
+        let mut changed: Vec<_> =
+            self.peers.values_mut().filter(|peer| peer.announcements_left > 0).collect();
         changed.sort_by_key(|peer| std::cmp::Reverse(peer.announcements_left));
         for peer in changed.into_iter().take(self.options.full_records) {
             peer.announcements_left -= 1;
@@ -185,11 +183,8 @@
     /// The live ones, in an order that changes from message to message.
     fn digests_to_send(&self, now: SystemTime) -> Vec<super::BeatDigest> {
         let dead_after = self.options.dead_after;
-        let mut live: Vec<_> = self
-            .peers
-            .values()
-            .filter(|peer| peer.is_alive(now, dead_after))
-            .collect();
+        let mut live: Vec<_> =
+            self.peers.values().filter(|peer| peer.is_alive(now, dead_after)).collect();
 
         if live.len() > self.options.digests {
             let round = self.round;
@@ -207,11 +202,7 @@
         for record in message.records.into_iter().chain([message.own]) {
             self.merge_record(record, now);
         }
-        for digest in message
-            .digests
-            .iter()
-            .filter(|digest| digest.id != self.own.id)
-        {
+        for digest in message.digests.iter().filter(|digest| digest.id != self.own.id) {
             let peer = self.peers.get_mut(&digest.id);
             if !peer.is_some_and(|peer| peer.take_digest(digest, now)) {
                 self.wanted.insert(digest.id);
@@ -232,16 +223,11 @@
                 let is_changed = !peer.is_confirmed
                     || peer.record.revision != record.revision
                     || peer.record.started_ms != record.started_ms;
-                let left = if is_changed {
-                    announcements
-                } else {
-                    peer.announcements_left
-                };
+                let left = if is_changed { announcements } else { peer.announcements_left };
                 *peer = PeerEntry::heard(record, now, left);
             }
             None => {
-                self.peers
-                    .insert(record.id, PeerEntry::heard(record, now, announcements));
+                self.peers.insert(record.id, PeerEntry::heard(record, now, announcements));
             }
         }
     }
@@ -265,18 +251,14 @@
 
     /// `alive` lists the records of the other balancers taken as alive, leaving ones included.
     pub fn alive(&self, now: SystemTime) -> impl Iterator<Item = &PeerRecord> {
-        self.known(now)
-            .filter(|(_, alive)| *alive)
-            .map(|(record, _)| record)
+        self.known(now).filter(|(_, alive)| *alive).map(|(record, _)| record)
     }
 
     /// `known` lists the records of all other balancers, with whether each is taken as alive.
     pub fn known(&self, now: SystemTime) -> impl Iterator<Item = (&PeerRecord, bool)> {
         let dead_after = self.options.dead_after;
 
-        self.peers
-            .values()
-            .map(move |peer| (&peer.record, peer.is_alive(now, dead_after)))
+        self.peers.values().map(move |peer| (&peer.record, peer.is_alive(now, dead_after)))
     }
 
     fn forget(&mut self, now: SystemTime) {
--- a/crates/valvestage-policy/src/membership/live_view.rs
+++ b/crates/valvestage-policy/src/membership/live_view.rs
@@ -40,18 +40,12 @@
 
         let mut view = Self::default();
         for (zone, id) in sorted {
-            let seed = zone
-                .bytes()
-                .fold(ZONE_SEED, |hash, byte| mix(hash, byte.into()));
+            let seed = zone.bytes().fold(ZONE_SEED, |hash, byte| mix(hash, byte.into()));
             view.epoch = mix(view.epoch, mix(seed, id.into()));
 
             match view.zones.last_mut() {
                 Some(last) if last.zone == zone => last.members.push(id),
-                _ => view.zones.push(ZoneMembers {
-                    zone,
-                    seed,
-                    members: vec![id],
-                }),
+                _ => view.zones.push(ZoneMembers { zone, seed, members: vec![id] }),
             }
         }
 
@@ -61,10 +55,7 @@
     /// `with_leaving` adds the balancers that still answer but are home of nothing.
     #[must_use]
     pub fn with_leaving(mut self, leaving: impl IntoIterator<Item = BalancerId>) -> Self {
-        self.leaving = leaving
-            .into_iter()
-            .filter(|id| !self.contains(*id))
-            .collect();
+        self.leaving = leaving.into_iter().filter(|id| !self.contains(*id)).collect();
         self.leaving.sort_unstable();
         self
     }
@@ -95,9 +86,7 @@
 
     /// `members` iterates over the members by zone, then by id.
     pub fn members(&self) -> impl Iterator<Item = BalancerId> {
-        self.zones
-            .iter()
-            .flat_map(|zone| zone.members.iter().copied())
+        self.zones.iter().flat_map(|zone| zone.members.iter().copied())
     }
 
     /// `home` gives the balancer that keeps the state of a flow.
@@ -126,11 +115,7 @@
             self.zones.first()
         } else {
             best(self.zones.iter().map(|zone| {
-                let left = zone
-                    .members
-                    .iter()
-                    .filter(|id| Some(**id) != excluded)
-                    .count();
+                let left = zone.members.iter().filter(|id| Some(**id) != excluded).count();
                 #[allow(clippy::cast_precision_loss)]
                 let weight = left as f64;
 
--- a/crates/valvestage-policy/src/membership/peer_entry.rs
+++ b/crates/valvestage-policy/src/membership/peer_entry.rs
@@ -20,22 +20,12 @@
 impl PeerEntry {
     /// A peer from the settings.
     pub(super) fn seed(record: PeerRecord, now: SystemTime) -> Self {
-        Self {
-            record,
-            heard: now,
-            is_confirmed: false,
-            announcements_left: 0,
-        }
+        Self { record, heard: now, is_confirmed: false, announcements_left: 0 }
     }
 
     /// A peer that was heard of.
     pub(super) fn heard(record: PeerRecord, now: SystemTime, announcements: u32) -> Self {
-        Self {
-            record,
-            heard: now,
-            is_confirmed: true,
-            announcements_left: announcements,
-        }
+        Self { record, heard: now, is_confirmed: true, announcements_left: announcements }
     }
 
     pub(super) fn is_alive(&self, now: SystemTime, dead_after: Duration) -> bool {
--- a/crates/valvestage-policy/src/membership/peer_record.rs
+++ b/crates/valvestage-policy/src/membership/peer_record.rs
@@ -10,6 +10,8 @@
 /// `PeerState` says whether a balancer is staying.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerState {
+    /// Does not know yet whether its configuration is the newest, and is home of nothing.
+    Joining,
     /// Takes part in rendezvous hashing.
     Serving,
     /// Finishes its work and still answers relayed packets, but is home of nothing new.
--- a/crates/valvestage-policy/src/operations/decision_log.rs
+++ b/crates/valvestage-policy/src/operations/decision_log.rs
@@ -16,10 +16,7 @@
     /// `new` makes room for that many decisions.
     #[must_use]
     pub fn new(capacity: usize) -> Self {
-        Self {
-            capacity,
-            records: VecDeque::with_capacity(capacity),
-        }
+        Self { capacity, records: VecDeque::with_capacity(capacity) }
     }
 
     /// `push` adds a decision.
@@ -34,10 +31,6 @@
     /// `about` lists the decisions about a subject, oldest first.
     #[must_use]
     pub fn about(&self, subject: Subject) -> Vec<DecisionRecord> {
-        self.records
-            .iter()
-            .filter(|record| record.subject == subject)
-            .cloned()
-            .collect()
+        self.records.iter().filter(|record| record.subject == subject).cloned().collect()
     }
 }
--- a/crates/valvestage-policy/src/operations/decision_record.rs
+++ b/crates/valvestage-policy/src/operations/decision_record.rs
@@ -104,11 +104,7 @@
 impl fmt::Display for Decision {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::FlowBound {
-                backend,
-                source,
-                version,
-            } => {
+            Self::FlowBound { backend, source, version } => {
                 let why = match source {
                     FlowSource::Token => "the caller's token names it",
                     FlowSource::Table => "the flow was bound to it before",
@@ -121,34 +117,18 @@
                 )
             }
             Self::Relayed { peer, hops } => {
-                write!(
-                    f,
-                    "handed it to balancer {peer}, which decides for it (relay {hops})"
-                )
+                write!(f, "handed it to balancer {peer}, which decides for it (relay {hops})")
             }
             Self::FlowRefused { reason } => write!(f, "refused the packet: {}", reason.label()),
-            Self::Dispatched {
-                backend,
-                attempt,
-                retry,
-                busy_slots,
-                waiting,
-            } => {
+            Self::Dispatched { backend, attempt, retry, busy_slots, waiting } => {
                 write!(f, "sent it to backend server {backend} (try {attempt}")?;
                 if let Some(reason) = retry {
                     write!(f, ", because the try before ended with {}", reason.label())?;
                 }
-                write!(
-                    f,
-                    "); {busy_slots} slots of the service in use, {waiting} requests waiting"
-                )
+                write!(f, "); {busy_slots} slots of the service in use, {waiting} requests waiting")
             }
             Self::Answered => f.write_str("passed the whole answer to the caller"),
-            Self::Refused {
-                outcome,
-                reason,
-                retry_after,
-            } => {
+            Self::Refused { outcome, reason, retry_after } => {
                 let told = match outcome {
                     Outcome::NotRun => "it did not run and will not",
                     Outcome::InDoubt => "it may have run",
--- a/crates/valvestage-policy/src/operations/planner.rs
+++ b/crates/valvestage-policy/src/operations/planner.rs
@@ -44,16 +44,7 @@
     let refusal = find_refusal(base, &intent, &effects, flows_on);
     let dangers = find_dangers(&intent, &effects);
 
-    Ok(Plan {
-        id,
-        base_version: base.version,
-        intent,
-        steps,
-        effects,
-        dangers,
-        refusal,
-        result,
-    })
+    Ok(Plan { id, base_version: base.version, intent, steps, effects, dangers, refusal, result })
 }
 
 fn apply(
@@ -74,9 +65,7 @@
         }
         Intent::ResumeBackend { name } => {
             find_backend(result, name)?.state = BackendState::Active;
-            Ok(vec![format!(
-                "{name} gets new flows and requests again, slowly at first."
-            )])
+            Ok(vec![format!("{name} gets new flows and requests again, slowly at first.")])
         }
         Intent::RemoveBackend { name } => {
             find_backend(result, name)?;
@@ -102,9 +91,7 @@
         Intent::ResumeZone { zone } => {
             check_zone(base, zone)?;
             result.stopped_zones.remove(zone);
-            Ok(vec![format!(
-                "Backend servers in {zone} get new flows and requests again."
-            )])
+            Ok(vec![format!("Backend servers in {zone} get new flows and requests again.")])
         }
     }
 }
@@ -115,9 +102,7 @@
     new: &NewBackend,
 ) -> Result<Vec<String>, PolicyError> {
     let service = base.services().find(|service| service.name == new.service);
-    let service = service
-        .ok_or_else(|| not_found("service", &new.service))?
-        .id;
+    let service = service.ok_or_else(|| not_found("service", &new.service))?.id;
 
     // Ids are never reused, not even those of removed records: the version grows with each write.
     let highest = base.backends().map(|backend| backend.id).max().unwrap_or(0);
@@ -145,10 +130,7 @@
     result: &'a mut RawConfiguration,
     name: &str,
 ) -> Result<&'a mut Backend, PolicyError> {
-    let found = result
-        .backends
-        .iter_mut()
-        .find(|backend| backend.name == name);
+    let found = result.backends.iter_mut().find(|backend| backend.name == name);
 
     found.ok_or_else(|| not_found("backend server", name))
 }
@@ -156,18 +138,11 @@
 fn check_zone(base: &Configuration, zone: &str) -> Result<(), PolicyError> {
     let exists = base.backends().any(|backend| backend.zone == zone);
 
-    if exists {
-        Ok(())
-    } else {
-        Err(not_found("availability zone", zone))
-    }
+    if exists { Ok(()) } else { Err(not_found("availability zone", zone)) }
 }
 
 fn not_found(what: &'static str, name: &str) -> PolicyError {
-    PolicyError::NotFound {
-        what,
-        name: name.to_owned(),
-    }
+    PolicyError::NotFound { what, name: name.to_owned() }
 }
 
 /// The effects on the services whose slots or placement change.
@@ -180,9 +155,7 @@
         service: service.name.clone(),
         slots_before: open_slots(base, service.id),
         slots_after: open_slots(next, service.id),
-        slots_busy: demand
-            .get(&service.id)
-            .map_or(0, |demand| demand.busy_slots + demand.waiting),
+        slots_busy: demand.get(&service.id).map_or(0, |demand| demand.busy_slots + demand.waiting),
         new_flows_moved_percent: moved_percent(base, next, service.id),
     };
 
@@ -195,10 +168,7 @@
 fn open_slots(configuration: &Configuration, service: ServiceId) -> u32 {
     let eligible = configuration.eligible(service).iter();
 
-    eligible
-        .filter_map(|id| configuration.backend(*id))
-        .map(|b| u32::from(b.slots))
-        .sum()
+    eligible.filter_map(|id| configuration.backend(*id)).map(|b| u32::from(b.slots)).sum()
 }
 
 fn moved_percent(base: &Configuration, next: &Configuration, service: ServiceId) -> f64 {
@@ -269,10 +239,7 @@
 fn find_dangers(intent: &Intent, effects: &[ServiceEffect]) -> Vec<String> {
     let mut dangers = Vec::new();
 
-    for effect in effects
-        .iter()
-        .filter(|effect| effect.slots_after < effect.slots_before)
-    {
+    for effect in effects.iter().filter(|effect| effect.slots_after < effect.slots_before) {
         let free = effect.slots_after.saturating_sub(effect.slots_busy);
         if free * 5 < effect.slots_after {
             dangers.push(format!(
--- a/crates/valvestage-policy/src/requests/authority.rs
+++ b/crates/valvestage-policy/src/requests/authority.rs
@@ -25,8 +25,6 @@
     /// deadline.
     #[must_use]
     pub fn covers(&self, deadline: Deadline, max_deadline: Duration) -> bool {
-        deadline
-            .checked_sub(max_deadline)
-            .is_some_and(|earliest| earliest >= self.covers_from)
+        deadline.checked_sub(max_deadline).is_some_and(|earliest| earliest >= self.covers_from)
     }
 }
--- a/crates/valvestage-policy/src/requests/backend_pool.rs
+++ b/crates/valvestage-policy/src/requests/backend_pool.rs
@@ -69,12 +69,7 @@
     /// `new` starts an empty pool.
     #[must_use]
     pub fn new(options: PoolOptions) -> Self {
-        Self {
-            options,
-            backends: BTreeMap::new(),
-            draws: 0,
-            lost_zones: Vec::new(),
-        }
+        Self { options, backends: BTreeMap::new(), draws: 0, lost_zones: Vec::new() }
     }
 
     /// `install` takes the backend servers of a service from a configuration.
@@ -84,18 +79,10 @@
         let is_first = self.backends.is_empty();
         let mut known = std::mem::take(&mut self.backends);
 
-        for record in configuration
-            .backends()
-            .filter(|backend| backend.service == service)
-        {
-            let former = known
-                .remove(&record.id)
-                .filter(|old| old.incarnation == record.incarnation);
-            let cold_until = if is_first {
-                now
-            } else {
-                now + self.options.slow_start
-            };
+        for record in configuration.backends().filter(|backend| backend.service == service) {
+            let former =
+                known.remove(&record.id).filter(|old| old.incarnation == record.incarnation);
+            let cold_until = if is_first { now } else { now + self.options.slow_start };
             let mut slots = former.unwrap_or_else(|| BackendSlots {
                 id: record.id,
                 incarnation: record.incarnation,
@@ -146,11 +133,7 @@
             ChoiceRule::Random => drawn(0).id,
             ChoiceRule::TwoChoices => {
                 let (first, second) = (drawn(0), drawn(1));
-                if first.occupancy() <= second.occupancy() {
-                    first.id
-                } else {
-                    second.id
-                }
+                if first.occupancy() <= second.occupancy() { first.id } else { second.id }
             }
             ChoiceRule::LeastOccupied => self.least_occupied(&free),
         })
@@ -158,37 +141,23 @@
 
     /// The order: reachable zones, usual speed, occupancy, own zone, speed, then a rotation.
     fn least_occupied(&self, free: &[&BackendSlots]) -> BackendId {
-        let slow_above = self
-            .median_run_time()
-            .map(|median| median.mul_f64(self.options.slow_factor));
+        let slow_above =
+            self.median_run_time().map(|median| median.mul_f64(self.options.slow_factor));
         let rank = |slots: &&&BackendSlots| {
             let is_lost = self.lost_zones.contains(&slots.zone) || slots.failures > 0;
-            let is_slow = slots
-                .run_time
-                .zip(slow_above)
-                .is_some_and(|(time, limit)| time > limit);
+            let is_slow = slots.run_time.zip(slow_above).is_some_and(|(time, limit)| time > limit);
             let is_far = slots.zone != self.options.own_zone;
             // Occupancies are finite and not negative, so that their bits order as they do.
             let occupancy = slots.occupancy().to_bits();
 
-            (
-                is_lost,
-                is_slow,
-                occupancy,
-                is_far,
-                mix(self.draws, slots.id.into()),
-            )
+            (is_lost, is_slow, occupancy, is_far, mix(self.draws, slots.id.into()))
         };
 
         free.iter().min_by_key(rank).map_or(0, |slots| slots.id)
     }
 
     fn median_run_time(&self) -> Option<Duration> {
-        let mut times: Vec<_> = self
-            .backends
-            .values()
-            .filter_map(|slots| slots.run_time)
-            .collect();
+        let mut times: Vec<_> = self.backends.values().filter_map(|slots| slots.run_time).collect();
         times.sort_unstable();
 
         times.get(times.len() / 2).copied()
@@ -197,11 +166,7 @@
     /// `usual_run_time` gives the mean of the averages; none before the first answer.
     #[must_use]
     pub fn usual_run_time(&self) -> Option<Duration> {
-        let times: Vec<_> = self
-            .backends
-            .values()
-            .filter_map(|slots| slots.run_time)
-            .collect();
+        let times: Vec<_> = self.backends.values().filter_map(|slots| slots.run_time).collect();
         let count = u32::try_from(times.len()).ok().filter(|count| *count > 0)?;
 
         Some(times.iter().sum::<Duration>() / count)
@@ -221,10 +186,7 @@
         id: BackendId,
         incarnation: Incarnation,
     ) -> Option<&mut BackendSlots> {
-        let slots = self
-            .backends
-            .get_mut(&id)
-            .filter(|slots| slots.incarnation == incarnation)?;
+        let slots = self.backends.get_mut(&id).filter(|slots| slots.incarnation == incarnation)?;
 
         slots.busy = slots.busy.saturating_sub(1);
         Some(slots)
@@ -264,10 +226,7 @@
     pub fn on_failure(&mut self, id: BackendId, incarnation: Incarnation, now: SystemTime) {
         let may_eject = self.may_eject(now);
         let options = self.options.clone();
-        let Some(slots) = self
-            .backends
-            .get_mut(&id)
-            .filter(|s| s.incarnation == incarnation)
+        let Some(slots) = self.backends.get_mut(&id).filter(|s| s.incarnation == incarnation)
         else {
             return;
         };
@@ -287,9 +246,8 @@
     /// Whether one more may be ejected: a share of the eligible ones stays, at least one.
     fn may_eject(&self, now: SystemTime) -> bool {
         let eligible = self.backends.values().filter(|slots| slots.eligible);
-        let (out, all) = eligible.fold((0u32, 0u32), |(out, all), slots| {
-            (out + u32::from(slots.is_out(now)), all + 1)
-        });
+        let (out, all) = eligible
+            .fold((0u32, 0u32), |(out, all), slots| (out + u32::from(slots.is_out(now)), all + 1));
         let kept = (f64::from(all) * self.options.share_kept).ceil().max(1.0);
 
         f64::from(all - out) > kept
@@ -308,10 +266,7 @@
     /// `busy_slots` counts the slots in use.
     #[must_use]
     pub fn busy_slots(&self) -> u32 {
-        self.backends
-            .values()
-            .map(|slots| u32::from(slots.busy))
-            .sum()
+        self.backends.values().map(|slots| u32::from(slots.busy)).sum()
     }
 
     /// `next_return` gives the next time at which a paused or ejected backend server comes back.
--- a/crates/valvestage-policy/src/requests/claim.rs
+++ b/crates/valvestage-policy/src/requests/claim.rs
@@ -65,15 +65,11 @@
     /// `next_attempt` numbers the next try.
     #[must_use]
     pub fn next_attempt(&self) -> Attempt {
-        self.tries
-            .last()
-            .map_or(1, |last| last.attempt.saturating_add(1))
+        self.tries.last().map_or(1, |last| last.attempt.saturating_add(1))
     }
 
     /// `find_try` gives a try by number.
     pub fn find_try(&mut self, attempt: Attempt) -> Option<&mut TryRecord<P>> {
-        self.tries
-            .iter_mut()
-            .find(|record| record.attempt == attempt)
+        self.tries.iter_mut().find(|record| record.attempt == attempt)
     }
 }
--- a/crates/valvestage-policy/src/requests/claim_table.rs
+++ b/crates/valvestage-policy/src/requests/claim_table.rs
@@ -19,10 +19,7 @@
 
 impl<P> Default for ClaimTable<P> {
     fn default() -> Self {
-        Self {
-            claims: HashMap::new(),
-            checks: BTreeSet::new(),
-        }
+        Self { claims: HashMap::new(), checks: BTreeSet::new() }
     }
 }
 
--- a/crates/valvestage-policy/src/requests/handover.rs
+++ b/crates/valvestage-policy/src/requests/handover.rs
@@ -38,10 +38,7 @@
             ClaimState::Refused(refusal) => HandedState::Refused(*refusal),
         };
 
-        Self {
-            request: claim.request.clone(),
-            state,
-        }
+        Self { request: claim.request.clone(), state }
     }
 }
 
--- a/crates/valvestage-policy/src/requests/retry_budget.rs
+++ b/crates/valvestage-policy/src/requests/retry_budget.rs
@@ -16,11 +16,7 @@
     /// `new` starts with a full bucket.
     #[must_use]
     pub fn new(ratio: f64, burst: f64) -> Self {
-        Self {
-            ratio,
-            burst,
-            tokens: burst,
-        }
+        Self { ratio, burst, tokens: burst }
     }
 
     /// `on_first_try` earns a fraction of a retry.
--- a/crates/valvestage-policy/src/requests/service_dispatcher.rs
+++ b/crates/valvestage-policy/src/requests/service_dispatcher.rs
@@ -52,6 +52,8 @@
     pub(super) budget: RetryBudget,
     /// Whether a configuration came in since the last tick.
     pub(super) pool_changed: bool,
+    /// Nothing is dispatched before this time.
+    held_until: Option<SystemTime>,
     /// While claims are on their way to the next owner: requests that came since.
     held: Option<Vec<Request<P>>>,
 }
@@ -60,10 +62,7 @@
     /// `new` starts a dispatcher without backend servers.
     #[must_use]
     pub fn new(service: ServiceId, options: RequestOptions, pool: PoolOptions) -> Self {
-        let pool = PoolOptions {
-            choice: options.choice,
-            ..pool
-        };
+        let pool = PoolOptions { choice: options.choice, ..pool };
 
         Self {
             service,
@@ -73,6 +72,7 @@
             claims: ClaimTable::default(),
             budget: RetryBudget::new(options.retry_ratio, options.retry_burst),
             pool_changed: false,
+            held_until: None,
             held: None,
         }
     }
@@ -126,20 +126,10 @@
         let (id, service, caller) = (request.id, self.service, request.caller);
         match &claim.state {
             ClaimState::Answered(segments) => {
-                out.push(RequestAction::Answer {
-                    id,
-                    service,
-                    caller,
-                    segments: segments.clone(),
-                });
+                out.push(RequestAction::Answer { id, service, caller, segments: segments.clone() });
             }
             ClaimState::Refused(refusal) => {
-                out.push(RequestAction::Refuse {
-                    id,
-                    service,
-                    caller,
-                    refusal: *refusal,
-                });
+                out.push(RequestAction::Refuse { id, service, caller, refusal: *refusal });
             }
             ClaimState::Waiting | ClaimState::Running | ClaimState::Elsewhere => {}
         }
@@ -150,6 +140,10 @@
         if !self.options.window {
             return true;
         }
+        // Work that may be repeated is also run by balancers that cannot reach the owner.
+        if request.repeatable {
+            return false;
+        }
 
         let limit = self.options.max_deadline;
         authority.is_some_and(|authority| authority.covers(request.deadline, limit))
@@ -235,20 +229,9 @@
     ) {
         // "Not run" binds the future too: it is said only if a claim keeps later copies from
         // running. A deadline that is too far comes into range later, maybe at another owner.
-        let can_keep = !matches!(
-            reason,
-            RefusalReason::ClaimsFull | RefusalReason::DeadlineTooFar
-        );
-        let outcome = if covered && can_keep {
-            Outcome::NotRun
-        } else {
-            Outcome::InDoubt
-        };
-        let refusal = Refusal {
-            outcome,
-            reason,
-            retry_after: self.retry_after(now),
-        };
+        let can_keep = !matches!(reason, RefusalReason::ClaimsFull | RefusalReason::DeadlineTooFar);
+        let outcome = if covered && can_keep { Outcome::NotRun } else { Outcome::InDoubt };
+        let refusal = Refusal { outcome, reason, retry_after: self.retry_after(now) };
         let (id, service, caller) = (request.id, self.service, request.caller);
 
         let keeps = can_keep && reason != RefusalReason::NoLease;
@@ -257,12 +240,7 @@
             let claim = self.new_claim(request, ClaimState::Refused(refusal), covered);
             self.claims.insert(claim, deadline);
         }
-        out.push(RequestAction::Refuse {
-            id,
-            service,
-            caller,
-            refusal,
-        });
+        out.push(RequestAction::Refuse { id, service, caller, refusal });
     }
 
     fn new_claim(&self, request: Request<P>, state: ClaimState<P>, covered: bool) -> Claim<P> {
@@ -270,14 +248,7 @@
 
         let queued = matches!(state, ClaimState::Waiting);
 
-        Claim {
-            request,
-            state,
-            tries: Vec::new(),
-            queued,
-            covered,
-            kept_until,
-        }
+        Claim { request, state, tries: Vec::new(), queued, covered, kept_until }
     }
 
     /// `pump` dispatches waiting requests while there are free slots.
@@ -287,7 +258,7 @@
         authority: Option<Authority>,
         out: &mut Vec<RequestAction<P>>,
     ) {
-        if self.held.is_some() {
+        if self.held.is_some() || self.held_until.is_some_and(|until| now < until) {
             return;
         }
 
@@ -298,12 +269,8 @@
             };
 
             // A try may still be running at these.
-            let excluded: Vec<BackendId> = claim
-                .tries
-                .iter()
-                .filter(|t| t.holds_slot())
-                .map(|t| t.backend)
-                .collect();
+            let excluded: Vec<BackendId> =
+                claim.tries.iter().filter(|t| t.holds_slot()).map(|t| t.backend).collect();
             let needs_lease = !claim.request.repeatable && self.options.window;
             let class = claim.request.class;
 
@@ -343,13 +310,12 @@
             return;
         };
 
-        // The lease's end is a deadline for work that must not run twice: an owner that is paused
-        // between here and the socket cannot start anything after it.
+        // The lease's end is a deadline for the start of work: an owner that is paused between here
+        // and the socket cannot start anything after it, neither work that must not run twice nor
+        // work on a backend server that has been drained since.
         let request = claim.request.clone();
         let deadline = match authority {
-            Some(authority) if !request.repeatable && fences => {
-                request.deadline.min(authority.fence)
-            }
+            Some(authority) if fences => request.deadline.min(authority.fence),
             _ => request.deadline,
         };
         let retry = claim.tries.last().map(|last| match last.state {
@@ -358,9 +324,7 @@
         });
         let attempt = claim.next_attempt();
 
-        claim
-            .tries
-            .push(TryRecord::new(attempt, backend, incarnation, now));
+        claim.tries.push(TryRecord::new(attempt, backend, incarnation, now));
         claim.state = ClaimState::Running;
         claim.queued = false;
         if request.repeatable {
@@ -392,31 +356,20 @@
     ) {
         let retry_after = self.retry_after(now);
         let service = self.service;
+        // While a handover is open the next owner may run what waits here.
+        let is_handed = self.held.is_some();
         let Some(claim) = self.claims.get_mut(id).filter(|claim| !claim.is_final()) else {
             return;
         };
 
-        let certain = claim.covered && !claim.may_have_run();
-        let outcome = if certain {
-            Outcome::NotRun
-        } else {
-            Outcome::InDoubt
-        };
-        let refusal = Refusal {
-            outcome,
-            reason,
-            retry_after,
-        };
+        let certain = claim.covered && !claim.may_have_run() && !is_handed;
+        let outcome = if certain { Outcome::NotRun } else { Outcome::InDoubt };
+        let refusal = Refusal { outcome, reason, retry_after };
         let caller: SocketAddr = claim.request.caller;
         claim.state = ClaimState::Refused(refusal);
 
         self.cancel_tries(id, out);
-        out.push(RequestAction::Refuse {
-            id,
-            service,
-            caller,
-            refusal,
-        });
+        out.push(RequestAction::Refuse { id, service, caller, refusal });
     }
 
     /// `cancel_tries` tells the backend servers that may still run a request to stop.
@@ -437,6 +390,11 @@
         }
     }
 
+    /// `hold_until` dispatches nothing before a time.
+    pub fn hold_until(&mut self, until: SystemTime) {
+        self.held_until = Some(until);
+    }
+
     /// `install` takes the service's backend servers from a configuration.
     pub fn install(&mut self, configuration: &Configuration, now: SystemTime) {
         self.pool.install(configuration, self.service, now);
@@ -493,10 +451,8 @@
     pub fn complete_handover(&mut self) -> Vec<Request<P>> {
         while let Some(entry) = self.queue.pop() {
             // A retry of a running request stays; the next owner has it as running.
-            let waits = self
-                .claims
-                .get(entry.id)
-                .is_some_and(|c| matches!(c.state, ClaimState::Waiting));
+            let waits =
+                self.claims.get(entry.id).is_some_and(|c| matches!(c.state, ClaimState::Waiting));
             if waits {
                 self.claims.remove(entry.id);
             }
--- a/crates/valvestage-policy/src/requests/service_replies.rs
+++ b/crates/valvestage-policy/src/requests/service_replies.rs
@@ -53,8 +53,7 @@
         // The try is over: its slot is free, whoever won.
         record.state = TryState::Answered;
         let taken = now.duration_since(record.sent).unwrap_or(Duration::ZERO);
-        self.pool
-            .on_answered(record.backend, record.incarnation, taken);
+        self.pool.on_answered(record.backend, record.incarnation, taken);
 
         if !is_final {
             let caller = claim.request.caller;
@@ -136,8 +135,7 @@
         };
 
         claim.queued = true;
-        self.queue
-            .push_first(claim.request.class, WaitEntry { id, since: now });
+        self.queue.push_first(claim.request.class, WaitEntry { id, since: now });
     }
 
     /// `on_cancel` withdraws a request for its caller.
@@ -148,10 +146,7 @@
         caller: SocketAddr,
         out: &mut Vec<RequestAction<P>>,
     ) {
-        let is_callers = self
-            .claims
-            .get(id)
-            .is_some_and(|claim| claim.request.caller == caller);
+        let is_callers = self.claims.get(id).is_some_and(|claim| claim.request.caller == caller);
         if is_callers {
             self.queue.remove(id);
             self.finish_refused(now, id, RefusalReason::Cancelled, out);
@@ -227,11 +222,7 @@
         };
         let tries = claim.tries.len();
         let repeatable = claim.request.repeatable;
-        let Some(newest) = claim
-            .tries
-            .last_mut()
-            .filter(|t| t.state == TryState::Pending)
-        else {
+        let Some(newest) = claim.tries.last_mut().filter(|t| t.state == TryState::Pending) else {
             return;
         };
 
@@ -259,12 +250,7 @@
             .iter()
             .filter(|claim| matches!(claim.state, ClaimState::Running) && claim.request.repeatable)
             .filter(|claim| claim.holds_slot())
-            .filter(|claim| {
-                claim
-                    .tries
-                    .iter()
-                    .all(|t| !t.holds_slot() || is_gone(t.backend))
-            })
+            .filter(|claim| claim.tries.iter().all(|t| !t.holds_slot() || is_gone(t.backend)))
             .map(|claim| claim.request.id)
             .collect();
 
@@ -285,8 +271,7 @@
         };
 
         for record in claim.tries.iter().filter(|record| record.holds_slot()) {
-            self.pool
-                .on_failure(record.backend, record.incarnation, now);
+            self.pool.on_failure(record.backend, record.incarnation, now);
             self.pool.on_ended(record.backend, record.incarnation);
         }
     }
--- a/crates/valvestage-policy/src/requests/try_record.rs
+++ b/crates/valvestage-policy/src/requests/try_record.rs
@@ -90,11 +90,7 @@
             self.missing -= 1;
         }
 
-        (self.missing == 0).then(|| {
-            std::mem::take(&mut self.segments)
-                .into_iter()
-                .flatten()
-                .collect()
-        })
+        (self.missing == 0)
+            .then(|| std::mem::take(&mut self.segments).into_iter().flatten().collect())
     }
 }
--- a/crates/valvestage-policy/src/requests/wait_queue.rs
+++ b/crates/valvestage-policy/src/requests/wait_queue.rs
@@ -32,11 +32,7 @@
     /// `new` starts an empty queue.
     #[must_use]
     pub fn new(bulk_patience: Duration) -> Self {
-        Self {
-            bulk_patience,
-            urgent: VecDeque::new(),
-            bulk: VecDeque::new(),
-        }
+        Self { bulk_patience, urgent: VecDeque::new(), bulk: VecDeque::new() }
     }
 
     /// `push` adds a request at the end of its class.
--- /dev/null
+++ b/crates/valvestage-policy/tests/control.rs
@@ -0,0 +1,260 @@
+//! Control: leases, owners, and which configuration is in force.
+
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use valvestage_core::RawConfiguration;
+use valvestage_core::ids::BalancerId;
+use valvestage_policy::control::{
+    ControlAction, ControlOptions, ControlPolicy, CoordinatorInputs, Installation, LeaseKeeper,
+    LeaseOptions, LeaseRecord, Machine, ObjectKey, ObjectValue, OwnerCandidate, OwnerCoordinator,
+    PlatformCall, PlatformReply,
+};
+use valvestage_policy::flows::RawTokenKeys;
+use valvestage_policy::membership::{PeerRecord, PeerState};
+
+fn start() -> SystemTime {
+    UNIX_EPOCH + Duration::from_secs(1_800_000_000)
+}
+
+fn record(id: BalancerId) -> PeerRecord {
+    let address = SocketAddr::from(([192, 0, 2, 1], 9_000));
+
+    PeerRecord {
+        id,
+        zone: "brest-a".to_owned(),
+        data_address: address,
+        peer_address: address,
+        started_ms: 1,
+        revision: 0,
+        beat: 0,
+        state: PeerState::Joining,
+        lease_epoch: 0,
+        configuration: 0,
+        owner_map: 0,
+        token_keys: 0,
+    }
+}
+
+fn keys() -> ObjectValue {
+    ObjectValue::TokenKeys(RawTokenKeys { flow_hash: (1, 2), current: 1, keys: vec![(1, 3, 4)] })
+}
+
+fn configuration(change_id: &str) -> ObjectValue {
+    let raw = RawConfiguration { change_id: change_id.to_owned(), ..RawConfiguration::default() };
+
+    ObjectValue::Configuration(raw)
+}
+
+/// The calls of one state machine among the actions of a step.
+fn calls(policy: &mut ControlPolicy, now: SystemTime, wanted: Machine) -> Vec<PlatformCall> {
+    let mut actions = Vec::new();
+    policy.step(now, &mut actions);
+
+    let of_machine = actions.into_iter().filter_map(|action| match action {
+        ControlAction::Call { machine, call } if machine == wanted => Some(call),
+        _ => None,
+    });
+    of_machine.collect()
+}
+
+#[test]
+fn a_restarted_balancer_does_not_serve_what_a_lagging_watch_shows() {
+    let mut policy = ControlPolicy::new(ControlOptions::default(), record(1), [], start());
+    let mut out = Vec::new();
+
+    // The watch shows version 5; version 9 was in force here before the restart.
+    policy.on_object(ObjectKey::TokenKeys, 2, keys(), &mut out).unwrap();
+    policy.on_object(ObjectKey::Configuration, 5, configuration("old"), &mut out).unwrap();
+    let first_read = calls(&mut policy, start(), Machine::FirstRead);
+    assert_eq!(first_read, [PlatformCall::Read { key: ObjectKey::Configuration }]);
+    assert!(!policy.is_serving());
+
+    // The read itself shows version 9.
+    let reply = PlatformReply::Found { version: 9, value: configuration("new") };
+    policy.on_reply(start(), Machine::FirstRead, reply, &mut out).unwrap();
+    calls(&mut policy, start(), Machine::FirstRead);
+    assert!(policy.is_serving());
+    assert_eq!(policy.configuration().unwrap().version, 9);
+}
+
+#[test]
+fn a_restarted_balancer_goes_on_with_what_peers_have_when_the_platform_is_out() {
+    let options = ControlOptions::default();
+    let mut policy = ControlPolicy::new(options, record(1), [], start());
+    let mut out = Vec::new();
+    policy.on_object(ObjectKey::TokenKeys, 2, keys(), &mut out).unwrap();
+    policy.on_object(ObjectKey::Configuration, 5, configuration("peers"), &mut out).unwrap();
+
+    let mut now = start();
+    while now < start() + options.join_without_platform_after {
+        for _ in calls(&mut policy, now, Machine::FirstRead) {
+            policy.on_reply(now, Machine::FirstRead, PlatformReply::Unknown, &mut out).unwrap();
+        }
+        assert!(!policy.is_serving());
+        now += Duration::from_millis(100);
+    }
+
+    calls(&mut policy, now, Machine::FirstRead);
+    assert!(policy.is_serving());
+}
+
+#[test]
+fn an_older_version_is_never_put_in_force() {
+    let mut policy = ControlPolicy::new(ControlOptions::default(), record(1), [], start());
+    let mut out = Vec::new();
+
+    for (version, is_news) in [(7, true), (3, false), (7, false), (8, true)] {
+        let value = configuration(&version.to_string());
+        let taken = policy.on_object(ObjectKey::Configuration, version, value, &mut out).unwrap();
+        assert_eq!(taken, is_news, "version {version}");
+    }
+    let installed = out.iter().filter_map(|action| match action {
+        ControlAction::Install(Installation::Configuration(known)) => Some(known.version),
+        _ => None,
+    });
+    assert_eq!(installed.collect::<Vec<_>>(), [7, 8]);
+}
+
+fn written(call: &PlatformCall) -> (Option<u64>, LeaseRecord) {
+    match call {
+        PlatformCall::Write { expected, value: ObjectValue::Lease(record), .. } => {
+            (*expected, record.clone())
+        }
+        other => panic!("not a write of a lease: {other:?}"),
+    }
+}
+
+/// A keeper that holds a lease, written as version 1.
+fn holding(options: LeaseOptions) -> (LeaseKeeper, LeaseRecord) {
+    let mut keeper = LeaseKeeper::new(1, options, start());
+
+    keeper.next_call(start()).unwrap();
+    keeper.on_reply(start(), &PlatformReply::Missing);
+    let (_, record) = written(&keeper.next_call(start()).unwrap());
+    keeper.on_reply(start(), &PlatformReply::Written { version: 1 });
+    (keeper, record)
+}
+
+#[test]
+fn a_lease_counts_only_once_its_write_is_confirmed() {
+    let options = LeaseOptions::default();
+    let mut keeper = LeaseKeeper::new(1, options, start());
+    keeper.next_call(start()).unwrap();
+    keeper.on_reply(start(), &PlatformReply::Missing);
+    let (_, record) = written(&keeper.next_call(start()).unwrap());
+    assert_eq!(keeper.grant(start()), None);
+
+    // The answer is lost; reading shows that the write took effect.
+    keeper.on_reply(start(), &PlatformReply::Unknown);
+    assert_eq!(keeper.grant(start()), None);
+    let later = start() + Duration::from_millis(300);
+    assert!(matches!(keeper.next_call(later), Some(PlatformCall::Read { .. })));
+    let found = PlatformReply::Found { version: 4, value: ObjectValue::Lease(record) };
+    keeper.on_reply(later, &found);
+
+    // It counts from before the write was sent.
+    let fence = start() + options.length - options.clock_bound;
+    assert_eq!(keeper.grant(later).unwrap().fence, fence);
+    assert_eq!(keeper.grant(fence), None);
+}
+
+#[test]
+fn a_lease_that_was_closed_is_not_renewed_and_the_next_one_has_another_epoch() {
+    let options = LeaseOptions::default();
+    let (mut keeper, record) = holding(options);
+    let now = start() + options.length;
+    assert_eq!(keeper.grant(now), None);
+
+    // The renewal conflicts: another balancer closed it.
+    keeper.next_call(now).unwrap();
+    keeper.on_reply(now, &PlatformReply::Conflict);
+    keeper.next_call(now).unwrap();
+    let closed = LeaseRecord { closed: true, ..record.clone() };
+    let found = PlatformReply::Found { version: 2, value: ObjectValue::Lease(closed) };
+    keeper.on_reply(now, &found);
+
+    let (expected, next) = written(&keeper.next_call(now).unwrap());
+    assert_eq!(expected, Some(2));
+    assert!(next.epoch > record.epoch);
+}
+
+#[test]
+fn a_new_process_waits_until_the_lease_of_the_former_one_is_over() {
+    let options = LeaseOptions::default();
+    let (_, record) = holding(options);
+    let mut fresh = LeaseKeeper::new(1, options, start());
+    fresh.next_call(start()).unwrap();
+    let found = PlatformReply::Found { version: 1, value: ObjectValue::Lease(record) };
+    fresh.on_reply(start(), &found);
+
+    // The former process may be paused, and believe in its lease.
+    assert_eq!(fresh.next_call(start()), None);
+    assert_eq!(fresh.next_call(start() + options.length), None);
+    let over = start() + options.length + options.clock_bound * 3;
+    assert!(fresh.next_call(over).is_some());
+}
+
+#[test]
+fn a_lapsed_lease_is_closed_before_its_services_are_given_away() {
+    let bound = Duration::from_millis(250);
+    let mut coordinator = OwnerCoordinator::new(2, bound, start());
+    let one = OwnerCandidate { id: 1, lease: 100 };
+    let two = OwnerCandidate { id: 2, lease: 200 };
+    let with = |candidates| CoordinatorInputs { services: vec![7], candidates };
+
+    // First owner: balancer 1, covered from the beginning.
+    let inputs = with(vec![one]);
+    coordinator.next_call(start(), &inputs).unwrap();
+    coordinator.on_reply(start(), PlatformReply::Missing);
+    coordinator.next_call(start(), &inputs).unwrap();
+    let map = coordinator.on_reply(start(), PlatformReply::Written { version: 1 }).unwrap();
+    assert_eq!(map.owner(7).unwrap().covers_from_ms, 0);
+
+    // It is not heard any more. Its lease holds: nothing is done.
+    let inputs = with(vec![two]);
+    let lease = LeaseRecord { holder: 1, epoch: 100, expires_ms: 1_800_000_006_000, closed: false };
+    let value = || ObjectValue::Lease(lease.clone());
+    coordinator.next_call(start(), &inputs).unwrap();
+    coordinator.on_reply(start(), PlatformReply::Found { version: 5, value: value() });
+    assert_eq!(coordinator.next_call(start(), &inputs), None);
+
+    // It has lapsed: it is closed under the version read, then the map is written.
+    let now = start() + Duration::from_secs(7);
+    coordinator.next_call(now, &inputs).unwrap();
+    coordinator.on_reply(now, PlatformReply::Found { version: 5, value: value() });
+    let (expected, closed) = written(&coordinator.next_call(now, &inputs).unwrap());
+    assert_eq!((expected, closed.closed), (Some(5), true));
+    coordinator.on_reply(now, PlatformReply::Written { version: 6 });
+    coordinator.next_call(now, &inputs).unwrap();
+    let map = coordinator.on_reply(now, PlatformReply::Written { version: 7 }).unwrap();
+    let entry = map.owner(7).unwrap();
+    assert_eq!((entry.owner, entry.lease), (2, 200));
+    assert!(entry.covers_from() > now);
+}
+
+#[test]
+fn a_lease_renewed_meanwhile_keeps_its_services() {
+    let mut coordinator = OwnerCoordinator::new(2, Duration::from_millis(250), start());
+    let one = OwnerCandidate { id: 1, lease: 100 };
+    let two = OwnerCandidate { id: 2, lease: 200 };
+    let with = |candidates| CoordinatorInputs { services: vec![7], candidates };
+    coordinator.next_call(start(), &with(vec![one])).unwrap();
+    coordinator.on_reply(start(), PlatformReply::Missing);
+    coordinator.next_call(start(), &with(vec![one])).unwrap();
+    coordinator.on_reply(start(), PlatformReply::Written { version: 1 });
+
+    // Read as lapsed; renewed before the close arrives.
+    let now = start() + Duration::from_secs(7);
+    let lease = LeaseRecord { holder: 1, epoch: 100, expires_ms: 1_800_000_006_000, closed: false };
+    let found = PlatformReply::Found { version: 5, value: ObjectValue::Lease(lease) };
+    coordinator.next_call(now, &with(vec![two])).unwrap();
+    coordinator.on_reply(now, found);
+    coordinator.next_call(now, &with(vec![two])).unwrap();
+    assert_eq!(coordinator.on_reply(now, PlatformReply::Conflict), None);
+
+    // Everything is read again.
+    let later = now + Duration::from_secs(1);
+    let next = coordinator.next_call(later, &with(vec![two]));
+    assert_eq!(next, Some(PlatformCall::Read { key: ObjectKey::OwnerMap }));
+}
--- /dev/null
+++ b/crates/valvestage-policy/tests/fault_matrix/backend.rs
@@ -0,0 +1,98 @@
+//! A fake backend server, which counts its slots and records each run.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime};
+
+use valvestage_core::ids::{Attempt, BackendId, BalancerId, RequestId, ServiceId};
+use valvestage_core::{Backend, RefusalReason};
+use valvestage_policy::rendezvous::mix;
+
+/// A request as it reaches a backend server.
+#[derive(Debug, Clone, Copy)]
+pub struct Work {
+    pub id: RequestId,
+    pub attempt: Attempt,
+    pub repeatable: bool,
+    pub deadline: SystemTime,
+    pub from: BalancerId,
+    /// What the balancer believes it is talking to.
+    pub service: ServiceId,
+    pub incarnation: u32,
+}
+
+/// Why a request was not started.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// It runs and ends at that time.
+    Runs(SystemTime),
+    Refused(RefusalReason),
+    /// The VM is gone: no word.
+    Silent,
+}
+
+#[derive(Debug)]
+pub struct FakeBackend {
+    pub record: Backend,
+    pub is_dead: bool,
+    pub is_shedding: bool,
+    pub slow_factor: u32,
+    pub mean_run_time: Duration,
+    /// Requests that run, by id and try.
+    pub running: BTreeSet<(RequestId, Attempt)>,
+    pub peak: usize,
+    /// Callers with an open flow.
+    pub flows: BTreeSet<SocketAddr>,
+    pub last_new_work: Option<SystemTime>,
+    draws: u64,
+}
+
+impl FakeBackend {
+    pub fn new(record: Backend, mean_run_time: Duration) -> Self {
+        Self {
+            record,
+            is_dead: false,
+            is_shedding: false,
+            slow_factor: 1,
+            mean_run_time,
+            running: BTreeSet::new(),
+            peak: 0,
+            flows: BTreeSet::new(),
+            last_new_work: None,
+            draws: 0,
+        }
+    }
+
+    pub fn id(&self) -> BackendId {
+        self.record.id
+    }
+
+    pub fn admit(&mut self, now: SystemTime, work: &Work) -> Admission {
+        if self.is_dead {
+            return Admission::Silent;
+        }
+        if work.service != self.record.service || work.incarnation != self.record.incarnation {
+            return Admission::Refused(RefusalReason::BackendMismatch);
+        }
+        if work.deadline <= now {
+            return Admission::Refused(RefusalReason::BackendDeadline);
+        }
+        if self.is_shedding || self.running.len() >= usize::from(self.record.slots) {
+            return Admission::Refused(RefusalReason::BackendShedding);
+        }
+
+        self.running.insert((work.id, work.attempt));
+        self.peak = self.peak.max(self.running.len());
+        self.last_new_work = Some(now);
+        Admission::Runs(now + self.run_time())
+    }
+
+    fn run_time(&mut self) -> Duration {
+        self.draws += 1;
+        let word = mix(self.record.id.into(), self.draws) >> 11;
+        #[allow(clippy::cast_precision_loss)]
+        let uniform = (word as f64 + 0.5) / 9_007_199_254_740_992.0;
+
+        self.mean_run_time.mul_f64(-uniform.ln()) * self.slow_factor
+    }
+}
--- /dev/null
+++ b/crates/valvestage-policy/tests/fault_matrix/main.rs
@@ -0,0 +1,105 @@
+//! The fault matrix: every fault at every step, judged by an oracle for each promise.
+//!
+//! The balancers' policies run as they are, stepped by a small event queue with fakes of the
+//! platform, the backend servers and the callers. Everything follows from a seed.
+//!
+//! `cargo test -p valvestage-policy --test fault_matrix -- --nocapture` prints the tables;
+//! with `UPDATE_DOCS=1` it also writes docs/FAULT-MATRIX.md.
+
+mod backend;
+mod caller;
+mod cells;
+mod faults;
+mod network;
+mod node;
+mod operator;
+mod oracle;
+mod platform;
+mod report;
+mod scenario;
+mod steps;
+mod strikes;
+mod switches;
+mod verdict;
+mod world;
+
+use std::sync::OnceLock;
+
+use cells::{CellResult, Part, all_cells, run_cells};
+use switches::{Switch, SwitchRow};
+
+/// All cells under the production policy, run once for all tests.
+fn results() -> &'static [CellResult] {
+    static RESULTS: OnceLock<Vec<CellResult>> = OnceLock::new();
+
+    RESULTS.get_or_init(|| run_cells(&all_cells(), Switch::None))
+}
+
+/// The cells without each mechanism, run once for all tests.
+fn switch_rows() -> &'static [SwitchRow] {
+    static ROWS: OnceLock<Vec<SwitchRow>> = OnceLock::new();
+
+    ROWS.get_or_init(switches::table)
+}
+
+fn assert_no_violation(part: Part) {
+    let of_part: Vec<_> = results().iter().filter(|result| result.cell.part == part).collect();
+    let failed: Vec<_> = of_part.iter().filter(|result| !result.violations.is_empty()).collect();
+
+    for result in &failed {
+        println!("{}", report::replay(result));
+    }
+    assert!(!of_part.is_empty());
+    assert!(failed.is_empty(), "{} of {} cells failed", failed.len(), of_part.len());
+}
+
+#[test]
+fn every_fault_at_every_step_keeps_every_promise() {
+    assert_no_violation(Part::Single);
+}
+
+#[test]
+fn every_pair_of_faults_keeps_every_promise() {
+    assert_no_violation(Part::Pair);
+}
+
+#[test]
+fn every_fault_twice_keeps_every_promise() {
+    assert_no_violation(Part::Twice);
+}
+
+#[test]
+fn each_mechanism_is_needed() {
+    println!("{}", report::switch_table(switch_rows()));
+
+    for row in switch_rows() {
+        assert!(!row.red.is_empty(), "nothing fails without {}", row.switch.label());
+    }
+}
+
+#[test]
+fn the_page_is_current() {
+    let page = report::page(results(), switch_rows());
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/FAULT-MATRIX.md");
+
+    println!("{}", report::promise_table(results()));
+    if std::env::var_os("UPDATE_DOCS").is_some() {
+        std::fs::write(path, &page).unwrap();
+    }
+    let written = std::fs::read_to_string(path).unwrap();
+    assert!(written == page, "docs/FAULT-MATRIX.md is not current: run with UPDATE_DOCS=1");
+}
+
+#[test]
+fn a_cell_gives_the_same_verdict_each_time() {
+    let cells: Vec<_> = all_cells().into_iter().step_by(40).collect();
+
+    let first = run_cells(&cells, Switch::None);
+    let second = run_cells(&cells, Switch::None);
+    assert!(
+        first
+            .iter()
+            .zip(&second)
+            .all(|(a, b)| a.events == b.events && a.violations == b.violations)
+    );
+}
--- /dev/null
+++ b/crates/valvestage-policy/tests/fault_matrix/network.rs
@@ -0,0 +1,160 @@
+//! Delays, cuts, and what happens to packets on their way.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use valvestage_core::Backend;
+use valvestage_core::ids::BalancerId;
+use valvestage_policy::control::PlatformCall;
+
+use crate::world::{Event, NodeEvent, Who, World};
+
+const NEAR: Duration = Duration::from_micros(200);
+const FAR: Duration = Duration::from_millis(1);
+const TO_CALLER: Duration = Duration::from_millis(3);
+const TO_PLATFORM: Duration = Duration::from_millis(2);
+const SLOW_PLATFORM: Duration = Duration::from_millis(1_500);
+const LATEST: Duration = Duration::from_millis(30);
+
+#[derive(Debug, Default)]
+pub struct Network {
+    /// Zones cut from the other zones.
+    pub cut_zones: BTreeSet<usize>,
+    /// Zones cut from the platform.
+    pub cut_from_platform: BTreeSet<usize>,
+    /// Shares of packets.
+    pub lost: f64,
+    pub doubled: f64,
+    pub reordered: f64,
+    pub platform_is_slow: bool,
+}
+
+impl Network {
+    pub fn is_cut(&self, left: usize, right: usize) -> bool {
+        left != right && (self.cut_zones.contains(&left) || self.cut_zones.contains(&right))
+    }
+
+    pub fn is_cut_from_platform(&self, zone: usize) -> bool {
+        self.cut_from_platform.contains(&zone)
+    }
+
+    pub fn platform_delay(&self) -> Duration {
+        if self.platform_is_slow { SLOW_PLATFORM } else { TO_PLATFORM }
+    }
+}
+
+/// Zone of a VM, from its record.
+pub fn zone_of(backend: &Backend) -> usize {
+    backend.zone.bytes().last().map_or(0, |digit| usize::from(digit - b'0'))
+}
+
+impl World {
+    /// Sends a datagram: it may be lost, doubled or late. The last hop to a backend server does not
+    /// double, since nothing that the system could do would help there.
+    fn send_packet(&mut self, delay: Duration, event: Event, may_double: bool) {
+        if self.share() < self.network.lost {
+            return;
+        }
+
+        let copies = if may_double && self.share() < self.network.doubled { 2 } else { 1 };
+        for _ in 0..copies {
+            let late = self.share() < self.network.reordered;
+            let extra = if late { LATEST.mul_f64(self.share()) } else { Duration::ZERO };
+            self.schedule(delay + extra, event.clone());
+        }
+    }
+
+    fn delay(left: usize, right: usize) -> Duration {
+        if left == right { NEAR } else { FAR }
+    }
+
+    pub fn send_to_node(&mut self, from: BalancerId, to: BalancerId, event: NodeEvent) {
+        let (Some(left), Some(right)) = (self.zone(from), self.zone(to)) else {
+            return;
+        };
+        if self.network.is_cut(left, right) {
+            return;
+        }
+
+        let is_datagram = matches!(
+            event,
+            NodeEvent::Flow { .. } | NodeEvent::Request { .. } | NodeEvent::Binding(_)
+        );
+        let delay = Self::delay(left, right);
+        if is_datagram {
+            self.send_packet(delay, Event::Node(to, event), true);
+        } else {
+            self.schedule(delay, Event::Node(to, event));
+        }
+    }
+
+    pub fn send_to_vm(&mut self, from: BalancerId, address: SocketAddr, event: Event) {
+        let (Some(left), Some(right)) = (self.zone(from), self.vm_zone(address)) else {
+            return;
+        };
+
+        if !self.network.is_cut(left, right) {
+            self.send_packet(Self::delay(left, right), event, false);
+        }
+    }
+
+    pub fn send_flow_to_vm(
+        &mut self,
+        from: BalancerId,
+        flow: usize,
+        opening: bool,
+        backend: Backend,
+    ) {
+        let address = backend.address;
+        let event = Event::BackendFlow { address, flow, opening, from, backend };
+
+        self.send_to_vm(from, address, event);
+    }
+
+    pub fn send_from_vm(&mut self, address: SocketAddr, to: BalancerId, event: NodeEvent) {
+        let (Some(left), Some(right)) = (self.vm_zone(address), self.zone(to)) else {
+            return;
+        };
+
+        if !self.network.is_cut(left, right) {
+            self.send_packet(Self::delay(left, right), Event::Node(to, event), true);
+        }
+    }
+
+    pub fn send_to_caller(&mut self, event: Event) {
+        self.send_packet(TO_CALLER, event, true);
+    }
+
+    /// From a caller, by the fabric, to a balancer drawn at random, or drawn within a zone.
+    pub fn spray(&mut self, zone: Option<usize>, event: NodeEvent) {
+        let among: Vec<_> = self
+            .fabric
+            .iter()
+            .copied()
+            .filter(|id| zone.is_none() || self.zone(*id) == zone)
+            .collect();
+        if among.is_empty() {
+            return;
+        }
+
+        // A doubled packet may reach two balancers.
+        let copies = if self.share() < self.network.doubled { 2 } else { 1 };
+        for _ in 0..copies {
+            let place = usize::try_from(self.draw() % among.len() as u64).unwrap_or(0);
+            self.send_packet(TO_CALLER, Event::Node(among[place], event.clone()), false);
+        }
+    }
+
+    pub fn call_platform(&mut self, from: BalancerId, who: Who, call: PlatformCall) {
+        self.schedule(self.network.platform_delay(), Event::Platform { from, who, call });
+    }
+
+    pub fn zone(&self, id: BalancerId) -> Option<usize> {
+        self.nodes.get(&id).map(|node| node.zone)
+    }
+
+    fn vm_zone(&self, address: SocketAddr) -> Option<usize> {
+        self.vms.get(&address).map(|vm| zone_of(&vm.record))
+    }
+}
--- /dev/null
+++ b/crates/valvestage-policy/tests/fault_matrix/node.rs
@@ -0,0 +1,131 @@
+//! One balancer of the matrix: the two policies, and whether its process runs.
+
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime};
+
+use valvestage_core::ids::{BalancerId, ObjectVersion};
+use valvestage_core::time::to_unix_millis;
+use valvestage_policy::BalancerPolicy;
+use valvestage_policy::balancer::BalancerOptions;
+use valvestage_policy::control::{ControlOptions, ControlPolicy, LeaseOptions, PlannedStop};
+use valvestage_policy::membership::{HeartbeatOptions, PeerRecord, PeerState};
+
+use crate::switches::Switch;
+use crate::world::NodeEvent;
+
+/// Length of leases in the matrix, and the furthest deadline.
+pub const LEASE: Duration = Duration::from_secs(3);
+pub const MAX_DEADLINE: Duration = Duration::from_secs(5);
+pub const DEAD_AFTER: Duration = Duration::from_millis(1_200);
+
+/// The payload of requests and answers: whose it is, and which segment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Payload {
+    pub id: u128,
+    pub segment: u16,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Life {
+    Running,
+    /// The process is paused; what arrives waits.
+    Frozen,
+    /// There is no process.
+    Dead,
+}
+
+pub struct Node {
+    pub id: BalancerId,
+    pub zone: usize,
+    pub life: Life,
+    pub control: ControlPolicy,
+    pub policy: BalancerPolicy<Payload>,
+    pub stop: Option<PlannedStop>,
+    pub stop_began: Option<SystemTime>,
+    /// What arrived while it was frozen.
+    pub inbox: Vec<NodeEvent>,
+    /// The highest version that was ever in force on this VM while it took work.
+    pub highest_in_force: ObjectVersion,
+    pub last_frozen: Option<SystemTime>,
+    pub started: SystemTime,
+}
+
+pub fn zone_name(zone: usize) -> String {
+    format!("zone-{zone}")
+}
+
+pub fn node_address(id: BalancerId) -> SocketAddr {
+    SocketAddr::from(([192, 0, 2, u8::try_from(id).unwrap()], 9_000))
+}
+
+pub fn record(id: BalancerId, zone: usize, now: SystemTime) -> PeerRecord {
+    PeerRecord {
+        id,
+        zone: zone_name(zone),
+        data_address: node_address(id),
+        peer_address: node_address(id),
+        started_ms: to_unix_millis(now),
+        revision: 0,
+        beat: 0,
+        state: PeerState::Joining,
+        lease_epoch: 0,
+        configuration: 0,
+        owner_map: 0,
+        token_keys: 0,
+    }
+}
+
+impl Node {
+    pub fn new(
+        id: BalancerId,
+        zone: usize,
+        seeds: &[(BalancerId, usize)],
+        switch: Switch,
+        now: SystemTime,
+    ) -> Self {
+        let seeds =
+            seeds.iter().map(|(id, zone)| PeerRecord { started_ms: 0, ..record(*id, *zone, now) });
+        let control_options = ControlOptions {
+            heartbeat: HeartbeatOptions { dead_after: DEAD_AFTER, ..HeartbeatOptions::default() },
+            heartbeat_interval: Duration::from_millis(150),
+            lease: LeaseOptions { length: LEASE, clock_bound: Duration::from_millis(100) },
+            stale_after: Duration::from_secs(2),
+            join_without_platform_after: Duration::from_secs(4),
+            newest_only: switch != Switch::NewestVersion,
+            ..ControlOptions::default()
+        };
+        let control = ControlPolicy::new(control_options, record(id, zone, now), seeds, now);
+
+        let mut options = BalancerOptions::new(id, zone_name(zone));
+        options.requests.max_deadline = MAX_DEADLINE;
+        options.requests.claims = switch != Switch::ClaimTable;
+        options.requests.window = switch != Switch::CoveredWindow;
+        options.requests.fence = switch != Switch::DeadlineFence;
+        options.flows.layers.former_home = switch != Switch::History;
+        options.flows.layers.table = switch != Switch::History;
+        options.flows.layers.newest_only = switch != Switch::NewestVersion;
+        options.flows.layers.service_check = switch != Switch::ServiceCheck;
+        if switch == Switch::PauseDetection {
+            options.pause_limit = Duration::from_secs(3_600);
+        }
+
+        Self {
+            id,
+            zone,
+            life: Life::Running,
+            control,
+            policy: BalancerPolicy::new(options),
+            stop: None,
+            stop_began: None,
+            inbox: Vec::new(),
+            highest_in_force: 0,
+            last_frozen: None,
+            started: now,
+        }
+    }
+
+    /// Whether the fabric sends packets to it.
+    pub fn is_ready(&self) -> bool {
+        self.life == Life::Running && self.control.is_serving()
+    }
+}
