--- /dev/null
+++ b/crates/valvestage-policy/tests/fault_matrix/operator.rs
@@ -0,0 +1,176 @@
+//! Operators, who read, change and write the configuration under the version read.
+
+use std::time::Duration;
+
+use valvestage_core::ids::{BackendId, ObjectVersion};
+use valvestage_core::{BackendState, RawConfiguration};
+use valvestage_policy::control::{ObjectKey, ObjectValue, PlatformCall, PlatformReply};
+
+use crate::node::zone_name;
+use crate::scenario::Timer;
+use crate::steps::Step;
+use crate::switches::Switch;
+use crate::world::{Event, World};
+
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+
+/// Time between reading and writing.
+const THINKING: Duration = Duration::from_millis(4);
+
+/// Added to the id of a backend server whose address another service gets.
+const REUSING: BackendId = 900;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConfigurationChange {
+    Weight(BackendId, u16),
+    Drain(BackendId),
+    StopZone(usize),
+    Reuse(BackendId),
+}
+
+#[derive(Debug, Clone)]
+pub struct Operator {
+    pub id: String,
+    pub change: ConfigurationChange,
+    pub base: Option<(ObjectVersion, RawConfiguration)>,
+    /// Whether a write is out whose result is not known.
+    pub is_unsettled: bool,
+    /// Whether the change was accepted, once that is known.
+    pub won: Option<bool>,
+}
+
+impl World {
+    pub fn add_operator(&mut self, id: &str, change: ConfigurationChange) {
+        self.operators.push(Operator {
+            id: id.to_owned(),
+            change,
+            base: None,
+            is_unsettled: false,
+            won: None,
+        });
+
+        let index = self.operators.len() - 1;
+        self.schedule(Duration::ZERO, Event::Timer(Timer::OperatorReads(index)));
+    }
+
+    pub fn operator_reads(&mut self, index: usize) {
+        let reply = self.platform.call(&PlatformCall::Read { key: ObjectKey::Configuration });
+        let PlatformReply::Found { version, value: ObjectValue::Configuration(raw) } = reply else {
+            self.schedule(RETRY_PAUSE, Event::Timer(Timer::OperatorReads(index)));
+            return;
+        };
+
+        let operator = &mut self.operators[index];
+        let base = operator.base.as_ref().map(|(version, _)| *version);
+        if operator.is_unsettled && raw.change_id == operator.id {
+            operator.won = Some(true);
+            return;
+        }
+        if operator.is_unsettled && base != Some(version) {
+            operator.won = Some(false);
+            return;
+        }
+        operator.base = Some((version, raw));
+        self.schedule(THINKING, Event::Timer(Timer::OperatorWrites(index)));
+    }
+
+    pub fn operator_writes(&mut self, index: usize) {
+        let operator = self.operators[index].clone();
+        let Some((base, raw)) = operator.base else {
+            return;
+        };
+        let before = self.platform.get(ObjectKey::Configuration).map(|(version, _)| *version);
+        let unconditional = self.switch == Switch::ConditionalWrite;
+        let call = PlatformCall::Write {
+            key: ObjectKey::Configuration,
+            expected: if unconditional { before } else { Some(base) },
+            value: ObjectValue::Configuration(changed(&raw, operator.change, &operator.id)),
+        };
+        if operator.id == "planned" {
+            let owner = self.owner_of_first_service();
+            self.reach(Step::ChangeSent, owner, None);
+        }
+
+        let reply = self.platform.call(&call);
+        let after = self.platform.get(ObjectKey::Configuration).map(|(version, _)| *version);
+        if before != after {
+            self.on_accepted(&operator.id, operator.change, after.unwrap_or(0));
+        }
+
+        let operator = &mut self.operators[index];
+        match reply {
+            PlatformReply::Written { .. } => operator.won = Some(true),
+            PlatformReply::Conflict if !operator.is_unsettled => operator.won = Some(false),
+            _ => {
+                operator.is_unsettled = true;
+                self.schedule(RETRY_PAUSE, Event::Timer(Timer::OperatorReads(index)));
+            }
+        }
+    }
+
+    /// A change took effect in the platform, whether or not anybody was told.
+    fn on_accepted(&mut self, id: &str, change: ConfigurationChange, version: ObjectVersion) {
+        let now = self.now;
+        self.tell(format!("change {id} is accepted as version {version}"));
+        self.schedule(crate::verdict::IN_FORCE_WITHIN, Event::Timer(Timer::CheckInForce(version)));
+
+        let zone = |zone: usize| zone_name(zone);
+        match change {
+            ConfigurationChange::Drain(backend) => {
+                let vms = self.vms.iter().filter(|(_, vm)| vm.id() == backend);
+                self.leaving = Some((vms.map(|(address, _)| *address).collect(), now));
+            }
+            ConfigurationChange::StopZone(stopped) => {
+                let vms = self.vms.iter().filter(|(_, vm)| vm.record.zone == zone(stopped));
+                self.leaving = Some((vms.map(|(address, _)| *address).collect(), now));
+            }
+            ConfigurationChange::Reuse(backend) => self.reuse_vm(backend),
+            ConfigurationChange::Weight(..) => {}
+        }
+    }
+
+    /// The VM serves the other service from now on, whoever knows.
+    fn reuse_vm(&mut self, backend: BackendId) {
+        if let Some(vm) = self.vms.values_mut().find(|vm| vm.id() == backend) {
+            vm.record.id = REUSING + backend;
+            vm.record.service = 2;
+            vm.record.incarnation = 1;
+            vm.running.clear();
+            vm.flows.clear();
+        }
+    }
+}
+
+fn changed(raw: &RawConfiguration, change: ConfigurationChange, id: &str) -> RawConfiguration {
+    let mut next = raw.clone();
+    next.change_id = id.to_owned();
+
+    let find = |backends: &mut Vec<valvestage_core::Backend>, id: BackendId| {
+        backends.iter().position(|backend| backend.id == id)
+    };
+    match change {
+        ConfigurationChange::Weight(backend, weight) => {
+            if let Some(place) = find(&mut next.backends, backend) {
+                next.backends[place].weight = weight;
+            }
+        }
+        ConfigurationChange::Drain(backend) => {
+            if let Some(place) = find(&mut next.backends, backend) {
+                next.backends[place].state = BackendState::Draining;
+            }
+        }
+        ConfigurationChange::StopZone(zone) => {
+            next.stopped_zones.insert(zone_name(zone));
+        }
+        ConfigurationChange::Reuse(backend) => {
+            if let Some(place) = find(&mut next.backends, backend) {
+                let record = &mut next.backends[place];
+                record.id = REUSING + backend;
+                record.name = format!("reusing-{backend}");
+                record.service = 2;
+                record.incarnation = 1;
+            }
+        }
+    }
+    next
+}
--- /dev/null
+++ b/crates/valvestage-policy/tests/fault_matrix/oracle.rs
@@ -0,0 +1,111 @@
+//! The judge: one check for each promise of the brief.
+
+use std::collections::BTreeMap;
+
+use valvestage_core::ids::RequestId;
+
+/// A promise of the brief.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Promise {
+    FlowSurvivesPlannedChange,
+    NeverTheWrongService,
+    WholeOwnAnswer,
+    NotRunIsTrue,
+    RunsAtMostOnce,
+    LeavingGetsNoNewWork,
+    PlannedStopCutsNothing,
+    ConfigurationInForceAndNeverReverts,
+    SlotsAreNeverExceeded,
+    ZoneGoesOnServing,
+    ServesAgainAfterwards,
+    OneOperatorWins,
+}
+
+impl Promise {
+    pub const ALL: [Self; 12] = [
+        Self::FlowSurvivesPlannedChange,
+        Self::NeverTheWrongService,
+        Self::WholeOwnAnswer,
+        Self::NotRunIsTrue,
+        Self::RunsAtMostOnce,
+        Self::LeavingGetsNoNewWork,
+        Self::PlannedStopCutsNothing,
+        Self::ConfigurationInForceAndNeverReverts,
+        Self::SlotsAreNeverExceeded,
+        Self::ZoneGoesOnServing,
+        Self::ServesAgainAfterwards,
+        Self::OneOperatorWins,
+    ];
+
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::FlowSurvivesPlannedChange => "an established flow survives any planned change",
+            Self::NeverTheWrongService => "a packet never reaches the wrong service",
+            Self::WholeOwnAnswer => "everyone gets the whole answer to their own request",
+            Self::NotRunIsTrue => "\"not run\" is true",
+            Self::RunsAtMostOnce => "what may not be repeated runs at most once",
+            Self::LeavingGetsNoNewWork => "a leaving backend server gets no new work after 4 s",
+            Self::PlannedStopCutsNothing => "a planned stop cuts no request in progress",
+            Self::ConfigurationInForceAndNeverReverts => {
+                "a configuration is in force within 4 s and never reverts"
+            }
+            Self::SlotsAreNeverExceeded => "no backend server runs more than its slots",
+            Self::ZoneGoesOnServing => "a zone that is cut off goes on serving what it can",
+            Self::ServesAgainAfterwards => "everything is served again after the fault",
+            Self::OneOperatorWins => "of two operators one wins, and the other is told",
+        }
+    }
+}
+
+/// A promise that was broken, and how.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Violation {
+    pub promise: Promise,
+    pub what: String,
+    /// The request concerned, if it is one.
+    pub request: Option<RequestId>,
+}
+
+/// Collects violations; the first of each promise says it all.
+#[derive(Debug, Default)]
+pub struct Oracle {
+    first: BTreeMap<Promise, (String, Option<RequestId>)>,
+    /// Promises that the cell could have broken.
+    pub checked: BTreeMap<Promise, u64>,
+}
+
+impl Oracle {
+    /// Notes that a promise was put to the test, and whether it held.
+    pub fn check(&mut self, promise: Promise, holds: bool, what: impl FnOnce() -> String) {
+        *self.checked.entry(promise).or_insert(0) += 1;
+
+        if !holds {
+            self.first.entry(promise).or_insert_with(|| (what(), None));
+        }
+    }
+
+    /// Like [`Self::check`], for a request.
+    pub fn check_request(
+        &mut self,
+        promise: Promise,
+        id: RequestId,
+        holds: bool,
+        what: impl FnOnce() -> String,
+    ) {
+        self.check(promise, holds, what);
+
+        if !holds && let Some((_, request)) = self.first.get_mut(&promise) {
+            request.get_or_insert(id);
+        }
+    }
+
+    pub fn violations(&self) -> Vec<Violation> {
+        let of = |(promise, (what, request)): (&Promise, &(String, Option<RequestId>))| Violation {
+            promise: *promise,
+            what: what.clone(),
+            request: *request,
+        };
+
+        self.first.iter().map(of).collect()
+    }
+}
--- /dev/null
+++ b/crates/valvestage-policy/tests/fault_matrix/report.rs
@@ -0,0 +1,226 @@
+//! The tables, and the page made of them.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+use crate::cells::{CellResult, Part};
+use crate::faults::Fault;
+use crate::oracle::Promise;
+use crate::scenario::run_traced;
+use crate::steps::Step;
+use crate::switches::{Switch, SwitchRow};
+
+/// Everything needed to run a failed cell again.
+pub fn replay(result: &CellResult) -> String {
+    let cell = result.cell;
+    let mut text = format!(
+        "FAILED {:?}: {} / {} at {}, seed {}, {} events\n",
+        cell.part,
+        cell.first.label(),
+        cell.second.label(),
+        cell.step.label(),
+        cell.seed,
+        result.events
+    );
+
+    for violation in &result.violations {
+        let _ = writeln!(text, "  {}: {}", violation.promise.label(), violation.what);
+    }
+    // The same cell once more, with the requests concerned in its story.
+    let traced = result.violations.iter().filter_map(|violation| violation.request).collect();
+    for line in &run_traced(cell, Switch::None, traced).story {
+        let _ = writeln!(text, "  {line}");
+    }
+    text
+}
+
+/// Cells by promise: in how many each was put to the test, and held.
+pub fn promise_table(results: &[CellResult]) -> String {
+    let mut text =
+        String::from("| promise | cells that test it | failed | checks |\n|---|---|---|---|\n");
+
+    for promise in Promise::ALL {
+        let testing = results.iter().filter(|r| r.checked.iter().any(|(p, _)| *p == promise));
+        let checks: u64 = results
+            .iter()
+            .flat_map(|r| &r.checked)
+            .filter(|(p, _)| *p == promise)
+            .map(|(_, n)| n)
+            .sum();
+        let failed = results.iter().filter(|r| r.violations.iter().any(|v| v.promise == promise));
+        let _ = writeln!(
+            text,
+            "| {} | {} | {} | {checks} |",
+            promise.label(),
+            testing.count(),
+            failed.count()
+        );
+    }
+    text
+}
+
+/// What fails without each mechanism.
+pub fn switch_table(rows: &[SwitchRow]) -> String {
+    let mut text =
+        String::from("| without | red cells | promises broken | a red cell |\n|---|---|---|---|\n");
+
+    for row in rows {
+        let mut promises: BTreeMap<Promise, usize> = BTreeMap::new();
+        for violation in row.red.iter().flat_map(|result| &result.violations) {
+            *promises.entry(violation.promise).or_insert(0) += 1;
+        }
+        let broken: Vec<_> = promises
+            .iter()
+            .map(|(promise, count)| format!("{} ({count})", promise.label()))
+            .collect();
+        let example = row.red.first().map_or_else(String::new, |result| {
+            let what = result.violations.first().map_or("", |violation| violation.what.as_str());
+            format!("{}: {what}", name(result))
+        });
+        let _ = writeln!(
+            text,
+            "| {} | {} of {} | {} | {example} |",
+            row.switch.label(),
+            row.red.len(),
+            row.cells,
+            broken.join("; ")
+        );
+    }
+    text
+}
+
+fn name(result: &CellResult) -> String {
+    let cell = result.cell;
+    let faults = match cell.part {
+        Part::Single => cell.first.label().to_owned(),
+        Part::Pair => format!("{} + {}", cell.first.label(), cell.second.label()),
+        Part::Twice => format!("{} twice", cell.first.label()),
+    };
+
+    format!("{faults} × {} (seed {})", cell.step.label(), cell.seed)
+}
+
+/// One letter a cell: proved, failed, or not run because the step did not come.
+fn single_grid(results: &[CellResult]) -> String {
+    let mut text = String::from("| fault |");
+    for step in Step::ALL {
+        let _ = write!(text, " {} |", step.label());
+    }
+    text.push_str("\n|---|");
+    text.push_str(&"---|".repeat(Step::ALL.len()));
+    text.push('\n');
+
+    for fault in Fault::ALL {
+        let _ = write!(text, "| {} |", fault.label());
+        for step in Step::ALL {
+            let of_cell = results.iter().filter(|r| {
+                r.cell.part == Part::Single && r.cell.first == fault && r.cell.step == step
+            });
+            let _ = write!(text, " {} |", mark(of_cell));
+        }
+        text.push('\n');
+    }
+    text
+}
+
+fn mark<'a>(results: impl Iterator<Item = &'a CellResult>) -> &'static str {
+    let results: Vec<_> = results.collect();
+
+    if results.iter().any(|result| !result.violations.is_empty()) {
+        "**failed**"
+    } else if results.iter().all(|result| result.is_reached) {
+        "proved"
+    } else {
+        "not run"
+    }
+}
+
+/// Flows broken by an unplanned loss, which is a figure and not a promise.
+fn broken_table(results: &[CellResult]) -> String {
+    let mut text = String::from(
+        "| fault (singles) | flows that echo the token | flows that don't |\n|---|---|---|\n",
+    );
+
+    for fault in Fault::ALL {
+        let of_fault =
+            results.iter().filter(|r| r.cell.part == Part::Single && r.cell.first == fault);
+        let sum = of_fault.fold([0; 4], |sum, result| {
+            let (echoing, silent) = (result.echoing, result.silent);
+            [sum[0] + echoing.0, sum[1] + echoing.1, sum[2] + silent.0, sum[3] + silent.1]
+        });
+        if sum[1] + sum[3] > 0 {
+            let _ = writeln!(
+                text,
+                "| {} | {} of {} broken | {} of {} broken |",
+                fault.label(),
+                sum[1],
+                sum[0],
+                sum[3],
+                sum[2]
+            );
+        }
+    }
+    text
+}
+
+fn counts(results: &[CellResult], part: Part) -> String {
+    let of_part: Vec<_> = results.iter().filter(|result| result.cell.part == part).collect();
+    let failed = of_part.iter().filter(|result| !result.violations.is_empty()).count();
+    let not_run = of_part.iter().filter(|result| !result.is_reached).count();
+    let proved = of_part.len() - failed - not_run;
+
+    format!("{} cells: {proved} proved, {failed} failed, {not_run} not run", of_part.len())
+}
+
+/// docs/FAULT-MATRIX.md.
+pub fn page(results: &[CellResult], switches: &[SwitchRow]) -> String {
+    let failed: Vec<_> = results.iter().filter(|result| !result.violations.is_empty()).collect();
+    let mut text = format!(
+        "# Fault matrix
+
+Made by `UPDATE_DOCS=1 cargo test -p valvestage-policy --test fault_matrix`; the same command
+without the variable fails if this page is not current. Each cell runs the policies of five
+balancers over three availability zones for 34 simulated seconds, with a fault that strikes when its
+step is reached, and an oracle for each promise. Everything follows from the seed.
+
+- Singles, two seeds each: {}.
+- Pairs, at three steps: {}.
+- The same fault twice, at three steps: {}.
+
+A cell that is excused from a promise does not test it: flows may break when what holds them goes
+without notice (the figures are below), a request may end in doubt or refused under a fault, and a
+balancer that is cut off cannot know of a change. The last hop to a backend server does not double
+packets: nothing that a balancer could do would help there.
+
+## Cells by promise
+
+{}
+## Singles
+
+{}
+## Without one mechanism
+
+Singles, repeats and one pair, run again with one mechanism taken away.
+
+{}
+## Flows broken by unplanned losses
+
+{}
+",
+        counts(results, Part::Single),
+        counts(results, Part::Pair),
+        counts(results, Part::Twice),
+        promise_table(results),
+        single_grid(results),
+        switch_table(switches),
+        broken_table(results),
+    );
+
+    if !failed.is_empty() {
+        text.push_str("## Failed\n\n");
+        for result in failed {
+            let _ = writeln!(text, "- {}: {:?}", name(result), result.violations[0].what);
+        }
+    }
+    text
+}
--- /dev/null
+++ b/crates/valvestage-policy/tests/fault_matrix/scenario.rs
@@ -0,0 +1,396 @@
+//! The course of a cell: start, load, planned change, faults, probes.
+
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime};
+
+use valvestage_core::ids::{BackendId, BalancerId, ObjectVersion, RequestId, ServiceId};
+use valvestage_core::{Backend, BackendState, RawConfiguration, RequestClass, Service};
+use valvestage_policy::control::{ObjectKey, ObjectValue, PlatformCall};
+use valvestage_policy::flows::{HopMark, RawTokenKeys};
+use valvestage_policy::requests::Request;
+
+use crate::backend::FakeBackend;
+use crate::caller::{self, Flow, caller_address};
+use crate::cells::{Cell, CellResult, Part};
+use crate::faults::Fault;
+use crate::node::{Life, MAX_DEADLINE, Payload, zone_name};
+use crate::operator::ConfigurationChange;
+use crate::steps::{Change, Step};
+use crate::strikes::length;
+use crate::switches::Switch;
+use crate::world::{Event, NodeEvent, World};
+
+/// Backend server that is drained, or gets another weight.
+pub const DRAINED: BackendId = 3;
+/// Zone that is stopped.
+pub const STOPPED_ZONE: usize = 2;
+
+const FIRST_FLOWS: usize = 24;
+const LATER_FLOWS: usize = 16;
+const FLOW_PAUSE: Duration = Duration::from_millis(300);
+const REQUEST_PAUSE: Duration = Duration::from_millis(40);
+const RESEND_PAUSE: Duration = Duration::from_millis(400);
+const FABRIC_PAUSE: Duration = Duration::from_millis(200);
+const WATCH_PAUSE: Duration = Duration::from_millis(100);
+const RUN_TIME: Duration = Duration::from_millis(60);
+
+/// When what happens, from the start.
+const LOAD_FROM: Duration = Duration::from_millis(2_500);
+const STICK_AT: Duration = Duration::from_millis(5_500);
+const ARMED_AT: Duration = Duration::from_millis(5_900);
+const CHANGE_AT: Duration = Duration::from_millis(6_000);
+pub const LOAD_UNTIL: Duration = Duration::from_secs(20);
+const PROBES_AT: Duration = Duration::from_secs(27);
+const END: Duration = Duration::from_secs(34);
+
+#[derive(Debug, Clone)]
+pub enum Timer {
+    SendFlow(usize),
+    NewRequest,
+    Resend(RequestId),
+    ZoneRequest(usize),
+    Probe(bool),
+    Watch(BalancerId),
+    RefreshFabric,
+    Stick,
+    Arm,
+    Change,
+    OperatorReads(usize),
+    OperatorWrites(usize),
+    OfferTimeout(BalancerId),
+    Strike(usize),
+    Recover(Fault, usize),
+    Thaw(BalancerId),
+    Restart(BalancerId),
+    CheckInForce(ObjectVersion),
+    LoadEnds,
+}
+
+/// Number and zone of each balancer.
+pub fn balancers() -> Vec<(BalancerId, usize)> {
+    vec![(1, 0), (2, 1), (3, 2), (4, 0), (5, 1)]
+}
+
+fn backend(id: BackendId, service: ServiceId) -> Backend {
+    let zone = (id as usize - 1) % 3;
+
+    Backend {
+        id,
+        name: format!("backend-{id}"),
+        service,
+        zone: zone_name(zone),
+        address: SocketAddr::from(([198, 51, 100, u8::try_from(id).unwrap()], 7_000)),
+        incarnation: 1,
+        slots: 2,
+        connections: 2_000,
+        weight: 100,
+        state: BackendState::Active,
+    }
+}
+
+fn configuration() -> RawConfiguration {
+    let service = |id: ServiceId, name: &str| Service {
+        id,
+        name: name.to_owned(),
+        address: SocketAddr::from(([203, 0, 113, u8::try_from(id).unwrap()], 80)),
+    };
+    let backends = (1..=6).map(|id| backend(id, 1)).chain((7..=9).map(|id| backend(id, 2)));
+
+    RawConfiguration {
+        change_id: "first".to_owned(),
+        services: vec![service(1, "core"), service(2, "photos")],
+        backends: backends.collect(),
+        stopped_zones: std::collections::BTreeSet::new(),
+    }
+}
+
+pub fn run_cell(cell: Cell, switch: Switch) -> CellResult {
+    run_traced(cell, switch, Vec::new())
+}
+
+/// Runs a cell with everything that happens to some requests in its story.
+pub fn run_traced(cell: Cell, switch: Switch, traced: Vec<RequestId>) -> CellResult {
+    let mut world = World::new(cell, switch);
+    world.traced = traced;
+
+    world.prepare();
+    let end = world.start + END;
+    world.run_until(end);
+    world.judge();
+    world.result()
+}
+
+impl World {
+    fn prepare(&mut self) {
+        let raw = configuration();
+        for record in &raw.backends {
+            self.vms.insert(record.address, FakeBackend::new(record.clone(), RUN_TIME));
+        }
+        let keys = RawTokenKeys { flow_hash: (1, 2), current: 1, keys: vec![(1, 3, 4)] };
+        for (key, value) in [
+            (ObjectKey::Configuration, ObjectValue::Configuration(raw)),
+            (ObjectKey::TokenKeys, ObjectValue::TokenKeys(keys)),
+        ] {
+            self.platform.call(&PlatformCall::Write { key, expected: None, value });
+        }
+        for (id, zone) in balancers() {
+            self.start_node(id, zone);
+        }
+
+        for number in 0..FIRST_FLOWS + LATER_FLOWS {
+            let service = if number % 4 == 3 { 2 } else { 1 };
+            let flow = self.add_flow(u32::try_from(number).unwrap(), service, number % 2 == 0);
+            let after = if number < FIRST_FLOWS {
+                LOAD_FROM + Duration::from_millis(40 * number as u64)
+            } else {
+                CHANGE_AT + Duration::from_millis(150 * (number - FIRST_FLOWS) as u64)
+            };
+            self.schedule(after, Event::Timer(Timer::SendFlow(flow)));
+        }
+        for (after, timer) in [
+            (Duration::ZERO, Timer::RefreshFabric),
+            (LOAD_FROM, Timer::NewRequest),
+            (STICK_AT, Timer::Stick),
+            (ARMED_AT, Timer::Arm),
+            (CHANGE_AT, Timer::Change),
+            (LOAD_UNTIL, Timer::LoadEnds),
+        ] {
+            self.schedule(after, Event::Timer(timer));
+        }
+        for number in 0..12u64 {
+            let after = PROBES_AT + Duration::from_millis(100 * number);
+            self.schedule(after, Event::Timer(Timer::Probe(number % 2 == 0)));
+        }
+    }
+
+    pub fn on_timer(&mut self, timer: Timer) {
+        match timer {
+            Timer::SendFlow(flow) => self.send_flow(flow),
+            Timer::NewRequest => self.new_load_request(),
+            Timer::Resend(id) => self.send_request(id),
+            Timer::ZoneRequest(zone) => {
+                let id = self.add_request(1, true, Some(zone));
+                self.send_request(id);
+            }
+            Timer::Probe(repeatable) => {
+                let id = self.add_request(1, repeatable, None);
+                if let Some(request) = self.requests.get_mut(&id) {
+                    request.is_probe = true;
+                }
+                self.send_request(id);
+            }
+            Timer::Watch(id) => self.watch(id),
+            Timer::RefreshFabric => {
+                let ready = self.nodes.values().filter(|node| node.is_ready());
+                self.fabric = ready.map(|node| node.id).collect();
+                self.schedule(FABRIC_PAUSE, Event::Timer(Timer::RefreshFabric));
+                self.check_reverts();
+            }
+            Timer::Stick => self.stick_before_change(),
+            Timer::Arm => self.awaited = Some(self.cell.step),
+            Timer::Change => self.make_change(),
+            Timer::OperatorReads(index) => self.operator_reads(index),
+            Timer::OperatorWrites(index) => self.operator_writes(index),
+            Timer::OfferTimeout(id) => {
+                if let Some(stop) = self.nodes.get_mut(&id).and_then(|node| node.stop.as_mut()) {
+                    stop.on_offered(false);
+                }
+            }
+            Timer::Strike(count) => {
+                self.strike(count);
+                self.schedule_second(count);
+            }
+            Timer::Recover(fault, zone) => self.recover(fault, zone),
+            Timer::Thaw(id) => self.thaw(id),
+            Timer::Restart(id) => self.restart(id),
+            Timer::CheckInForce(version) => self.check_in_force(version),
+            Timer::LoadEnds => self.check_flows(),
+        }
+    }
+
+    fn schedule_second(&mut self, count: usize) {
+        if count > 0 {
+            return;
+        }
+
+        let after = match self.cell.part {
+            Part::Single => return,
+            Part::Pair => Duration::from_millis(300 + self.draw() % 600),
+            Part::Twice => length(self.cell.first) + Duration::from_millis(500),
+        };
+        self.schedule(after, Event::Timer(Timer::Strike(1)));
+    }
+
+    pub fn is_load_time(&self) -> bool {
+        self.now < self.start + LOAD_UNTIL
+    }
+
+    pub fn add_flow(&mut self, caller: u32, service: ServiceId, echoes: bool) -> usize {
+        self.flows.push(Flow {
+            caller: caller_address(caller),
+            service,
+            echoes,
+            token: None,
+            backend: None,
+            opened: None,
+            last_heard: None,
+            broken: None,
+            is_intruder: false,
+        });
+
+        self.flows.len() - 1
+    }
+
+    fn send_flow(&mut self, flow: usize) {
+        if !self.is_load_time() {
+            return;
+        }
+
+        let state = &self.flows[flow];
+        let opening = state.backend.is_none();
+        let token = state.token.filter(|_| state.echoes);
+        if state.broken.is_none() {
+            self.spray(None, NodeEvent::Flow { flow, opening, token, hop: HopMark::FIRST });
+        }
+        self.schedule(FLOW_PAUSE, Event::Timer(Timer::SendFlow(flow)));
+    }
+
+    fn new_load_request(&mut self) {
+        if !self.is_load_time() {
+            return;
+        }
+
+        let service = if self.draw() % 10 < 7 { 1 } else { 2 };
+        let repeatable = self.draw().is_multiple_of(2);
+        let id = self.add_request(service, repeatable, None);
+        self.send_request(id);
+        self.schedule(REQUEST_PAUSE, Event::Timer(Timer::NewRequest));
+    }
+
+    fn add_request(
+        &mut self,
+        service: ServiceId,
+        repeatable: bool,
+        zone: Option<usize>,
+    ) -> RequestId {
+        let number = u32::try_from(self.requests.len()).unwrap();
+        let id = RequestId::from(self.draw()) << 32 | RequestId::from(number);
+
+        self.requests.insert(
+            id,
+            caller::Request {
+                id,
+                caller: caller_address(100_000 + number),
+                service,
+                repeatable,
+                sent: self.now,
+                deadline: self.now + MAX_DEADLINE,
+                endings: Vec::new(),
+                runs: 0,
+                got_wrong_answer: false,
+                is_probe: false,
+                from_zone: zone,
+            },
+        );
+        id
+    }
+
+    /// Sends a request, and the same one again until its caller knows how it ended.
+    fn send_request(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        if !request.endings.is_empty() || request.deadline <= self.now {
+            return;
+        }
+
+        let zone = request.from_zone;
+        let packet = Request {
+            id,
+            caller: request.caller,
+            service: request.service,
+            deadline: request.deadline,
+            repeatable: request.repeatable,
+            class: if request.repeatable { RequestClass::Bulk } else { RequestClass::Urgent },
+            payload: Payload { id, segment: 0 },
+        };
+        self.spray(zone, NodeEvent::Request { request: packet, hop: HopMark::FIRST });
+        self.schedule(RESEND_PAUSE, Event::Timer(Timer::Resend(id)));
+    }
+
+    /// Like the watch task of the balancer.
+    fn watch(&mut self, id: BalancerId) {
+        self.schedule(WATCH_PAUSE, Event::Timer(Timer::Watch(id)));
+        let now = self.now;
+        let Some(node) = self.nodes.get_mut(&id).filter(|node| node.life == Life::Running) else {
+            return;
+        };
+        if !node.control.should_watch(now) || self.network.is_cut_from_platform(node.zone) {
+            return;
+        }
+
+        let Some(shown) = self.platform.watch() else {
+            return;
+        };
+        node.control.on_platform_heard(now);
+        let mut actions = Vec::new();
+        for (key, version, value) in shown {
+            let _ = node.control.on_object(key, version, value, &mut actions);
+        }
+        self.perform_control(id, actions);
+    }
+
+    fn make_change(&mut self) {
+        let change = match self.cell.step.change() {
+            Change::None => return,
+            Change::Weight => ConfigurationChange::Weight(DRAINED, 30),
+            Change::Drain => ConfigurationChange::Drain(DRAINED),
+            Change::StopZone => ConfigurationChange::StopZone(STOPPED_ZONE),
+            Change::StopBalancer => return self.stop_balancer(),
+        };
+
+        self.add_operator("planned", change);
+    }
+
+    fn stop_balancer(&mut self) {
+        let now = self.now;
+        let owner = self.owner_of_first_service();
+        let Some(node) = self.nodes.get_mut(&owner) else {
+            return;
+        };
+
+        node.control.leave();
+        node.stop = Some(node.control.planned_stop(now));
+        node.stop_began = Some(now);
+        self.reach(Step::StopAnnounced, owner, None);
+    }
+
+    /// The first balancer that puts a planned change in force.
+    pub fn on_in_force(&mut self, id: BalancerId, change_id: &str) {
+        if change_id != "planned" {
+            return;
+        }
+
+        let step = match self.cell.step.change() {
+            Change::Weight => Step::ChangeInForce,
+            Change::Drain => Step::DrainInForce,
+            Change::StopZone => Step::ZoneStopInForce,
+            Change::None | Change::StopBalancer => return,
+        };
+        self.reach(step, id, None);
+    }
+
+    pub fn owner_of_first_service(&mut self) -> BalancerId {
+        let reply = self.platform.get(ObjectKey::OwnerMap).cloned();
+        let owner = match reply {
+            Some((_, ObjectValue::OwnerMap(map))) => map.entries.get(&1).map(|entry| entry.owner),
+            _ => None,
+        };
+
+        owner.unwrap_or(1)
+    }
+
+    pub fn elapsed(&self, at: SystemTime) -> u128 {
+        at.duration_since(self.start).unwrap_or_default().as_millis()
+    }
+}
--- /dev/null
+++ b/crates/valvestage-policy/tests/fault_matrix/strikes.rs
@@ -0,0 +1,256 @@
+//! Faults: how each begins and ends.
+
+use std::time::Duration;
+
+use valvestage_core::ids::BalancerId;
+use valvestage_policy::flows::{FlowToken, HopMark};
+
+use crate::faults::Fault;
+use crate::node::{LEASE, Life, Node};
+use crate::operator::ConfigurationChange;
+use crate::scenario::{Timer, balancers};
+use crate::steps::Change;
+use crate::world::{Event, NodeEvent, STEP_PAUSE, World};
+
+/// Longer than a lease, and shorter than the deadline of a request sent just before.
+const FROZEN: Duration = LEASE.saturating_add(Duration::from_millis(1_750));
+const RESTARTED_AFTER: Duration = Duration::from_secs(3);
+
+/// Number of the first balancer that joins.
+const JOINING: BalancerId = 20;
+
+/// How long a fault lasts.
+pub fn length(fault: Fault) -> Duration {
+    match fault {
+        Fault::BalancerFrozen | Fault::BalancerFrozenSending => FROZEN,
+        Fault::BalancerKilled => RESTARTED_AFTER,
+        Fault::BackendKilled | Fault::BackendsSlow => Duration::from_secs(4),
+        Fault::BackendsShedding => Duration::from_millis(1_500),
+        Fault::Nothing
+        | Fault::BalancerJoins
+        | Fault::AnswersLost
+        | Fault::OperatorsRace
+        | Fault::AddressReused
+        | Fault::TokensForged => Duration::from_secs(1),
+        _ => Duration::from_secs(5),
+    }
+}
+
+impl World {
+    /// Lets the first or second fault of the cell strike.
+    pub fn strike(&mut self, count: usize) {
+        let fault = if count == 0 { self.cell.first } else { self.cell.second };
+        let struck = self.struck.expect("a fault strikes after its step");
+        let is_there = self.nodes.get(&struck.node).is_some_and(|node| node.life == Life::Running);
+        let node = if is_there { struck.node } else { self.owner_of_first_service() };
+        let zone = self.zone(node).unwrap_or(0);
+        self.tell(format!("{} (balancer {node}, zone {zone})", fault.label()));
+        self.schedule(length(fault), Event::Timer(Timer::Recover(fault, zone)));
+
+        match fault {
+            Fault::Nothing => {}
+            Fault::BalancerKilled => self.kill(node),
+            Fault::BalancerFrozen => self.freeze(node),
+            Fault::BalancerFrozenSending => {
+                let owner = self.owner_of_first_service();
+                if self.stuck.is_empty() && self.sticks.is_none() {
+                    self.sticks = Some((owner, Vec::new()));
+                }
+            }
+            Fault::BalancerJoins => {
+                let id = JOINING + u32::try_from(count).unwrap_or(0);
+                self.start_node(id, 0);
+            }
+            Fault::BackendKilled => {
+                if let Some(vm) = struck.vm.and_then(|vm| self.vms.get_mut(&vm)) {
+                    vm.is_dead = true;
+                    vm.running.clear();
+                    vm.flows.clear();
+                } else if let Some(vm) = self.vms.values_mut().next() {
+                    vm.is_dead = true;
+                    vm.running.clear();
+                    vm.flows.clear();
+                }
+            }
+            Fault::BackendsShedding => self.each_vm_of(1, |vm| vm.is_shedding = true),
+            Fault::BackendsSlow => self.each_vm_of(1, |vm| {
+                if vm.id() % 3 == 0 {
+                    vm.slow_factor = 10;
+                }
+            }),
+            Fault::PlatformDown => self.platform.is_down = true,
+            Fault::PlatformSlow => self.network.platform_is_slow = true,
+            Fault::AnswersLost => self.platform.lost_answers += 3,
+            Fault::WatchLags => self.platform.watch_lags = true,
+            Fault::ZoneCutFromZones => {
+                self.network.cut_zones.insert(zone);
+            }
+            Fault::ZoneCutFromPlatform => {
+                self.network.cut_from_platform.insert(zone);
+            }
+            Fault::ZoneCutFromAll => {
+                self.network.cut_zones.insert(zone);
+                self.network.cut_from_platform.insert(zone);
+            }
+            Fault::PacketsLost => self.network.lost = 0.05,
+            Fault::PacketsDoubled => self.network.doubled = 0.2,
+            Fault::PacketsReordered => self.network.reordered = 0.3,
+            Fault::OperatorsRace => {
+                let name = |which: &str| format!("race-{which}-{count}");
+                self.add_operator(&name("a"), ConfigurationChange::Weight(4, 40));
+                self.add_operator(&name("b"), ConfigurationChange::Weight(5, 200));
+            }
+            Fault::AddressReused => {
+                let vm = struck.vm.and_then(|vm| self.vms.get(&vm));
+                let in_service = |vm: &&crate::backend::FakeBackend| vm.record.service == 1;
+                let backend = vm.filter(in_service).or_else(|| self.vms.values().find(in_service));
+                let backend = backend.map_or(1, |vm| vm.id());
+                self.add_operator(&format!("reuse-{count}"), ConfigurationChange::Reuse(backend));
+            }
+            Fault::TokensForged => self.forge_tokens(),
+        }
+
+        let is_cut = matches!(fault, Fault::ZoneCutFromZones | Fault::ZoneCutFromAll);
+        if is_cut && self.cell.part == crate::cells::Part::Single {
+            // Callers of both sides, once the cut has been noticed.
+            for (zone, ms) in (0..12).flat_map(|turn| [(zone, turn), ((zone + 1) % 3, turn)]) {
+                let after = Duration::from_millis(1_600 + 250 * ms);
+                self.schedule(after, Event::Timer(Timer::ZoneRequest(zone)));
+            }
+        }
+    }
+
+    pub fn recover(&mut self, fault: Fault, zone: usize) {
+        match fault {
+            Fault::BackendKilled => {
+                for vm in self.vms.values_mut() {
+                    vm.is_dead = false;
+                }
+            }
+            Fault::BackendsShedding => self.each_vm_of(1, |vm| vm.is_shedding = false),
+            Fault::BackendsSlow => self.each_vm_of(1, |vm| vm.slow_factor = 1),
+            Fault::PlatformDown => self.platform.is_down = false,
+            Fault::PlatformSlow => self.network.platform_is_slow = false,
+            Fault::WatchLags => self.platform.watch_lags = false,
+            Fault::ZoneCutFromZones => {
+                self.network.cut_zones.remove(&zone);
+            }
+            Fault::ZoneCutFromPlatform => {
+                self.network.cut_from_platform.remove(&zone);
+            }
+            Fault::ZoneCutFromAll => {
+                self.network.cut_zones.remove(&zone);
+                self.network.cut_from_platform.remove(&zone);
+            }
+            Fault::PacketsLost => self.network.lost = 0.0,
+            Fault::PacketsDoubled => self.network.doubled = 0.0,
+            Fault::PacketsReordered => self.network.reordered = 0.0,
+            _ => return,
+        }
+        self.tell(format!("over: {}", fault.label()));
+    }
+
+    /// Before a drain: the owner freezes with a packet for a backend server that will leave.
+    pub fn stick_before_change(&mut self) {
+        let freezes = self.cell.first == Fault::BalancerFrozenSending;
+        let leaves = |vm: &crate::backend::FakeBackend| match self.cell.step.change() {
+            Change::Drain => vm.id() == crate::scenario::DRAINED,
+            Change::StopZone => {
+                crate::network::zone_of(&vm.record) == crate::scenario::STOPPED_ZONE
+            }
+            _ => false,
+        };
+        let leaving: Vec<_> =
+            self.vms.iter().filter(|(_, vm)| leaves(vm)).map(|(address, _)| *address).collect();
+
+        if freezes && !leaving.is_empty() {
+            self.sticks = Some((self.owner_of_first_service(), leaving));
+        }
+    }
+
+    pub fn freeze(&mut self, id: BalancerId) {
+        let now = self.now;
+        let Some(node) = self.nodes.get_mut(&id).filter(|node| node.life == Life::Running) else {
+            return;
+        };
+
+        node.life = Life::Frozen;
+        node.last_frozen = Some(now);
+        self.tell(format!("balancer {id} is frozen"));
+        self.schedule(FROZEN, Event::Timer(Timer::Thaw(id)));
+    }
+
+    /// What it had decided leaves first, then it handles what waited.
+    pub fn thaw(&mut self, id: BalancerId) {
+        let now = self.now;
+        let Some(node) = self.nodes.get_mut(&id).filter(|node| node.life == Life::Frozen) else {
+            return;
+        };
+        node.life = Life::Running;
+        node.last_frozen = Some(now);
+        let waiting = std::mem::take(&mut node.inbox);
+        self.tell(format!("balancer {id} wakes"));
+
+        let stuck = std::mem::take(&mut self.stuck);
+        for (from, event) in stuck {
+            if let Event::Work { address, .. } = event {
+                self.send_to_vm(from, address, event);
+            }
+        }
+        for event in waiting {
+            self.schedule(Duration::ZERO, Event::Node(id, event));
+        }
+    }
+
+    fn kill(&mut self, id: BalancerId) {
+        if let Some(node) = self.nodes.get_mut(&id) {
+            node.life = Life::Dead;
+            node.inbox.clear();
+            self.schedule(RESTARTED_AFTER, Event::Timer(Timer::Restart(id)));
+        }
+    }
+
+    /// A new process on the same VM, which knows nothing.
+    pub fn restart(&mut self, id: BalancerId) {
+        let Some(former) = self.nodes.get(&id).filter(|node| node.life == Life::Dead) else {
+            return;
+        };
+        let (zone, highest) = (former.zone, former.highest_in_force);
+
+        let mut node = Node::new(id, zone, &balancers(), self.switch, self.now);
+        node.highest_in_force = highest;
+        self.nodes.insert(id, node);
+        self.tell(format!("balancer {id} starts anew"));
+    }
+
+    pub fn start_node(&mut self, id: BalancerId, zone: usize) {
+        let node = Node::new(id, zone, &balancers(), self.switch, self.now);
+
+        self.nodes.insert(id, node);
+        // Not all at the same moment.
+        let offset = STEP_PAUSE.mul_f64(f64::from(id % 7) / 7.0);
+        self.schedule(offset, Event::StepNode(id));
+        self.schedule(offset, Event::Timer(Timer::Watch(id)));
+    }
+
+    fn each_vm_of(&mut self, service: u16, change: impl Fn(&mut crate::backend::FakeBackend)) {
+        for vm in self.vms.values_mut().filter(|vm| vm.record.service == service) {
+            change(vm);
+        }
+    }
+
+    /// Callers that never opened a flow send what they made up, or heard from others.
+    fn forge_tokens(&mut self) {
+        let heard: Vec<FlowToken> = self.flows.iter().filter_map(|flow| flow.token).collect();
+        let made_up = FlowToken { key_id: 1, service: 1, backend: 1, incarnation: 1, mac: 0 };
+
+        for (number, token) in heard.into_iter().chain([made_up]).take(12).enumerate() {
+            let service = if number % 2 == 0 { 1 } else { 2 };
+            let caller = 50_000 + u32::try_from(number).unwrap_or(0);
+            let flow = self.add_flow(caller, service, false);
+            let hop = HopMark::FIRST;
+            self.flows[flow].is_intruder = true;
+            self.spray(None, NodeEvent::Flow { flow, opening: false, token: Some(token), hop });
+        }
+    }
+}
--- /dev/null
+++ b/crates/valvestage-policy/tests/fault_matrix/verdict.rs
@@ -0,0 +1,237 @@
+//! The judgement of a cell.
+
+use std::time::Duration;
+
+use valvestage_core::Outcome;
+use valvestage_core::ids::ObjectVersion;
+use valvestage_policy::control::ObjectKey;
+
+use crate::caller::Ending;
+use crate::cells::CellResult;
+use crate::faults::Fault;
+use crate::node::Life;
+use crate::oracle::Promise;
+use crate::world::World;
+
+/// "Within seconds", as the letter has it.
+pub const IN_FORCE_WITHIN: Duration = Duration::from_secs(4);
+
+/// A flow without an answer for this long has stalled.
+const STALLED: Duration = Duration::from_secs(2);
+
+impl World {
+    fn faults(&self) -> [Fault; 2] {
+        [self.cell.first, self.cell.second]
+    }
+
+    fn any_fault(&self, excuses: impl Fn(Fault) -> bool) -> bool {
+        self.faults().into_iter().any(excuses)
+    }
+
+    /// What is in force on a VM that takes work never gets older, a new process on it included.
+    pub fn check_reverts(&mut self) {
+        let mut reverted = None;
+
+        for node in self.nodes.values_mut().filter(|node| node.is_ready()) {
+            let version = node.policy.director().latest_version();
+            if version < node.highest_in_force {
+                reverted = Some((node.id, version, node.highest_in_force));
+            }
+            node.highest_in_force = node.highest_in_force.max(version);
+        }
+        let promise = Promise::ConfigurationInForceAndNeverReverts;
+        self.oracle.check(promise, reverted.is_none(), || {
+            let (id, version, highest) = reverted.unwrap_or_default();
+            format!("balancer {id} went back from version {highest} to {version}")
+        });
+    }
+
+    pub fn check_in_force(&mut self, version: ObjectVersion) {
+        if self.any_fault(Fault::excuses_late_configuration) {
+            return;
+        }
+        let limit = self.now - IN_FORCE_WITHIN;
+        let late = self.nodes.values().find(|node| {
+            node.life == Life::Running
+                && node.started <= limit
+                && node.policy.director().latest_version() < version
+        });
+
+        let late = late.map(|node| node.id);
+        let promise = Promise::ConfigurationInForceAndNeverReverts;
+        self.oracle.check(promise, late.is_none(), || {
+            format!("balancer {late:?} does not have version {version} after 4 s")
+        });
+    }
+
+    /// At the end of the load: which flows are still there.
+    pub fn check_flows(&mut self) {
+        let now = self.now;
+
+        for flow in self.flows.iter_mut().filter(|flow| flow.opened.is_some()) {
+            let silent = flow.last_heard.is_some_and(|heard| now > heard + STALLED);
+            if silent && flow.broken.is_none() {
+                flow.broken = Some((now, "stalled"));
+            }
+        }
+        let excused = self.any_fault(Fault::excuses_broken_flows);
+        for index in 0..self.flows.len() {
+            let flow = self.flows[index].clone();
+            if flow.opened.is_none() || flow.is_intruder || excused {
+                continue;
+            }
+            let at = flow.broken.map_or(0, |(at, _)| self.elapsed(at));
+            let promise = Promise::FlowSurvivesPlannedChange;
+            self.oracle.check(promise, flow.broken.is_none(), || {
+                let why = flow.broken.map_or("", |(_, why)| why);
+                format!("flow {index} (echoes: {}) {why} at {at} ms", flow.echoes)
+            });
+        }
+    }
+
+    pub fn judge(&mut self) {
+        self.judge_requests();
+        self.judge_leaving();
+        self.judge_operators();
+    }
+
+    fn judge_requests(&mut self) {
+        let excused = self.any_fault(Fault::excuses_unanswered);
+        let is_cut = self
+            .any_fault(|fault| matches!(fault, Fault::ZoneCutFromZones | Fault::ZoneCutFromAll));
+
+        for request in self.requests.values() {
+            let name =
+                format!("request {:x} (sent at {} ms)", request.id, self.elapsed(request.sent));
+            let not_run = request.was_told(Ending::Told(Outcome::NotRun));
+            let answered = request.was_told(Ending::Answered);
+            let first = request.first_ending();
+            let oracle = &mut self.oracle;
+
+            if !request.repeatable {
+                oracle.check_request(
+                    Promise::RunsAtMostOnce,
+                    request.id,
+                    request.runs <= 1,
+                    || format!("{name} ran {} times", request.runs),
+                );
+            }
+            oracle.check_request(
+                Promise::NotRunIsTrue,
+                request.id,
+                !(not_run && request.runs > 0),
+                || format!("{name} was told not to have run, and ran {} times", request.runs),
+            );
+            let is_contradicted = answered && not_run;
+            let is_right = !request.got_wrong_answer && !is_contradicted;
+            oracle.check_request(Promise::WholeOwnAnswer, request.id, is_right, || {
+                format!("{name} was told {:?}", request.endings)
+            });
+
+            let is_answered = first == Some(Ending::Answered);
+            let told = || format!("{name} (repeatable: {}) was told {first:?}", request.repeatable);
+            if request.is_probe {
+                oracle.check_request(Promise::ServesAgainAfterwards, request.id, is_answered, told);
+            } else if request.from_zone.is_some() {
+                if is_cut {
+                    oracle.check_request(Promise::ZoneGoesOnServing, request.id, is_answered, told);
+                }
+            } else if !excused {
+                oracle.check_request(
+                    Promise::PlannedStopCutsNothing,
+                    request.id,
+                    is_answered,
+                    told,
+                );
+            }
+        }
+    }
+
+    fn judge_leaving(&mut self) {
+        // A balancer that is cut off, or whose platform is, cannot know.
+        let excused = self.any_fault(|fault| {
+            matches!(
+                fault,
+                Fault::PlatformDown
+                    | Fault::PlatformSlow
+                    | Fault::WatchLags
+                    | Fault::ZoneCutFromZones
+                    | Fault::ZoneCutFromPlatform
+                    | Fault::ZoneCutFromAll
+            )
+        });
+        let Some((addresses, since)) = self.leaving.clone().filter(|_| !excused) else {
+            return;
+        };
+
+        for address in addresses {
+            let Some(vm) = self.vms.get(&address) else {
+                continue;
+            };
+            let last = vm.last_new_work;
+            let is_quiet = last.is_none_or(|at| at <= since + IN_FORCE_WITHIN);
+            let id = vm.id();
+            let late = last.map_or(0, |at| self.elapsed(at));
+            let accepted = self.elapsed(since);
+            self.oracle.check(Promise::LeavingGetsNoNewWork, is_quiet, || {
+                format!(
+                    "backend server {id} got new work at {late} ms; it leaves since {accepted} ms"
+                )
+            });
+        }
+    }
+
+    fn judge_operators(&mut self) {
+        let winners = |base: ObjectVersion| {
+            let same = self.operators.iter().filter(|operator| {
+                operator.base.as_ref().is_some_and(|(version, _)| *version == base)
+            });
+            same.filter(|operator| operator.won == Some(true)).count()
+        };
+        let bases: Vec<ObjectVersion> = self
+            .operators
+            .iter()
+            .filter_map(|o| o.base.as_ref().map(|(version, _)| *version))
+            .collect();
+        let doubled = bases.iter().copied().find(|base| winners(*base) > 1);
+        let open = self.operators.iter().find(|operator| operator.won.is_none());
+        let open = open.map(|operator| operator.id.clone());
+        let known = self.platform.get(ObjectKey::Configuration).is_some();
+
+        if !self.operators.is_empty() {
+            self.oracle.check(Promise::OneOperatorWins, doubled.is_none() && known, || {
+                format!("two changes were accepted on version {doubled:?}")
+            });
+            self.oracle.check(Promise::OneOperatorWins, open.is_none(), || {
+                format!("the operator of {open:?} was told nothing")
+            });
+        }
+    }
+
+    pub fn result(self) -> CellResult {
+        let count = |echoes: bool| {
+            let opened = self
+                .flows
+                .iter()
+                .filter(|f| f.opened.is_some() && f.echoes == echoes && !f.is_intruder);
+            let broken = opened.clone().filter(|flow| flow.broken.is_some()).count() as u64;
+            (opened.count() as u64, broken)
+        };
+
+        CellResult {
+            cell: self.cell,
+            is_reached: self.struck.is_some(),
+            violations: self.oracle.violations(),
+            checked: self
+                .oracle
+                .checked
+                .iter()
+                .map(|(promise, count)| (*promise, *count))
+                .collect(),
+            events: self.events,
+            echoing: count(true),
+            silent: count(false),
+            story: self.story,
+        }
+    }
+}
--- /dev/null
+++ b/crates/valvestage-policy/tests/fault_matrix/world.rs
@@ -0,0 +1,952 @@
+//! The event queue, and what each event does.
+
+use std::collections::{BTreeMap, BinaryHeap};
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use valvestage_core::ids::{Attempt, BackendId, BalancerId, ObjectVersion, RequestId, ServiceId};
+use valvestage_core::{Backend, PacketKind, RefusalReason, Segment};
+use valvestage_policy::control::{
+    ControlAction, Installation, Machine, ObjectKey, ObjectValue, PlannedStop, PlatformCall,
+    PlatformReply, StopStep,
+};
+use valvestage_policy::flows::{
+    Binding, ExceptionFinder, FlowPacket, FlowToken, FlowVerdict, HopMark, MAX_HOPS,
+};
+use valvestage_policy::membership::HeartbeatMessage;
+use valvestage_policy::rendezvous::mix;
+use valvestage_policy::requests::{BackendReply, HandedClaim, Refusal, Request, RequestAction};
+
+use crate::backend::{Admission, FakeBackend, Work};
+use crate::caller::{self, Ending, Flow};
+use crate::cells::Cell;
+use crate::network::Network;
+use crate::node::{Life, Node, Payload};
+use crate::operator::Operator;
+use crate::oracle::{Oracle, Promise};
+use crate::platform::FakePlatform;
+use crate::scenario::Timer;
+use crate::steps::Step;
+use crate::switches::Switch;
+
+/// Pause between two steps of a balancer.
+pub const STEP_PAUSE: Duration = Duration::from_millis(20);
+
+/// Segments of each answer.
+const SEGMENTS: u16 = 2;
+
+/// Whose platform call it is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Who {
+    Machine(Machine),
+    Stop,
+}
+
+/// What arrives at a balancer.
+#[derive(Debug, Clone)]
+pub enum NodeEvent {
+    Flow { flow: usize, opening: bool, token: Option<FlowToken>, hop: HopMark },
+    Binding(Binding),
+    Request { request: Request<Payload>, hop: HopMark },
+    Answer { service: ServiceId, reply: BackendReply, place: Segment, payload: Payload },
+    Refused { service: ServiceId, reply: BackendReply, reason: RefusalReason },
+    BackendFlow { flow: usize, backend: Backend, opening: bool },
+    FlowRefused { flow: usize, backend: BackendId, reason: RefusalReason },
+    PlatformReply { who: Who, reply: PlatformReply },
+    Heartbeat { from: BalancerId, message: HeartbeatMessage },
+    HeartbeatAnswer(HeartbeatMessage),
+    Fetch { from: BalancerId, key: ObjectKey },
+    Object { key: ObjectKey, version: ObjectVersion, value: ObjectValue },
+    Offer { from: BalancerId, service: ServiceId, handover: u64, claims: Vec<HandedClaim<Payload>> },
+    Offered(bool),
+    Bindings(Vec<Binding>),
+    CopyExceptions,
+}
+
+/// What arrives anywhere.
+#[derive(Debug, Clone)]
+pub enum Event {
+    StepNode(BalancerId),
+    Node(BalancerId, NodeEvent),
+    Work {
+        address: SocketAddr,
+        work: Work,
+        meant: ServiceId,
+    },
+    Cancel {
+        address: SocketAddr,
+        id: RequestId,
+        attempt: Attempt,
+        from: BalancerId,
+    },
+    Done {
+        address: SocketAddr,
+        id: RequestId,
+        attempt: Attempt,
+        to: BalancerId,
+        backend: Backend,
+    },
+    BackendFlow {
+        address: SocketAddr,
+        flow: usize,
+        opening: bool,
+        from: BalancerId,
+        backend: Backend,
+    },
+    Platform {
+        from: BalancerId,
+        who: Who,
+        call: PlatformCall,
+    },
+    CallerFlow {
+        flow: usize,
+        backend: Option<BackendId>,
+        token: Option<FlowToken>,
+        refused: bool,
+    },
+    CallerAnswer {
+        id: RequestId,
+        caller: SocketAddr,
+        segments: Vec<Payload>,
+    },
+    CallerRefusal {
+        id: RequestId,
+        caller: SocketAddr,
+        refusal: Refusal,
+    },
+    Timer(Timer),
+}
+
+pub struct World {
+    pub now: SystemTime,
+    pub start: SystemTime,
+    pub seed: u64,
+    pub switch: Switch,
+    pub nodes: BTreeMap<BalancerId, Node>,
+    pub platform: FakePlatform,
+    /// By address: a VM keeps its address whatever record it serves.
+    pub vms: BTreeMap<SocketAddr, FakeBackend>,
+    pub flows: Vec<Flow>,
+    pub requests: BTreeMap<RequestId, caller::Request>,
+    pub oracle: Oracle,
+    pub network: Network,
+    /// Events so far; the same for the same seed.
+    pub events: u64,
+    /// The story of the cell: what struck, and when.
+    pub story: Vec<String>,
+    /// Requests whose every event goes into the story.
+    pub traced: Vec<RequestId>,
+    /// The step that is waited for, and what it struck.
+    pub awaited: Option<Step>,
+    pub struck: Option<Struck>,
+    /// A balancer that freezes at its next dispatch to one of these (to any, if empty).
+    pub sticks: Option<(BalancerId, Vec<SocketAddr>)>,
+    pub stuck: Vec<(BalancerId, Event)>,
+    pub cell: Cell,
+    /// Balancers that the fabric sprays over.
+    pub fabric: Vec<BalancerId>,
+    pub operators: Vec<Operator>,
+    /// Backend servers that leave, and since when that is accepted.
+    pub leaving: Option<(Vec<SocketAddr>, SystemTime)>,
+    queue: BinaryHeap<Queued>,
+    sequence: u64,
+    draws: u64,
+}
+
+/// Who was at work when the awaited step came.
+#[derive(Debug, Clone, Copy)]
+pub struct Struck {
+    pub node: BalancerId,
+    pub vm: Option<SocketAddr>,
+}
+
+struct Queued {
+    at: SystemTime,
+    sequence: u64,
+    event: Event,
+}
+
+impl PartialEq for Queued {
+    fn eq(&self, other: &Self) -> bool {
+        self.sequence == other.sequence
+    }
+}
+
+impl Eq for Queued {}
+
+impl PartialOrd for Queued {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Queued {
+    /// The earliest first.
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (other.at, other.sequence).cmp(&(self.at, self.sequence))
+    }
+}
+
+impl World {
+    pub fn new(cell: Cell, switch: Switch) -> Self {
+        let start = UNIX_EPOCH + Duration::from_secs(1_800_000_000);
+
+        Self {
+            now: start,
+            start,
+            seed: cell.seed,
+            switch,
+            nodes: BTreeMap::new(),
+            platform: FakePlatform::default(),
+            vms: BTreeMap::new(),
+            flows: Vec::new(),
+            requests: BTreeMap::new(),
+            oracle: Oracle::default(),
+            network: Network::default(),
+            events: 0,
+            story: Vec::new(),
+            traced: Vec::new(),
+            awaited: None,
+            struck: None,
+            sticks: None,
+            stuck: Vec::new(),
+            cell,
+            fabric: Vec::new(),
+            operators: Vec::new(),
+            leaving: None,
+            queue: BinaryHeap::new(),
+            sequence: 0,
+            draws: 0,
+        }
+    }
+
+    pub fn draw(&mut self) -> u64 {
+        self.draws += 1;
+
+        mix(self.seed, self.draws)
+    }
+
+    /// A draw between 0 and 1.
+    pub fn share(&mut self) -> f64 {
+        #[allow(clippy::cast_precision_loss)]
+        let word = (self.draw() >> 11) as f64;
+
+        word / 9_007_199_254_740_992.0
+    }
+
+    pub fn schedule(&mut self, after: Duration, event: Event) {
+        self.sequence += 1;
+
+        self.queue.push(Queued { at: self.now + after, sequence: self.sequence, event });
+    }
+
+    pub fn tell(&mut self, what: String) {
+        let at = self.now.duration_since(self.start).unwrap_or_default();
+
+        self.story.push(format!("{:>6} ms  {what}", at.as_millis()));
+    }
+
+    /// Adds to the story what happens to a request, if it is traced.
+    pub fn trace(&mut self, id: RequestId, what: impl FnOnce() -> String) {
+        if self.traced.contains(&id) {
+            let what = what();
+            self.tell(format!("request {id:x} {what}"));
+        }
+    }
+
+    pub fn run_until(&mut self, end: SystemTime) {
+        while let Some(queued) = self.queue.pop() {
+            if queued.at > end {
+                return;
+            }
+
+            self.now = queued.at;
+            self.events += 1;
+            self.handle(queued.event);
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::StepNode(id) => self.step_node(id),
+            Event::Node(id, event) => self.arrive(id, event),
+            Event::Work { address, work, meant } => {
+                self.on_work(address, work, meant);
+            }
+            Event::Cancel { address, id, attempt, from } => {
+                self.on_cancel(address, id, attempt, from);
+            }
+            Event::Done { address, id, attempt, to, backend } => {
+                self.on_done(address, id, attempt, to, &backend);
+            }
+            Event::BackendFlow { address, flow, opening, from, backend } => {
+                self.on_backend_flow(address, flow, opening, from, &backend);
+            }
+            Event::Platform { from, who, call } => self.on_platform_call(from, who, &call),
+            Event::CallerFlow { flow, backend, token, refused } => {
+                self.on_caller_flow(flow, backend, token, refused);
+            }
+            Event::CallerAnswer { id, caller, segments } => {
+                self.on_caller_answer(id, caller, &segments);
+            }
+            Event::CallerRefusal { id, caller, refusal } => {
+                self.trace(id, || {
+                    format!("was told {:?} ({})", refusal.outcome, refusal.reason.label())
+                });
+                self.on_caller_ending(id, caller, Ending::Told(refusal.outcome));
+            }
+            Event::Timer(timer) => self.on_timer(timer),
+        }
+    }
+
+    /// A step of the matrix has happened: the fault strikes if it was waited for.
+    pub fn reach(&mut self, step: Step, node: BalancerId, vm: Option<SocketAddr>) {
+        if self.awaited == Some(step) {
+            self.awaited = None;
+            self.struck = Some(Struck { node, vm });
+            self.tell(format!("{} at balancer {node}", step.label()));
+            self.schedule(Duration::ZERO, Event::Timer(Timer::Strike(0)));
+        }
+    }
+
+    fn step_node(&mut self, id: BalancerId) {
+        self.schedule(STEP_PAUSE, Event::StepNode(id));
+        let now = self.now;
+        let Some(node) = self.nodes.get_mut(&id).filter(|node| node.life == Life::Running) else {
+            return;
+        };
+
+        let mut actions = Vec::new();
+        node.control.step(now, &mut actions);
+        let mut requests = Vec::new();
+        node.policy.tick(now, &mut requests);
+        self.perform_control(id, actions);
+        self.perform_requests(id, requests);
+        self.step_stop(id);
+    }
+
+    fn arrive(&mut self, id: BalancerId, event: NodeEvent) {
+        let Some(node) = self.nodes.get_mut(&id) else {
+            return;
+        };
+
+        match node.life {
+            Life::Running => self.on_node_event(id, event),
+            Life::Frozen => node.inbox.push(event),
+            Life::Dead => {}
+        }
+    }
+
+    fn on_node_event(&mut self, id: BalancerId, event: NodeEvent) {
+        let now = self.now;
+        let Some(node) = self.nodes.get_mut(&id) else {
+            return;
+        };
+        let mut requests = Vec::new();
+        let mut controls = Vec::new();
+
+        match event {
+            NodeEvent::Flow { flow, opening, token, hop } => {
+                self.on_flow(id, flow, opening, token, hop);
+            }
+            NodeEvent::Binding(binding) => node.policy.director_mut().on_binding(now, binding),
+            NodeEvent::Request { request, hop } => {
+                let (service, once_only) = (request.service, !request.repeatable);
+                let traced = request.id;
+                node.policy.on_request(now, request, hop, &mut requests);
+                let is_owner = node.policy.authority(service, now).is_some();
+                let owner = node.policy.owner_map().owner(service).map(|entry| entry.owner);
+                self.trace(traced, || {
+                    format!(
+                        "reached balancer {id} ({} relays, owner {owner:?}, authority {is_owner})",
+                        hop.count
+                    )
+                });
+                if once_only && is_owner && service == 1 {
+                    self.reach(Step::RequestAccepted, id, None);
+                }
+            }
+            NodeEvent::Answer { service, reply, place, payload } => {
+                node.policy.on_answer(now, service, reply, place, payload, &mut requests);
+            }
+            NodeEvent::Refused { service, reply, reason } => {
+                node.policy.on_refused(now, service, reply, reason, &mut requests);
+            }
+            NodeEvent::BackendFlow { flow, backend, opening } => {
+                self.on_flow_answer(id, flow, &backend, opening);
+            }
+            NodeEvent::FlowRefused { flow, backend, reason } => {
+                self.on_flow_refused(id, flow, backend, reason);
+            }
+            NodeEvent::PlatformReply { who: Who::Machine(machine), reply } => {
+                let _ = node.control.on_reply(now, machine, reply, &mut controls);
+            }
+            NodeEvent::PlatformReply { who: Who::Stop, reply } => {
+                if let Some(stop) = &mut node.stop {
+                    stop.on_reply(now, reply);
+                }
+            }
+            NodeEvent::Heartbeat { from, message } => {
+                let answer = node.control.on_heartbeat(now, message);
+                self.send_to_node(id, from, NodeEvent::HeartbeatAnswer(answer));
+            }
+            NodeEvent::HeartbeatAnswer(answer) => node.control.on_heartbeat_answer(now, answer),
+            NodeEvent::Fetch { from, key } => {
+                if let Some((version, value)) = node.control.object(key).cloned() {
+                    self.send_to_node(id, from, NodeEvent::Object { key, version, value });
+                }
+            }
+            NodeEvent::Object { key, version, value } => {
+                let _ = node.control.on_object(key, version, value, &mut controls);
+            }
+            NodeEvent::Offer { from, service, handover, claims } => {
+                let takes = node.control.is_serving() && node.control.grant().is_some();
+                if takes {
+                    node.policy.offer_handover(now, service, handover, claims);
+                }
+                self.send_to_node(id, from, NodeEvent::Offered(takes));
+            }
+            NodeEvent::Offered(taken) => {
+                if let Some(stop) = &mut node.stop {
+                    stop.on_offered(taken);
+                }
+            }
+            NodeEvent::Bindings(bindings) => {
+                for binding in bindings {
+                    node.policy.director_mut().on_binding(now, binding);
+                }
+            }
+            NodeEvent::CopyExceptions => self.copy_exceptions(id),
+        }
+
+        self.perform_control(id, controls);
+        self.perform_requests(id, requests);
+    }
+
+    pub fn perform_control(&mut self, id: BalancerId, actions: Vec<ControlAction>) {
+        for action in actions {
+            match action {
+                ControlAction::Call { machine, call } => {
+                    self.call_platform(id, Who::Machine(machine), call);
+                }
+                ControlAction::Heartbeat { to, message } => {
+                    self.send_to_node(id, to.id, NodeEvent::Heartbeat { from: id, message });
+                }
+                ControlAction::Fetch { from, key } => {
+                    self.send_to_node(id, from.id, NodeEvent::Fetch { from: id, key });
+                }
+                ControlAction::Install(installation) => self.install(id, installation),
+            }
+        }
+    }
+
+    fn install(&mut self, id: BalancerId, installation: Installation) {
+        let now = self.now;
+        let Some(node) = self.nodes.get_mut(&id) else {
+            return;
+        };
+
+        match installation {
+            Installation::Configuration(configuration) => {
+                node.policy.install_configuration(now, &configuration);
+                let change = configuration.change_id.clone();
+                self.schedule(
+                    Duration::from_millis(100),
+                    Event::Node(id, NodeEvent::CopyExceptions),
+                );
+                self.check_reverts();
+                self.on_in_force(id, &change);
+            }
+            Installation::OwnerMap(map) => {
+                let mut requests = Vec::new();
+                node.policy.install_owner_map(now, &map, &mut requests);
+                self.perform_requests(id, requests);
+            }
+            Installation::Keys(keys) => {
+                node.policy.install_keys(keys);
+            }
+            Installation::View { view, .. } => {
+                node.policy.install_view(view);
+                self.schedule(
+                    Duration::from_millis(100),
+                    Event::Node(id, NodeEvent::CopyExceptions),
+                );
+            }
+            Installation::Grant(grant) => node.policy.install_grant(grant),
+        }
+    }
+
+    fn copy_exceptions(&mut self, id: BalancerId) {
+        if self.switch == Switch::History {
+            return;
+        }
+        let Some(node) = self.nodes.get(&id) else {
+            return;
+        };
+        let director = node.policy.director();
+        let finder = ExceptionFinder::new(id, director.history(), director.view().clone());
+        let Some(finder) = finder else {
+            return;
+        };
+
+        for (target, bindings) in finder.copies(&director.bindings()) {
+            self.send_to_node(id, target, NodeEvent::Bindings(bindings));
+        }
+    }
+
+    fn step_stop(&mut self, id: BalancerId) {
+        let now = self.now;
+        let Some(node) = self.nodes.get_mut(&id) else {
+            return;
+        };
+        let Some(stop) = &mut node.stop else {
+            return;
+        };
+
+        let map = node.control.owner_map().clone();
+        let candidates = node.control.candidates(now);
+        match stop.next(now, &map, &candidates) {
+            Some(StopStep::Offer { to, service, handover }) => {
+                let claims = node.policy.start_handover(service);
+                let offer = NodeEvent::Offer { from: id, service, handover, claims };
+                self.send_to_node(id, to, offer);
+                self.reach(Step::StopOffered, id, None);
+                // A lost offer counts as refused.
+                self.schedule(Duration::from_secs(1), Event::Timer(Timer::OfferTimeout(id)));
+            }
+            Some(StopStep::Call(call)) => self.call_platform(id, Who::Stop, call),
+            Some(StopStep::Settle { service, moved, map }) => {
+                let mut controls = Vec::new();
+                let mut requests = Vec::new();
+                if let Some(map) = map {
+                    node.control.on_owner_map(map, &mut controls);
+                }
+                self.perform_control(id, controls);
+                if let Some(node) = self.nodes.get_mut(&id) {
+                    node.policy.settle_handover(now, service, moved, &mut requests);
+                }
+                self.perform_requests(id, requests);
+                self.reach(Step::StopWritten, id, None);
+            }
+            None => self.finish_stop(id),
+        }
+    }
+
+    /// Like the stop task of the balancer: the lease goes back, then the process ends once nothing
+    /// is open and everybody had time to notice.
+    fn finish_stop(&mut self, id: BalancerId) {
+        let now = self.now;
+        let Some(node) = self.nodes.get_mut(&id) else {
+            return;
+        };
+        if !node.stop.as_ref().is_some_and(PlannedStop::is_done) {
+            return;
+        }
+
+        node.control.give_lease_back();
+        let noticed = node.stop_began.is_some_and(|began| now >= began + crate::node::DEAD_AFTER);
+        if noticed && node.policy.open_work() == 0 && node.control.is_lease_given_back() {
+            node.life = Life::Dead;
+            self.tell(format!("balancer {id} has stopped as planned"));
+        }
+    }
+
+    fn on_flow(
+        &mut self,
+        id: BalancerId,
+        flow: usize,
+        opening: bool,
+        token: Option<FlowToken>,
+        hop: HopMark,
+    ) {
+        let now = self.now;
+        let (caller, service) = (self.flows[flow].caller, self.flows[flow].service);
+        let Some(node) = self.nodes.get_mut(&id) else {
+            return;
+        };
+        let Some(keys) = node.policy.director().keys() else {
+            return;
+        };
+
+        let key = keys.hasher().key(caller, service);
+        let packet = FlowPacket { key, service, opening, closing: false, token, hop };
+        match node.policy.on_flow(now, &packet) {
+            FlowVerdict::Forward { backend, tell_binding, .. } => {
+                let unchecked = self.switch == Switch::ServiceCheck;
+                let history = node.policy.director().history();
+                let found = if unchecked {
+                    history.current().and_then(|configuration| configuration.backend(backend))
+                } else {
+                    history.find(service, backend)
+                };
+                let Some(record) = found.cloned() else {
+                    return;
+                };
+                let home = node.policy.director().view().home(key);
+                if opening {
+                    self.reach(Step::FlowOpening, id, Some(record.address));
+                }
+                self.send_flow_to_vm(id, flow, opening, record);
+                if let Some(home) = home.filter(|home| tell_binding && *home != id) {
+                    self.send_to_node(id, home, NodeEvent::Binding(Binding { key, backend }));
+                }
+            }
+            FlowVerdict::Relay { peer, hop } => {
+                self.send_to_node(id, peer, NodeEvent::Flow { flow, opening, token, hop });
+            }
+            FlowVerdict::Drop(_) => {}
+            FlowVerdict::Refuse(_) => {
+                self.send_to_caller(Event::CallerFlow {
+                    flow,
+                    backend: None,
+                    token: None,
+                    refused: true,
+                });
+            }
+        }
+    }
+
+    fn on_flow_answer(&mut self, id: BalancerId, flow: usize, backend: &Backend, opening: bool) {
+        let (caller, service) = (self.flows[flow].caller, self.flows[flow].service);
+        let Some(node) = self.nodes.get_mut(&id) else {
+            return;
+        };
+        let Some(keys) = node.policy.director().keys().cloned() else {
+            return;
+        };
+
+        let key = keys.hasher().key(caller, service);
+        node.policy.on_backend_packet(key, backend.id, PacketKind::Data);
+        let known = node.policy.director().history().find(service, backend.id);
+        let token = known.filter(|_| opening).and_then(|record| keys.issue(key, record));
+        let backend = Some(backend.id);
+        self.send_to_caller(Event::CallerFlow { flow, backend, token, refused: false });
+    }
+
+    fn on_flow_refused(
+        &mut self,
+        id: BalancerId,
+        flow: usize,
+        backend: BackendId,
+        reason: RefusalReason,
+    ) {
+        let now = self.now;
+        let (caller, service) = (self.flows[flow].caller, self.flows[flow].service);
+        let Some(node) = self.nodes.get_mut(&id) else {
+            return;
+        };
+        let Some(keys) = node.policy.director().keys() else {
+            return;
+        };
+
+        if reason == RefusalReason::BackendConnections {
+            let key = keys.hasher().key(caller, service);
+            let until = now + Duration::from_secs(1);
+            node.policy.director_mut().on_connections_full(key, backend, until);
+            let hop = HopMark { count: MAX_HOPS, ..HopMark::FIRST };
+            self.on_flow(id, flow, true, None, hop);
+        }
+    }
+
+    pub fn perform_requests(&mut self, id: BalancerId, actions: Vec<RequestAction<Payload>>) {
+        for action in actions {
+            match action {
+                RequestAction::Dispatch {
+                    backend,
+                    incarnation,
+                    attempt,
+                    deadline,
+                    request,
+                    ..
+                } => {
+                    let work = Work {
+                        id: request.id,
+                        attempt,
+                        repeatable: request.repeatable,
+                        deadline,
+                        from: id,
+                        service: request.service,
+                        incarnation,
+                    };
+                    self.trace(request.id, || {
+                        format!("try {attempt} sent by balancer {id} to {backend}")
+                    });
+                    self.send_work(id, backend, work, &request);
+                }
+                RequestAction::Cancel { backend, id: request, attempt, service, .. } => {
+                    if let Some(address) = self.vm_address(id, service, backend) {
+                        let event = Event::Cancel { address, id: request, attempt, from: id };
+                        self.send_to_vm(id, address, event);
+                    }
+                }
+                RequestAction::Answer { id, caller, segments, .. } => {
+                    self.send_to_caller(Event::CallerAnswer { id, caller, segments });
+                }
+                RequestAction::Refuse { id, caller, refusal, .. } => {
+                    self.send_to_caller(Event::CallerRefusal { id, caller, refusal });
+                }
+                RequestAction::Relay { peer, hop, request } => {
+                    self.send_to_node(id, peer, NodeEvent::Request { request, hop });
+                }
+            }
+        }
+    }
+
+    fn send_work(
+        &mut self,
+        id: BalancerId,
+        backend: BackendId,
+        work: Work,
+        request: &Request<Payload>,
+    ) {
+        let Some(address) = self.vm_address(id, request.service, backend) else {
+            return;
+        };
+        let event = Event::Work { address, work, meant: request.service };
+
+        // Decided, and paused before the packet reached the socket.
+        let sticks = self.sticks.as_ref().is_some_and(|(node, addresses)| {
+            *node == id && (addresses.is_empty() || addresses.contains(&address))
+        });
+        if sticks && !request.repeatable {
+            self.sticks = None;
+            self.stuck.push((id, event));
+            self.freeze(id);
+            return;
+        }
+
+        if !request.repeatable && request.service == 1 {
+            self.reach(Step::RequestDispatched, id, Some(address));
+        }
+        self.send_to_vm(id, address, event);
+    }
+
+    fn vm_address(
+        &self,
+        id: BalancerId,
+        service: ServiceId,
+        backend: BackendId,
+    ) -> Option<SocketAddr> {
+        let history = self.nodes.get(&id)?.policy.director().history();
+
+        history.find(service, backend).map(|record| record.address)
+    }
+
+    fn on_work(&mut self, address: SocketAddr, work: Work, meant: ServiceId) {
+        let unchecked = self.switch == Switch::ServiceCheck;
+        let now = self.now;
+        let Some(vm) = self.vms.get_mut(&address) else {
+            return;
+        };
+        let checked = if unchecked {
+            Work { service: vm.record.service, incarnation: vm.record.incarnation, ..work }
+        } else {
+            work
+        };
+        let backend = vm.record.clone();
+        let reply = BackendReply { backend: backend.id, id: work.id, attempt: work.attempt };
+
+        let admission = vm.admit(now, &checked);
+        let at = vm.id();
+        self.trace(work.id, || format!("at backend server {at}: {admission:?}"));
+        let Some(vm) = self.vms.get_mut(&address) else {
+            return;
+        };
+        match admission {
+            Admission::Runs(end) => {
+                let service = vm.record.service;
+                let slots = usize::from(vm.record.slots);
+                let running = vm.running.len();
+                self.oracle.check(Promise::NeverTheWrongService, service == meant, || {
+                    format!("request {:x} for service {meant} ran at service {service}", work.id)
+                });
+                self.oracle.check(Promise::SlotsAreNeverExceeded, running <= slots, || {
+                    format!("backend server {} ran {running} of {slots}", backend.id)
+                });
+                if let Some(request) = self.requests.get_mut(&work.id) {
+                    request.runs += 1;
+                }
+                let after = end.duration_since(now).unwrap_or_default();
+                let done = Event::Done {
+                    address,
+                    id: work.id,
+                    attempt: work.attempt,
+                    to: work.from,
+                    backend,
+                };
+                self.schedule(after, done);
+                if !work.repeatable && service == 1 {
+                    self.reach(Step::RequestRunning, work.from, Some(address));
+                }
+            }
+            Admission::Refused(reason) => {
+                let service =
+                    if reason == RefusalReason::BackendMismatch { meant } else { backend.service };
+                self.send_from_vm(
+                    address,
+                    work.from,
+                    NodeEvent::Refused { service, reply, reason },
+                );
+            }
+            Admission::Silent => {}
+        }
+    }
+
+    fn on_cancel(
+        &mut self,
+        address: SocketAddr,
+        id: RequestId,
+        attempt: Attempt,
+        from: BalancerId,
+    ) {
+        let Some(vm) = self.vms.get_mut(&address).filter(|vm| !vm.is_dead) else {
+            return;
+        };
+
+        if vm.running.remove(&(id, attempt)) {
+            let reply = BackendReply { backend: vm.id(), id, attempt };
+            let (service, reason) = (vm.record.service, RefusalReason::Cancelled);
+            self.send_from_vm(address, from, NodeEvent::Refused { service, reply, reason });
+        }
+    }
+
+    fn on_done(
+        &mut self,
+        address: SocketAddr,
+        id: RequestId,
+        attempt: Attempt,
+        to: BalancerId,
+        backend: &Backend,
+    ) {
+        let Some(vm) = self.vms.get_mut(&address).filter(|vm| !vm.is_dead) else {
+            return;
+        };
+        if !vm.running.remove(&(id, attempt)) {
+            return;
+        }
+
+        if self.requests.get(&id).is_some_and(|request| !request.repeatable && request.service == 1)
+        {
+            self.reach(Step::RequestAnswered, to, Some(address));
+        }
+        let reply = BackendReply { backend: backend.id, id, attempt };
+        for index in 0..SEGMENTS {
+            let place = Segment { index, count: SEGMENTS };
+            let payload = Payload { id, segment: index };
+            let event = NodeEvent::Answer { service: backend.service, reply, place, payload };
+            self.send_from_vm(address, to, event);
+        }
+    }
+
+    fn on_backend_flow(
+        &mut self,
+        address: SocketAddr,
+        flow: usize,
+        opening: bool,
+        from: BalancerId,
+        backend: &Backend,
+    ) {
+        let now = self.now;
+        let unchecked = self.switch == Switch::ServiceCheck;
+        let (caller, meant) = (self.flows[flow].caller, self.flows[flow].service);
+        let Some(vm) = self.vms.get_mut(&address).filter(|vm| !vm.is_dead) else {
+            return;
+        };
+        let record = vm.record.clone();
+        let matches = record.id == backend.id
+            && record.incarnation == backend.incarnation
+            && record.service == meant;
+
+        if !matches && !unchecked {
+            let reason = RefusalReason::BackendMismatch;
+            self.send_from_vm(
+                address,
+                from,
+                NodeEvent::FlowRefused { flow, backend: backend.id, reason },
+            );
+            return;
+        }
+        let is_full = vm.flows.len() >= usize::from(record.connections);
+        if opening && is_full && !vm.flows.contains(&caller) {
+            let reason = RefusalReason::BackendConnections;
+            self.send_from_vm(
+                address,
+                from,
+                NodeEvent::FlowRefused { flow, backend: record.id, reason },
+            );
+            return;
+        }
+
+        if opening && vm.flows.insert(caller) {
+            vm.last_new_work = Some(now);
+        }
+        self.oracle.check(Promise::NeverTheWrongService, record.service == meant, || {
+            format!("a flow of service {meant} reached service {}", record.service)
+        });
+        self.reach(Step::FlowEstablished, from, Some(address));
+        self.send_from_vm(address, from, NodeEvent::BackendFlow { flow, backend: record, opening });
+    }
+
+    fn on_caller_flow(
+        &mut self,
+        flow: usize,
+        backend: Option<BackendId>,
+        token: Option<FlowToken>,
+        refused: bool,
+    ) {
+        let now = self.now;
+        let flow = &mut self.flows[flow];
+
+        if refused {
+            if flow.backend.is_some() && flow.broken.is_none() {
+                flow.broken = Some((now, "refused"));
+            }
+            return;
+        }
+        match flow.backend {
+            None => {
+                flow.backend = backend;
+                flow.opened = Some(now);
+            }
+            Some(_) if flow.backend == backend => {}
+            Some(_) => {
+                flow.broken.get_or_insert((now, "moved"));
+            }
+        }
+        flow.token = token.or(flow.token);
+        flow.last_heard = Some(now);
+    }
+
+    fn on_caller_answer(&mut self, id: RequestId, caller: SocketAddr, segments: &[Payload]) {
+        let whole = (0..SEGMENTS).map(|segment| Payload { id, segment });
+        let is_whole = segments.iter().copied().eq(whole);
+
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.got_wrong_answer |= !is_whole || request.caller != caller;
+        }
+        self.on_caller_ending(id, caller, Ending::Answered);
+    }
+
+    fn on_caller_ending(&mut self, id: RequestId, caller: SocketAddr, ending: Ending) {
+        let now = self.now;
+        self.trace(id, || format!("ended: {ending:?}"));
+
+        if let Some(request) = self.requests.get_mut(&id).filter(|r| r.caller == caller) {
+            request.endings.push((now, ending));
+        }
+    }
+
+    fn on_platform_call(&mut self, from: BalancerId, who: Who, call: &PlatformCall) {
+        let Some(zone) = self.nodes.get(&from).map(|node| node.zone) else {
+            return;
+        };
+        let reply = if self.network.is_cut_from_platform(zone) {
+            PlatformReply::Unknown
+        } else {
+            self.platform.call(call)
+        };
+
+        let delay = self.network.platform_delay();
+        self.schedule(delay, Event::Node(from, NodeEvent::PlatformReply { who, reply }));
+    }
+}
--- a/crates/valvestage-process/src/logging.rs
+++ b/crates/valvestage-process/src/logging.rs
@@ -10,11 +10,7 @@
 /// `start` starts the logger; it ends when the handle is dropped.
 pub fn start(json: bool) -> Result<LoggerHandle, ProcessError> {
     let logger = Logger::try_with_env_or_str(DEFAULT_LEVEL)?.log_to_stderr();
-    let logger = if json {
-        logger.format(json_format)
-    } else {
-        logger.format(detailed_format)
-    };
+    let logger = if json { logger.format(json_format) } else { logger.format(detailed_format) };
 
     Ok(logger.start()?)
 }
--- a/crates/valvestage-standins/src/backend/backend_server.rs
+++ b/crates/valvestage-standins/src/backend/backend_server.rs
@@ -79,9 +79,7 @@
             self.finish_due(now);
 
             let next = self.runs.first_key_value().map(|((end, _), _)| *end - now);
-            let wait = next
-                .unwrap_or(LONGEST_WAIT)
-                .clamp(Duration::from_micros(100), LONGEST_WAIT);
+            let wait = next.unwrap_or(LONGEST_WAIT).clamp(Duration::from_micros(100), LONGEST_WAIT);
             self.socket.set_read_timeout(Some(wait))?;
             if let Ok((length, source)) = self.socket.recv_from(&mut buffer) {
                 self.on_packet(source, &buffer[..length]);
@@ -130,14 +128,7 @@
         payload.extend_from_slice(envelope.payload);
 
         let header = self.header(envelope.header.kind);
-        self.send(
-            source,
-            &Envelope {
-                header,
-                payload: &payload,
-                ..*envelope
-            },
-        );
+        self.send(source, &Envelope { header, payload: &payload, ..*envelope });
     }
 
     fn on_request(&mut self, source: SocketAddr, envelope: &Envelope<'_>) {
@@ -174,18 +165,10 @@
     }
 
     fn on_cancel(&mut self, source: SocketAddr, envelope: &Envelope<'_>) {
-        let Header {
-            request: Some(id),
-            attempt: Some(attempt),
-            ..
-        } = envelope.header
-        else {
+        let Header { request: Some(id), attempt: Some(attempt), .. } = envelope.header else {
             return;
         };
-        let found = self
-            .runs
-            .iter()
-            .find(|(_, run)| run.id == id && run.attempt == attempt);
+        let found = self.runs.iter().find(|(_, run)| run.id == id && run.attempt == attempt);
         let Some(key) = found.map(|(key, _)| *key) else {
             return;
         };
@@ -218,12 +201,8 @@
             header.segment = Some(Segment { index, count });
 
             let payload = run.id.to_be_bytes();
-            let envelope = Envelope {
-                caller: run.caller,
-                service: run.service,
-                header,
-                payload: &payload,
-            };
+            let envelope =
+                Envelope { caller: run.caller, service: run.service, header, payload: &payload };
             self.send(run.balancer, &envelope);
         }
     }
@@ -235,13 +214,7 @@
         header.attempt = envelope.header.attempt;
         header.refusal = Some((Outcome::NotRun, reason));
 
-        self.send(
-            source,
-            &Envelope {
-                header,
-                ..*envelope
-            },
-        );
+        self.send(source, &Envelope { header, ..*envelope });
     }
 
     fn header(&self, kind: PacketKind) -> Header {
@@ -258,11 +231,7 @@
     fn target(&self) -> Target {
         let record = &self.options.record;
 
-        Target {
-            service: record.service,
-            backend: record.id,
-            incarnation: record.incarnation,
-        }
+        Target { service: record.service, backend: record.id, incarnation: record.incarnation }
     }
 
     fn note_busy(&self) {
--- a/crates/valvestage-standins/src/backend/run_log.rs
+++ b/crates/valvestage-standins/src/backend/run_log.rs
@@ -56,32 +56,19 @@
 
     /// `change` changes the summary.
     pub fn change(&self, change: impl FnOnce(&mut RunSummary)) {
-        change(
-            &mut self
-                .inner
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner)
-                .summary,
-        );
+        change(&mut self.inner.lock().unwrap_or_else(PoisonError::into_inner).summary);
     }
 
     /// `summary` gives the present summary.
     #[must_use]
     pub fn summary(&self) -> RunSummary {
-        self.inner
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .summary
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner).summary
     }
 
     /// `ran` tells whether a request that may not be repeated ran.
     #[must_use]
     pub fn ran(&self, id: RequestId) -> bool {
-        self.inner
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .once_only
-            .contains_key(&id)
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner).once_only.contains_key(&id)
     }
 
     /// `once_only_runs` lists the requests that may not be repeated and ran.
--- a/crates/valvestage-standins/src/bin/standin-backends.rs
+++ b/crates/valvestage-standins/src/bin/standin-backends.rs
@@ -64,11 +64,7 @@
 
     let summary = serde_json::to_string_pretty(&log.summary()).map_err(io::Error::other)?;
     fs::write(arguments.folder.join("backends.json"), summary)?;
-    let ran: Vec<_> = log
-        .once_only_runs()
-        .iter()
-        .map(|id| format!("{id:032x}\n"))
-        .collect();
+    let ran: Vec<_> = log.once_only_runs().iter().map(|id| format!("{id:032x}\n")).collect();
     fs::write(arguments.folder.join("ran.txt"), ran.concat())
 }
 
@@ -78,10 +74,8 @@
         thread::sleep(SAMPLE);
 
         for counters in busy.values() {
-            let counts: Vec<_> = counters
-                .iter()
-                .map(|c| u64::from(c.load(Ordering::Relaxed)))
-                .collect();
+            let counts: Vec<_> =
+                counters.iter().map(|c| u64::from(c.load(Ordering::Relaxed))).collect();
             let sum: u64 = counts.iter().sum();
             let max = counts.iter().copied().max().unwrap_or(0);
             if sum == 0 {
--- a/crates/valvestage-standins/src/bin/standin-fetch.rs
+++ b/crates/valvestage-standins/src/bin/standin-fetch.rs
@@ -43,9 +43,5 @@
     let answer = String::from_utf8_lossy(&answer);
     let (status, body) = answer.split_once("\r\n\r\n").unwrap_or((&answer, ""));
     print!("{body}");
-    Ok(if status.contains(" 200 ") {
-        ExitCode::SUCCESS
-    } else {
-        ExitCode::FAILURE
-    })
+    Ok(if status.contains(" 200 ") { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
--- a/crates/valvestage-standins/src/bin/standin-layout.rs
+++ b/crates/valvestage-standins/src/bin/standin-layout.rs
@@ -24,20 +24,13 @@
 fn main() -> ExitCode {
     let arguments = arguments().run();
     let Some(plan) = find_plan(&arguments.deployment) else {
-        eprintln!(
-            "standin-layout: there is no deployment {}",
-            arguments.deployment
-        );
+        eprintln!("standin-layout: there is no deployment {}", arguments.deployment);
         return ExitCode::from(2);
     };
 
     match write_layout(plan, &arguments.folder, arguments.seed) {
         Ok(layout) => {
-            println!(
-                "{} balancers in {}",
-                layout.balancers.len(),
-                arguments.folder.display()
-            );
+            println!("{} balancers in {}", layout.balancers.len(), arguments.folder.display());
             ExitCode::SUCCESS
         }
         Err(error) => {
--- a/crates/valvestage-standins/src/bin/standin-platform.rs
+++ b/crates/valvestage-standins/src/bin/standin-platform.rs
@@ -26,10 +26,7 @@
     let layout = Layout::read(&arguments.folder)?;
     let stops = stop_flag()?;
 
-    let (_, server) = start(
-        TcpListener::bind(layout.platform)?,
-        PlatformStandin::default(),
-    )?;
+    let (_, server) = start(TcpListener::bind(layout.platform)?, PlatformStandin::default())?;
     actix_rt::spawn(server);
     while !stops.load(Ordering::Relaxed) {
         actix_rt::time::sleep(Duration::from_millis(20)).await;
--- a/crates/valvestage-standins/src/bin/standin-report.rs
+++ b/crates/valvestage-standins/src/bin/standin-report.rs
@@ -29,18 +29,11 @@
     // "Not run" against the record of runs.
     let ran = fs::read_to_string(folder.join("ran.txt"))?;
     let ran: HashSet<&str> = ran.lines().collect();
-    let false_not_run = caller
-        .not_run_ids
-        .iter()
-        .filter(|id| ran.contains(id.as_str()))
-        .count();
+    let false_not_run = caller.not_run_ids.iter().filter(|id| ran.contains(id.as_str())).count();
 
     let broken = caller.broken_echoing + caller.broken_silent;
     let told = caller.answered + caller.not_run + caller.in_doubt + caller.untold;
-    println!(
-        "flows kept               {}",
-        caller.kept_echoing + caller.kept_silent
-    );
+    println!("flows kept               {}", caller.kept_echoing + caller.kept_silent);
     println!("flows broken             {broken}");
     println!("flows never opened       {}", caller.never_opened);
     println!(
@@ -78,15 +71,8 @@
         && caller.contradicted == 0
         && told == caller.requests
         && caller.answered > 0;
-    println!(
-        "promises                 {}",
-        if is_kept { "kept" } else { "BROKEN" }
-    );
-    Ok(if is_kept {
-        ExitCode::SUCCESS
-    } else {
-        ExitCode::FAILURE
-    })
+    println!("promises                 {}", if is_kept { "kept" } else { "BROKEN" });
+    Ok(if is_kept { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
 fn read<T: DeserializeOwned>(folder: &Path, name: &str) -> io::Result<T> {
@@ -109,22 +95,14 @@
 fn control_bytes(folder: &Path) -> io::Result<String> {
     let start = sent_bytes(folder, "metrics-start")?;
     let end = sent_bytes(folder, "metrics-end")?;
-    let seconds: f64 = fs::read_to_string(folder.join("metrics-seconds"))?
-        .trim()
-        .parse()
-        .unwrap_or(1.0);
+    let seconds: f64 =
+        fs::read_to_string(folder.join("metrics-seconds"))?.trim().parse().unwrap_or(1.0);
 
-    let rates: Vec<f64> = start
-        .iter()
-        .zip(&end)
-        .map(|(s, e)| (e - s) / seconds)
-        .collect();
+    let rates: Vec<f64> = start.iter().zip(&end).map(|(s, e)| (e - s) / seconds).collect();
     let most = rates.iter().copied().fold(0.0, f64::max);
     #[allow(clippy::cast_precision_loss)]
     let mean = rates.iter().sum::<f64>() / rates.len().max(1) as f64;
-    Ok(format!(
-        "{mean:.0} mean, {most:.0} most, sent to peers by one balancer"
-    ))
+    Ok(format!("{mean:.0} mean, {most:.0} most, sent to peers by one balancer"))
 }
 
 fn sent_bytes(folder: &Path, prefix: &str) -> io::Result<Vec<f64>> {
@@ -136,10 +114,7 @@
             break;
         };
         let line = text.lines().find_map(|line| line.strip_prefix(NAME));
-        sent.push(
-            line.and_then(|value| value.trim().parse().ok())
-                .unwrap_or(0.0),
-        );
+        sent.push(line.and_then(|value| value.trim().parse().ok()).unwrap_or(0.0));
     }
     Ok(sent)
 }
--- a/crates/valvestage-standins/src/caller/caller_load.rs
+++ b/crates/valvestage-standins/src/caller/caller_load.rs
@@ -86,8 +86,7 @@
                 let at = start + Duration::from_secs(1).mul_f64(self.draws.unit());
                 let flow = FlowCaller::new(caller, service.address, echoes, at);
                 self.flow_by_caller.insert(caller, self.flows.len());
-                self.due
-                    .push(Reverse((at, Due::SendFlow(self.flows.len()))));
+                self.due.push(Reverse((at, Due::SendFlow(self.flows.len()))));
                 self.flows.push(flow);
             }
             if service.requests_per_second > 0.0 {
@@ -115,10 +114,7 @@
                 break;
             }
 
-            let next = self
-                .due
-                .peek()
-                .map(|Reverse((at, _))| *at - Instant::now().min(*at));
+            let next = self.due.peek().map(|Reverse((at, _))| *at - Instant::now().min(*at));
             let wait = next.unwrap_or(TAIL / 10);
             let wait = wait.clamp(Duration::from_micros(50), Duration::from_millis(20));
             self.socket.set_read_timeout(Some(wait))?;
@@ -170,10 +166,7 @@
         };
         let request = RequestCaller::new(draft, now);
         self.send(&request.packet(b"request"));
-        self.due.push(Reverse((
-            now + self.options.resend_pause,
-            Due::ResendRequest(draft.id),
-        )));
+        self.due.push(Reverse((now + self.options.resend_pause, Due::ResendRequest(draft.id))));
         self.requests.insert(draft.id, request);
 
         let mean = Duration::from_secs(1).div_f64(service.requests_per_second);
@@ -191,10 +184,7 @@
 
         self.send(&request.packet(b"request"));
         self.resent += 1;
-        self.due.push(Reverse((
-            now + self.options.resend_pause,
-            Due::ResendRequest(id),
-        )));
+        self.due.push(Reverse((now + self.options.resend_pause, Due::ResendRequest(id))));
     }
 
     fn send(&self, envelope: &Envelope<'_>) {
@@ -219,10 +209,7 @@
     }
 
     fn summary(&self) -> CallerSummary {
-        let mut summary = CallerSummary {
-            resent: self.resent,
-            ..CallerSummary::default()
-        };
+        let mut summary = CallerSummary { resent: self.resent, ..CallerSummary::default() };
 
         for flow in &self.flows {
             count_flow(&mut summary, flow, self.end);
--- a/crates/valvestage-standins/src/caller/caller_summary.rs
+++ b/crates/valvestage-standins/src/caller/caller_summary.rs
@@ -55,10 +55,7 @@
                 clippy::cast_sign_loss
             )]
             let place = (times_ms.len() as f64 * share) as usize;
-            times_ms
-                .get(place.min(times_ms.len().saturating_sub(1)))
-                .copied()
-                .unwrap_or(0.0)
+            times_ms.get(place.min(times_ms.len().saturating_sub(1))).copied().unwrap_or(0.0)
         };
 
         self.median_ms = at(0.5);
--- a/crates/valvestage-standins/src/caller/flow_caller.rs
+++ b/crates/valvestage-standins/src/caller/flow_caller.rs
@@ -47,22 +47,13 @@
     /// `next_packet` gives the packet to send now.
     #[must_use]
     pub fn next_packet<'a>(&self, payload: &'a [u8]) -> Envelope<'a> {
-        let kind = if self.backend.is_some() {
-            PacketKind::Data
-        } else {
-            PacketKind::Open
-        };
+        let kind = if self.backend.is_some() { PacketKind::Data } else { PacketKind::Open };
         let mut header = Header::new(kind);
 
         if self.echoes {
             header.token = self.token;
         }
-        Envelope {
-            caller: self.caller,
-            service: self.service,
-            header,
-            payload,
-        }
+        Envelope { caller: self.caller, service: self.service, header, payload }
     }
 
     /// `on_packet` takes a packet for this flow in.
--- a/crates/valvestage-standins/src/caller/request_caller.rs
+++ b/crates/valvestage-standins/src/caller/request_caller.rs
@@ -63,11 +63,7 @@
     /// `new` prepares a request.
     #[must_use]
     pub fn new(draft: RequestDraft, started: Instant) -> Self {
-        let class = if draft.repeatable {
-            RequestClass::Bulk
-        } else {
-            RequestClass::Urgent
-        };
+        let class = if draft.repeatable { RequestClass::Bulk } else { RequestClass::Urgent };
 
         Self {
             id: draft.id,
@@ -93,12 +89,7 @@
         header.deadline = Some(self.deadline);
         header.repeatable = self.repeatable;
         header.class = self.class;
-        Envelope {
-            caller: self.caller,
-            service: self.service,
-            header,
-            payload,
-        }
+        Envelope { caller: self.caller, service: self.service, header, payload }
     }
 
     /// `on_packet` takes a packet for this request in.
--- a/crates/valvestage-standins/src/fabric/ready_list.rs
+++ b/crates/valvestage-standins/src/fabric/ready_list.rs
@@ -23,26 +23,18 @@
     /// `get` gives the present list.
     #[must_use]
     pub fn get(&self) -> Arc<Vec<SocketAddr>> {
-        self.addresses
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+        self.addresses.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     fn set(&self, addresses: Vec<SocketAddr>) {
-        *self
-            .addresses
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner) = Arc::new(addresses);
+        *self.addresses.lock().unwrap_or_else(PoisonError::into_inner) = Arc::new(addresses);
     }
 }
 
 /// `watch_ready` asks each balancer's `/readyz` in turn until told to stop.
 pub fn watch_ready(list: &ReadyList, balancers: &[(SocketAddr, SocketAddr)], stops: &AtomicBool) {
     while !stops.load(Ordering::Relaxed) {
-        let ready = balancers
-            .iter()
-            .filter(|(_, admin)| is_ready(*admin).unwrap_or(false));
+        let ready = balancers.iter().filter(|(_, admin)| is_ready(*admin).unwrap_or(false));
 
         list.set(ready.map(|(data, _)| *data).collect());
         thread::sleep(CHECK_PAUSE);
--- a/crates/valvestage-standins/src/fabric/spray.rs
+++ b/crates/valvestage-standins/src/fabric/spray.rs
@@ -45,9 +45,7 @@
     thread::scope(|scope| {
         scope.spawn(|| watch_ready(&ready, &options.balancers, stops));
         scope.spawn(|| back(&balancers, &callers, &paths, &counts, stops));
-        forth(
-            options, &callers, &balancers, &ready, &paths, &counts, stops,
-        );
+        forth(options, &callers, &balancers, &ready, &paths, &counts, stops);
     });
     Ok(counts)
 }
@@ -78,10 +76,7 @@
         };
         let packet = &buffer[..length];
         if let Ok(envelope) = decode(packet) {
-            paths
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner)
-                .insert(envelope.caller, source);
+            paths.lock().unwrap_or_else(PoisonError::into_inner).insert(envelope.caller, source);
         }
 
         let list = ready.get();
@@ -127,11 +122,8 @@
         let Ok(envelope) = decode(&buffer[..length]) else {
             continue;
         };
-        let path = paths
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .get(&envelope.caller)
-            .copied();
+        let path =
+            paths.lock().unwrap_or_else(PoisonError::into_inner).get(&envelope.caller).copied();
 
         if let Some(path) = path {
             counts.to_callers.fetch_add(1, Ordering::Relaxed);
--- a/crates/valvestage-standins/src/layout/deployments.rs
+++ b/crates/valvestage-standins/src/layout/deployments.rs
@@ -32,18 +32,8 @@
         zones: &["brest-a", "quimper-b", "lorient-c"],
         balancers: 8,
         services: &[
-            ServicePlan {
-                name: "rencontre-core",
-                backends: 14,
-                slots: 3,
-                connections: 2_000,
-            },
-            ServicePlan {
-                name: "photo-store",
-                backends: 4,
-                slots: 3,
-                connections: 2_000,
-            },
+            ServicePlan { name: "rencontre-core", backends: 14, slots: 3, connections: 2_000 },
+            ServicePlan { name: "photo-store", backends: 4, slots: 3, connections: 2_000 },
         ],
     },
     DeploymentPlan {
@@ -51,18 +41,8 @@
         zones: &["poa-a", "poa-b", "canoas", "gravatai"],
         balancers: 8,
         services: &[
-            ServicePlan {
-                name: "escuta",
-                backends: 14,
-                slots: 2,
-                connections: 2_000,
-            },
-            ServicePlan {
-                name: "ondas",
-                backends: 4,
-                slots: 2,
-                connections: 2_000,
-            },
+            ServicePlan { name: "escuta", backends: 14, slots: 2, connections: 2_000 },
+            ServicePlan { name: "ondas", backends: 4, slots: 2, connections: 2_000 },
         ],
     },
 ];
--- a/crates/valvestage-standins/src/layout/settings_files.rs
+++ b/crates/valvestage-standins/src/layout/settings_files.rs
@@ -21,20 +21,14 @@
     // Secrets of a demo on the loopback address: drawn from the seed.
     let mut draws = Draws::new(seed);
     for name in ["peer.key", "admin.token", "operator.token"] {
-        fs::write(
-            folder.join(name),
-            format!("{:016x}{:016x}\n", draws.word(), draws.word()),
-        )?;
+        fs::write(folder.join(name), format!("{:016x}{:016x}\n", draws.word(), draws.word()))?;
     }
 
     for balancer in &layout.balancers {
         let text = balancer_settings(balancer, &layout, folder);
         fs::write(folder.join(format!("balancer-{}.toml", balancer.id)), text)?;
     }
-    fs::write(
-        folder.join("operator.toml"),
-        operator_settings(&layout, folder),
-    )?;
+    fs::write(folder.join("operator.toml"), operator_settings(&layout, folder))?;
 
     let deployment = draw_deployment(plan, &mut pool)?;
     let text = toml::to_string_pretty(&deployment).map_err(io::Error::other)?;
@@ -83,10 +77,7 @@
     });
 
     let services = services.collect::<io::Result<Vec<_>>>()?;
-    Ok(DeploymentSettings {
-        name: plan.name.to_owned(),
-        services,
-    })
+    Ok(DeploymentSettings { name: plan.name.to_owned(), services })
 }
 
 fn draw_backends(
@@ -135,11 +126,7 @@
 
 fn operator_settings(layout: &Layout, folder: &Path) -> String {
     let folder = folder.display();
-    let admins: Vec<_> = layout
-        .balancers
-        .iter()
-        .map(|b| format!("\"{}\"", b.admin))
-        .collect();
+    let admins: Vec<_> = layout.balancers.iter().map(|b| format!("\"{}\"", b.admin)).collect();
 
     format!(
         "listen_address = \"{}\"\noperator_token_file = \"{folder}/operator.token\"\n\
--- a/crates/valvestage-standins/src/platform/server.rs
+++ b/crates/valvestage-standins/src/platform/server.rs
@@ -37,17 +37,11 @@
 
 impl PlatformStandin {
     fn store(&self) -> MutexGuard<'_, ObjectStore> {
-        self.inner
-            .store
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+        self.inner.store.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn faults(&self) -> MutexGuard<'_, Faults> {
-        self.inner
-            .faults
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+        self.inner.faults.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Waits as long as the faults say; none if the call is to fail.
@@ -123,12 +117,7 @@
 }
 
 fn expected_version(request: &HttpRequest) -> Option<Option<ObjectVersion>> {
-    let text = |name| {
-        request
-            .headers()
-            .get(name)
-            .and_then(|value| value.to_str().ok())
-    };
+    let text = |name| request.headers().get(name).and_then(|value| value.to_str().ok());
 
     if text(IF_NONE_MATCH) == Some("*") {
         return Some(None);
--- a/crates/valvestage-standins/src/platform/store.rs
+++ b/crates/valvestage-standins/src/platform/store.rs
@@ -35,11 +35,7 @@
         }
 
         self.revision += 1;
-        let object = StoredObject {
-            key: key.to_owned(),
-            version: self.revision,
-            value,
-        };
+        let object = StoredObject { key: key.to_owned(), version: self.revision, value };
         self.objects.insert(key.to_owned(), object);
         Some(self.revision)
     }
@@ -54,9 +50,6 @@
                 && !object.key.starts_with(UNWATCHED_PREFIX)
         });
 
-        WatchResult {
-            revision: until.max(after),
-            objects: changed.cloned().collect(),
-        }
+        WatchResult { revision: until.max(after), objects: changed.cloned().collect() }
     }
 }
--- a/crates/valvestage-wire/src/envelope/decode.rs
+++ b/crates/valvestage-wire/src/envelope/decode.rs
@@ -31,12 +31,7 @@
     }
 
     let payload = datagram.get(proxy.len()..).unwrap_or_default();
-    Ok(Envelope {
-        caller,
-        service,
-        header,
-        payload,
-    })
+    Ok(Envelope { caller, service, header, payload })
 }
 
 fn read_addresses(addresses: &Addresses) -> Result<(SocketAddr, SocketAddr), WireError> {
@@ -82,10 +77,7 @@
         }
         tlv_types::LOAD => {
             let [busy_slots, open_flows] = two_words(fixed(kind, value)?);
-            header.load = Some(LoadReport {
-                busy_slots,
-                open_flows,
-            });
+            header.load = Some(LoadReport { busy_slots, open_flows });
         }
         tlv_types::TARGET => header.target = Some(read_target(fixed(kind, value)?)),
         tlv_types::ATTEMPT => header.attempt = Some(u16::from_be_bytes(fixed(kind, value)?)),
@@ -95,11 +87,7 @@
         }
         tlv_types::REFUSAL => {
             let [outcome, reason] = fixed(kind, value)?;
-            let outcome = if outcome == 0 {
-                Outcome::NotRun
-            } else {
-                Outcome::InDoubt
-            };
+            let outcome = if outcome == 0 { Outcome::NotRun } else { Outcome::InDoubt };
             let reason = RefusalReason::try_from(reason).map_err(unknown_code)?;
             header.refusal = Some((outcome, reason));
         }
@@ -117,16 +105,11 @@
 }
 
 fn fixed<const N: usize>(kind: u8, value: &[u8]) -> Result<[u8; N], WireError> {
-    value
-        .try_into()
-        .map_err(|_| WireError::tlv(kind, "wrong length"))
+    value.try_into().map_err(|_| WireError::tlv(kind, "wrong length"))
 }
 
 fn two_words(bytes: [u8; 4]) -> [u16; 2] {
-    [
-        u16::from_be_bytes([bytes[0], bytes[1]]),
-        u16::from_be_bytes([bytes[2], bytes[3]]),
-    ]
+    [u16::from_be_bytes([bytes[0], bytes[1]]), u16::from_be_bytes([bytes[2], bytes[3]])]
 }
 
 fn read_target(bytes: [u8; 10]) -> Target {
@@ -145,11 +128,7 @@
         _ => return None,
     };
 
-    Some(HopMark {
-        count,
-        purpose,
-        view_epoch: u64::from_be_bytes(epoch),
-    })
+    Some(HopMark { count, purpose, view_epoch: u64::from_be_bytes(epoch) })
 }
 
 fn read_binding(bytes: [u8; 12]) -> Binding {
--- a/crates/valvestage-wire/src/errors.rs
+++ b/crates/valvestage-wire/src/errors.rs
@@ -52,10 +52,6 @@
 
     /// `peer` builds the error for a failed step with a peer.
     pub fn peer(peer: SocketAddr, step: &'static str, cause: impl ToString) -> Self {
-        Self::Peer {
-            peer,
-            step,
-            cause: cause.to_string(),
-        }
+        Self::Peer { peer, step, cause: cause.to_string() }
     }
 }
--- a/crates/valvestage-wire/src/peers/authenticated_codec.rs
+++ b/crates/valvestage-wire/src/peers/authenticated_codec.rs
@@ -32,13 +32,7 @@
     /// `new` takes the keys of the two directions.
     #[must_use]
     pub fn new(send_key: [u8; 32], receive_key: [u8; 32]) -> Self {
-        Self {
-            send_key,
-            receive_key,
-            sent: 0,
-            received: 0,
-            items: PhantomData,
-        }
+        Self { send_key, receive_key, sent: 0, received: 0, items: PhantomData }
     }
 }
 
@@ -72,8 +66,7 @@
         mac.update(&self.received.to_be_bytes());
         mac.update(message);
         self.received += 1;
-        mac.verify_truncated_left(tag)
-            .map_err(|_| io::ErrorKind::PermissionDenied)?;
+        mac.verify_truncated_left(tag).map_err(|_| io::ErrorKind::PermissionDenied)?;
 
         postcard::from_bytes(message).map_err(io::Error::other)
     }
--- a/crates/valvestage-wire/src/peers/connection.rs
+++ b/crates/valvestage-wire/src/peers/connection.rs
@@ -33,18 +33,13 @@
     Item: for<'de> Deserialize<'de>,
     SinkItem: Serialize,
 {
-    let stream = TcpStream::connect(peer)
-        .await
-        .map_err(|error| WireError::peer(peer, "connect", error))?;
+    let stream =
+        TcpStream::connect(peer).await.map_err(|error| WireError::peer(peer, "connect", error))?;
 
     let (stream, own, theirs) = exchange_nonces(stream, peer).await?;
     let send_key = key.derive(FROM_CLIENT, &own, &theirs);
     let receive_key = key.derive(FROM_SERVER, &own, &theirs);
-    Ok((
-        CountedStream::new(stream, count),
-        AuthenticatedCodec::new(send_key, receive_key),
-    )
-        .into())
+    Ok((CountedStream::new(stream, count), AuthenticatedCodec::new(send_key, receive_key)).into())
 }
 
 /// `accept` takes a connection of a peer.
@@ -62,11 +57,7 @@
 
     let send_key = key.derive(FROM_SERVER, &theirs, &own);
     let receive_key = key.derive(FROM_CLIENT, &theirs, &own);
-    Ok((
-        CountedStream::new(stream, count),
-        AuthenticatedCodec::new(send_key, receive_key),
-    )
-        .into())
+    Ok((CountedStream::new(stream, count), AuthenticatedCodec::new(send_key, receive_key)).into())
 }
 
 type Nonce = [u8; NONCE_BYTES];
@@ -80,13 +71,8 @@
     let mut theirs = [0; NONCE_BYTES];
     getrandom::fill(&mut own).map_err(|error| WireError::peer(peer, "draw nonce", error))?;
 
-    stream
-        .set_nodelay(true)
-        .map_err(|error| WireError::peer(peer, "set no delay", error))?;
-    stream
-        .write_all(&own)
-        .await
-        .map_err(|error| WireError::peer(peer, "send nonce", error))?;
+    stream.set_nodelay(true).map_err(|error| WireError::peer(peer, "set no delay", error))?;
+    stream.write_all(&own).await.map_err(|error| WireError::peer(peer, "send nonce", error))?;
     stream
         .read_exact(&mut theirs)
         .await
--- a/crates/valvestage-wire/src/peers/counted_stream.rs
+++ b/crates/valvestage-wire/src/peers/counted_stream.rs
@@ -55,9 +55,7 @@
         let result = Pin::new(&mut self.stream).poll_read(context, buffer);
         let read = buffer.filled().len() - before;
 
-        self.count
-            .received
-            .fetch_add(read as u64, Ordering::Relaxed);
+        self.count.received.fetch_add(read as u64, Ordering::Relaxed);
         result
     }
 }
--- a/crates/valvestage-wire/src/peers/peer_key.rs
+++ b/crates/valvestage-wire/src/peers/peer_key.rs
@@ -26,10 +26,8 @@
 impl PeerKey {
     /// `read` reads the key from a file; white space around it does not count.
     pub fn read(file: &Path) -> Result<Self, WireError> {
-        let refuse = |problem: String| WireError::KeyFile {
-            file: file.display().to_string(),
-            problem,
-        };
+        let refuse =
+            |problem: String| WireError::KeyFile { file: file.display().to_string(), problem };
 
         let text = std::fs::read_to_string(file).map_err(|error| refuse(error.to_string()))?;
         Self::try_from(text.trim().as_bytes()).map_err(|problem| refuse(problem.to_owned()))
@@ -54,9 +52,7 @@
             return Err("the key is shorter than 16 bytes");
         }
 
-        Ok(Self {
-            secret: secret.to_vec(),
-        })
+        Ok(Self { secret: secret.to_vec() })
     }
 }
 
--- a/crates/valvestage-wire/tests/envelope.rs
+++ b/crates/valvestage-wire/tests/envelope.rs
@@ -29,11 +29,7 @@
 }
 
 fn maybe<T>(g: &mut Gen, draw: impl FnOnce(&mut Gen) -> T) -> Option<T> {
-    if bool::arbitrary(g) {
-        Some(draw(g))
-    } else {
-        None
-    }
+    if bool::arbitrary(g) { Some(draw(g)) } else { None }
 }
 
 impl Arbitrary for Drawn {
@@ -49,9 +45,7 @@
         }
         if header.deadline.is_some() {
             header.repeatable = bool::arbitrary(g);
-            header.class = *g
-                .choose(&[RequestClass::Urgent, RequestClass::Bulk])
-                .unwrap();
+            header.class = *g.choose(&[RequestClass::Urgent, RequestClass::Bulk]).unwrap();
         }
         header.token = maybe(g, |g| FlowToken {
             key_id: u8::arbitrary(g),
@@ -72,28 +66,19 @@
         });
         header.hop = maybe(g, |g| HopMark {
             count: u8::arbitrary(g),
-            purpose: *g
-                .choose(&[RelayPurpose::Home, RelayPurpose::FormerHome])
-                .unwrap(),
+            purpose: *g.choose(&[RelayPurpose::Home, RelayPurpose::FormerHome]).unwrap(),
             view_epoch: u64::arbitrary(g),
         });
         header.refusal = maybe(g, |g| {
             let outcome = *g.choose(&[Outcome::NotRun, Outcome::InDoubt]).unwrap();
             (outcome, *g.choose(RefusalReason::ALL).unwrap())
         });
-        header.binding = maybe(g, |g| Binding {
-            key: u64::arbitrary(g),
-            backend: u32::arbitrary(g),
-        });
+        header.binding =
+            maybe(g, |g| Binding { key: u64::arbitrary(g), backend: u32::arbitrary(g) });
 
         let length = usize::arbitrary(g) % 1_200;
         let payload = (0..length).map(|_| u8::arbitrary(g)).collect();
-        Self {
-            caller: address(g, v4),
-            service: address(g, v4),
-            header,
-            payload,
-        }
+        Self { caller: address(g, v4), service: address(g, v4), header, payload }
     }
 }
 
@@ -116,9 +101,7 @@
         decode(&datagram).unwrap() == drawn.envelope()
     }
 
-    QuickCheck::new()
-        .tests(2_000)
-        .quickcheck(holds as fn(Drawn) -> bool);
+    QuickCheck::new().tests(2_000).quickcheck(holds as fn(Drawn) -> bool);
 }
 
 #[test]
@@ -128,9 +111,7 @@
         true
     }
 
-    QuickCheck::new()
-        .tests(5_000)
-        .quickcheck(holds as fn(Vec<u8>) -> bool);
+    QuickCheck::new().tests(5_000).quickcheck(holds as fn(Vec<u8>) -> bool);
 }
 
 #[test]
@@ -145,9 +126,7 @@
         true
     }
 
-    QuickCheck::new()
-        .tests(5_000)
-        .quickcheck(holds as fn(Drawn, usize, u8, usize) -> bool);
+    QuickCheck::new().tests(5_000).quickcheck(holds as fn(Drawn, usize, u8, usize) -> bool);
 }
 
 #[test]
@@ -161,10 +140,7 @@
     };
 
     assert!(matches!(encode(&envelope), Err(WireError::Oversized(_))));
-    assert!(matches!(
-        decode(&[0; MAX_DATAGRAM + 1]),
-        Err(WireError::Oversized(_))
-    ));
+    assert!(matches!(decode(&[0; MAX_DATAGRAM + 1]), Err(WireError::Oversized(_))));
 }
 
 #[test]
