Run the balancers as processes under kill, freeze, stop and outage

Cause: the fault matrix steps the policies; that the processes wire them up rightly was shown only by a demo without faults.

Change: four tests with four balancer processes each, stand-ins as threads, waiting on events: SIGKILL of an owner, SIGSTOP past its lease, SIGTERM, an outage of the platform longer than a lease. tarpc's own log lines are off.

--- /dev/null
+++ b/crates/valvestage-balancer/tests/processes/main.rs
@@ -0,0 +1,99 @@
+//! Balancers as processes, between stand-ins, under SIGKILL, SIGSTOP past a lease, SIGTERM, and an
+//! outage of the platform.
+//!
+//! The tests wait for events (so many runs, another owner, an exit) and not for times; what they
+//! demand holds however slow the machine is.
+
+mod deployment;
+
+use deployment::Deployment;
+use nix::sys::signal::Signal;
+use valvestage_standins::caller::CallerSummary;
+use valvestage_standins::platform::Faults;
+
+/// Runs after which a fault strikes: the load is under way.
+const RUNS_BEFORE: u64 = 60;
+
+/// Whatever happens: nothing twice, nothing false, nobody else's, everything told.
+fn assert_safe(deployment: &Deployment, summary: &CallerSummary) {
+    let backends = deployment.log.summary();
+
+    assert_eq!(backends.repeated, 0, "ran twice");
+    assert_eq!(backends.misdelivered, 0, "reached the wrong service");
+    assert_eq!(summary.contradicted, 0, "told two different things");
+    assert_eq!(summary.foreign_answers, 0, "got the answer of another request");
+    for id in &summary.not_run_ids {
+        let id = u128::from_str_radix(id, 16).unwrap();
+        assert!(!deployment.log.ran(id), "{id:032x} was told not to have run");
+    }
+    assert!(summary.answered > 0);
+}
+
+#[test]
+fn an_owner_is_killed() {
+    let deployment = Deployment::start();
+    let load = deployment.start_load();
+    deployment.wait_for_runs(RUNS_BEFORE);
+
+    let owner = deployment.owner();
+    deployment.signal(owner, Signal::SIGKILL);
+    deployment.wait_until("another owner", |d| d.owner() != owner);
+    let summary = load.join().unwrap();
+
+    assert_safe(&deployment, &summary);
+    deployment.wait_until_served();
+}
+
+#[test]
+fn an_owner_is_frozen_past_its_lease_and_wakes() {
+    let deployment = Deployment::start();
+    let load = deployment.start_load();
+    deployment.wait_for_runs(RUNS_BEFORE);
+
+    let owner = deployment.owner();
+    deployment.signal(owner, Signal::SIGSTOP);
+    deployment.wait_until("another owner", |d| d.owner() != owner);
+    deployment.signal(owner, Signal::SIGCONT);
+    let summary = load.join().unwrap();
+
+    assert_safe(&deployment, &summary);
+    deployment.wait_until_served();
+}
+
+#[test]
+fn an_owner_stops_as_planned() {
+    let mut deployment = Deployment::start();
+    let load = deployment.start_load();
+    deployment.wait_for_runs(RUNS_BEFORE);
+
+    let owner = deployment.owner();
+    deployment.signal(owner, Signal::SIGTERM);
+    let exit = deployment.wait_for_exit(owner);
+    let summary = load.join().unwrap();
+
+    assert!(exit.success(), "exit {exit}");
+    assert_safe(&deployment, &summary);
+    assert_eq!(summary.answered, summary.requests, "a request was cut: {summary:?}");
+    assert_eq!(summary.broken_echoing + summary.broken_silent, 0, "a flow broke: {summary:?}");
+    assert_ne!(deployment.owner(), owner);
+    deployment.wait_until_served();
+}
+
+#[test]
+fn the_platform_is_out_for_longer_than_a_lease() {
+    let deployment = Deployment::start();
+    let load = deployment.start_load();
+    deployment.wait_for_runs(RUNS_BEFORE);
+
+    deployment.platform.misbehave(Faults { down: true, ..Faults::default() });
+    deployment.wait_until("the lease to lapse", |d| !d.any_lease_is_valid());
+    let runs = deployment.log.summary().runs;
+    deployment.wait_for_runs(runs + RUNS_BEFORE);
+    deployment.platform.misbehave(Faults::default());
+    let summary = load.join().unwrap();
+
+    // Flows and repeatable requests went on; the others were refused, not run twice.
+    assert_safe(&deployment, &summary);
+    assert_eq!(summary.broken_echoing + summary.broken_silent, 0, "a flow broke: {summary:?}");
+    deployment.wait_until_served();
+}
--- a/crates/valvestage-process/src/logging.rs
+++ b/crates/valvestage-process/src/logging.rs
@@ -4,8 +4,8 @@
 
 use crate::errors::ProcessError;
 
-/// Level when `RUST_LOG` says nothing.
-const DEFAULT_LEVEL: &str = "info";
+/// Levels when `RUST_LOG` says nothing; calls that fail are logged by their callers.
+const DEFAULT_LEVEL: &str = "info, tarpc=off";
 
 /// `start` starts the logger; it ends when the handle is dropped.
 pub fn start(json: bool) -> Result<LoggerHandle, ProcessError> {
--- a/crates/valvestage-standins/src/bin/standin-layout.rs
+++ b/crates/valvestage-standins/src/bin/standin-layout.rs
@@ -28,7 +28,7 @@
         return ExitCode::from(2);
     };
 
-    match write_layout(plan, &arguments.folder, arguments.seed) {
+    match write_layout(plan, &arguments.folder, arguments.seed, "") {
         Ok(layout) => {
             println!("{} balancers in {}", layout.balancers.len(), arguments.folder.display());
             ExitCode::SUCCESS
--- a/crates/valvestage-standins/src/layout/settings_files.rs
+++ b/crates/valvestage-standins/src/layout/settings_files.rs
@@ -12,8 +12,14 @@
 use super::layout_file::{BalancerLayout, Layout};
 use crate::draws::Draws;
 
-/// `write_layout` writes the addresses, secrets and settings of a deployment into a folder.
-pub fn write_layout(plan: &DeploymentPlan, folder: &Path, seed: u64) -> io::Result<Layout> {
+/// `write_layout` writes the addresses, secrets and settings of a deployment into a folder;
+/// `extra` is added to the settings of each balancer.
+pub fn write_layout(
+    plan: &DeploymentPlan,
+    folder: &Path,
+    seed: u64,
+    extra: &str,
+) -> io::Result<Layout> {
     fs::create_dir_all(folder)?;
     let mut pool = AddressPool::default();
     let layout = draw_layout(plan, &mut pool)?;
@@ -25,7 +31,7 @@
     }
 
     for balancer in &layout.balancers {
-        let text = balancer_settings(balancer, &layout, folder);
+        let text = format!("{extra}\n{}", balancer_settings(balancer, &layout, folder));
         fs::write(folder.join(format!("balancer-{}.toml", balancer.id)), text)?;
     }
     fs::write(folder.join("operator.toml"), operator_settings(&layout, folder))?;
--- a/crates/valvestage-standins/src/platform/server.rs
+++ b/crates/valvestage-standins/src/platform/server.rs
@@ -36,6 +36,27 @@
 }
 
 impl PlatformStandin {
+    /// `put` writes an object whatever its version, for tests.
+    pub fn put(&self, key: &str, value: Value) {
+        let mut store = self.store();
+        let expected = store.read(key).map(|object| object.version);
+
+        store.write(key, expected, value);
+        drop(store);
+        self.inner.written.notify_waiters();
+    }
+
+    /// `get` reads an object, for tests.
+    #[must_use]
+    pub fn get(&self, key: &str) -> Option<Value> {
+        self.store().read(key).map(|object| object.value.clone())
+    }
+
+    /// `misbehave` sets the faults.
+    pub fn misbehave(&self, faults: Faults) {
+        *self.faults() = faults;
+    }
+
     fn store(&self) -> MutexGuard<'_, ObjectStore> {
         self.inner.store.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -151,7 +172,7 @@
 }
 
 async fn set_faults(standin: Data<PlatformStandin>, faults: Json<Faults>) -> HttpResponse {
-    *standin.faults() = faults.into_inner();
+    standin.misbehave(faults.into_inner());
 
     HttpResponse::Ok().finish()
 }
