Measure the policy, and mend overload, cold starts and decision time

Cause: the ways to spread requests and keep flows were chosen by argument.

Change: only a try that was out for long counts as a failure; every fifth turn is a bulk request's; slow start is left out when most backend servers are cold; the logarithm of rendezvous scores is approximated, and a table finds the record of a backend server.

--- a/crates/valvestage-balancer/src/threads/receive.rs
+++ b/crates/valvestage-balancer/src/threads/receive.rs
@@ -14,7 +14,7 @@
 use crate::metrics::BalancerMetrics;
 
 /// One byte more than allowed, so that a datagram that is too long is seen as such.
-const BUFFER_BYTES: usize = MAX_DATAGRAM + 1;
+pub const BUFFER_BYTES: usize = MAX_DATAGRAM + 1;
 
 /// `receive_loop` reads batches until told to stop.
 ///
@@ -44,14 +44,14 @@
     }
 }
 
-fn receive_batch(
+/// `receive_batch` waits for the first datagram and takes what else is there.
+pub fn receive_batch(
     socket: &UdpSocket,
     buffers: &mut [[u8; BUFFER_BYTES]],
 ) -> Result<Vec<Inbound>, Errno> {
     let mut headers = MultiHeaders::<SockaddrStorage>::preallocate(buffers.len(), None);
     let mut slices: Vec<_> = buffers.iter_mut().map(|buffer| [IoSliceMut::new(buffer)]).collect();
 
-    // Wait for the first datagram, take what else is there.
     let results = recvmmsg(
         socket.as_raw_fd(),
         &mut headers,
--- a/crates/valvestage-balancer/src/threads/send.rs
+++ b/crates/valvestage-balancer/src/threads/send.rs
@@ -20,7 +20,8 @@
     }
 }
 
-fn send_all(socket: &UdpSocket, mut batch: &[Outbound], metrics: &BalancerMetrics) {
+/// `send_all` sends a batch in as few system calls as the socket takes.
+pub fn send_all(socket: &UdpSocket, mut batch: &[Outbound], metrics: &BalancerMetrics) {
     while !batch.is_empty() {
         match send_batch(socket, batch) {
             Ok(sent) => {
--- /dev/null
+++ b/crates/valvestage-experiment/src/capacity/flow_slope.rs
@@ -0,0 +1,98 @@
+//! Flows: memory and time, by the flows held.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::{Instant, SystemTime};
+
+use valvestage_core::ids::{BalancerId, FlowKey};
+use valvestage_policy::flows::{
+    Binding, ExceptionFinder, FlowDirector, FlowOptions, FlowPacket, HopMark, MAX_HOPS,
+    RawTokenKeys, TokenKeys,
+};
+use valvestage_policy::membership::LiveView;
+
+use crate::data_path::decision_time::{bytes_a_flow, nanoseconds};
+use crate::deployment::{backend, configuration, zone_name};
+use crate::table::Table;
+
+const OWN: BalancerId = 0;
+
+/// Prints the table.
+pub fn print_table() {
+    let mut table = Table::new(&[
+        "flows held",
+        "bytes a flow",
+        "ns a decision",
+        "ms to find exceptions after a drain",
+        "exceptions",
+        "bytes an exception on the wire",
+    ]);
+
+    for flows in [100_000, 200_000, 400_000] {
+        let (mut director, keys) = full_director(flows, 8);
+        let decision = nanoseconds(&mut director, &keys);
+        let exceptions = find_exceptions(&mut director);
+        table.row(&[
+            flows.to_string(),
+            format!("{:.1}", bytes_a_flow(&director)),
+            format!("{decision:.0}"),
+            format!("{:.0}", exceptions.millis),
+            exceptions.count.to_string(),
+            format!("{:.1}", exceptions.bytes_each),
+        ]);
+    }
+    table.print("Flows at their home balancer");
+}
+
+/// A director that is home of that many established flows, and their keys.
+pub fn full_director(flows: usize, balancers: u32) -> (FlowDirector, Vec<FlowKey>) {
+    let records = (1..=14).map(|id| backend(id, 1, 3, 3)).collect();
+    let keys =
+        TokenKeys::new(1, RawTokenKeys { flow_hash: (1, 2), current: 1, keys: vec![(1, 3, 4)] });
+    let options = FlowOptions { expected_flows: flows, ..FlowOptions::default() };
+    let mut director = FlowDirector::new(OWN, options);
+    director.install_configuration(Arc::new(configuration(1, 1, records)));
+    director.install_keys(keys.clone());
+    let view = LiveView::new((0..balancers).map(|id| (id, zone_name(id as usize % 7))));
+    director.install_view(view.clone());
+
+    // Only flows whose home this balancer is.
+    let now = SystemTime::now();
+    let callers = (0u32..).map(|number| SocketAddr::new(Ipv4Addr::from(number).into(), 4_000));
+    let all = callers.map(|caller| keys.hasher().key(caller, 1));
+    let own: Vec<FlowKey> = all.filter(|key| view.home(*key) == Some(OWN)).take(flows).collect();
+    for key in &own {
+        let hop = HopMark { count: MAX_HOPS, ..HopMark::FIRST };
+        let packet =
+            FlowPacket { key: *key, service: 1, opening: true, closing: false, token: None, hop };
+        director.decide(now, &packet);
+        (1..=14).for_each(|backend| director.on_heard(backend));
+    }
+    (director, own)
+}
+
+struct Exceptions {
+    millis: f64,
+    count: usize,
+    bytes_each: f64,
+}
+
+/// One of 14 backend servers is drained.
+fn find_exceptions(director: &mut FlowDirector) -> Exceptions {
+    let mut records: Vec<_> = (1..=14).map(|id| backend(id, 1, 3, 3)).collect();
+    records[0].state = valvestage_core::BackendState::Draining;
+    director.install_configuration(Arc::new(configuration(2, 1, records)));
+    let bindings = director.bindings();
+    let view = director.view().clone();
+
+    let began = Instant::now();
+    let finder = ExceptionFinder::new(OWN, director.history(), view).expect("configured");
+    let copies = finder.copies(&bindings);
+    let millis = began.elapsed().as_secs_f64() * 1_000.0;
+
+    let all: Vec<Binding> = copies.into_values().flatten().collect();
+    let bytes = postcard::to_stdvec(&all).map_or(0, |encoded| encoded.len());
+    #[allow(clippy::cast_precision_loss)]
+    let bytes_each = bytes as f64 / all.len().max(1) as f64;
+    Exceptions { millis, count: all.len(), bytes_each }
+}
--- /dev/null
+++ b/crates/valvestage-experiment/src/deployment.rs
@@ -0,0 +1,115 @@
+//! The sizes that are measured.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use valvestage_core::ids::{BackendId, ServiceId};
+use valvestage_core::{Backend, BackendState, Configuration, RawConfiguration, Service};
+
+/// `Size` is one service of the brief, with the delays of its region.
+#[derive(Debug, Clone, Copy)]
+pub struct Size {
+    /// Name of the service.
+    pub name: &'static str,
+    /// Backend servers.
+    pub backends: u32,
+    /// Slots of each.
+    pub slots: u16,
+    /// Availability zones.
+    pub zones: usize,
+    /// One way between availability zones.
+    pub between_zones: Duration,
+    /// One way to callers.
+    pub to_callers: Duration,
+}
+
+/// The services of both deployments.
+pub const SIZES: [Size; 4] = [
+    Size {
+        name: "rencontre-core",
+        backends: 14,
+        slots: 3,
+        zones: 3,
+        between_zones: Duration::from_millis(1),
+        to_callers: Duration::from_millis(3),
+    },
+    Size {
+        name: "photo-store",
+        backends: 4,
+        slots: 3,
+        zones: 3,
+        between_zones: Duration::from_millis(1),
+        to_callers: Duration::from_millis(3),
+    },
+    Size {
+        name: "escuta",
+        backends: 14,
+        slots: 2,
+        zones: 4,
+        between_zones: Duration::from_micros(500),
+        to_callers: Duration::from_millis(1),
+    },
+    Size {
+        name: "ondas",
+        backends: 4,
+        slots: 2,
+        zones: 4,
+        between_zones: Duration::from_micros(500),
+        to_callers: Duration::from_millis(1),
+    },
+];
+
+/// Balancers of a deployment today.
+pub const BALANCERS: u32 = 8;
+
+/// A fixed point in time from which all models start.
+pub fn start() -> SystemTime {
+    UNIX_EPOCH + Duration::from_secs(1_800_000_000)
+}
+
+/// `zone_name` names an availability zone.
+pub fn zone_name(zone: usize) -> String {
+    format!("zone-{zone}")
+}
+
+/// `backend` makes a record; the zones are dealt in turn.
+pub fn backend(id: BackendId, service: ServiceId, slots: u16, zones: usize) -> Backend {
+    let [_, high, middle, low] = id.to_be_bytes();
+
+    Backend {
+        id,
+        name: format!("backend-{id}"),
+        service,
+        zone: zone_name(id as usize % zones),
+        address: SocketAddr::from(([10, high, middle, low], 7_000)),
+        incarnation: 1,
+        slots,
+        connections: 2_000,
+        weight: 100,
+        state: BackendState::Active,
+    }
+}
+
+/// `service` makes a record.
+pub fn service(id: ServiceId) -> Service {
+    let [high, low] = id.to_be_bytes();
+
+    Service {
+        id,
+        name: format!("service-{id}"),
+        address: SocketAddr::from(([203, 0, high, low], 80)),
+    }
+}
+
+/// `configuration` makes a configuration of given records.
+pub fn configuration(version: u64, services: u16, backends: Vec<Backend>) -> Configuration {
+    let raw = RawConfiguration {
+        change_id: format!("change-{version}"),
+        services: (1..=services).map(service).collect(),
+        backends,
+        stopped_zones: BTreeSet::new(),
+    };
+
+    Configuration::try_from((version, raw)).expect("the records are made to fit")
+}
--- /dev/null
+++ b/crates/valvestage-experiment/src/flows.rs
@@ -0,0 +1,31 @@
+//! Ways to keep flows on their backend servers through changes.
+
+mod change;
+mod flow_model;
+mod flow_way;
+mod hot_keys;
+
+use crate::table::Table;
+
+use change::Change;
+use flow_model::run;
+use flow_way::FlowWay;
+
+/// Prints all tables.
+pub fn print_tables() {
+    let mut names = vec!["change"];
+    names.extend(FlowWay::ALL.iter().map(|way| way.label()));
+    let mut table = Table::new(&names);
+
+    for change in Change::ALL {
+        let mut cells = vec![change.label().to_owned()];
+        for way in FlowWay::ALL {
+            let outcome = run(way, change);
+            cells.push(format!("{:.1}", outcome.broken_per_10_000()));
+        }
+        table.row(&cells);
+    }
+    table.print("Broken flows per 10,000 (14 backend servers, 8 balancers, 20,000 flows)");
+
+    hot_keys::print_table();
+}
--- /dev/null
+++ b/crates/valvestage-experiment/src/requests.rs
@@ -0,0 +1,160 @@
+//! Ways to spread requests over slots.
+
+mod measures;
+mod model;
+mod scenario;
+mod way;
+
+use std::time::Duration;
+
+use crate::deployment::SIZES;
+use crate::table::Table;
+
+use measures::Measures;
+use model::{Load, run};
+use scenario::Scenario;
+use way::Way;
+
+const SEED: u64 = 42;
+
+/// First tries in each run.
+const REQUESTS: usize = 60_000;
+
+/// Share of bulk requests where classes matter.
+const BULK_SHARE: f64 = 0.3;
+
+/// Patience where nothing is to be refused.
+const PATIENT: Duration = Duration::from_secs(9);
+
+/// Prints all tables.
+pub fn print_tables() {
+    steady();
+    faults();
+    overload();
+}
+
+fn load(share: f64, patience: Duration) -> Load {
+    Load { share, requests: REQUESTS, patience, bulk_share: BULK_SHARE, seed: SEED }
+}
+
+/// First come, first served, as in the ideal queue: one class.
+fn one_class(share: f64) -> Load {
+    Load { bulk_share: 0.0, ..load(share, PATIENT) }
+}
+
+/// Ways at 50, 80 and 95% of slots, against one ideal shared queue.
+fn steady() {
+    for size in &SIZES {
+        let mut table = Table::new(&[
+            "way",
+            "p50 50%",
+            "p99 50%",
+            "p50 80%",
+            "p99 80%",
+            "p50 95%",
+            "p99 95%",
+            "shed 95%",
+            "retries per try 95%",
+            "refused 95%",
+            "imbalance 100 ms / 1 s at 80%",
+        ]);
+
+        for way in Way::ALL {
+            let mut cells = vec![way.label().to_owned()];
+            let mut at_80 = Measures::default();
+            let mut at_95 = Measures::default();
+            for share in [0.5, 0.8, 0.95] {
+                let ideal = run(size, Way::Ideal, Scenario::Steady, one_class(share));
+                let measured = run(size, way, Scenario::Steady, one_class(share));
+                cells.push(ratio(measured.percentile(0.5), ideal.percentile(0.5)));
+                cells.push(ratio(measured.percentile(0.99), ideal.percentile(0.99)));
+                if share > 0.9 {
+                    at_95 = measured;
+                } else if share > 0.7 {
+                    at_80 = measured;
+                }
+            }
+            cells.push(at_95.shed.to_string());
+            cells.push(format!("{:.4}", at_95.retries_per_try()));
+            cells.push(at_95.refusals());
+            cells.push(format!("{:.2} / {:.2}", at_80.imbalance_100ms(), at_80.imbalance_1s()));
+            table.row(&cells);
+        }
+        table.print(&format!(
+            "{}: {} backend servers with {} slots, times over one ideal shared queue",
+            size.name, size.backends, size.slots
+        ));
+    }
+}
+
+/// The chosen way and the local baselines under faults, at 80% of slots.
+fn faults() {
+    for size in [&SIZES[0], &SIZES[2]] {
+        let mut table = Table::new(&[
+            "fault",
+            "way",
+            "answered",
+            "p50 ms",
+            "p99 ms",
+            "shed",
+            "retries per try",
+            "refused or in doubt",
+            "imbalance 1 s",
+        ]);
+
+        for scenario in Scenario::FAULTS {
+            for way in [Way::Owner, Way::LocalTwoChoices, Way::LocalRandom] {
+                let measured = run(size, way, scenario, load(0.8, Duration::from_secs(5)));
+                table.row(&[
+                    scenario.label().to_owned(),
+                    way.label().to_owned(),
+                    format!("{:.2}%", measured.answered_percent()),
+                    format!("{:.1}", measured.percentile(0.5)),
+                    format!("{:.1}", measured.percentile(0.99)),
+                    measured.shed.to_string(),
+                    format!("{:.4}", measured.retries_per_try()),
+                    measured.refusals(),
+                    format!("{:.2}", measured.imbalance_1s()),
+                ]);
+            }
+        }
+        table.print(&format!("{} at 80% of slots under faults", size.name));
+    }
+}
+
+/// Goodput and both classes beyond the capacity.
+fn overload() {
+    for size in [&SIZES[0], &SIZES[2]] {
+        let mut table = Table::new(&[
+            "load",
+            "goodput over capacity",
+            "urgent answered",
+            "urgent p99 ms",
+            "bulk answered",
+            "bulk p99 ms",
+            "retries per try",
+            "refused",
+        ]);
+
+        for share in [1.0, 1.5, 3.0] {
+            let measured =
+                run(size, Way::Owner, Scenario::Steady, load(share, Duration::from_secs(2)));
+            let (urgent, bulk) = (measured.class(false), measured.class(true));
+            table.row(&[
+                format!("{share}x"),
+                format!("{:.3}", measured.goodput_over_capacity()),
+                format!("{:.1}%", urgent.answered_percent),
+                format!("{:.0}", urgent.p99_ms),
+                format!("{:.1}%", bulk.answered_percent),
+                format!("{:.0}", bulk.p99_ms),
+                format!("{:.4}", measured.retries_per_try()),
+                measured.refusals(),
+            ]);
+        }
+        table.print(&format!("{}: overload with a patience of 2 s, 30% bulk", size.name));
+    }
+}
+
+fn ratio(measured: f64, ideal: f64) -> String {
+    format!("{:.2}", measured / ideal)
+}
--- /dev/null
+++ b/crates/valvestage-experiment/src/requests/model.rs
@@ -0,0 +1,626 @@
+//! A queueing model around the decision code: arrivals, delays, slots.
+
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime};
+
+use valvestage_core::ids::{Attempt, BackendId, RequestId};
+use valvestage_core::{Backend, BackendState, RefusalReason, RequestClass, Segment};
+use valvestage_policy::requests::{
+    Authority, BackendReply, PoolOptions, Request, RequestAction, RequestOptions, ServiceDispatcher,
+};
+
+use super::measures::{Measures, Sample};
+use super::scenario::Scenario;
+use super::way::Way;
+use crate::deployment::{BALANCERS, Size, backend, configuration, start, zone_name};
+use crate::draws::Draws;
+
+/// Mean of the exponential run times.
+const RUN_TIME: Duration = Duration::from_millis(50);
+
+/// Pause between two ticks of a dispatcher.
+const TICK: Duration = Duration::from_millis(5);
+
+/// Length of one sample of the occupancy.
+const SAMPLE: Duration = Duration::from_millis(100);
+
+/// Samples in a window of a second.
+const SAMPLES_PER_SECOND: u32 = 10;
+
+/// A caller that was told nothing sends its request again.
+const RESEND: Duration = Duration::from_millis(500);
+
+/// Time until a lost balancer is noticed.
+const NOTICED_AFTER: Duration = Duration::from_secs(2);
+
+/// One way within an availability zone.
+const WITHIN_ZONE: Duration = Duration::from_micros(100);
+
+const SERVICE: u16 = 1;
+
+/// `Load` is what callers do.
+#[derive(Debug, Clone, Copy)]
+pub struct Load {
+    /// Share of the slots' capacity.
+    pub share: f64,
+    /// Requests in all.
+    pub requests: usize,
+    /// Time from a request to its deadline.
+    pub patience: Duration,
+    /// Share of bulk requests.
+    pub bulk_share: f64,
+    /// Of the draws.
+    pub seed: u64,
+}
+
+#[derive(Debug)]
+enum Event {
+    NewRequest(usize),
+    Resend(RequestId),
+    AtDispatcher(usize, RequestId),
+    AtBackend { dispatcher: usize, backend: BackendId, id: RequestId, attempt: Attempt },
+    Cancelled { dispatcher: usize, backend: BackendId, id: RequestId, attempt: Attempt },
+    Done { dispatcher: usize, backend: BackendId, id: RequestId, attempt: Attempt },
+    Answer { dispatcher: usize, reply: BackendReply },
+    Refusal { dispatcher: usize, reply: BackendReply, reason: RefusalReason },
+    AtCaller(RequestId, Option<RefusalReason>),
+    Tick(usize),
+    Sample,
+    Fault,
+    TakeOver,
+}
+
+struct Queued {
+    at: SystemTime,
+    sequence: u64,
+    event: Event,
+}
+
+impl PartialEq for Queued {
+    fn eq(&self, other: &Self) -> bool {
+        self.sequence == other.sequence
+    }
+}
+
+impl Eq for Queued {}
+
+impl PartialOrd for Queued {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Queued {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (other.at, other.sequence).cmp(&(self.at, self.sequence))
+    }
+}
+
+struct Server {
+    record: Backend,
+    running: BTreeMap<(RequestId, Attempt), ()>,
+    slow_factor: u32,
+    is_shedding: bool,
+    is_cut: bool,
+    /// Busy slots summed over the samples of the present second.
+    busy_sum: u32,
+}
+
+struct Pending {
+    sent: SystemTime,
+    deadline: SystemTime,
+    is_bulk: bool,
+    is_told: bool,
+    /// The same under every way.
+    run_time: Duration,
+}
+
+struct Model<'a> {
+    size: &'a Size,
+    way: Way,
+    scenario: Scenario,
+    load: Load,
+    now: SystemTime,
+    queue: BinaryHeap<Queued>,
+    sequence: u64,
+    arrivals: Draws,
+    routes: Draws,
+    dispatchers: Vec<ServiceDispatcher<()>>,
+    servers: BTreeMap<BackendId, Server>,
+    pending: HashMap<RequestId, Pending>,
+    measures: Measures,
+    samples: u32,
+    /// The admitting balancer is gone and not replaced yet.
+    owner_is_lost: bool,
+    strikes_at: SystemTime,
+}
+
+/// `run` runs a load under one way and scenario.
+pub fn run(size: &Size, way: Way, scenario: Scenario, load: Load) -> Measures {
+    match way {
+        Way::Ideal => return ideal(size, load, Duration::ZERO),
+        Way::IdealWithDelay => return ideal(size, load, mean_way(size)),
+        _ => {}
+    }
+
+    let mut model = Model::new(size, way, scenario, load);
+    model.prepare();
+    model.run();
+    model.finish()
+}
+
+fn capacity(size: &Size) -> f64 {
+    f64::from(size.backends) * f64::from(size.slots) / RUN_TIME.as_secs_f64()
+}
+
+/// The mean way from one balancer to a backend server and back.
+fn mean_way(size: &Size) -> Duration {
+    let zones = u32::try_from(size.zones).unwrap_or(1);
+
+    (size.between_zones * (zones - 1) + WITHIN_ZONE) / zones * 2
+}
+
+/// The same arrivals and run times, one first-come queue, no delay but that to callers and one for
+/// each run.
+fn ideal(size: &Size, load: Load, way: Duration) -> Measures {
+    let mut draws = Draws::new(load.seed);
+    let rate = capacity(size) * load.share;
+    let mean = Duration::from_secs(1).div_f64(rate);
+    let slots = size.backends as usize * usize::from(size.slots);
+
+    let mut free_at = BinaryHeap::from(vec![std::cmp::Reverse(start()); slots]);
+    let mut measures = Measures::default();
+    let mut now = start();
+    for _ in 0..load.requests {
+        now += draws.exponential(mean);
+        let run_time = draws.exponential(RUN_TIME);
+        let is_bulk = draws.unit() < load.bulk_share;
+        let std::cmp::Reverse(free) = free_at.pop().expect("there are slots");
+        let end = now.max(free) + run_time + way;
+
+        free_at.push(std::cmp::Reverse(end));
+        let taken = end.duration_since(now).unwrap_or_default() + size.to_callers * 2;
+        measures.samples.push(Sample { millis: taken.as_secs_f64() * 1_000.0, is_bulk });
+        measures.sent[usize::from(is_bulk)] += 1;
+    }
+    measures
+}
+
+impl<'a> Model<'a> {
+    fn new(size: &'a Size, way: Way, scenario: Scenario, load: Load) -> Self {
+        let records: Vec<Backend> =
+            (1..=size.backends).map(|id| backend(id, SERVICE, size.slots, size.zones)).collect();
+        let servers = records.iter().map(|record| {
+            let server = Server {
+                record: record.clone(),
+                running: BTreeMap::new(),
+                slow_factor: 1,
+                is_shedding: false,
+                is_cut: false,
+                busy_sum: 0,
+            };
+            (record.id, server)
+        });
+        let total = load.requests as u32;
+        let length = Duration::from_secs(1).div_f64(capacity(size) * load.share) * total;
+
+        Self {
+            size,
+            way,
+            scenario,
+            load,
+            now: start(),
+            queue: BinaryHeap::new(),
+            sequence: 0,
+            arrivals: Draws::new(load.seed),
+            routes: Draws::new(load.seed + 1),
+            dispatchers: Vec::new(),
+            servers: servers.collect(),
+            pending: HashMap::new(),
+            measures: Measures { capacity: capacity(size), ..Measures::default() },
+            samples: 0,
+            owner_is_lost: false,
+            strikes_at: start() + length / 3,
+        }
+    }
+
+    fn prepare(&mut self) {
+        let count = if self.way.has_owner() { 1 } else { BALANCERS };
+        for index in 0..count {
+            let dispatcher = self.make_dispatcher(index, self.records_for(index, count));
+            self.dispatchers.push(dispatcher);
+            self.schedule(TICK, Event::Tick(index as usize));
+        }
+
+        self.schedule_new_request(0);
+        self.schedule(SAMPLE, Event::Sample);
+        if self.scenario != Scenario::Steady {
+            let after = self.strikes_at.duration_since(self.now).unwrap_or_default();
+            self.schedule(after, Event::Fault);
+        }
+    }
+
+    /// All backend servers with all slots, or a fixed share of the slots.
+    fn records_for(&self, index: u32, count: u32) -> Vec<Backend> {
+        let all = self.servers.values().map(|server| server.record.clone());
+        if self.way != Way::Credits {
+            return all.collect();
+        }
+
+        // Slots are dealt one by one.
+        let mut dealt = 0;
+        let mut share = Vec::new();
+        for mut record in all {
+            let slots =
+                (0..record.slots).filter(|slot| (dealt + u32::from(*slot)) % count == index);
+            let own = slots.count();
+            dealt += u32::from(record.slots);
+            record.slots = u16::try_from(own).unwrap_or(0);
+            if record.slots > 0 {
+                share.push(record);
+            }
+        }
+        share
+    }
+
+    fn make_dispatcher(&self, index: u32, records: Vec<Backend>) -> ServiceDispatcher<()> {
+        let options = RequestOptions { choice: self.way.choice(), ..RequestOptions::default() };
+        let pool = PoolOptions {
+            own_zone: zone_name(index as usize % self.size.zones),
+            seed: self.load.seed + u64::from(index),
+            ..PoolOptions::default()
+        };
+
+        let mut dispatcher = ServiceDispatcher::new(SERVICE, options, pool);
+        dispatcher.install(&configuration(1, 1, records), self.now);
+        dispatcher
+    }
+
+    fn schedule(&mut self, after: Duration, event: Event) {
+        self.sequence += 1;
+
+        self.queue.push(Queued { at: self.now + after, sequence: self.sequence, event });
+    }
+
+    fn run(&mut self) {
+        // Long after the last arrival everything has ended.
+        let mut last_arrival = self.now;
+
+        while let Some(queued) = self.queue.pop() {
+            self.now = queued.at;
+            if matches!(queued.event, Event::NewRequest(_)) {
+                last_arrival = self.now;
+            }
+            if self.now > last_arrival + self.load.patience * 2 {
+                break;
+            }
+            self.handle(queued.event);
+        }
+        let length = last_arrival.duration_since(start()).unwrap_or_default();
+        self.measures.seconds = length.as_secs_f64();
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::NewRequest(number) => self.new_request(number),
+            Event::Resend(id) => self.send(id),
+            Event::AtDispatcher(index, id) => self.at_dispatcher(index, id),
+            Event::AtBackend { dispatcher, backend, id, attempt } => {
+                self.at_backend(dispatcher, backend, id, attempt);
+            }
+            Event::Cancelled { dispatcher, backend, id, attempt } => {
+                self.cancelled(dispatcher, backend, id, attempt);
+            }
+            Event::Done { dispatcher, backend, id, attempt } => {
+                self.done(dispatcher, backend, id, attempt);
+            }
+            Event::Answer { dispatcher, reply } => {
+                let mut out = Vec::new();
+                let authority = Some(self.authority());
+                self.dispatchers[dispatcher].on_answer(
+                    self.now,
+                    reply,
+                    Segment::WHOLE,
+                    (),
+                    authority,
+                    &mut out,
+                );
+                self.perform(dispatcher, out);
+            }
+            Event::Refusal { dispatcher, reply, reason } => {
+                let mut out = Vec::new();
+                let authority = Some(self.authority());
+                self.dispatchers[dispatcher]
+                    .on_refused(self.now, reply, reason, authority, &mut out);
+                self.perform(dispatcher, out);
+            }
+            Event::AtCaller(id, refusal) => self.at_caller(id, refusal),
+            Event::Tick(index) => self.tick(index),
+            Event::Sample => self.sample(),
+            Event::Fault => self.strike(),
+            Event::TakeOver => self.take_over(),
+        }
+    }
+
+    /// Everything is under a lease here: leases are the fault matrix's matter.
+    fn authority(&self) -> Authority {
+        Authority { covers_from: SystemTime::UNIX_EPOCH, fence: self.now + Duration::from_secs(60) }
+    }
+
+    fn schedule_new_request(&mut self, number: usize) {
+        let rate = capacity(self.size) * self.load.share;
+        let pause = self.arrivals.exponential(Duration::from_secs(1).div_f64(rate));
+
+        self.schedule(pause, Event::NewRequest(number));
+    }
+
+    fn new_request(&mut self, number: usize) {
+        let id = number as RequestId;
+        let run_time = self.arrivals.exponential(RUN_TIME);
+        let is_bulk = self.arrivals.unit() < self.load.bulk_share;
+        let pending = Pending {
+            sent: self.now,
+            deadline: self.now + self.load.patience,
+            is_bulk,
+            is_told: false,
+            run_time,
+        };
+
+        self.measures.sent[usize::from(is_bulk)] += 1;
+        self.pending.insert(id, pending);
+        self.send(id);
+        if number + 1 < self.load.requests {
+            self.schedule_new_request(number + 1);
+        }
+    }
+
+    /// From the caller by the fabric to any balancer, and from there to the one that admits.
+    fn send(&mut self, id: RequestId) {
+        let Some(pending) = self.pending.get(&id).filter(|pending| !pending.is_told) else {
+            return;
+        };
+        if pending.deadline <= self.now {
+            return;
+        }
+
+        let skewed = self.scenario == Scenario::SkewedCallers && id % 2 == 0;
+        let entry = if skewed { 0 } else { self.routes.below(BALANCERS as usize) };
+        let index = if self.way.has_owner() { 0 } else { entry };
+        let hop = if self.way.has_owner() && entry != 0 {
+            self.between(entry % self.size.zones, 0)
+        } else {
+            Duration::ZERO
+        };
+        self.schedule(self.size.to_callers + hop, Event::AtDispatcher(index, id));
+        self.schedule(RESEND, Event::Resend(id));
+    }
+
+    fn between(&self, left: usize, right: usize) -> Duration {
+        if left == right { WITHIN_ZONE } else { self.size.between_zones }
+    }
+
+    /// Between a dispatcher's balancer and a backend server.
+    fn to_backend(&self, dispatcher: usize, backend: BackendId) -> Duration {
+        self.between(dispatcher % self.size.zones, backend as usize % self.size.zones)
+    }
+
+    fn at_dispatcher(&mut self, index: usize, id: RequestId) {
+        if self.owner_is_lost && index == 0 {
+            return;
+        }
+        let pending = &self.pending[&id];
+        let request = Request {
+            id,
+            caller: SocketAddr::from(([198, 18, 0, 1], 1)),
+            service: SERVICE,
+            deadline: pending.deadline,
+            repeatable: id % 2 == 0,
+            class: if pending.is_bulk { RequestClass::Bulk } else { RequestClass::Urgent },
+            payload: (),
+        };
+
+        let mut out = Vec::new();
+        let authority = Some(self.authority());
+        self.dispatchers[index].accept(self.now, request, authority, &mut out);
+        self.perform(index, out);
+    }
+
+    fn perform(&mut self, dispatcher: usize, actions: Vec<RequestAction<()>>) {
+        for action in actions {
+            match action {
+                RequestAction::Dispatch { backend, attempt, request, .. } => {
+                    self.measures.tries += 1;
+                    let after = self.to_backend(dispatcher, backend);
+                    let id = request.id;
+                    self.schedule(after, Event::AtBackend { dispatcher, backend, id, attempt });
+                }
+                RequestAction::Cancel { backend, id, attempt, .. } => {
+                    let after = self.to_backend(dispatcher, backend);
+                    self.schedule(after, Event::Cancelled { dispatcher, backend, id, attempt });
+                }
+                RequestAction::Answer { id, .. } => {
+                    self.schedule(self.size.to_callers, Event::AtCaller(id, None));
+                }
+                RequestAction::Refuse { id, refusal, .. } => {
+                    let event = Event::AtCaller(id, Some(refusal.reason));
+                    self.schedule(self.size.to_callers, event);
+                }
+                RequestAction::Relay { .. } => unreachable!("dispatchers do not relay"),
+            }
+        }
+    }
+
+    fn at_backend(
+        &mut self,
+        dispatcher: usize,
+        backend: BackendId,
+        id: RequestId,
+        attempt: Attempt,
+    ) {
+        let after = self.to_backend(dispatcher, backend);
+        let reply = BackendReply { backend, id, attempt };
+        let Some(server) = self.servers.get_mut(&backend).filter(|server| !server.is_cut) else {
+            return;
+        };
+
+        if server.is_shedding || server.running.len() >= usize::from(server.record.slots) {
+            self.measures.shed += 1;
+            let reason = RefusalReason::BackendShedding;
+            self.schedule(after, Event::Refusal { dispatcher, reply, reason });
+            return;
+        }
+        server.running.insert((id, attempt), ());
+        let run_time = self.pending[&id].run_time * server.slow_factor;
+        self.schedule(run_time, Event::Done { dispatcher, backend, id, attempt });
+    }
+
+    fn done(&mut self, dispatcher: usize, backend: BackendId, id: RequestId, attempt: Attempt) {
+        let after = self.to_backend(dispatcher, backend);
+        let Some(server) = self.servers.get_mut(&backend) else {
+            return;
+        };
+
+        if server.running.remove(&(id, attempt)).is_some() && !server.is_cut {
+            let reply = BackendReply { backend, id, attempt };
+            self.schedule(after, Event::Answer { dispatcher, reply });
+        }
+    }
+
+    /// The backend server stops the run and says so: its slot is free.
+    fn cancelled(
+        &mut self,
+        dispatcher: usize,
+        backend: BackendId,
+        id: RequestId,
+        attempt: Attempt,
+    ) {
+        let after = self.to_backend(dispatcher, backend);
+        let Some(server) = self.servers.get_mut(&backend).filter(|server| !server.is_cut) else {
+            return;
+        };
+
+        if server.running.remove(&(id, attempt)).is_some() {
+            let reply = BackendReply { backend, id, attempt };
+            let reason = RefusalReason::Cancelled;
+            self.schedule(after, Event::Refusal { dispatcher, reply, reason });
+        }
+    }
+
+    fn at_caller(&mut self, id: RequestId, refusal: Option<RefusalReason>) {
+        let now = self.now;
+        let Some(pending) = self.pending.get_mut(&id).filter(|pending| !pending.is_told) else {
+            return;
+        };
+
+        pending.is_told = true;
+        match refusal {
+            None => {
+                let taken = now.duration_since(pending.sent).unwrap_or_default();
+                let millis = taken.as_secs_f64() * 1_000.0;
+                self.measures.samples.push(Sample { millis, is_bulk: pending.is_bulk });
+            }
+            Some(reason) => *self.measures.refused.entry(reason.label()).or_insert(0) += 1,
+        }
+    }
+
+    fn tick(&mut self, index: usize) {
+        let mut out = Vec::new();
+        let authority = Some(self.authority());
+
+        if !(self.owner_is_lost && index == 0) {
+            self.dispatchers[index].tick(self.now, authority, &mut out);
+        }
+        self.perform(index, out);
+        self.schedule(TICK, Event::Tick(index));
+    }
+
+    fn sample(&mut self) {
+        let busy: Vec<u32> = self.servers.values().map(|s| s.running.len() as u32).collect();
+        add_imbalance(&mut self.measures.imbalance, &busy);
+
+        for (server, busy) in self.servers.values_mut().zip(&busy) {
+            server.busy_sum += busy;
+        }
+        self.samples += 1;
+        if self.samples % SAMPLES_PER_SECOND == 0 {
+            let sums: Vec<u32> =
+                self.servers.values_mut().map(|s| std::mem::take(&mut s.busy_sum)).collect();
+            add_imbalance(&mut self.measures.imbalance_second, &sums);
+        }
+        self.schedule(SAMPLE, Event::Sample);
+    }
+
+    fn strike(&mut self) {
+        match self.scenario {
+            Scenario::TwoSlow => self.each_server(2, |server| server.slow_factor = 10),
+            Scenario::OneShedding => self.each_server(1, |server| server.is_shedding = true),
+            // Reports are hints that the policy does not follow: occupancy is counted.
+            Scenario::Steady | Scenario::OneLying | Scenario::SkewedCallers => {}
+            Scenario::ColdStart => {
+                for server in self.servers.values_mut() {
+                    server.record.incarnation += 1;
+                }
+                self.reinstall(2);
+            }
+            Scenario::ThreeDraining => {
+                self.each_server(3, |server| server.record.state = BackendState::Draining);
+                self.reinstall(2);
+            }
+            Scenario::ZoneCut => {
+                for server in self.servers.values_mut() {
+                    server.is_cut = server.record.zone == zone_name(1);
+                }
+                for dispatcher in &mut self.dispatchers {
+                    dispatcher.pool_mut().set_lost_zones(vec![zone_name(1)]);
+                }
+            }
+            Scenario::BalancerLost => {
+                self.owner_is_lost = true;
+                self.schedule(NOTICED_AFTER, Event::TakeOver);
+            }
+        }
+    }
+
+    fn each_server(&mut self, count: usize, change: impl Fn(&mut Server)) {
+        for server in self.servers.values_mut().take(count) {
+            change(server);
+        }
+    }
+
+    fn reinstall(&mut self, version: u64) {
+        let count = self.dispatchers.len() as u32;
+
+        for index in 0..count {
+            let records = self.records_for(index, count);
+            let next = configuration(version, 1, records);
+            self.dispatchers[index as usize].install(&next, self.now);
+        }
+    }
+
+    /// Another balancer, which knows nothing of what runs.
+    fn take_over(&mut self) {
+        let count = self.dispatchers.len() as u32;
+
+        self.dispatchers[0] = self.make_dispatcher(0, self.records_for(0, count));
+        self.owner_is_lost = false;
+    }
+
+    fn finish(mut self) -> Measures {
+        self.measures.untold = self.pending.values().filter(|p| !p.is_told).count() as u64;
+        self.measures
+    }
+}
+
+/// (max - mean) / mean.
+fn add_imbalance(sum: &mut (f64, u64), busy: &[u32]) {
+    let total: u32 = busy.iter().sum();
+    if total == 0 {
+        return;
+    }
+
+    let mean = f64::from(total) / f64::from(busy.len() as u32);
+    let max = f64::from(busy.iter().copied().max().unwrap_or(0));
+    sum.0 += (max - mean) / mean;
+    sum.1 += 1;
+}
--- a/crates/valvestage-policy/src/flows/configuration_history.rs
+++ b/crates/valvestage-policy/src/flows/configuration_history.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
+use hashbrown::HashMap;
 use valvestage_core::ids::{BackendId, FlowKey, Incarnation, ObjectVersion, ServiceId};
 use valvestage_core::{Backend, Configuration};
 
@@ -17,6 +18,9 @@
 #[derive(Debug, Clone, Default)]
 pub struct ConfigurationHistory {
     versions: VecDeque<Arc<Configuration>>,
+    /// For each backend server of any kept version the newest record, unless its address has been
+    /// given to another record since.
+    reachable: HashMap<BackendId, Arc<Backend>>,
 }
 
 impl ConfigurationHistory {
@@ -34,9 +38,25 @@
 
         self.versions.push_front(configuration);
         self.versions.truncate(KEPT_VERSIONS);
+        self.reachable = self.find_reachable();
         true
     }
 
+    fn find_reachable(&self) -> HashMap<BackendId, Arc<Backend>> {
+        let Some(current) = self.current() else {
+            return HashMap::new();
+        };
+        let is_taken = |record: &Backend| {
+            current.backend_at(record.address).is_some_and(|holder| holder.id != record.id)
+        };
+
+        // Oldest first, so that newer records replace older ones.
+        let records = self.versions.iter().rev().flat_map(|version| version.backends());
+        let newest: BTreeMap<BackendId, &Backend> = records.map(|r| (r.id, r)).collect();
+        let reachable = newest.into_iter().filter(|(_, record)| !is_taken(record));
+        reachable.map(|(id, record)| (id, Arc::new(record.clone()))).collect()
+    }
+
     /// `current` gives the configuration in force.
     #[must_use]
     #[inline]
@@ -50,21 +70,14 @@
         self.current().map_or(0, |configuration| configuration.version)
     }
 
-    /// `find` gives a backend server of a service from the newest version that has it.
+    /// `find` gives the newest record of a backend server, if it serves the service.
     ///
-    /// Only the record in force counts for the service: an address or id that now serves another
-    /// service is not found.
+    /// A backend server whose address now belongs to another record is not found, neither is one
+    /// of another service.
     #[must_use]
     #[inline]
     pub fn find(&self, service: ServiceId, id: BackendId) -> Option<&Backend> {
-        let newest = self.versions.iter().find_map(|configuration| configuration.backend(id))?;
-        if newest.service != service {
-            return None;
-        }
-
-        // The address may have been given to another record since.
-        let holder = self.current()?.backend_at(newest.address);
-        holder.is_none_or(|holder| holder.id == newest.id).then_some(newest)
+        self.reachable.get(&id).map(Arc::as_ref).filter(|record| record.service == service)
     }
 
     /// `find_incarnation` is like [`Self::find`], for one VM behind the record.
--- a/crates/valvestage-policy/src/membership/live_view.rs
+++ b/crates/valvestage-policy/src/membership/live_view.rs
@@ -16,6 +16,8 @@
     seed: u64,
     /// Sorted and unique.
     members: Vec<BalancerId>,
+    /// The number of members.
+    weight: f64,
 }
 
 /// `LiveView` is a set of live balancers, arranged by availability zone.
@@ -44,8 +46,11 @@
             view.epoch = mix(view.epoch, mix(seed, id.into()));
 
             match view.zones.last_mut() {
-                Some(last) if last.zone == zone => last.members.push(id),
-                _ => view.zones.push(ZoneMembers { zone, seed, members: vec![id] }),
+                Some(last) if last.zone == zone => {
+                    last.members.push(id);
+                    last.weight += 1.0;
+                }
+                _ => view.zones.push(ZoneMembers { zone, seed, members: vec![id], weight: 1.0 }),
             }
         }
 
@@ -111,17 +116,16 @@
     #[must_use]
     pub fn home_without(&self, key: FlowKey, excluded: Option<BalancerId>) -> Option<BalancerId> {
         // First a zone, weighted by the members it would have.
-        let zone = if self.zones.len() == 1 {
-            self.zones.first()
-        } else {
-            best(self.zones.iter().map(|zone| {
-                let left = zone.members.iter().filter(|id| Some(**id) != excluded).count();
-                #[allow(clippy::cast_precision_loss)]
-                let weight = left as f64;
+        let loses_one =
+            |zone: &ZoneMembers| excluded.is_some_and(|excluded| zone.members.contains(&excluded));
+        let zone = match self.zones.as_slice() {
+            [only] => only,
+            zones => best(zones.iter().map(|zone| {
+                let weight = if loses_one(zone) { zone.weight - 1.0 } else { zone.weight };
 
                 (zone, weighted_score(key, zone.seed, weight))
-            }))
-        }?;
+            }))?,
+        };
 
         // Then a balancer in the zone, all of equal weight.
         zone.members
--- a/crates/valvestage-policy/src/rendezvous.rs
+++ b/crates/valvestage-policy/src/rendezvous.rs
@@ -32,7 +32,29 @@
     #[allow(clippy::cast_precision_loss)]
     let uniform = ((mix(key, seed) >> 11) as f64 + 0.5) / TWO_POW_53;
 
-    -weight / uniform.ln()
+    -weight / logarithm(uniform)
+}
+
+/// The binary logarithm, to about one part in a thousand.
+///
+/// Its scale does not matter for the order of scores, and the error shifts shares by less than the
+/// draw does; all that counts is that every balancer computes the same. It costs a fraction of the
+/// exact one, which would be most of the time of a decision.
+#[inline]
+fn logarithm(value: f64) -> f64 {
+    const MANTISSA_BITS: u32 = 52;
+    const EXPONENT_BIAS: f64 = 1_023.0;
+    const ONE: u64 = 0x3ff0_0000_0000_0000;
+
+    // value = mantissa * 2^exponent, with the mantissa from 1 to 2.
+    let bits = value.to_bits();
+    #[allow(clippy::cast_precision_loss)]
+    let exponent = (bits >> MANTISSA_BITS) as f64 - EXPONENT_BIAS;
+    let mantissa = f64::from_bits(bits & ((1 << MANTISSA_BITS) - 1) | ONE);
+
+    // A cubic that is exact at both ends, so that there is no step from one exponent to the next.
+    let x = mantissa - 1.0;
+    exponent + x * (1.424_75 + x * (-0.592_25 + x * 0.167_5))
 }
 
 /// `best` gives the candidate with the highest score; ties go to the first.
--- a/crates/valvestage-policy/src/requests/backend_pool.rs
+++ b/crates/valvestage-policy/src/requests/backend_pool.rs
@@ -114,7 +114,7 @@
 
     /// `choose` gives a backend server with a free slot, none of those excluded.
     pub fn choose(&mut self, now: SystemTime, excluded: &[BackendId]) -> Option<BackendId> {
-        let slow_start = self.options.slow_start;
+        let slow_start = self.slow_start(now);
         let free: Vec<_> = self
             .backends
             .values()
@@ -139,6 +139,17 @@
         })
     }
 
+    /// Slow start spares a few cold backend servers while the others carry the load. When most are
+    /// cold there are no others, and holding slots back would only make requests wait.
+    fn slow_start(&self, now: SystemTime) -> Duration {
+        let eligible = self.backends.values().filter(|slots| slots.eligible);
+        let (cold, all) = eligible.fold((0u32, 0u32), |(cold, all), slots| {
+            (cold + u32::from(now < slots.cold_until), all + 1)
+        });
+
+        if cold * 2 > all { Duration::ZERO } else { self.options.slow_start }
+    }
+
     /// The order: reachable zones, usual speed, occupancy, own zone, speed, then a rotation.
     fn least_occupied(&self, free: &[&BackendSlots]) -> BackendId {
         let slow_above =
@@ -256,11 +267,10 @@
     /// `usable_slots` counts the slots that may be used now, free or not.
     #[must_use]
     pub fn usable_slots(&self, now: SystemTime) -> u32 {
-        self.backends
-            .values()
-            .filter(|slots| slots.eligible && !slots.is_out(now))
-            .map(|slots| u32::from(slots.allowed(now, self.options.slow_start)))
-            .sum()
+        let slow_start = self.slow_start(now);
+        let usable = self.backends.values().filter(|slots| slots.eligible && !slots.is_out(now));
+
+        usable.map(|slots| u32::from(slots.allowed(now, slow_start))).sum()
     }
 
     /// `busy_slots` counts the slots in use.
--- a/crates/valvestage-policy/src/requests/request_options.rs
+++ b/crates/valvestage-policy/src/requests/request_options.rs
@@ -56,7 +56,7 @@
             min_remaining: Duration::from_millis(5),
             waiting_per_slot: 50,
             max_claims: 200_000,
-            bulk_patience: Duration::from_millis(1_500),
+            bulk_patience: Duration::from_millis(500),
             max_tries: 4,
             retry_ratio: 0.1,
             retry_burst: 10.0,
--- a/crates/valvestage-policy/src/requests/service_replies.rs
+++ b/crates/valvestage-policy/src/requests/service_replies.rs
@@ -197,15 +197,7 @@
                 self.finish_refused(now, id, RefusalReason::ExpiredInQueue, out);
             }
             ClaimState::Running => {
-                let silent: Vec<_> = claim
-                    .tries
-                    .iter()
-                    .filter(|record| record.state == TryState::Pending)
-                    .map(|record| (record.backend, record.incarnation))
-                    .collect();
-                for (backend, incarnation) in silent {
-                    self.pool.on_failure(backend, incarnation, now);
-                }
+                self.note_silence(now, id);
                 self.finish_refused(now, id, RefusalReason::ExpiredRunning, out);
             }
             // The former owner answers; copies are out of time anyway.
@@ -213,6 +205,24 @@
         }
     }
 
+    /// A try that was out for long and got no answer speaks against its backend server; one that
+    /// was sent shortly before the deadline does not.
+    fn note_silence(&mut self, now: SystemTime, id: RequestId) {
+        let timeout = self.try_timeout();
+        let Some(claim) = self.claims.get(id) else {
+            return;
+        };
+        let pending = claim.tries.iter().filter(|record| record.state == TryState::Pending);
+        let silent: Vec<_> = pending
+            .filter(|record| record.sent + timeout <= now)
+            .map(|record| (record.backend, record.incarnation))
+            .collect();
+
+        for (backend, incarnation) in silent {
+            self.pool.on_failure(backend, incarnation, now);
+        }
+    }
+
     /// A repeatable request whose newest try takes too long is tried elsewhere.
     fn check_overdue(&mut self, now: SystemTime, id: RequestId, deadline: Deadline) {
         let timeout = self.try_timeout();
@@ -266,12 +276,12 @@
 
     /// The claim is not needed any more; slots that no answer freed are freed now.
     fn forget(&mut self, now: SystemTime, id: RequestId) {
+        self.note_silence(now, id);
         let Some(claim) = self.claims.remove(id) else {
             return;
         };
 
         for record in claim.tries.iter().filter(|record| record.holds_slot()) {
-            self.pool.on_failure(record.backend, record.incarnation, now);
             self.pool.on_ended(record.backend, record.incarnation);
         }
     }
--- a/crates/valvestage-policy/src/requests/wait_queue.rs
+++ b/crates/valvestage-policy/src/requests/wait_queue.rs
@@ -15,10 +15,14 @@
     pub since: SystemTime,
 }
 
+/// Of this many turns one goes to a bulk request, if one waits.
+const BULK_TURN: usize = 5;
+
 /// `WaitQueue` orders waiting requests by class, with ageing.
 ///
 /// An urgent request goes before every bulk request that has waited less than `bulk_patience`
-/// longer than it; beyond that the bulk request goes first, so that no class starves.
+/// longer than it; beyond that the bulk request goes first. Every fifth turn is a bulk request's
+/// in any case, so that it does not starve in an overload, when urgent ones wait as long.
 #[derive(Debug, Clone)]
 pub struct WaitQueue {
     bulk_patience: Duration,
@@ -26,13 +30,15 @@
     urgent: VecDeque<WaitEntry>,
     /// Oldest first.
     bulk: VecDeque<WaitEntry>,
+    /// Urgent turns since the last bulk turn; less than [`BULK_TURN`].
+    urgent_turns: usize,
 }
 
 impl WaitQueue {
     /// `new` starts an empty queue.
     #[must_use]
     pub fn new(bulk_patience: Duration) -> Self {
-        Self { bulk_patience, urgent: VecDeque::new(), bulk: VecDeque::new() }
+        Self { bulk_patience, urgent: VecDeque::new(), bulk: VecDeque::new(), urgent_turns: 0 }
     }
 
     /// `push` adds a request at the end of its class.
@@ -49,6 +55,10 @@
     pub fn pop(&mut self) -> Option<WaitEntry> {
         let class = self.next_class()?;
 
+        self.urgent_turns = match class {
+            RequestClass::Urgent => (self.urgent_turns + 1).min(BULK_TURN - 1),
+            RequestClass::Bulk => 0,
+        };
         self.class_mut(class).pop_front()
     }
 
@@ -57,7 +67,9 @@
     pub fn ahead_of(&self, class: RequestClass) -> usize {
         match class {
             RequestClass::Urgent => self.urgent.len(),
-            RequestClass::Bulk => self.urgent.len() + self.bulk.len(),
+            RequestClass::Bulk => {
+                self.bulk.len() + self.urgent.len().min(self.bulk.len() * (BULK_TURN - 1))
+            }
         }
     }
 
@@ -84,6 +96,7 @@
             (None, None) => None,
             (Some(_), None) => Some(RequestClass::Urgent),
             (None, Some(_)) => Some(RequestClass::Bulk),
+            (Some(_), Some(_)) if self.urgent_turns + 1 >= BULK_TURN => Some(RequestClass::Bulk),
             (Some(urgent), Some(bulk)) if bulk.since + self.bulk_patience < urgent.since => {
                 Some(RequestClass::Bulk)
             }
