--- /dev/null
+++ b/crates/valvestage-balancer/tests/data_path.rs
@@ -0,0 +1,230 @@
+//! The data path: bad input is counted by reason, and never reaches a backend server.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use valvestage_balancer::commands::Command;
+use valvestage_balancer::data_path::{DataHandler, DataOptions, Outbound};
+use valvestage_balancer::metrics::BalancerMetrics;
+use valvestage_core::{
+    Backend, BackendState, Configuration, PacketKind, RawConfiguration, RefusalReason, Service,
+};
+use valvestage_policy::balancer::BalancerOptions;
+use valvestage_policy::flows::{FlowToken, HopMark, RawTokenKeys, RelayPurpose, TokenKeys};
+use valvestage_policy::membership::LiveView;
+use valvestage_wire::envelope::{MAX_DATAGRAM, decode, encode};
+use valvestage_wire::{Envelope, Header, Target};
+
+const FABRIC: &str = "192.0.2.250:9000";
+const PEER: &str = "192.0.2.2:9000";
+const STRANGER: &str = "192.0.2.99:9000";
+const CALLER: &str = "198.18.0.1:4000";
+
+fn at(address: &str) -> SocketAddr {
+    address.parse().unwrap()
+}
+
+fn now() -> SystemTime {
+    UNIX_EPOCH + Duration::from_secs(1_800_000_000)
+}
+
+fn service_address(id: u16) -> SocketAddr {
+    SocketAddr::from(([203, 0, 113, u8::try_from(id).unwrap()], 7_000))
+}
+
+fn backend_address(id: u32) -> SocketAddr {
+    SocketAddr::from(([198, 51, 100, u8::try_from(id).unwrap()], 7_000))
+}
+
+fn backend(id: u32, service: u16) -> Backend {
+    Backend {
+        id,
+        name: format!("backend-{id}"),
+        service,
+        zone: "brest-a".to_owned(),
+        address: backend_address(id),
+        incarnation: 1,
+        slots: 2,
+        connections: 2,
+        weight: 100,
+        state: BackendState::Active,
+    }
+}
+
+struct Fixture {
+    handler: DataHandler,
+    metrics: Arc<BalancerMetrics>,
+}
+
+impl Fixture {
+    /// One balancer, two services with two backend servers each, one peer that is not alive.
+    fn new() -> Self {
+        let service =
+            |id| Service { id, name: format!("service-{id}"), address: service_address(id) };
+        let raw = RawConfiguration {
+            change_id: "first".to_owned(),
+            services: vec![service(1), service(2)],
+            backends: vec![backend(1, 1), backend(2, 1), backend(3, 2), backend(4, 2)],
+            stopped_zones: BTreeSet::new(),
+        };
+        let keys = RawTokenKeys { flow_hash: (1, 2), current: 1, keys: vec![(1, 3, 4)] };
+        let metrics = Arc::new(BalancerMetrics::default());
+        let options = DataOptions {
+            policy: BalancerOptions::new(1, "brest-a".to_owned()),
+            fabrics: vec![at(FABRIC)],
+        };
+        let mut handler = DataHandler::new(options, metrics.clone(), now());
+
+        let configuration = Configuration::try_from((1, raw)).unwrap();
+        for command in [
+            Command::InstallConfiguration(Arc::new(configuration)),
+            Command::InstallKeys(TokenKeys::new(1, keys)),
+            Command::InstallView {
+                view: LiveView::new([(1, "brest-a".to_owned())]),
+                addresses: BTreeMap::from([(2, at(PEER))]),
+            },
+        ] {
+            handler.on_command(now(), command, &mut Vec::new());
+        }
+        Self { handler, metrics }
+    }
+
+    fn give(&mut self, source: &str, datagram: &[u8]) -> Vec<Outbound> {
+        let mut out = Vec::new();
+
+        self.handler.on_datagram(now(), at(source), datagram, &mut out);
+        out
+    }
+
+    fn count(&self, reason: RefusalReason) -> u64 {
+        self.metrics.refusals.get_or_create(&reason.into()).get()
+    }
+
+    /// Gives a datagram that must be counted under a reason and reach no backend server.
+    fn assert_refused(&mut self, source: &str, datagram: &[u8], reason: RefusalReason) {
+        let before = self.count(reason);
+        let out = self.give(source, datagram);
+
+        assert_eq!(self.count(reason), before + 1, "{}", reason.label());
+        assert!(out.iter().all(|sent| sent.to == at(FABRIC)), "{}: {out:?}", reason.label());
+    }
+}
+
+fn packet(header: Header, service: SocketAddr) -> Vec<u8> {
+    encode(&Envelope { caller: at(CALLER), service, header, payload: b"payload" }).unwrap()
+}
+
+#[test]
+fn bad_input_is_counted_by_reason_and_reaches_no_backend_server() {
+    let mut fixture = Fixture::new();
+    let open = packet(Header::new(PacketKind::Open), service_address(1));
+
+    // Of the datagram.
+    fixture.assert_refused(STRANGER, &open, RefusalReason::UnauthorisedSource);
+    fixture.assert_refused(FABRIC, &[0; MAX_DATAGRAM + 1], RefusalReason::Oversized);
+    fixture.assert_refused(FABRIC, b"bare", RefusalReason::Malformed);
+    fixture.assert_refused(FABRIC, &open[..20], RefusalReason::Malformed);
+    fixture.assert_refused(FABRIC, &[], RefusalReason::Malformed);
+
+    // Of what a caller may say.
+    let unknown = packet(Header::new(PacketKind::Open), at("203.0.113.9:7000"));
+    fixture.assert_refused(FABRIC, &unknown, RefusalReason::UnknownService);
+    let target = Target { service: 1, backend: 1, incarnation: 1 };
+    let hop = HopMark { count: 1, purpose: RelayPurpose::Home, view_epoch: 0 };
+    for header in [
+        Header { target: Some(target), ..Header::new(PacketKind::Open) },
+        Header { hop: Some(hop), ..Header::new(PacketKind::Open) },
+        Header::new(PacketKind::Answer),
+        Header::new(PacketKind::Refusal),
+        Header::new(PacketKind::Binding),
+        Header::new(PacketKind::Request),
+        Header { request: Some(1), ..Header::new(PacketKind::Request) },
+        Header::new(PacketKind::Cancel),
+    ] {
+        let datagram = packet(header, service_address(1));
+        fixture.assert_refused(FABRIC, &datagram, RefusalReason::Malformed);
+    }
+
+    // Of tokens.
+    let token = FlowToken { key_id: 1, service: 1, backend: 1, incarnation: 1, mac: 99 };
+    let forged = Header { token: Some(token), ..Header::new(PacketKind::Data) };
+    let datagram = packet(forged, service_address(1));
+    fixture.assert_refused(FABRIC, &datagram, RefusalReason::BadToken);
+
+    // Of peers and backend servers.
+    let unmarked = packet(Header::new(PacketKind::Data), service_address(1));
+    fixture.assert_refused(PEER, &unmarked, RefusalReason::Malformed);
+    let mut wrong = Header::new(PacketKind::Data);
+    wrong.target = Some(Target { service: 2, backend: 1, incarnation: 1 });
+    let datagram = packet(wrong, service_address(1));
+    let source = backend_address(1).to_string();
+    fixture.assert_refused(&source, &datagram, RefusalReason::WrongService);
+}
+
+#[test]
+fn before_the_first_configuration_everything_is_refused() {
+    let metrics = Arc::new(BalancerMetrics::default());
+    let options = DataOptions {
+        policy: BalancerOptions::new(1, "brest-a".to_owned()),
+        fabrics: vec![at(FABRIC)],
+    };
+    let mut handler = DataHandler::new(options, metrics.clone(), now());
+    let open = packet(Header::new(PacketKind::Open), service_address(1));
+    let mut out = Vec::new();
+
+    handler.on_datagram(now(), at(FABRIC), &open, &mut out);
+
+    assert!(out.is_empty());
+    assert_eq!(metrics.refusals.get_or_create(&RefusalReason::NoConfiguration.into()).get(), 1);
+}
+
+#[test]
+fn the_answer_to_an_opening_packet_carries_a_token_that_any_balancer_takes() {
+    let mut fixture = Fixture::new();
+    let open = packet(Header::new(PacketKind::Open), service_address(1));
+
+    // To a backend server, which answers.
+    let out = fixture.give(FABRIC, &open);
+    let [sent] = &out[..] else { panic!("{out:?}") };
+    let target = decode(&sent.bytes).unwrap().header.target.unwrap();
+    assert_eq!(sent.to, backend_address(target.backend));
+    let answer = Header { target: Some(target), ..Header::new(PacketKind::Open) };
+    let out = fixture.give(&sent.to.to_string(), &packet(answer, service_address(1)));
+
+    // The caller gets a token; a balancer that never saw the flow takes it.
+    let token = decode(&out[0].bytes).unwrap().header.token.unwrap();
+    let mut other = Fixture::new();
+    let data = Header { token: Some(token), ..Header::new(PacketKind::Data) };
+    let out = other.give(FABRIC, &packet(data, service_address(1)));
+    assert_eq!(out[0].to, sent.to);
+
+    // Not for another caller, nor for the other service.
+    let elsewhere = packet(data, service_address(2));
+    other.assert_refused(FABRIC, &elsewhere, RefusalReason::BadToken);
+}
+
+#[test]
+fn a_flow_that_its_backend_server_has_no_room_for_is_placed_on_another() {
+    let mut fixture = Fixture::new();
+    let open = packet(Header::new(PacketKind::Open), service_address(1));
+    let first = fixture.give(FABRIC, &open)[0].to;
+
+    // The refusal carries the payload back, and the packet goes to the other backend server.
+    let refuse = |from: SocketAddr| {
+        let id = u32::from(from.to_string().as_bytes()[11] - b'0');
+        let mut header = Header::new(PacketKind::Refusal);
+        header.target = Some(Target { service: 1, backend: id, incarnation: 1 });
+        header.refusal =
+            Some((valvestage_core::Outcome::NotRun, RefusalReason::BackendConnections));
+        packet(header, service_address(1))
+    };
+    let out = fixture.give(&first.to_string(), &refuse(first));
+    let second = out[0].to;
+    assert_ne!(first, second);
+    assert_eq!(decode(&out[0].bytes).unwrap().payload, b"payload");
+
+    // Both are full: the caller is told at once.
+    fixture.assert_refused(&second.to_string(), &refuse(second), RefusalReason::ConnectionsFull);
+}
--- a/crates/valvestage-core/src/configuration.rs
+++ b/crates/valvestage-core/src/configuration.rs
@@ -86,8 +86,12 @@
     stopped_zones: BTreeSet<ZoneName>,
     service_by_address: BTreeMap<SocketAddr, ServiceId>,
     backend_by_address: BTreeMap<SocketAddr, BackendId>,
+    /// For each service its backend servers, by id.
+    by_service: BTreeMap<ServiceId, Vec<BackendId>>,
     /// For each service its backend servers that may take new work, by id.
     eligible: BTreeMap<ServiceId, Vec<BackendId>>,
+    /// Names in use, of services and of backend servers.
+    names: BTreeSet<String>,
 }
 
 impl Configuration {
@@ -119,6 +123,13 @@
         self.backends.values()
     }
 
+    /// `backends_of` iterates over the backend servers of a service by id.
+    pub fn backends_of(&self, service: ServiceId) -> impl Iterator<Item = &Backend> {
+        let ids = self.by_service.get(&service).map_or(&[][..], Vec::as_slice);
+
+        ids.iter().filter_map(|id| self.backends.get(id))
+    }
+
     /// `backend_at` gives the backend server with an address.
     #[must_use]
     pub fn backend_at(&self, address: SocketAddr) -> Option<&Backend> {
@@ -158,7 +169,9 @@
             stopped_zones: raw.stopped_zones,
             service_by_address: BTreeMap::new(),
             backend_by_address: BTreeMap::new(),
+            by_service: BTreeMap::new(),
             eligible: BTreeMap::new(),
+            names: BTreeSet::new(),
         };
 
         // Services first: backend servers refer to them.
@@ -178,7 +191,7 @@
     fn add_service(&mut self, service: Service) -> Result<(), CoreError> {
         let refuse = |problem| Err(CoreError::bad_configuration(&service.name, problem));
 
-        if self.services.values().any(|known| known.name == service.name) {
+        if !self.names.insert(format!("service {}", service.name)) {
             return refuse("the service name is used twice");
         }
         if self.service_by_address.insert(service.address, service.id).is_some() {
@@ -199,7 +212,7 @@
         if !self.services.contains_key(&backend.service) {
             return refuse("the backend server names a service that does not exist");
         }
-        if self.backends.values().any(|known| known.name == backend.name) {
+        if !self.names.insert(format!("backend {}", backend.name)) {
             return refuse("the backend server name is used twice");
         }
         if self.backend_by_address.insert(backend.address, backend.id).is_some() {
@@ -212,6 +225,7 @@
             return refuse("slots and connections must be at least 1");
         }
 
+        self.by_service.entry(backend.service).or_default().push(backend.id);
         if self.takes_new_work(&backend) {
             self.eligible.entry(backend.service).or_default().push(backend.id);
         }
--- a/crates/valvestage-experiment/src/capacity/claim_slope.rs
+++ b/crates/valvestage-experiment/src/capacity/claim_slope.rs
@@ -24,14 +24,17 @@
         "µs a request, from acceptance to answer",
     ]);
 
+    // All are kept, so that none is given memory that another one has left.
+    let mut kept = Vec::new();
     for claims in [25_000, 50_000, 100_000] {
-        let (bytes, micros) = measure(claims);
+        let (bytes, micros, dispatcher) = measure(claims);
+        kept.push(dispatcher);
         table.row(&[claims.to_string(), format!("{bytes:.0}"), format!("{micros:.2}")]);
     }
     table.print("Claims at the owner of a service");
 }
 
-fn measure(claims: usize) -> (f64, f64) {
+fn measure(claims: usize) -> (f64, f64, ServiceDispatcher<Vec<u8>>) {
     let records = (1..=14).map(|id| backend(id, 1, 3, 3)).collect();
     let now = SystemTime::now();
     let mut dispatcher: ServiceDispatcher<Vec<u8>> =
@@ -70,7 +73,7 @@
 
     #[allow(clippy::cast_precision_loss)]
     let (bytes, count) = (grown as f64, claims as f64);
-    (bytes / count, spent.as_secs_f64() * 1e6 / count)
+    (bytes / count, spent.as_secs_f64() * 1e6 / count, dispatcher)
 }
 
 /// Resident memory of this process, from the second field of /proc/self/statm (pages).
--- a/crates/valvestage-policy/src/balancer/balancer_policy.rs
+++ b/crates/valvestage-policy/src/balancer/balancer_policy.rs
@@ -1,6 +1,6 @@
 //! The state of one balancer's policy, and the installation of what control learns.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::SystemTime;
 
@@ -163,10 +163,8 @@
         };
 
         let view = self.director.view();
-        let zones = configuration.backends().map(|backend| backend.zone.clone());
-        let mut lost: Vec<_> = zones.filter(|zone| !view.has_zone(zone)).collect();
-        lost.sort();
-        lost.dedup();
+        let zones: BTreeSet<_> = configuration.backends().map(|backend| &backend.zone).collect();
+        let lost: Vec<_> = zones.into_iter().filter(|zone| !view.has_zone(zone)).cloned().collect();
         for dispatcher in self.dispatchers.values_mut() {
             dispatcher.pool_mut().set_lost_zones(lost.clone());
         }
--- a/crates/valvestage-policy/src/control/control_policy.rs
+++ b/crates/valvestage-policy/src/control/control_policy.rs
@@ -194,6 +194,7 @@
         let inputs = CoordinatorInputs {
             services: services.map(|service| service.id).collect(),
             candidates: self.candidates(now),
+            live: self.view.members().count(),
         };
         if let Some(call) = self.coordinator.next_call(now, &inputs) {
             out.push(ControlAction::Call { machine: Machine::Owners, call });
--- a/crates/valvestage-policy/src/control/owner_coordinator.rs
+++ b/crates/valvestage-policy/src/control/owner_coordinator.rs
@@ -18,6 +18,9 @@
 /// Pause after a call without an answer or a conflict.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
+/// Longest wait for candidates before the first map of a deployment.
+const FIRST_GATHERING: Duration = Duration::from_secs(2);
+
 /// `OwnerCandidate` is a live balancer that holds a lease.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct OwnerCandidate {
@@ -34,6 +37,8 @@
     pub services: Vec<ServiceId>,
     /// Live, staying balancers with a lease.
     pub candidates: Vec<OwnerCandidate>,
+    /// Live, staying balancers, with a lease or without.
+    pub live: usize,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -58,6 +63,7 @@
     /// Leases found lapsed and closed, with their epochs, since the map was read.
     lapsed: BTreeSet<(BalancerId, LeaseEpoch)>,
     not_before: SystemTime,
+    started: SystemTime,
     writes: u64,
 }
 
@@ -72,6 +78,7 @@
             map: None,
             lapsed: BTreeSet::new(),
             not_before: now,
+            started: now,
             writes: 0,
         }
     }
@@ -113,6 +120,9 @@
             return Some(PlatformCall::Read { key: ObjectKey::Lease(entry.owner) });
         }
 
+        if map.version == 0 && self.expects_more_candidates(now, inputs) {
+            return None;
+        }
         let next = self.next_map(now, &map, inputs)?;
         let expected = (map.version > 0).then_some(map.version);
         self.step = Step::WritingMap(next.clone());
@@ -123,6 +133,12 @@
         })
     }
 
+    /// In a fresh deployment the first balancer with a lease would get every service: most of the
+    /// others follow within a moment.
+    fn expects_more_candidates(&self, now: SystemTime, inputs: &CoordinatorInputs) -> bool {
+        inputs.candidates.len() * 2 < inputs.live && now < self.started + FIRST_GATHERING
+    }
+
     fn is_doubtful(&self, entry: &OwnerEntry, inputs: &CoordinatorInputs) -> bool {
         let is_candidate = inputs
             .candidates
--- a/crates/valvestage-policy/src/requests/backend_pool.rs
+++ b/crates/valvestage-policy/src/requests/backend_pool.rs
@@ -79,7 +79,7 @@
         let is_first = self.backends.is_empty();
         let mut known = std::mem::take(&mut self.backends);
 
-        for record in configuration.backends().filter(|backend| backend.service == service) {
+        for record in configuration.backends_of(service) {
             let former =
                 known.remove(&record.id).filter(|old| old.incarnation == record.incarnation);
             let cold_until = if is_first { now } else { now + self.options.slow_start };
--- a/crates/valvestage-policy/tests/control.rs
+++ b/crates/valvestage-policy/tests/control.rs
@@ -201,7 +201,7 @@
     let mut coordinator = OwnerCoordinator::new(2, bound, start());
     let one = OwnerCandidate { id: 1, lease: 100 };
     let two = OwnerCandidate { id: 2, lease: 200 };
-    let with = |candidates| CoordinatorInputs { services: vec![7], candidates };
+    let with = |candidates| CoordinatorInputs { services: vec![7], candidates, live: 1 };
 
     // First owner: balancer 1, covered from the beginning.
     let inputs = with(vec![one]);
@@ -238,7 +238,7 @@
     let mut coordinator = OwnerCoordinator::new(2, Duration::from_millis(250), start());
     let one = OwnerCandidate { id: 1, lease: 100 };
     let two = OwnerCandidate { id: 2, lease: 200 };
-    let with = |candidates| CoordinatorInputs { services: vec![7], candidates };
+    let with = |candidates| CoordinatorInputs { services: vec![7], candidates, live: 1 };
     coordinator.next_call(start(), &with(vec![one])).unwrap();
     coordinator.on_reply(start(), PlatformReply::Missing);
     coordinator.next_call(start(), &with(vec![one])).unwrap();
