--- a/crates/valvestage-balancer/src/data_path/backend_packets.rs
+++ b/crates/valvestage-balancer/src/data_path/backend_packets.rs
@@ -100,10 +100,9 @@
         let place = envelope.header.segment.unwrap_or(Segment::WHOLE);
         let payload = envelope.payload.to_vec();
 
-        let mut actions = std::mem::take(&mut self.actions);
-        self.policy.on_answer(now, sender.service, reply, place, payload, &mut actions);
-        self.perform(&mut actions, out);
-        self.actions = actions;
+        self.act(out, |policy, actions| {
+            policy.on_answer(now, sender.service, reply, place, payload, actions);
+        });
         Ok(())
     }
 
@@ -118,10 +117,9 @@
         let (_, reason) = envelope.header.refusal.ok_or(RefusalReason::Malformed)?;
         self.metrics.refused(reason);
 
-        let mut actions = std::mem::take(&mut self.actions);
-        self.policy.on_refused(now, sender.service, reply, reason, &mut actions);
-        self.perform(&mut actions, out);
-        self.actions = actions;
+        self.act(out, |policy, actions| {
+            policy.on_refused(now, sender.service, reply, reason, actions);
+        });
         Ok(())
     }
 }
--- a/crates/valvestage-balancer/src/data_path/caller_packets.rs
+++ b/crates/valvestage-balancer/src/data_path/caller_packets.rs
@@ -188,10 +188,7 @@
             payload: envelope.payload.to_vec(),
         };
 
-        let mut actions = std::mem::take(&mut self.actions);
-        self.policy.on_request(now, request, hop, &mut actions);
-        self.perform(&mut actions, out);
-        self.actions = actions;
+        self.act(out, |policy, actions| policy.on_request(now, request, hop, actions));
         Ok(())
     }
 
@@ -205,10 +202,9 @@
     ) -> Result<(), RefusalReason> {
         let id = envelope.header.request.ok_or(RefusalReason::Malformed)?;
 
-        let mut actions = std::mem::take(&mut self.actions);
-        let owner = self.policy.on_cancel(now, service, id, envelope.caller, &mut actions);
-        self.perform(&mut actions, out);
-        self.actions = actions;
+        let caller = envelope.caller;
+        let owner =
+            self.act(out, |policy, actions| policy.on_cancel(now, service, id, caller, actions));
 
         if let Some(owner) = owner.filter(|_| hop.count == 0) {
             let hop = HopMark { count: 1, ..hop };
--- a/crates/valvestage-balancer/src/data_path/data_handler.rs
+++ b/crates/valvestage-balancer/src/data_path/data_handler.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, SystemTime};
 
 use valvestage_core::RefusalReason;
-use valvestage_core::ids::{BalancerId, ServiceId};
+use valvestage_core::ids::BalancerId;
 use valvestage_policy::BalancerPolicy;
 use valvestage_policy::balancer::BalancerOptions;
 use valvestage_policy::requests::RequestAction;
@@ -45,7 +45,7 @@
     peer_sources: HashSet<SocketAddr>,
     next_idle_check: SystemTime,
     /// Kept between calls for its memory; empty between calls.
-    pub(super) actions: Vec<RequestAction<Payload>>,
+    actions: Vec<RequestAction<Payload>>,
 }
 
 impl DataHandler {
@@ -119,10 +119,7 @@
 
     /// `tick` looks after everything whose time has come.
     pub fn tick(&mut self, now: SystemTime, out: &mut Vec<Outbound>) {
-        let mut actions = std::mem::take(&mut self.actions);
-        self.policy.tick(now, &mut actions);
-        self.perform(&mut actions, out);
-        self.actions = actions;
+        self.act(out, |policy, actions| policy.tick(now, actions));
 
         if now >= self.next_idle_check {
             self.next_idle_check = now + IDLE_CHECK_PAUSE;
@@ -139,10 +136,7 @@
                 self.policy.install_configuration(now, &configuration);
             }
             Command::InstallOwnerMap(map) => {
-                let mut actions = std::mem::take(&mut self.actions);
-                self.policy.install_owner_map(now, &map, &mut actions);
-                self.perform(&mut actions, out);
-                self.actions = actions;
+                self.act(out, |policy, actions| policy.install_owner_map(now, &map, actions));
             }
             Command::InstallKeys(keys) => {
                 self.policy.install_keys(keys);
@@ -159,7 +153,9 @@
                 }
             }
             Command::SettleHandover { service, moved } => {
-                self.settle_handover(now, service, moved, out);
+                self.act(out, |policy, actions| {
+                    policy.settle_handover(now, service, moved, actions);
+                });
             }
             Command::OfferHandover { service, handover, claims } => {
                 self.policy.offer_handover(now, service, handover, claims);
@@ -192,18 +188,18 @@
         }
     }
 
-    fn settle_handover(
+    /// Lets the policy decide, and carries out what it decided.
+    pub(super) fn act<T>(
         &mut self,
-        now: SystemTime,
-        service: ServiceId,
-        moved: bool,
         out: &mut Vec<Outbound>,
-    ) {
+        decide: impl FnOnce(&mut BalancerPolicy<Payload>, &mut Vec<RequestAction<Payload>>) -> T,
+    ) -> T {
         let mut actions = std::mem::take(&mut self.actions);
 
-        self.policy.settle_handover(now, service, moved, &mut actions);
+        let result = decide(&mut self.policy, &mut actions);
         self.perform(&mut actions, out);
         self.actions = actions;
+        result
     }
 
     fn snapshot(&self, now: SystemTime) -> DataSnapshot {
--- a/crates/valvestage-experiment/src/capacity.rs
+++ b/crates/valvestage-experiment/src/capacity.rs
@@ -9,8 +9,9 @@
 
 /// Prints all tables.
 pub fn print_tables() {
+    // First what is measured by the growth of the process.
+    claim_slope::print_table();
     gossip_slope::print_table();
     flow_slope::print_table();
     configuration_slope::print_tables();
-    claim_slope::print_table();
 }
--- a/crates/valvestage-experiment/src/data_path/decision_time.rs
+++ b/crates/valvestage-experiment/src/data_path/decision_time.rs
@@ -7,8 +7,8 @@
 use valvestage_policy::flows::{FlowDirector, FlowPacket, HopMark};
 
 use crate::capacity::full_director;
-use crate::draws::Draws;
 use crate::table::Table;
+use valvestage_standins::draws::Draws;
 
 const DECISIONS: usize = 2_000_000;
 
--- a/crates/valvestage-experiment/src/flows/flow_model.rs
+++ b/crates/valvestage-experiment/src/flows/flow_model.rs
@@ -15,7 +15,7 @@
 use super::change::Change;
 use super::flow_way::FlowWay;
 use crate::deployment::{BALANCERS, backend, configuration, start, zone_name};
-use crate::draws::Draws;
+use valvestage_standins::draws::Draws;
 
 const FLOWS: usize = 20_000;
 const SERVICE: u16 = 1;
--- a/crates/valvestage-experiment/src/flows/hot_keys.rs
+++ b/crates/valvestage-experiment/src/flows/hot_keys.rs
@@ -3,8 +3,8 @@
 
 use valvestage_policy::rendezvous::{best, mix, weighted_score};
 
-use crate::draws::Draws;
 use crate::table::Table;
+use valvestage_standins::draws::Draws;
 
 const FLOWS: usize = 100_000;
 const CALLERS: usize = 5_000;
--- a/crates/valvestage-experiment/src/main.rs
+++ b/crates/valvestage-experiment/src/main.rs
@@ -10,7 +10,6 @@
 mod capacity;
 mod data_path;
 mod deployment;
-mod draws;
 mod flows;
 mod requests;
 mod table;
--- a/crates/valvestage-experiment/src/requests.rs
+++ b/crates/valvestage-experiment/src/requests.rs
@@ -1,5 +1,7 @@
 //! Ways to spread requests over slots.
 
+mod event_queue;
+mod ideal;
 mod measures;
 mod model;
 mod scenario;
--- a/crates/valvestage-experiment/src/requests/model.rs
+++ b/crates/valvestage-experiment/src/requests/model.rs
@@ -1,6 +1,6 @@
 //! A queueing model around the decision code: arrivals, delays, slots.
 
-use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime};
 
@@ -10,14 +10,16 @@
     Authority, BackendReply, PoolOptions, Request, RequestAction, RequestOptions, ServiceDispatcher,
 };
 
+use super::event_queue::EventQueue;
+use super::ideal::{capacity, ideal, mean_way};
 use super::measures::{Measures, Sample};
 use super::scenario::Scenario;
 use super::way::Way;
 use crate::deployment::{BALANCERS, Size, backend, configuration, start, zone_name};
-use crate::draws::Draws;
+use valvestage_standins::draws::Draws;
 
 /// Mean of the exponential run times.
-const RUN_TIME: Duration = Duration::from_millis(50);
+pub const RUN_TIME: Duration = Duration::from_millis(50);
 
 /// Pause between two ticks of a dispatcher.
 const TICK: Duration = Duration::from_millis(5);
@@ -35,7 +37,7 @@
 const NOTICED_AFTER: Duration = Duration::from_secs(2);
 
 /// One way within an availability zone.
-const WITHIN_ZONE: Duration = Duration::from_micros(100);
+pub const WITHIN_ZONE: Duration = Duration::from_micros(100);
 
 const SERVICE: u16 = 1;
 
@@ -71,32 +73,6 @@
     TakeOver,
 }
 
-struct Queued {
-    at: SystemTime,
-    sequence: u64,
-    event: Event,
-}
-
-impl PartialEq for Queued {
-    fn eq(&self, other: &Self) -> bool {
-        self.sequence == other.sequence
-    }
-}
-
-impl Eq for Queued {}
-
-impl PartialOrd for Queued {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Queued {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (other.at, other.sequence).cmp(&(self.at, self.sequence))
-    }
-}
-
 struct Server {
     record: Backend,
     running: BTreeMap<(RequestId, Attempt), ()>,
@@ -122,8 +98,7 @@
     scenario: Scenario,
     load: Load,
     now: SystemTime,
-    queue: BinaryHeap<Queued>,
-    sequence: u64,
+    queue: EventQueue<Event>,
     arrivals: Draws,
     routes: Draws,
     dispatchers: Vec<ServiceDispatcher<()>>,
@@ -150,43 +125,6 @@
     model.finish()
 }
 
-fn capacity(size: &Size) -> f64 {
-    f64::from(size.backends) * f64::from(size.slots) / RUN_TIME.as_secs_f64()
-}
-
-/// The mean way from one balancer to a backend server and back.
-fn mean_way(size: &Size) -> Duration {
-    let zones = u32::try_from(size.zones).unwrap_or(1);
-
-    (size.between_zones * (zones - 1) + WITHIN_ZONE) / zones * 2
-}
-
-/// The same arrivals and run times, one first-come queue, no delay but that to callers and one for
-/// each run.
-fn ideal(size: &Size, load: Load, way: Duration) -> Measures {
-    let mut draws = Draws::new(load.seed);
-    let rate = capacity(size) * load.share;
-    let mean = Duration::from_secs(1).div_f64(rate);
-    let slots = size.backends as usize * usize::from(size.slots);
-
-    let mut free_at = BinaryHeap::from(vec![std::cmp::Reverse(start()); slots]);
-    let mut measures = Measures::default();
-    let mut now = start();
-    for _ in 0..load.requests {
-        now += draws.exponential(mean);
-        let run_time = draws.exponential(RUN_TIME);
-        let is_bulk = draws.unit() < load.bulk_share;
-        let std::cmp::Reverse(free) = free_at.pop().expect("there are slots");
-        let end = now.max(free) + run_time + way;
-
-        free_at.push(std::cmp::Reverse(end));
-        let taken = end.duration_since(now).unwrap_or_default() + size.to_callers * 2;
-        measures.samples.push(Sample { millis: taken.as_secs_f64() * 1_000.0, is_bulk });
-        measures.sent[usize::from(is_bulk)] += 1;
-    }
-    measures
-}
-
 impl<'a> Model<'a> {
     fn new(size: &'a Size, way: Way, scenario: Scenario, load: Load) -> Self {
         let records: Vec<Backend> =
@@ -211,8 +149,7 @@
             scenario,
             load,
             now: start(),
-            queue: BinaryHeap::new(),
-            sequence: 0,
+            queue: EventQueue::new(),
             arrivals: Draws::new(load.seed),
             routes: Draws::new(load.seed + 1),
             dispatchers: Vec::new(),
@@ -278,24 +215,22 @@
     }
 
     fn schedule(&mut self, after: Duration, event: Event) {
-        self.sequence += 1;
-
-        self.queue.push(Queued { at: self.now + after, sequence: self.sequence, event });
+        self.queue.push(self.now + after, event);
     }
 
     fn run(&mut self) {
         // Long after the last arrival everything has ended.
         let mut last_arrival = self.now;
 
-        while let Some(queued) = self.queue.pop() {
-            self.now = queued.at;
-            if matches!(queued.event, Event::NewRequest(_)) {
+        while let Some((at, event)) = self.queue.pop() {
+            self.now = at;
+            if matches!(event, Event::NewRequest(_)) {
                 last_arrival = self.now;
             }
             if self.now > last_arrival + self.load.patience * 2 {
                 break;
             }
-            self.handle(queued.event);
+            self.handle(event);
         }
         let length = last_arrival.duration_since(start()).unwrap_or_default();
         self.measures.seconds = length.as_secs_f64();
@@ -384,7 +319,7 @@
             return;
         }
 
-        let skewed = self.scenario == Scenario::SkewedCallers && id % 2 == 0;
+        let skewed = self.scenario == Scenario::SkewedCallers && id.is_multiple_of(2);
         let entry = if skewed { 0 } else { self.routes.below(BALANCERS as usize) };
         let index = if self.way.has_owner() { 0 } else { entry };
         let hop = if self.way.has_owner() && entry != 0 {
@@ -415,7 +350,7 @@
             caller: SocketAddr::from(([198, 18, 0, 1], 1)),
             service: SERVICE,
             deadline: pending.deadline,
-            repeatable: id % 2 == 0,
+            repeatable: id.is_multiple_of(2),
             class: if pending.is_bulk { RequestClass::Bulk } else { RequestClass::Urgent },
             payload: (),
         };
@@ -543,7 +478,7 @@
             server.busy_sum += busy;
         }
         self.samples += 1;
-        if self.samples % SAMPLES_PER_SECOND == 0 {
+        if self.samples.is_multiple_of(SAMPLES_PER_SECOND) {
             let sums: Vec<u32> =
                 self.servers.values_mut().map(|s| std::mem::take(&mut s.busy_sum)).collect();
             add_imbalance(&mut self.measures.imbalance_second, &sums);
--- a/crates/valvestage-policy/src/flows.rs
+++ b/crates/valvestage-policy/src/flows.rs
@@ -8,6 +8,8 @@
 mod exception_finder;
 mod flow_director;
 mod flow_hasher;
+mod flow_options;
+mod flow_packet;
 mod flow_table;
 mod flow_token;
 mod placement;
@@ -16,11 +18,12 @@
 pub use backend_watch::BackendWatch;
 pub use configuration_history::ConfigurationHistory;
 pub use exception_finder::ExceptionFinder;
-pub use flow_director::{
-    Binding, FlowDirector, FlowLayers, FlowOptions, FlowPacket, FlowSource, FlowVerdict, HopMark,
-    MAX_HOPS, RelayPurpose,
-};
+pub use flow_director::FlowDirector;
 pub use flow_hasher::FlowHasher;
+pub use flow_options::{FlowLayers, FlowOptions};
+pub use flow_packet::{
+    Binding, FlowPacket, FlowSource, FlowVerdict, HopMark, MAX_HOPS, RelayPurpose,
+};
 pub use flow_table::{FlowEntry, FlowTable};
 pub use flow_token::{FlowToken, TOKEN_BYTES};
 pub use placement::place;
--- a/crates/valvestage-policy/src/flows/exception_finder.rs
+++ b/crates/valvestage-policy/src/flows/exception_finder.rs
@@ -7,7 +7,7 @@
 use valvestage_core::ids::{BackendId, BalancerId, ServiceId};
 
 use super::configuration_history::ConfigurationHistory;
-use super::flow_director::Binding;
+use super::flow_packet::Binding;
 use super::placement::place;
 use crate::membership::LiveView;
 
--- a/crates/valvestage-policy/src/requests.rs
+++ b/crates/valvestage-policy/src/requests.rs
@@ -14,6 +14,7 @@
 mod request_options;
 mod retry_budget;
 mod service_dispatcher;
+mod service_handover;
 mod service_replies;
 mod try_record;
 mod wait_queue;
--- a/crates/valvestage-policy/src/requests/claim_table.rs
+++ b/crates/valvestage-policy/src/requests/claim_table.rs
@@ -1,6 +1,6 @@
 //! The claims of one service.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::SystemTime;
 
 use valvestage_core::ids::RequestId;
@@ -11,7 +11,8 @@
 /// `ClaimTable` finds claims by request id and by the time of their next check.
 #[derive(Debug, Clone)]
 pub struct ClaimTable<P> {
-    claims: HashMap<RequestId, Claim<P>>,
+    /// Ordered, so that the same events give the same decisions; callers choose the ids.
+    claims: BTreeMap<RequestId, Claim<P>>,
     /// One entry a claim at the least: when it needs a look. Entries of claims that are gone are
     /// skipped.
     checks: BTreeSet<(Deadline, RequestId)>,
@@ -19,7 +20,7 @@
 
 impl<P> Default for ClaimTable<P> {
     fn default() -> Self {
-        Self { claims: HashMap::new(), checks: BTreeSet::new() }
+        Self { claims: BTreeMap::new(), checks: BTreeSet::new() }
     }
 }
 
@@ -76,7 +77,7 @@
         self.claims.is_empty()
     }
 
-    /// `iter` iterates over the claims in no particular order.
+    /// `iter` iterates over the claims by request id.
     pub fn iter(&self) -> impl Iterator<Item = &Claim<P>> {
         self.claims.values()
     }
--- a/crates/valvestage-policy/src/requests/service_dispatcher.rs
+++ b/crates/valvestage-policy/src/requests/service_dispatcher.rs
@@ -4,14 +4,13 @@
 use std::time::{Duration, SystemTime};
 
 use valvestage_core::ids::{BackendId, RequestId, ServiceId};
-use valvestage_core::time::{Deadline, remaining};
+use valvestage_core::time::remaining;
 use valvestage_core::{Configuration, Outcome, RefusalReason, RetryReason};
 
 use super::authority::Authority;
 use super::backend_pool::{BackendPool, PoolOptions};
 use super::claim::{Claim, ClaimState};
 use super::claim_table::ClaimTable;
-use super::handover::HandedClaim;
 use super::request::{Refusal, Request};
 use super::request_action::RequestAction;
 use super::request_options::RequestOptions;
@@ -55,7 +54,7 @@
     /// Nothing is dispatched before this time.
     held_until: Option<SystemTime>,
     /// While claims are on their way to the next owner: requests that came since.
-    held: Option<Vec<Request<P>>>,
+    pub(super) held: Option<Vec<Request<P>>>,
 }
 
 impl<P: Clone> ServiceDispatcher<P> {
@@ -437,50 +436,4 @@
 
         self.claims.iter().filter(is_open).count()
     }
-
-    /// `start_handover` copies the claims for the next owner, and holds new work back until the
-    /// handover is settled.
-    pub fn start_handover(&mut self) -> Vec<HandedClaim<P>> {
-        self.held.get_or_insert_default();
-
-        self.claims.iter().map(HandedClaim::from).collect()
-    }
-
-    /// `complete_handover` leaves waiting requests to the next owner, and gives those that came
-    /// since, to be relayed to it. Running ones stay here until they are answered.
-    pub fn complete_handover(&mut self) -> Vec<Request<P>> {
-        while let Some(entry) = self.queue.pop() {
-            // A retry of a running request stays; the next owner has it as running.
-            let waits =
-                self.claims.get(entry.id).is_some_and(|c| matches!(c.state, ClaimState::Waiting));
-            if waits {
-                self.claims.remove(entry.id);
-            }
-        }
-
-        self.held.take().unwrap_or_default()
-    }
-
-    /// `abort_handover` goes on as before, and gives the requests held back, to be accepted.
-    pub fn abort_handover(&mut self) -> Vec<Request<P>> {
-        self.held.take().unwrap_or_default()
-    }
-
-    /// `import` takes over the claims of the former owner; waiting ones run here.
-    pub fn import(&mut self, now: SystemTime, handed: Vec<HandedClaim<P>>) {
-        for claim in handed {
-            let deadline: Deadline = claim.request.deadline;
-            let class = claim.request.class;
-            let id = claim.request.id;
-            if self.claims.get(id).is_some() || deadline <= now {
-                continue;
-            }
-
-            let (claim, waits) = claim.into_claim(deadline + self.options.slot_grace);
-            self.claims.insert(claim, deadline);
-            if waits {
-                self.queue.push(class, WaitEntry { id, since: now });
-            }
-        }
-    }
 }
--- a/crates/valvestage-wire/tests/envelope.rs
+++ b/crates/valvestage-wire/tests/envelope.rs
@@ -10,6 +10,11 @@
 use valvestage_wire::envelope::{MAX_DATAGRAM, decode, encode};
 use valvestage_wire::{Envelope, Header, Target, WireError};
 
+/// The same draws on every run.
+fn seeded() -> QuickCheck {
+    QuickCheck::new().rng(Gen::from_size_and_seed(100, 42))
+}
+
 #[derive(Debug, Clone)]
 struct Drawn {
     caller: SocketAddr,
@@ -101,7 +106,7 @@
         decode(&datagram).unwrap() == drawn.envelope()
     }
 
-    QuickCheck::new().tests(2_000).quickcheck(holds as fn(Drawn) -> bool);
+    seeded().tests(2_000).quickcheck(holds as fn(Drawn) -> bool);
 }
 
 #[test]
@@ -111,7 +116,7 @@
         true
     }
 
-    QuickCheck::new().tests(5_000).quickcheck(holds as fn(Vec<u8>) -> bool);
+    seeded().tests(5_000).quickcheck(holds as fn(Vec<u8>) -> bool);
 }
 
 #[test]
@@ -126,7 +131,7 @@
         true
     }
 
-    QuickCheck::new().tests(5_000).quickcheck(holds as fn(Drawn, usize, u8, usize) -> bool);
+    seeded().tests(5_000).quickcheck(holds as fn(Drawn, usize, u8, usize) -> bool);
 }
 
 #[test]
