--- a/crates/valvestage-balancer/src/control/admin_server.rs
+++ b/crates/valvestage-balancer/src/control/admin_server.rs
@@ -7,8 +7,9 @@
 use actix_web::web::{Data, Json, Query, get};
 use actix_web::{App, HttpRequest, HttpResponse, HttpServer};
 use serde::Deserialize;
+use valvestage_core::Service;
 use valvestage_core::time::to_unix_millis;
-use valvestage_policy::membership::PeerState;
+use valvestage_policy::membership::{PeerRecord, PeerState};
 use valvestage_policy::operations::Subject;
 use valvestage_process::secrets::same_token;
 use valvestage_wire::status::{BalancerStatus, PeerStatus, ServiceStatus};
@@ -149,7 +150,7 @@
     };
     let owners = state.read(|policy| policy.owner_map().clone());
 
-    let status = |service: &valvestage_core::Service| {
+    let status = |service: &Service| {
         let load = snapshot.loads.get(&service.id).copied().unwrap_or_default();
         ServiceStatus {
             name: service.name.clone(),
@@ -164,7 +165,7 @@
 }
 
 fn peer_statuses(state: &ControlState) -> Vec<PeerStatus> {
-    let status = |(record, alive): (valvestage_policy::membership::PeerRecord, bool)| PeerStatus {
+    let status = |(record, alive): (PeerRecord, bool)| PeerStatus {
         id: record.id,
         zone: record.zone,
         alive,
--- a/crates/valvestage-core/src/reasons.rs
+++ b/crates/valvestage-core/src/reasons.rs
@@ -58,8 +58,6 @@
         WrongService = 5, "wrong_service";
         /// The flow token fails its check.
         BadToken = 6, "bad_token";
-        /// The packet was relayed too often.
-        TooManyHops = 7, "too_many_hops";
         /// The backend server that a flow is bound to is gone.
         BackendGone = 8, "backend_gone";
         /// No backend server of the service can take new work.
@@ -104,8 +102,6 @@
         ClaimsFull = 28, "claims_full";
         /// Every connection of the service's backend servers is in use.
         ConnectionsFull = 29, "connections_full";
-        /// A flow packet for which no binding can be determined.
-        UnknownFlow = 30, "unknown_flow";
         /// The balancer was paused, and what it knows may be old.
         CatchingUp = 31, "catching_up";
     }
--- a/crates/valvestage-experiment/src/capacity/gossip_slope.rs
+++ b/crates/valvestage-experiment/src/capacity/gossip_slope.rs
@@ -29,7 +29,7 @@
         "processor, percent of a core, each",
         "oldest heartbeat known, s",
         "bytes of memory, each",
-        "a change is known to all after, rounds",
+        "a change is in force on all after, ms",
     ]);
 
     for balancers in [8, 60, 240, 420] {
@@ -40,7 +40,7 @@
             format!("{:.3}", slope.core_percent),
             format!("{:.1}", slope.oldest.as_secs_f64()),
             format!("{}", balancers as usize * std::mem::size_of::<PeerRecord>()),
-            slope.rounds_to_all.to_string(),
+            slope.spread.as_millis().to_string(),
         ]);
     }
     table.print("Heartbeats every 300 ms");
@@ -50,7 +50,7 @@
     bytes_a_second: f64,
     core_percent: f64,
     oldest: Duration,
-    rounds_to_all: u32,
+    spread: Duration,
 }
 
 fn record(id: BalancerId) -> PeerRecord {
@@ -87,25 +87,16 @@
 
     let (mut bytes, mut spent) = (0, Duration::ZERO);
     let mut oldest = Duration::ZERO;
-    let mut rounds_to_all = 0;
     for round in 0..ROUNDS {
         now += INTERVAL;
         if round == WARM_UP {
             (bytes, spent) = (0, Duration::ZERO);
-            tables[0].set_versions(431, 431, 2);
         }
         for from in 0..tables.len() {
-            exchange(&mut tables, from, now, &mut bytes, &mut spent);
+            exchange(&mut tables, from, now, false, &mut bytes, &mut spent);
         }
 
         if round >= WARM_UP {
-            let knows = |table: &HeartbeatTable| {
-                table.own().id == 0
-                    || table.known(now).any(|(r, _)| r.id == 0 && r.configuration == 431)
-            };
-            if rounds_to_all == 0 && tables.iter().all(knows) {
-                rounds_to_all = round - WARM_UP + 1;
-            }
             let of_table = |table: &HeartbeatTable| oldest_beat(table, &tables);
             oldest = oldest.max(tables.iter().step_by(7).map(of_table).max().unwrap_or_default());
         }
@@ -119,19 +110,54 @@
         bytes_a_second,
         core_percent: 100.0 * spent.as_secs_f64() / seconds / each,
         oldest,
-        rounds_to_all,
+        spread: spread(&mut tables, now),
+    }
+}
+
+/// One balancer has a new configuration: the time until all have it. Whoever learns of it fetches
+/// it and tells others with its next step, as the control policy does.
+fn spread(tables: &mut [HeartbeatTable], from: SystemTime) -> Duration {
+    const STEP: Duration = Duration::from_millis(50);
+    const STEPS_PER_INTERVAL: usize = 6;
+    const NEW: u64 = 431;
+    let mut has_news = vec![false; tables.len()];
+    tables[0].set_versions(NEW, NEW, 2);
+    has_news[0] = true;
+
+    for step in 0.. {
+        let now = from + STEP * step;
+        for (place, has_news) in has_news.iter_mut().enumerate() {
+            let is_turn = (place + step as usize).is_multiple_of(STEPS_PER_INTERVAL);
+            if *has_news || is_turn {
+                let news = std::mem::take(has_news);
+                let (mut bytes, mut spent) = (0, Duration::ZERO);
+                exchange(tables, place, now, news, &mut bytes, &mut spent);
+            }
+        }
+        for (place, table) in tables.iter_mut().enumerate() {
+            let heard = table.known(now).any(|(record, _)| record.configuration == NEW);
+            if heard && table.own().configuration < NEW {
+                table.set_versions(NEW, NEW, 2);
+                has_news[place] = true;
+            }
+        }
+        if tables.iter().all(|table| table.own().configuration == NEW) {
+            return STEP * (step + 1);
+        }
     }
+    Duration::MAX
 }
 
 fn exchange(
     tables: &mut [HeartbeatTable],
     from: usize,
     now: SystemTime,
+    news: bool,
     bytes: &mut usize,
     spent: &mut Duration,
 ) {
     let began = Instant::now();
-    let targets = tables[from].beat(now, false);
+    let targets = tables[from].beat(now, news);
 
     for target in targets {
         let message = tables[from].message(now);
--- a/crates/valvestage-experiment/src/requests/measures.rs
+++ b/crates/valvestage-experiment/src/requests/measures.rs
@@ -29,8 +29,8 @@
     pub samples: Vec<Sample>,
     /// Refusals told to callers, by reason.
     pub refused: BTreeMap<&'static str, u64>,
-    /// Tries sent to backend servers.
-    pub tries: u64,
+    /// Further tries sent to backend servers.
+    pub retries: u64,
     /// Tries that backend servers refused for full slots.
     pub shed: u64,
     /// Requests told nothing until the end.
@@ -51,12 +51,9 @@
         percentile(self.samples.iter().map(|sample| sample.millis), share)
     }
 
-    /// `retries_per_try` gives retries over first tries.
+    /// `retries_per_try` gives retries over first tries; requests that were never tried count, too.
     pub fn retries_per_try(&self) -> f64 {
-        let sent: u64 = self.sent.iter().sum();
-        let firsts = sent.saturating_sub(self.refused.values().sum());
-
-        as_f64(self.tries.saturating_sub(firsts)) / as_f64(sent.max(1))
+        as_f64(self.retries) / as_f64(self.sent.iter().sum::<u64>().max(1))
     }
 
     /// `answered_percent` gives the share answered.
--- a/crates/valvestage-experiment/src/requests/model.rs
+++ b/crates/valvestage-experiment/src/requests/model.rs
@@ -364,8 +364,8 @@
     fn perform(&mut self, dispatcher: usize, actions: Vec<RequestAction<()>>) {
         for action in actions {
             match action {
-                RequestAction::Dispatch { backend, attempt, request, .. } => {
-                    self.measures.tries += 1;
+                RequestAction::Dispatch { backend, attempt, request, retry, .. } => {
+                    self.measures.retries += u64::from(retry.is_some());
                     let after = self.to_backend(dispatcher, backend);
                     let id = request.id;
                     self.schedule(after, Event::AtBackend { dispatcher, backend, id, attempt });
--- a/crates/valvestage-policy/src/balancer/balancer_policy.rs
+++ b/crates/valvestage-policy/src/balancer/balancer_policy.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::SystemTime;
 
-use valvestage_core::ids::{BackendId, FlowKey, ServiceId};
+use valvestage_core::ids::{BackendId, BalancerId, FlowKey, ServiceId};
 use valvestage_core::time::{Deadline, to_unix_millis};
 use valvestage_core::{Configuration, PacketKind, RefusalReason};
 
@@ -38,7 +38,7 @@
     pub(super) grant: Option<LeaseGrant>,
     pub(super) imports: BTreeMap<ServiceId, PendingImport<P>>,
     /// The owner from which a service's claims came, for copies of what runs there.
-    pub(super) former_owners: BTreeMap<ServiceId, valvestage_core::ids::BalancerId>,
+    pub(super) former_owners: BTreeMap<ServiceId, BalancerId>,
     pub(super) log: DecisionLog,
     /// Time of the latest event or tick; none before the first.
     latest: Option<SystemTime>,
--- a/crates/valvestage-policy/src/flows/configuration_history.rs
+++ b/crates/valvestage-policy/src/flows/configuration_history.rs
@@ -4,11 +4,9 @@
 use std::sync::Arc;
 
 use hashbrown::HashMap;
-use valvestage_core::ids::{BackendId, FlowKey, Incarnation, ObjectVersion, ServiceId};
+use valvestage_core::ids::{BackendId, Incarnation, ObjectVersion, ServiceId};
 use valvestage_core::{Backend, Configuration};
 
-use super::placement::place;
-
 /// Versions kept, the one in force included.
 const KEPT_VERSIONS: usize = 4;
 
@@ -101,19 +99,4 @@
             .map(|backend| (backend.id, backend.service))
             .collect()
     }
-
-    /// `placements` gives the distinct placements of a flow, newest version first.
-    pub fn placements(&self, service: ServiceId, key: FlowKey) -> Vec<BackendId> {
-        let mut placements = Vec::with_capacity(self.versions.len());
-
-        for configuration in &self.versions {
-            if let Some(backend) = place(configuration, service, key, |_| true)
-                && !placements.contains(&backend)
-            {
-                placements.push(backend);
-            }
-        }
-
-        placements
-    }
 }
--- a/crates/valvestage-policy/src/flows/flow_director.rs
+++ b/crates/valvestage-policy/src/flows/flow_director.rs
@@ -278,12 +278,6 @@
         self.table.iter().map(|(key, entry)| Binding { key, backend: entry.backend }).collect()
     }
 
-    /// `flows_on` counts the flows of the table that are bound to a backend server.
-    #[must_use]
-    pub fn flows_on(&self, backend: BackendId) -> usize {
-        self.table.iter().filter(|(_, entry)| entry.backend == backend).count()
-    }
-
     /// `drop_idle` forgets flows without a packet since a time.
     pub fn drop_idle(&mut self, seen_before: SystemTime) -> usize {
         self.table.drop_idle(unix_seconds(seen_before))
--- a/crates/valvestage-policy/src/requests/service_dispatcher.rs
+++ b/crates/valvestage-policy/src/requests/service_dispatcher.rs
@@ -319,7 +319,8 @@
         };
         let retry = claim.tries.last().map(|last| match last.state {
             TryState::Refused => RetryReason::Refused,
-            _ => RetryReason::TryTimeout,
+            TryState::Lost => RetryReason::BackendRemoved,
+            TryState::Pending | TryState::Overdue | TryState::Answered => RetryReason::TryTimeout,
         });
         let attempt = claim.next_attempt();
 
