Give exit code 2 for a wrong command line, and freeze a zone in the process tests

Cause: the pages promise exit code 2, and bpaf's own is 1; the two binaries checked their settings with the same lines.

Ruled out: documenting 1 (scripts could not tell it from a failure).

Change: parsing and settings checks in valvestage-process; tests of the exit codes; a test that freezes all balancers of an availability zone and wakes them.

--- a/crates/valvectl/src/main.rs
+++ b/crates/valvectl/src/main.rs
@@ -16,6 +16,7 @@
 
 use serde::Serialize;
 use valvestage_core::settings::DeploymentSettings;
+use valvestage_process::command_line::parse;
 use valvestage_process::exit_codes;
 
 use crate::arguments::{Arguments, Command, arguments};
@@ -24,7 +25,10 @@
 
 #[actix_rt::main]
 async fn main() -> ExitCode {
-    let arguments = arguments().run();
+    let arguments = match parse(&arguments()) {
+        Ok(arguments) => arguments,
+        Err(code) => return code,
+    };
 
     match run(&arguments).await {
         Ok(code) => ExitCode::from(code),
--- a/crates/valvestage-balancer/src/main.rs
+++ b/crates/valvestage-balancer/src/main.rs
@@ -10,8 +10,12 @@
 use valvestage_balancer::errors::BalancerError;
 use valvestage_balancer::process::BalancerProcess;
 use valvestage_core::settings::BalancerSettings;
+use valvestage_process::command_line::{parse, settings_are_right, usage_error};
 use valvestage_process::{exit_codes, logging};
 
+/// Name in messages.
+const PROGRAM: &str = "valvestage-balancer";
+
 /// Spreads flows and requests over backend servers.
 ///
 /// Exit codes: 0 stopped as planned, 1 failed while running, 2 wrong command line or settings.
@@ -27,24 +31,23 @@
 }
 
 fn main() -> ExitCode {
-    let arguments = arguments().run();
+    let arguments = match parse(&arguments()) {
+        Ok(arguments) => arguments,
+        Err(code) => return code,
+    };
     let settings = match BalancerSettings::read(&arguments.settings) {
         Ok(settings) => settings,
-        Err(error) => {
-            eprintln!("valvestage-balancer: {error}");
-            return ExitCode::from(exit_codes::USAGE);
-        }
+        Err(error) => return usage_error(PROGRAM, &error),
     };
     if arguments.check_settings {
-        println!("{}: the settings are right", arguments.settings.display());
-        return ExitCode::from(exit_codes::SUCCESS);
+        return settings_are_right(&arguments.settings);
     }
 
     match serve(settings) {
         Ok(()) => ExitCode::from(exit_codes::SUCCESS),
         Err(error) => {
             log::error!("{error}");
-            eprintln!("valvestage-balancer: {error}");
+            eprintln!("{PROGRAM}: {error}");
             ExitCode::from(exit_codes::FAILURE)
         }
     }
--- a/crates/valvestage-balancer/tests/processes/deployment.rs
+++ b/crates/valvestage-balancer/tests/processes/deployment.rs
@@ -222,6 +222,17 @@
         self.owner_map().entries.get(&1).map_or(0, |entry| entry.owner)
     }
 
+    /// The owners of all services.
+    pub fn owners(&self) -> Vec<u32> {
+        self.owner_map().entries.values().map(|entry| entry.owner).collect()
+    }
+
+    pub fn balancers_of(&self, zone: &str) -> Vec<u32> {
+        let of_zone = self.layout.balancers.iter().filter(|balancer| balancer.zone == zone);
+
+        of_zone.map(|balancer| balancer.id).collect()
+    }
+
     pub fn any_lease_is_valid(&self) -> bool {
         let now = to_unix_millis(SystemTime::now());
         let leases = self.layout.balancers.iter().filter_map(|balancer| {
--- a/crates/valvestage-balancer/tests/processes/main.rs
+++ b/crates/valvestage-balancer/tests/processes/main.rs
@@ -97,3 +97,45 @@
     assert_eq!(summary.broken_echoing + summary.broken_silent, 0, "a flow broke: {summary:?}");
     deployment.wait_until_served();
 }
+
+#[test]
+fn all_balancers_of_a_zone_are_frozen_and_wake() {
+    let deployment = Deployment::start();
+    let load = deployment.start_load();
+    deployment.wait_for_runs(RUNS_BEFORE);
+
+    let zone = deployment.balancers_of("zone-b");
+    for id in &zone {
+        deployment.signal(*id, Signal::SIGSTOP);
+    }
+    deployment.wait_until("owners in the other zone", |d| {
+        d.owners().iter().all(|owner| !zone.contains(owner))
+    });
+    let runs = deployment.log.summary().runs;
+    deployment.wait_for_runs(runs + RUNS_BEFORE / 2);
+    for id in &zone {
+        deployment.signal(*id, Signal::SIGCONT);
+    }
+    let summary = load.join().unwrap();
+
+    assert_safe(&deployment, &summary);
+    deployment.wait_until_served();
+}
+
+#[test]
+fn exit_codes_of_a_wrong_command_line_and_wrong_settings() {
+    let run = |arguments: &[&str]| {
+        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_valvestage-balancer"));
+        command.args(arguments).output().unwrap()
+    };
+
+    assert_eq!(run(&["--help"]).status.code(), Some(0));
+    assert_eq!(run(&["--version"]).status.code(), Some(0));
+    assert_eq!(run(&["--no-such-flag"]).status.code(), Some(2));
+    let missing = run(&["--settings", "nowhere.toml"]);
+    assert_eq!(missing.status.code(), Some(2));
+    assert!(String::from_utf8_lossy(&missing.stderr).contains("nowhere.toml"));
+
+    let example = concat!(env!("CARGO_MANIFEST_DIR"), "/../../settings/rs-sul/balancer-1.toml");
+    assert_eq!(run(&["--settings", example, "--check-settings"]).status.code(), Some(0));
+}
--- a/crates/valvestage-operator/src/main.rs
+++ b/crates/valvestage-operator/src/main.rs
@@ -9,12 +9,16 @@
 use valvestage_core::settings::OperatorSettings;
 use valvestage_operator::api::{ApiOptions, configure};
 use valvestage_platform::PlatformOptions;
+use valvestage_process::command_line::{parse, settings_are_right, usage_error};
 use valvestage_process::secrets::read_token;
 use valvestage_process::{ProcessError, exit_codes, logging};
 
 /// Longest wait for an answer of the platform.
 const PLATFORM_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Name in messages.
+const PROGRAM: &str = "valvestage-operator";
+
 /// Offers operators plans, confirmation, status and explanations over HTTP.
 ///
 /// Exit codes: 0 stopped, 1 failed while running, 2 wrong command line or settings.
@@ -31,30 +35,26 @@
 
 #[actix_web::main]
 async fn main() -> ExitCode {
-    let arguments = arguments().run();
+    let arguments = match parse(&arguments()) {
+        Ok(arguments) => arguments,
+        Err(code) => return code,
+    };
     let settings = match OperatorSettings::read(&arguments.settings) {
         Ok(settings) => settings,
-        Err(error) => {
-            eprintln!("valvestage-operator: {error}");
-            return ExitCode::from(exit_codes::USAGE);
-        }
+        Err(error) => return usage_error(PROGRAM, &error),
     };
     if arguments.check_settings {
-        println!("{}: the settings are right", arguments.settings.display());
-        return ExitCode::from(exit_codes::SUCCESS);
+        return settings_are_right(&arguments.settings);
     }
 
     let options = match api_options(&settings) {
         Ok(options) => options,
-        Err(error) => {
-            eprintln!("valvestage-operator: {error}");
-            return ExitCode::from(exit_codes::USAGE);
-        }
+        Err(error) => return usage_error(PROGRAM, &error),
     };
     match serve(&settings, options).await {
         Ok(()) => ExitCode::from(exit_codes::SUCCESS),
         Err(error) => {
-            eprintln!("valvestage-operator: {}: {error}", settings.listen_address);
+            eprintln!("{PROGRAM}: {}: {error}", settings.listen_address);
             ExitCode::from(exit_codes::FAILURE)
         }
     }
