Hand over what waits between two tries, and keep the place of what stays

Cause, found by reading: a handover took every waiting entry off the former owner's queue, also those of requests that wait for another try. A request that every backend server had refused was then run by nobody, and a repeatable one lost its retry: the planned stop cut both.

Ruled out: handing over tries that may be running (the answer comes to the former owner).

Change: a request that waits and certainly has not run goes to the next owner; the others keep their place in the queue.

--- a/crates/valvestage-policy/src/requests/claim.rs
+++ b/crates/valvestage-policy/src/requests/claim.rs
@@ -56,6 +56,13 @@
             || self.tries.iter().any(TryRecord::may_have_run)
     }
 
+    /// `may_be_run_elsewhere` tells whether it waits and certainly has not run: whoever has the
+    /// claim next may run it.
+    #[must_use]
+    pub fn may_be_run_elsewhere(&self) -> bool {
+        self.queued && !self.is_final() && !self.may_have_run()
+    }
+
     /// `holds_slot` tells whether any try holds a slot.
     #[must_use]
     pub fn holds_slot(&self) -> bool {
--- a/crates/valvestage-policy/src/requests/handover.rs
+++ b/crates/valvestage-policy/src/requests/handover.rs
@@ -32,8 +32,10 @@
 impl<P: Clone> From<&Claim<P>> for HandedClaim<P> {
     fn from(claim: &Claim<P>) -> Self {
         let state = match &claim.state {
-            ClaimState::Waiting => HandedState::Waiting,
-            ClaimState::Running | ClaimState::Elsewhere => HandedState::Running,
+            _ if claim.may_be_run_elsewhere() => HandedState::Waiting,
+            ClaimState::Waiting | ClaimState::Running | ClaimState::Elsewhere => {
+                HandedState::Running
+            }
             ClaimState::Answered(segments) => HandedState::Answered(segments.clone()),
             ClaimState::Refused(refusal) => HandedState::Refused(*refusal),
         };
--- a/crates/valvestage-policy/src/requests/service_handover.rs
+++ b/crates/valvestage-policy/src/requests/service_handover.rs
@@ -4,7 +4,6 @@
 
 use valvestage_core::time::Deadline;
 
-use super::claim::ClaimState;
 use super::handover::HandedClaim;
 use super::request::Request;
 use super::service_dispatcher::ServiceDispatcher;
@@ -19,18 +18,28 @@
         self.claims.iter().map(HandedClaim::from).collect()
     }
 
-    /// `complete_handover` leaves waiting requests to the next owner, and gives those that came
-    /// since, to be relayed to it. Running ones stay here until they are answered.
+    /// `complete_handover` leaves what waits to the next owner, and gives the requests that came
+    /// since, to be relayed to it.
+    ///
+    /// What may be running stays here until it is answered, and keeps its place in the queue if it
+    /// waits for another try.
     pub fn complete_handover(&mut self) -> Vec<Request<P>> {
+        let mut staying = Vec::new();
+
         while let Some(entry) = self.queue.pop() {
-            // A retry of a running request stays; the next owner has it as running.
-            let waits =
-                self.claims.get(entry.id).is_some_and(|c| matches!(c.state, ClaimState::Waiting));
-            if waits {
+            let Some(claim) = self.claims.get(entry.id) else {
+                continue;
+            };
+            if claim.may_be_run_elsewhere() {
                 self.claims.remove(entry.id);
+            } else {
+                staying.push((claim.request.class, entry));
             }
         }
 
+        for (class, entry) in staying {
+            self.queue.push(class, entry);
+        }
         self.held.take().unwrap_or_default()
     }
 
--- /dev/null
+++ b/crates/valvestage-policy/tests/handover.rs
@@ -0,0 +1,124 @@
+//! The handover of a service with requests between two tries.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use valvestage_core::{
+    Backend, BackendState, Configuration, RawConfiguration, RefusalReason, RequestClass, Service,
+};
+use valvestage_policy::requests::{
+    Authority, BackendReply, HandedState, PoolOptions, Request, RequestAction, RequestOptions,
+    ServiceDispatcher,
+};
+
+fn start() -> SystemTime {
+    UNIX_EPOCH + Duration::from_secs(1_800_000_000)
+}
+
+fn authority() -> Option<Authority> {
+    let fence = start() + Duration::from_secs(60);
+
+    Some(Authority { covers_from: UNIX_EPOCH, fence })
+}
+
+/// A dispatcher with two backend servers of one slot.
+fn dispatcher() -> ServiceDispatcher<()> {
+    let address = |last| SocketAddr::from(([192, 0, 2, last], 7_000));
+    let backend = |id: u8| Backend {
+        id: id.into(),
+        name: format!("backend-{id}"),
+        service: 1,
+        zone: "zone".to_owned(),
+        address: address(id),
+        incarnation: 1,
+        slots: 1,
+        connections: 1,
+        weight: 100,
+        state: BackendState::Active,
+    };
+    let raw = RawConfiguration {
+        change_id: "first".to_owned(),
+        services: vec![Service { id: 1, name: "core".to_owned(), address: address(100) }],
+        backends: vec![backend(1), backend(2)],
+        stopped_zones: BTreeSet::new(),
+    };
+
+    let mut dispatcher =
+        ServiceDispatcher::new(1, RequestOptions::default(), PoolOptions::default());
+    dispatcher.install(&Configuration::try_from((1, raw)).unwrap(), start());
+    dispatcher
+}
+
+fn request(id: u128, repeatable: bool) -> Request<()> {
+    Request {
+        id,
+        caller: SocketAddr::from(([198, 18, 0, 1], 1)),
+        service: 1,
+        deadline: start() + Duration::from_secs(9),
+        repeatable,
+        class: RequestClass::Urgent,
+        payload: (),
+    }
+}
+
+/// The tries that were sent, as replies to them would name them.
+fn sent(out: &mut Vec<RequestAction<()>>) -> Vec<BackendReply> {
+    let tries = out.drain(..).filter_map(|action| match action {
+        RequestAction::Dispatch { backend, attempt, request, .. } => {
+            Some(BackendReply { backend, id: request.id, attempt })
+        }
+        _ => None,
+    });
+
+    tries.collect()
+}
+
+#[test]
+fn a_request_that_every_try_refused_is_run_by_the_next_owner() {
+    let (mut former, mut out) = (dispatcher(), Vec::new());
+    let now = start();
+    for id in [1, 2] {
+        former.accept(now, request(id, false), authority(), &mut out);
+    }
+    let tries = sent(&mut out);
+
+    // The first is refused, and waits: the other backend server is busy.
+    let refused = tries[0];
+    former.on_refused(now, refused, RefusalReason::BackendShedding, authority(), &mut out);
+    assert!(sent(&mut out).is_empty());
+    let handed = former.start_handover();
+    let states: Vec<_> = handed.iter().map(|claim| &claim.state).collect();
+    assert_eq!(states, [&HandedState::Waiting, &HandedState::Running]);
+
+    // It is the next owner's alone.
+    former.complete_handover();
+    assert!(former.claim(refused.id).is_none());
+    let mut next = dispatcher();
+    next.import(now, handed);
+    next.tick(now, authority(), &mut out);
+    let tries = sent(&mut out);
+    assert_eq!(tries.iter().map(|reply| reply.id).collect::<Vec<_>>(), [refused.id]);
+}
+
+#[test]
+fn a_repeatable_request_that_waits_for_another_try_stays_and_gets_it() {
+    let (mut former, mut out) = (dispatcher(), Vec::new());
+    for id in [1, 2] {
+        former.accept(start(), request(id, true), authority(), &mut out);
+    }
+    let tries = sent(&mut out);
+
+    // Both take too long, and have nowhere to go.
+    let later = start() + Duration::from_secs(1);
+    former.tick(later, authority(), &mut out);
+    assert!(sent(&mut out).is_empty());
+    former.start_handover();
+    former.complete_handover();
+
+    // The second is answered: its slot is free for the first.
+    let place = valvestage_core::Segment::WHOLE;
+    former.on_answer(later, tries[1], place, (), None, &mut out);
+    let again = sent(&mut out);
+    assert_eq!(again.iter().map(|reply| (reply.id, reply.attempt)).collect::<Vec<_>>(), [(1, 2)]);
+}
