Keep free ports free while processes start

Between drawing free ports and using them, another test of the same program forked; the child held copies of the listening sockets until its exec.

Change: nothing is forked while ports are drawn; each pool has its own address in 127.0.0.0/8; balancer and model files split by job.

--- a/crates/valvestage-balancer/tests/processes/deployment.rs
+++ b/crates/valvestage-balancer/tests/processes/deployment.rs
@@ -5,8 +5,8 @@
 use std::net::TcpListener;
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, SystemTime};
 
@@ -45,6 +45,15 @@
 const LOAD: Duration = Duration::from_secs(8);
 const PATIENCE: Duration = Duration::from_secs(6);
 
+/// A child has copies of all sockets of this process from its fork until its exec. While the free
+/// ports of another test's deployment are drawn nothing is forked: a copy of a listening socket
+/// would keep its port from being used.
+pub fn hold_forks() -> MutexGuard<'static, ()> {
+    static FORKS: Mutex<()> = Mutex::new(());
+
+    FORKS.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 pub struct Deployment {
     pub log: Arc<RunLog>,
     pub platform: PlatformStandin,
@@ -63,7 +72,10 @@
         let number = COUNT.fetch_add(1, Ordering::Relaxed);
         let folder =
             std::env::temp_dir().join(format!("valvestage-{}-{number}", std::process::id()));
-        let layout = write_layout(&PLAN, &folder, 1, EXTRA_SETTINGS).unwrap();
+        let layout = {
+            let _no_fork = hold_forks();
+            write_layout(&PLAN, &folder, 1, EXTRA_SETTINGS).unwrap()
+        };
         let settings = DeploymentSettings::read(&folder.join("deployment.toml")).unwrap();
 
         let mut deployment = Self {
@@ -138,6 +150,7 @@
     fn start_balancers(&mut self) {
         for balancer in &self.layout.balancers {
             let settings = self.folder.join(format!("balancer-{}.toml", balancer.id));
+            let _one_fork = hold_forks();
             let child = Command::new(env!("CARGO_BIN_EXE_valvestage-balancer"))
                 .arg("--settings")
                 .arg(settings)
--- a/crates/valvestage-balancer/tests/processes/main.rs
+++ b/crates/valvestage-balancer/tests/processes/main.rs
@@ -6,7 +6,7 @@
 
 mod deployment;
 
-use deployment::Deployment;
+use deployment::{Deployment, hold_forks};
 use nix::sys::signal::Signal;
 use valvestage_standins::caller::CallerSummary;
 use valvestage_standins::platform::Faults;
@@ -126,6 +126,7 @@
 fn exit_codes_of_a_wrong_command_line_and_wrong_settings() {
     let run = |arguments: &[&str]| {
         let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_valvestage-balancer"));
+        let _one_fork = hold_forks();
         command.args(arguments).output().unwrap()
     };
 
--- a/crates/valvestage-experiment/src/requests.rs
+++ b/crates/valvestage-experiment/src/requests.rs
@@ -4,6 +4,7 @@
 mod ideal;
 mod measures;
 mod model;
+mod model_faults;
 mod scenario;
 mod way;
 
--- a/crates/valvestage-experiment/src/requests/model.rs
+++ b/crates/valvestage-experiment/src/requests/model.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, SystemTime};
 
 use valvestage_core::ids::{Attempt, BackendId, RequestId};
-use valvestage_core::{Backend, BackendState, RefusalReason, RequestClass, Segment};
+use valvestage_core::{Backend, RefusalReason, RequestClass, Segment};
 use valvestage_policy::requests::{
     Authority, BackendReply, PoolOptions, Request, RequestAction, RequestOptions, ServiceDispatcher,
 };
@@ -34,7 +34,7 @@
 const RESEND: Duration = Duration::from_millis(500);
 
 /// Time until a lost balancer is noticed.
-const NOTICED_AFTER: Duration = Duration::from_secs(2);
+pub(super) const NOTICED_AFTER: Duration = Duration::from_secs(2);
 
 /// One way within an availability zone.
 pub const WITHIN_ZONE: Duration = Duration::from_micros(100);
@@ -57,7 +57,7 @@
 }
 
 #[derive(Debug)]
-enum Event {
+pub(super) enum Event {
     NewRequest(usize),
     Resend(RequestId),
     AtDispatcher(usize, RequestId),
@@ -73,17 +73,17 @@
     TakeOver,
 }
 
-struct Server {
-    record: Backend,
-    running: BTreeMap<(RequestId, Attempt), ()>,
-    slow_factor: u32,
-    is_shedding: bool,
-    is_cut: bool,
+pub(super) struct Server {
+    pub(super) record: Backend,
+    pub(super) running: BTreeMap<(RequestId, Attempt), ()>,
+    pub(super) slow_factor: u32,
+    pub(super) is_shedding: bool,
+    pub(super) is_cut: bool,
     /// Busy slots summed over the samples of the present second.
-    busy_sum: u32,
+    pub(super) busy_sum: u32,
 }
 
-struct Pending {
+pub(super) struct Pending {
     sent: SystemTime,
     deadline: SystemTime,
     is_bulk: bool,
@@ -92,23 +92,23 @@
     run_time: Duration,
 }
 
-struct Model<'a> {
-    size: &'a Size,
-    way: Way,
-    scenario: Scenario,
-    load: Load,
-    now: SystemTime,
-    queue: EventQueue<Event>,
-    arrivals: Draws,
-    routes: Draws,
-    dispatchers: Vec<ServiceDispatcher<()>>,
-    servers: BTreeMap<BackendId, Server>,
-    pending: HashMap<RequestId, Pending>,
-    measures: Measures,
-    samples: u32,
+pub(super) struct Model<'a> {
+    pub(super) size: &'a Size,
+    pub(super) way: Way,
+    pub(super) scenario: Scenario,
+    pub(super) load: Load,
+    pub(super) now: SystemTime,
+    pub(super) queue: EventQueue<Event>,
+    pub(super) arrivals: Draws,
+    pub(super) routes: Draws,
+    pub(super) dispatchers: Vec<ServiceDispatcher<()>>,
+    pub(super) servers: BTreeMap<BackendId, Server>,
+    pub(super) pending: HashMap<RequestId, Pending>,
+    pub(super) measures: Measures,
+    pub(super) samples: u32,
     /// The admitting balancer is gone and not replaced yet.
-    owner_is_lost: bool,
-    strikes_at: SystemTime,
+    pub(super) owner_is_lost: bool,
+    pub(super) strikes_at: SystemTime,
 }
 
 /// `run` runs a load under one way and scenario.
@@ -179,7 +179,7 @@
     }
 
     /// All backend servers with all slots, or a fixed share of the slots.
-    fn records_for(&self, index: u32, count: u32) -> Vec<Backend> {
+    pub(super) fn records_for(&self, index: u32, count: u32) -> Vec<Backend> {
         let all = self.servers.values().map(|server| server.record.clone());
         if self.way != Way::Credits {
             return all.collect();
@@ -201,7 +201,11 @@
         share
     }
 
-    fn make_dispatcher(&self, index: u32, records: Vec<Backend>) -> ServiceDispatcher<()> {
+    pub(super) fn make_dispatcher(
+        &self,
+        index: u32,
+        records: Vec<Backend>,
+    ) -> ServiceDispatcher<()> {
         let options = RequestOptions { choice: self.way.choice(), ..RequestOptions::default() };
         let pool = PoolOptions {
             own_zone: zone_name(index as usize % self.size.zones),
@@ -214,7 +218,7 @@
         dispatcher
     }
 
-    fn schedule(&mut self, after: Duration, event: Event) {
+    pub(super) fn schedule(&mut self, after: Duration, event: Event) {
         self.queue.push(self.now + after, event);
     }
 
@@ -486,61 +490,6 @@
         self.schedule(SAMPLE, Event::Sample);
     }
 
-    fn strike(&mut self) {
-        match self.scenario {
-            Scenario::TwoSlow => self.each_server(2, |server| server.slow_factor = 10),
-            Scenario::OneShedding => self.each_server(1, |server| server.is_shedding = true),
-            // Reports are hints that the policy does not follow: occupancy is counted.
-            Scenario::Steady | Scenario::OneLying | Scenario::SkewedCallers => {}
-            Scenario::ColdStart => {
-                for server in self.servers.values_mut() {
-                    server.record.incarnation += 1;
-                }
-                self.reinstall(2);
-            }
-            Scenario::ThreeDraining => {
-                self.each_server(3, |server| server.record.state = BackendState::Draining);
-                self.reinstall(2);
-            }
-            Scenario::ZoneCut => {
-                for server in self.servers.values_mut() {
-                    server.is_cut = server.record.zone == zone_name(1);
-                }
-                for dispatcher in &mut self.dispatchers {
-                    dispatcher.pool_mut().set_lost_zones(vec![zone_name(1)]);
-                }
-            }
-            Scenario::BalancerLost => {
-                self.owner_is_lost = true;
-                self.schedule(NOTICED_AFTER, Event::TakeOver);
-            }
-        }
-    }
-
-    fn each_server(&mut self, count: usize, change: impl Fn(&mut Server)) {
-        for server in self.servers.values_mut().take(count) {
-            change(server);
-        }
-    }
-
-    fn reinstall(&mut self, version: u64) {
-        let count = self.dispatchers.len() as u32;
-
-        for index in 0..count {
-            let records = self.records_for(index, count);
-            let next = configuration(version, 1, records);
-            self.dispatchers[index as usize].install(&next, self.now);
-        }
-    }
-
-    /// Another balancer, which knows nothing of what runs.
-    fn take_over(&mut self) {
-        let count = self.dispatchers.len() as u32;
-
-        self.dispatchers[0] = self.make_dispatcher(0, self.records_for(0, count));
-        self.owner_is_lost = false;
-    }
-
     fn finish(mut self) -> Measures {
         self.measures.untold = self.pending.values().filter(|p| !p.is_told).count() as u64;
         self.measures
--- a/crates/valvestage-policy/src/balancer.rs
+++ b/crates/valvestage-policy/src/balancer.rs
@@ -2,9 +2,10 @@
 
 mod balancer_options;
 mod balancer_policy;
+mod owner_change;
 mod request_routing;
 
 pub use balancer_options::BalancerOptions;
 pub use balancer_policy::BalancerPolicy;
 #[cfg(doc)]
-use request_routing::MOST_HELD;
+use owner_change::MOST_HELD;
--- /dev/null
+++ b/crates/valvestage-policy/src/balancer/owner_change.rs
@@ -0,0 +1,130 @@
+//! The change of a service's owner.
+
+use std::time::{Duration, SystemTime};
+
+use valvestage_core::RefusalReason;
+use valvestage_core::ids::{BalancerId, ServiceId};
+
+use super::balancer_policy::{BalancerPolicy, PendingImport};
+use super::request_routing::refuse_unclaimed;
+use crate::control::OwnerMap;
+use crate::flows::HopMark;
+use crate::operations::{Decision, Subject};
+use crate::requests::{HandedClaim, RequestAction};
+
+/// Requests held for a service whose owner map is on its way.
+pub(super) const MOST_HELD: usize = 1_000;
+
+/// How long they are held at the most.
+const HELD_FOR: Duration = Duration::from_secs(2);
+
+/// Claims of a handover that never came into force are forgotten after this: the longest deadline
+/// that settings accept.
+const IMPORT_KEPT: Duration = Duration::from_secs(60);
+
+impl<P: Clone> BalancerPolicy<P> {
+    /// `install_owner_map` takes a newer map of owners.
+    pub fn install_owner_map(
+        &mut self,
+        now: SystemTime,
+        map: &OwnerMap,
+        out: &mut Vec<RequestAction<P>>,
+    ) -> bool {
+        if map.version <= self.owner_map.version {
+            return false;
+        }
+
+        let former = std::mem::replace(&mut self.owner_map, map.clone());
+        for (service, entry) in &map.raw.entries {
+            if former.owner(*service) == Some(entry) {
+                continue;
+            }
+
+            let planned = entry.handover.is_some();
+            let decision = Decision::Owner { owner: entry.owner, planned };
+            self.record(now, Subject::Service(*service), decision);
+
+            if entry.owner == self.options.own {
+                let former_owner = former.owner(*service).map(|entry| entry.owner);
+                self.finish_import(now, *service, entry.handover, former_owner, out);
+            }
+        }
+        true
+    }
+
+    /// The claims count only if the map names the handover that brought them.
+    fn finish_import(
+        &mut self,
+        now: SystemTime,
+        service: ServiceId,
+        handover: Option<u64>,
+        former_owner: Option<BalancerId>,
+        out: &mut Vec<RequestAction<P>>,
+    ) {
+        let Some(pending) = self.imports.remove(&service) else {
+            return;
+        };
+
+        if Some(pending.handover) == handover {
+            if let Some(dispatcher) = self.dispatchers.get_mut(&service) {
+                dispatcher.import(now, pending.claims);
+            }
+            if let Some(former) = former_owner {
+                self.former_owners.insert(service, former);
+            }
+        }
+        for request in pending.held {
+            self.on_request(now, request, HopMark::FIRST, out);
+        }
+    }
+
+    /// `start_handover` copies a service's claims for its next owner and holds new work back.
+    pub fn start_handover(&mut self, service: ServiceId) -> Vec<HandedClaim<P>> {
+        self.dispatchers.get_mut(&service).map(|d| d.start_handover()).unwrap_or_default()
+    }
+
+    /// `settle_handover` goes on after the owner map was written, or was not.
+    ///
+    /// The map in force has to be installed first: it decides where the requests held back go.
+    pub fn settle_handover(
+        &mut self,
+        now: SystemTime,
+        service: ServiceId,
+        moved: bool,
+        out: &mut Vec<RequestAction<P>>,
+    ) {
+        let Some(dispatcher) = self.dispatchers.get_mut(&service) else {
+            return;
+        };
+        let held = if moved { dispatcher.complete_handover() } else { dispatcher.abort_handover() };
+
+        for request in held {
+            self.on_request(now, request, HopMark::FIRST, out);
+        }
+    }
+
+    /// `offer_handover` takes the claims that the present owner of a service hands over; they
+    /// count once the owner map names this handover.
+    pub fn offer_handover(
+        &mut self,
+        now: SystemTime,
+        service: ServiceId,
+        handover: u64,
+        claims: Vec<HandedClaim<P>>,
+    ) {
+        let held_until = now + HELD_FOR;
+        let pending = PendingImport { handover, claims, held: Vec::new(), held_until };
+
+        self.imports.insert(service, pending);
+    }
+
+    /// The map did not come in time: what was held is refused at once.
+    pub(super) fn give_up_held(&mut self, now: SystemTime, out: &mut Vec<RequestAction<P>>) {
+        self.imports.retain(|_, pending| now < pending.held_until + IMPORT_KEPT);
+        let overdue = self.imports.values_mut().filter(|pending| now >= pending.held_until);
+
+        for request in overdue.flat_map(|pending| pending.held.drain(..)) {
+            refuse_unclaimed(&request, RefusalReason::OwnerUnreachable, out);
+        }
+    }
+}
--- a/crates/valvestage-policy/src/balancer/request_routing.rs
+++ b/crates/valvestage-policy/src/balancer/request_routing.rs
@@ -1,4 +1,4 @@
-//! Which balancer decides for a request, and the change of owners.
+//! Which balancer decides for a request.
 
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime};
@@ -6,23 +6,14 @@
 use valvestage_core::ids::{BalancerId, RequestId, ServiceId};
 use valvestage_core::{Outcome, RefusalReason, Segment};
 
-use super::balancer_policy::{BalancerPolicy, PendingImport};
-use crate::control::OwnerMap;
+use super::balancer_policy::BalancerPolicy;
+use super::owner_change::MOST_HELD;
 use crate::flows::{HopMark, MAX_HOPS, RelayPurpose};
-use crate::operations::{Decision, Subject};
-use crate::requests::{
-    Authority, BackendReply, ClaimState, HandedClaim, Refusal, Request, RequestAction,
-};
+use crate::requests::{Authority, BackendReply, ClaimState, Refusal, Request, RequestAction};
 
 /// When a caller may come back whose request's owner is out of reach.
 const OWNER_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Requests held for a service whose owner map is on its way.
-pub(super) const MOST_HELD: usize = 1_000;
-
-/// How long they are held at the most.
-const HELD_FOR: Duration = Duration::from_secs(2);
-
 impl<P: Clone> BalancerPolicy<P> {
     /// `authority` gives the right to decide for a service, if this balancer owns it under its
     /// present lease.
@@ -196,110 +187,6 @@
         let owner = self.owner_map.owner(service)?.owner;
         (owner != self.options.own).then_some(owner)
     }
-
-    /// `install_owner_map` takes a newer map of owners.
-    pub fn install_owner_map(
-        &mut self,
-        now: SystemTime,
-        map: &OwnerMap,
-        out: &mut Vec<RequestAction<P>>,
-    ) -> bool {
-        if map.version <= self.owner_map.version {
-            return false;
-        }
-
-        let former = std::mem::replace(&mut self.owner_map, map.clone());
-        for (service, entry) in &map.raw.entries {
-            if former.owner(*service) == Some(entry) {
-                continue;
-            }
-
-            let planned = entry.handover.is_some();
-            let decision = Decision::Owner { owner: entry.owner, planned };
-            self.record(now, Subject::Service(*service), decision);
-
-            if entry.owner == self.options.own {
-                let former_owner = former.owner(*service).map(|entry| entry.owner);
-                self.finish_import(now, *service, entry.handover, former_owner, out);
-            }
-        }
-        true
-    }
-
-    /// The claims count only if the map names the handover that brought them.
-    fn finish_import(
-        &mut self,
-        now: SystemTime,
-        service: ServiceId,
-        handover: Option<u64>,
-        former_owner: Option<BalancerId>,
-        out: &mut Vec<RequestAction<P>>,
-    ) {
-        let Some(pending) = self.imports.remove(&service) else {
-            return;
-        };
-
-        if Some(pending.handover) == handover {
-            if let Some(dispatcher) = self.dispatchers.get_mut(&service) {
-                dispatcher.import(now, pending.claims);
-            }
-            if let Some(former) = former_owner {
-                self.former_owners.insert(service, former);
-            }
-        }
-        for request in pending.held {
-            self.on_request(now, request, HopMark::FIRST, out);
-        }
-    }
-
-    /// `start_handover` copies a service's claims for its next owner and holds new work back.
-    pub fn start_handover(&mut self, service: ServiceId) -> Vec<HandedClaim<P>> {
-        self.dispatchers.get_mut(&service).map(|d| d.start_handover()).unwrap_or_default()
-    }
-
-    /// `settle_handover` goes on after the owner map was written, or was not.
-    ///
-    /// The map in force has to be installed first: it decides where the requests held back go.
-    pub fn settle_handover(
-        &mut self,
-        now: SystemTime,
-        service: ServiceId,
-        moved: bool,
-        out: &mut Vec<RequestAction<P>>,
-    ) {
-        let Some(dispatcher) = self.dispatchers.get_mut(&service) else {
-            return;
-        };
-        let held = if moved { dispatcher.complete_handover() } else { dispatcher.abort_handover() };
-
-        for request in held {
-            self.on_request(now, request, HopMark::FIRST, out);
-        }
-    }
-
-    /// `offer_handover` takes the claims that the present owner of a service hands over; they
-    /// count once the owner map names this handover.
-    pub fn offer_handover(
-        &mut self,
-        now: SystemTime,
-        service: ServiceId,
-        handover: u64,
-        claims: Vec<HandedClaim<P>>,
-    ) {
-        let held_until = now + HELD_FOR;
-        let pending = PendingImport { handover, claims, held: Vec::new(), held_until };
-
-        self.imports.insert(service, pending);
-    }
-
-    /// The map did not come in time: what was held is refused at once.
-    pub(super) fn give_up_held(&mut self, now: SystemTime, out: &mut Vec<RequestAction<P>>) {
-        let overdue = self.imports.values_mut().filter(|pending| now >= pending.held_until);
-
-        for request in overdue.flat_map(|pending| pending.held.drain(..)) {
-            refuse_unclaimed(&request, RefusalReason::OwnerUnreachable, out);
-        }
-    }
 }
 
 /// Who decides for a request.
@@ -310,7 +197,7 @@
 }
 
 /// A refusal without a claim: a copy may have reached another balancer, so it is in doubt.
-fn refuse_unclaimed<P>(
+pub(super) fn refuse_unclaimed<P>(
     request: &Request<P>,
     reason: RefusalReason,
     out: &mut Vec<RequestAction<P>>,
--- a/crates/valvestage-standins/src/layout/settings_files.rs
+++ b/crates/valvestage-standins/src/layout/settings_files.rs
@@ -21,7 +21,7 @@
     extra: &str,
 ) -> io::Result<Layout> {
     fs::create_dir_all(folder)?;
-    let mut pool = AddressPool::default();
+    let mut pool = AddressPool::new();
     let layout = draw_layout(plan, &mut pool)?;
 
     // Secrets of a demo on the loopback address: drawn from the seed.
--- /dev/null
+++ b/crates/valvestage-standins/tests/addresses.rs
@@ -0,0 +1,23 @@
+//! Addresses of deployments that run side by side.
+
+use std::collections::BTreeSet;
+use std::net::UdpSocket;
+
+use valvestage_standins::layout::AddressPool;
+
+#[test]
+fn ports_that_a_pool_has_released_are_not_taken_by_other_pools_or_outgoing_sockets() {
+    let mut first = AddressPool::new();
+    let released = first.udp().unwrap();
+    drop(first);
+
+    // Many others, on other addresses: the released one is still free.
+    let mut second = AddressPool::new();
+    let others: BTreeSet<_> = (0..500).map(|_| second.udp().unwrap()).collect();
+    let outgoing: Vec<_> = (0..500).map(|_| UdpSocket::bind(("127.0.0.1", 0)).unwrap()).collect();
+
+    assert!(released.ip().is_loopback());
+    assert!(others.iter().all(|other| other.ip() != released.ip()));
+    assert!(outgoing.iter().all(|o| o.local_addr().unwrap().ip() != released.ip()));
+    UdpSocket::bind(released).unwrap();
+}
