Count a try that its backend server stopped as one that may have run

Cause, found by reading: "cancelled" from a backend server was taken as a refusal before the start. It comes only after the final answer here, but a backend server that stops work by itself would have had a request that may not be repeated run again.

Ruled out: ignoring it (the slot would stay taken).

Change: such a try frees its slot and may have run.

--- a/crates/valvestage-policy/src/requests/service_replies.rs
+++ b/crates/valvestage-policy/src/requests/service_replies.rs
@@ -69,7 +69,7 @@
         self.pump(now, authority, out);
     }
 
-    /// `on_refused` takes in a backend server's word that it did not start a try.
+    /// `on_refused` takes in a backend server's word that it did not start a try, or stopped it.
     pub fn on_refused(
         &mut self,
         now: SystemTime,
@@ -88,7 +88,11 @@
             return;
         };
 
-        record.state = TryState::Refused;
+        // A try that was stopped had started.
+        record.state = match reason {
+            RefusalReason::Cancelled => TryState::Lost,
+            _ => TryState::Refused,
+        };
         let (backend, incarnation) = (record.backend, record.incarnation);
         match reason {
             RefusalReason::BackendShedding => self.pool.on_shedding(backend, incarnation, now),
--- a/crates/valvestage-policy/src/requests/try_record.rs
+++ b/crates/valvestage-policy/src/requests/try_record.rs
@@ -16,7 +16,7 @@
     Refused,
     /// The whole answer came.
     Answered,
-    /// Its backend server left the configuration: it may have run, and holds no slot.
+    /// Its backend server left the configuration or stopped it: it may have run, and holds no slot.
     Lost,
 }
 
--- a/crates/valvestage-policy/tests/handover.rs
+++ b/crates/valvestage-policy/tests/handover.rs
@@ -1,4 +1,4 @@
-//! The handover of a service with requests between two tries.
+//! Requests between two tries: handovers, and tries that were stopped.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -122,3 +122,16 @@
     let again = sent(&mut out);
     assert_eq!(again.iter().map(|reply| (reply.id, reply.attempt)).collect::<Vec<_>>(), [(1, 2)]);
 }
+
+#[test]
+fn a_request_whose_try_was_stopped_is_not_run_again_and_is_in_doubt() {
+    let (mut dispatcher, mut out) = (dispatcher(), Vec::new());
+    dispatcher.accept(start(), request(1, false), authority(), &mut out);
+    let tries = sent(&mut out);
+
+    // The backend server had started it.
+    dispatcher.on_refused(start(), tries[0], RefusalReason::Cancelled, authority(), &mut out);
+
+    let [RequestAction::Refuse { refusal, .. }] = &out[..] else { panic!("{out:?}") };
+    assert_eq!(refusal.outcome, valvestage_core::Outcome::InDoubt);
+}
