Find lost availability zones in one place

Cause: the flow director and the balancer policy worked out the same set of zones without a live balancer, each with its own lines, on every change of configuration or view.

Ruled out: handing the set from one to the other (both also change alone).

Change: LiveView::lost_zones, called by both. Behaviour as before.

--- a/crates/valvestage-experiment/src/requests/model_faults.rs
+++ b/crates/valvestage-experiment/src/requests/model_faults.rs
@@ -28,7 +28,7 @@
                     server.is_cut = server.record.zone == zone_name(1);
                 }
                 for dispatcher in &mut self.dispatchers {
-                    dispatcher.pool_mut().set_lost_zones(vec![zone_name(1)]);
+                    dispatcher.pool_mut().set_lost_zones([zone_name(1)].into());
                 }
             }
             Scenario::BalancerLost => {
--- a/crates/valvestage-policy/src/balancer/balancer_policy.rs
+++ b/crates/valvestage-policy/src/balancer/balancer_policy.rs
@@ -1,6 +1,6 @@
 //! The state of one balancer's policy, and the installation of what control learns.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::SystemTime;
 
@@ -162,9 +162,7 @@
             return;
         };
 
-        let view = self.director.view();
-        let zones: BTreeSet<_> = configuration.backends().map(|backend| &backend.zone).collect();
-        let lost: Vec<_> = zones.into_iter().filter(|zone| !view.has_zone(zone)).cloned().collect();
+        let lost = self.director.view().lost_zones(configuration);
         for dispatcher in self.dispatchers.values_mut() {
             dispatcher.pool_mut().set_lost_zones(lost.clone());
         }
--- a/crates/valvestage-policy/src/flows/flow_director.rs
+++ b/crates/valvestage-policy/src/flows/flow_director.rs
@@ -238,14 +238,12 @@
         is_newer
     }
 
-    /// An availability zone with backend servers and no live balancer is cut off or gone.
     fn find_lost_zones(&mut self) {
         let Some(configuration) = self.history.current() else {
             return;
         };
 
-        let zones = configuration.backends().map(|backend| &backend.zone);
-        let lost = zones.filter(|zone| !self.view.has_zone(zone)).cloned().collect();
+        let lost = self.view.lost_zones(configuration);
         self.watch.set_lost_zones(lost);
     }
 
--- a/crates/valvestage-policy/src/membership/live_view.rs
+++ b/crates/valvestage-policy/src/membership/live_view.rs
@@ -1,5 +1,8 @@
 //! The balancers that one balancer takes as alive, and the homes that follow from them.
 
+use std::collections::BTreeSet;
+
+use valvestage_core::Configuration;
 use valvestage_core::ids::{BalancerId, FlowKey, ServiceId, ZoneName};
 
 use crate::rendezvous::{best, mix, weighted_score};
@@ -89,6 +92,15 @@
         self.zones.iter().any(|zone| zone.zone == name)
     }
 
+    /// `lost_zones` lists the availability zones with backend servers and no member: they are cut
+    /// off or gone.
+    #[must_use]
+    pub fn lost_zones(&self, configuration: &Configuration) -> BTreeSet<ZoneName> {
+        let zones: BTreeSet<_> = configuration.backends().map(|backend| &backend.zone).collect();
+
+        zones.into_iter().filter(|zone| !self.has_zone(zone)).cloned().collect()
+    }
+
     /// `members` iterates over the members by zone, then by id.
     pub fn members(&self) -> impl Iterator<Item = BalancerId> {
         self.zones.iter().flat_map(|zone| zone.members.iter().copied())
--- a/crates/valvestage-policy/src/requests/backend_pool.rs
+++ b/crates/valvestage-policy/src/requests/backend_pool.rs
@@ -1,6 +1,6 @@
 //! The backend servers of one service: choice, ejection, slow start.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, SystemTime};
 
 use valvestage_core::Configuration;
@@ -62,14 +62,14 @@
     backends: BTreeMap<BackendId, BackendSlots>,
     draws: u64,
     /// Availability zones of which no balancer is alive; their backend servers go last.
-    lost_zones: Vec<ZoneName>,
+    lost_zones: BTreeSet<ZoneName>,
 }
 
 impl BackendPool {
     /// `new` starts an empty pool.
     #[must_use]
     pub fn new(options: PoolOptions) -> Self {
-        Self { options, backends: BTreeMap::new(), draws: 0, lost_zones: Vec::new() }
+        Self { options, backends: BTreeMap::new(), draws: 0, lost_zones: BTreeSet::new() }
     }
 
     /// `install` takes the backend servers of a service from a configuration.
@@ -108,7 +108,7 @@
     }
 
     /// `set_lost_zones` names the availability zones of which no balancer is alive.
-    pub fn set_lost_zones(&mut self, zones: Vec<ZoneName>) {
+    pub fn set_lost_zones(&mut self, zones: BTreeSet<ZoneName>) {
         self.lost_zones = zones;
     }
 
