--- a/crates/valvestage-core/src/ids.rs
+++ b/crates/valvestage-core/src/ids.rs
@@ -32,3 +32,15 @@
 
 /// Distinguishes the leases that one balancer has held; grows with each acquisition.
 pub type LeaseEpoch = u64;
+
+/// Id of one start of a backend server; a VM that starts again has another.
+pub type InstanceId = u64;
+
+/// Name of a service in the platform's store.
+pub type ServiceName = String;
+
+/// Version of the configuration that the operator writes to the platform's store; only grows.
+pub type ConfigurationVersion = u64;
+
+/// Token of 32 bits that names the backend server of a flow; 0 is none.
+pub type ShortToken = u32;
--- a/crates/valvestage-core/src/settings.rs
+++ b/crates/valvestage-core/src/settings.rs
@@ -2,6 +2,7 @@
 
 mod balancer;
 mod deployment;
+mod entry;
 mod operator;
 
 use std::path::Path;
@@ -12,6 +13,7 @@
 
 pub use balancer::{BalancerSettings, PeerSettings, RawBalancerSettings};
 pub use deployment::{BackendSettings, DeploymentSettings, ServiceSettings};
+pub use entry::{EntrySettings, RawEntrySettings};
 pub use operator::{OperatorSettings, RawOperatorSettings};
 
 /// `read_raw` reads a settings file into its raw shape; unknown keys are refused.
--- /dev/null
+++ b/crates/valvestage-core/src/settings/entry.rs
@@ -0,0 +1,104 @@
+//! Settings of `valvestage-entry`.
+
+use std::net::SocketAddrV4;
+use std::path::Path;
+use std::time::Duration;
+
+use serde::Deserialize;
+
+use crate::errors::CoreError;
+use crate::ids::ZoneName;
+
+/// `RawEntrySettings` is the settings file as written, unchecked.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawEntrySettings {
+    /// Name of this VM.
+    pub name: String,
+    /// Availability zone of this VM.
+    pub zone: ZoneName,
+    /// UDP address at which callers' packets arrive.
+    pub data_address: SocketAddrV4,
+    /// TCP address at which the routers ask for readiness.
+    pub ready_address: SocketAddrV4,
+    /// TCP address of metrics.
+    pub control_address: SocketAddrV4,
+    /// UDP port of messages between balancers, the same on every VM.
+    pub peer_port: u16,
+    /// Control addresses of some VMs that may be up.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddrV4>,
+    /// TCP address of the platform's store.
+    pub store_address: SocketAddrV4,
+    /// Time between SIGTERM and SIGKILL, seconds.
+    pub stop_within_s: f64,
+}
+
+/// `EntrySettings` is the checked settings of one entry VM.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EntrySettings {
+    /// Name of this VM; not empty.
+    pub name: String,
+    /// Availability zone of this VM; not empty.
+    pub zone: ZoneName,
+    /// UDP address at which callers' packets arrive.
+    pub data_address: SocketAddrV4,
+    /// TCP address at which the routers ask for readiness.
+    pub ready_address: SocketAddrV4,
+    /// TCP address of metrics.
+    pub control_address: SocketAddrV4,
+    /// UDP address of messages between balancers.
+    pub peer_address: SocketAddrV4,
+    /// Peer addresses of some VMs that may be up, without this one.
+    pub seeds: Vec<SocketAddrV4>,
+    /// TCP address of the platform's store.
+    pub store_address: SocketAddrV4,
+    /// Time between SIGTERM and SIGKILL; 1 s to 10 minutes.
+    pub stop_within: Duration,
+}
+
+impl EntrySettings {
+    /// `read` reads and checks a settings file.
+    pub fn read(file: &Path) -> Result<Self, CoreError> {
+        let raw: RawEntrySettings = super::read_raw(file)?;
+
+        Self::try_from((file, raw))
+    }
+}
+
+impl TryFrom<(&Path, RawEntrySettings)> for EntrySettings {
+    type Error = CoreError;
+
+    fn try_from((file, raw): (&Path, RawEntrySettings)) -> Result<Self, CoreError> {
+        let refuse = |key, value: String, accepted| {
+            Err(CoreError::BadSetting { file: file.display().to_string(), key, value, accepted })
+        };
+
+        if raw.name.is_empty() {
+            return refuse("name", "\"\"".into(), "the name of this VM");
+        }
+        if raw.zone.is_empty() {
+            return refuse("zone", "\"\"".into(), "the name of an availability zone");
+        }
+        if raw.peer_port == 0 {
+            return refuse("peer_port", "0".into(), "1 to 65535");
+        }
+        if !(1.0..=600.0).contains(&raw.stop_within_s) {
+            return refuse("stop_within_s", raw.stop_within_s.to_string(), "1 to 600");
+        }
+
+        let own_ip = *raw.data_address.ip();
+        let seeds = raw.seeds.iter().map(|seed| *seed.ip()).filter(|ip| *ip != own_ip);
+        Ok(Self {
+            name: raw.name,
+            zone: raw.zone,
+            data_address: raw.data_address,
+            ready_address: raw.ready_address,
+            control_address: raw.control_address,
+            peer_address: SocketAddrV4::new(own_ip, raw.peer_port),
+            seeds: seeds.map(|ip| SocketAddrV4::new(ip, raw.peer_port)).collect(),
+            store_address: raw.store_address,
+            stop_within: Duration::from_secs_f64(raw.stop_within_s),
+        })
+    }
+}
--- /dev/null
+++ b/crates/valvestage-entry/src/control_thread.rs
@@ -0,0 +1,64 @@
+//! Store, readiness and signals, on an actix system of one thread.
+
+use std::io;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use tokio::signal::unix::{SignalKind, signal};
+use valvestage_core::settings::EntrySettings;
+use valvestage_platform::{StoreClient, StoreOptions};
+
+use crate::updates::{SteeringUpdate, UpdateSender};
+use crate::{ready_server, store_tasks};
+
+/// Longest wait for an answer of the store, which takes 4 ms on a calm day and is at times some 60
+/// times slower.
+const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Time from SIGTERM to the end of the process. The routers ask twice a second and need two misses;
+/// the rest is for packets under way.
+const FORWARD_AFTER_TERM: Duration = Duration::from_millis(2_000);
+
+/// Time left before SIGKILL.
+const KILL_MARGIN: Duration = Duration::from_millis(500);
+
+/// `ControlThread` is what the thread needs.
+pub struct ControlThread {
+    /// Settings of this VM.
+    pub settings: EntrySettings,
+    /// Where readiness is asked for.
+    pub ready_listener: TcpListener,
+    /// Whether this VM takes packets.
+    pub ready: Arc<AtomicBool>,
+    /// News for the data thread.
+    pub updates: UpdateSender,
+}
+
+impl ControlThread {
+    /// `run` serves until SIGTERM, and forwards for a while after it.
+    pub fn run(self) -> io::Result<()> {
+        actix_rt::System::new().block_on(self.serve())
+    }
+
+    async fn serve(self) -> io::Result<()> {
+        let mut terminate = signal(SignalKind::terminate())?;
+        let client = StoreClient::new(StoreOptions {
+            address: self.settings.store_address.into(),
+            timeout: STORE_TIMEOUT,
+        });
+        actix_rt::spawn(store_tasks::follow_routes(client.clone(), self.updates.clone()));
+        actix_rt::spawn(store_tasks::follow_backends(client, self.updates.clone()));
+        actix_rt::spawn(ready_server::start(self.ready_listener, self.ready.clone())?);
+
+        terminate.recv().await;
+        log::info!("SIGTERM: no longer ready, forwarding for a while");
+        self.updates.send(SteeringUpdate::Stop);
+        self.ready.store(false, Ordering::Relaxed);
+        let longest = self.settings.stop_within.saturating_sub(KILL_MARGIN);
+        tokio::time::sleep(FORWARD_AFTER_TERM.min(longest)).await;
+        log::info!("stopped");
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/valvestage-entry/src/lib.rs
@@ -0,0 +1,25 @@
+//! The balancer of one entry VM on the users' platform.
+//!
+//! The decisions are in `valvestage-policy`, the platform's spelling is in `valvestage-platform`; here
+//! are the sockets and threads around them.
+//!
+//! | module | contents |
+//! |---|---|
+//! | [`process`] | start and planned stop |
+//! | [`data_thread`] | packets of callers, in and out |
+//! | [`control_thread`] | store, readiness |
+//! | [`store_tasks`] | keeping up with the store |
+//! | [`ready_server`] | the routers' question whether this VM takes packets |
+//! | [`updates`] | what the control thread tells the data thread |
+//! | [`errors`] | the error type of this crate |
+
+pub mod control_thread;
+pub mod data_thread;
+pub mod errors;
+pub mod process;
+pub mod ready_server;
+pub mod store_tasks;
+pub mod updates;
+
+pub use errors::EntryError;
+pub use process::EntryProcess;
--- a/crates/valvestage-policy/src/lib.rs
+++ b/crates/valvestage-policy/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`membership`] | which balancers are alive, and who is home of a flow |
 //! | [`control`] | leases, service owners, object versions |
 //! | [`operations`] | operators' plans, and explanations of decisions |
+//! | [`steering`] | which backend server a packet goes to, where only packets are seen |
 //! | [`balancer`] | the parts together, as one balancer runs them |
 
 pub mod balancer;
@@ -22,6 +23,7 @@
 pub mod operations;
 pub mod rendezvous;
 pub mod requests;
+pub mod steering;
 
 pub use balancer::BalancerPolicy;
 pub use errors::PolicyError;
--- /dev/null
+++ b/crates/valvestage-policy/src/steering.rs
@@ -0,0 +1,38 @@
+//! Steering packets of flows that only their two ends can read.
+//!
+//! A balancer sees what callers send, not what backend servers answer, and keeps nothing that must
+//! last. A token that comes back with every packet of a caller names the backend server of its flow,
+//! so any balancer can steer any flow.
+//!
+//! | module | contents |
+//! |---|---|
+//! | [`caller_packet`] | what is known of one packet, and what is done with it |
+//! | [`route_map`] | which service an address leads to |
+//! | [`backend_entry`] | what is known of one backend server |
+//! | [`backend_directory`] | all backend servers, the gone ones among them |
+//! | [`flow_record`], [`flow_tracker`] | what the packets of a flow have shown so far |
+//! | [`backend_load`], [`backend_choice`] | where a new flow goes |
+//! | [`backend_health`] | which backend servers seem dead |
+//! | [`store_follower`] | keeping up with a kind of objects in the store |
+//! | [`steering_policy`] | the parts together |
+
+pub mod backend_choice;
+pub mod backend_directory;
+pub mod backend_entry;
+pub mod backend_health;
+pub mod backend_load;
+pub mod caller_packet;
+pub mod flow_record;
+pub mod flow_tracker;
+pub mod route_map;
+pub mod steering_options;
+pub mod steering_policy;
+pub mod store_follower;
+
+pub use backend_directory::BackendDirectory;
+pub use backend_entry::{BackendEntry, BackendPhase};
+pub use caller_packet::{CallerPacket, DropReason, FlowAddresses, PacketVerdict, ResetReason};
+pub use route_map::{RouteMap, RouteTarget};
+pub use steering_options::SteeringOptions;
+pub use steering_policy::SteeringPolicy;
+pub use store_follower::{FollowerStep, ListedObject, StoreFollower, StoreReply};
--- /dev/null
+++ b/crates/valvestage-policy/src/steering/backend_choice.rs
@@ -0,0 +1,34 @@
+//! Where a new flow goes.
+
+use valvestage_core::ids::InstanceId;
+
+use super::backend_entry::BackendEntry;
+
+/// `ChoiceCandidate` is a backend server that may take a new flow.
+#[derive(Debug, Clone, Copy)]
+pub struct ChoiceCandidate<'a> {
+    /// The backend server.
+    pub entry: &'a BackendEntry,
+    /// Its load in requests a slot, with everything that counts against it.
+    pub load: f64,
+    /// Whether it seems dead.
+    pub suspect: bool,
+}
+
+/// `choose` gives the least loaded candidate; those that seem dead come last, and equal ones are
+/// told apart by a draw, so that balancers with the same view do not all take the same.
+#[must_use]
+pub fn choose(candidates: &[ChoiceCandidate<'_>], draw: u64) -> Option<InstanceId> {
+    let rank = |candidate: &ChoiceCandidate<'_>| {
+        let tie = (candidate.entry.instance ^ draw).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        (candidate.suspect, candidate.load, tie)
+    };
+
+    candidates
+        .iter()
+        .min_by(|a, b| {
+            let (a, b) = (rank(a), rank(b));
+            a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2))
+        })
+        .map(|candidate| candidate.entry.instance)
+}
--- /dev/null
+++ b/crates/valvestage-policy/src/steering/backend_health.rs
@@ -0,0 +1,111 @@
+//! Which backend servers seem dead, from what callers have to send again.
+//!
+//! Answers go past the balancers. A caller that sends a packet again shows that an answer is missing;
+//! one that acknowledges more than before shows that the backend server lives. One missing answer may
+//! be a lost datagram, so a backend server is suspected only when several flows miss answers and none
+//! got one meanwhile.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use valvestage_core::ids::InstanceId;
+
+use super::caller_packet::FlowAddresses;
+use super::flow_record::FlowSign;
+
+/// Flows that have to miss an answer before their backend server is suspected. One flow alone may
+/// have lost datagrams.
+const FLOWS_TO_SUSPECT: usize = 2;
+
+/// How long a suspicion lasts; then a new flow tries the backend server again. Entries of dead
+/// backend servers go after some 2.3 s.
+const SUSPECT_FOR: Duration = Duration::from_millis(2_500);
+
+/// Missing answers further apart than this have nothing to do with each other.
+const STRIKE_WINDOW: Duration = Duration::from_secs(2);
+
+/// `HealthRecord` is what is known about one backend server.
+#[derive(Debug, Default)]
+struct HealthRecord {
+    last_life: Option<Instant>,
+    /// Flows that miss an answer, with the time of the latest sign; no flow twice.
+    strikes: Vec<(FlowAddresses, Instant)>,
+    suspect_until: Option<Instant>,
+}
+
+/// `BackendHealth` collects signs of life and of death.
+#[derive(Debug, Default)]
+pub struct BackendHealth {
+    records: HashMap<InstanceId, HealthRecord>,
+}
+
+impl BackendHealth {
+    /// `observe` takes a sign in; true if the backend server has just become suspect.
+    pub fn observe(
+        &mut self,
+        instance: InstanceId,
+        flow: FlowAddresses,
+        sign: FlowSign,
+        now: Instant,
+    ) -> bool {
+        match sign {
+            FlowSign::Neutral => false,
+            FlowSign::Alive => {
+                self.observe_life(instance, now);
+                false
+            }
+            FlowSign::Unanswered(since) => self.observe_strike(instance, flow, since, now),
+        }
+    }
+
+    fn observe_life(&mut self, instance: InstanceId, now: Instant) {
+        let record = self.records.entry(instance).or_default();
+
+        record.last_life = Some(now);
+        record.strikes.clear();
+        record.suspect_until = None;
+    }
+
+    fn observe_strike(
+        &mut self,
+        instance: InstanceId,
+        flow: FlowAddresses,
+        since: Instant,
+        now: Instant,
+    ) -> bool {
+        let record = self.records.entry(instance).or_default();
+        if record.last_life.is_some_and(|life| life >= since) {
+            return false;
+        }
+
+        record.strikes.retain(|(other, at)| *other != flow && now - *at <= STRIKE_WINDOW);
+        record.strikes.push((flow, now));
+        let suspect = record.strikes.len() >= FLOWS_TO_SUSPECT;
+        let is_new = suspect && !record.suspect_until.is_some_and(|until| until > now);
+        if suspect {
+            record.suspect_until = Some(now + SUSPECT_FOR);
+        }
+        is_new
+    }
+
+    /// `is_suspect` tells whether a backend server seems dead.
+    #[must_use]
+    pub fn is_suspect(&self, instance: InstanceId, now: Instant) -> bool {
+        self.records
+            .get(&instance)
+            .is_some_and(|record| record.suspect_until.is_some_and(|until| until > now))
+    }
+
+    /// `shows_life_since` tells whether a backend server has answered any flow since a time.
+    #[must_use]
+    pub fn shows_life_since(&self, instance: InstanceId, since: Instant) -> bool {
+        self.records
+            .get(&instance)
+            .is_some_and(|record| record.last_life.is_some_and(|life| life >= since))
+    }
+
+    /// `forget` drops what is known about a backend server.
+    pub fn forget(&mut self, keep: impl Fn(InstanceId) -> bool) {
+        self.records.retain(|instance, _| keep(*instance));
+    }
+}
--- /dev/null
+++ b/crates/valvestage-policy/src/steering/flow_tracker.rs
@@ -0,0 +1,104 @@
+//! The flows that this balancer has seen packets of.
+
+use std::time::{Duration, Instant};
+
+use hashbrown::HashMap;
+use valvestage_core::ids::InstanceId;
+
+use super::backend_load::BackendLoad;
+use super::caller_packet::{CallerPacket, FlowAddresses};
+use super::flow_record::{FlowRecord, FlowSign};
+
+/// A flow that the caller has ended is kept for packets that come late. Senders give up resending
+/// within 1.6 s.
+const KEEP_CLOSED: Duration = Duration::from_secs(2);
+
+/// A flow that never opened is forgotten: callers give up after 1.4 s.
+const KEEP_UNOPENED: Duration = Duration::from_secs(3);
+
+/// `FlowTracker` holds records of flows and the load that they are for each backend server.
+#[derive(Debug, Default)]
+pub struct FlowTracker {
+    /// Invariant: `loads` is the sum over these records.
+    records: HashMap<FlowAddresses, FlowRecord>,
+    loads: HashMap<InstanceId, BackendLoad>,
+}
+
+impl FlowTracker {
+    /// `get` gives the record of a flow.
+    #[must_use]
+    pub fn get(&self, flow: &FlowAddresses) -> Option<&FlowRecord> {
+        self.records.get(flow)
+    }
+
+    /// `len` gives the number of flows.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// `is_empty` tells whether there is no flow.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// `load` gives the load that the flows are for a backend server.
+    #[must_use]
+    pub fn load(&self, instance: InstanceId) -> BackendLoad {
+        self.loads.get(&instance).copied().unwrap_or_default()
+    }
+
+    /// `insert` adds a record, in place of an earlier one of the flow.
+    pub fn insert(&mut self, flow: FlowAddresses, record: FlowRecord) {
+        self.remove(&flow);
+
+        self.loads.entry(record.instance).or_default().add(&record);
+        self.records.insert(flow, record);
+    }
+
+    /// `observe` takes a packet of a known flow in.
+    pub fn observe(&mut self, packet: &CallerPacket, now: Instant) -> FlowSign {
+        let Some(record) = self.records.get_mut(&packet.flow) else {
+            return FlowSign::Neutral;
+        };
+
+        let load = self.loads.entry(record.instance).or_default();
+        load.subtract(record);
+        let sign = record.observe(packet, now);
+        load.add(record);
+        sign
+    }
+
+    /// `remove` forgets a flow.
+    pub fn remove(&mut self, flow: &FlowAddresses) {
+        let Some(record) = self.records.remove(flow) else {
+            return;
+        };
+
+        if let Some(load) = self.loads.get_mut(&record.instance) {
+            load.subtract(&record);
+            if load.is_zero() {
+                self.loads.remove(&record.instance);
+            }
+        }
+    }
+
+    /// `expire` forgets the flows that have been silent for too long.
+    pub fn expire(&mut self, now: Instant, idle_timeout: Duration) {
+        let is_over = |record: &FlowRecord| {
+            let keep = match (record.open, record.closing) {
+                (false, _) => KEEP_UNOPENED,
+                (true, true) => KEEP_CLOSED,
+                (true, false) => idle_timeout,
+            };
+            now.saturating_duration_since(record.last_packet) > keep
+        };
+
+        let over = self.records.iter().filter(|(_, record)| is_over(record));
+        let over: Vec<FlowAddresses> = over.map(|(flow, _)| *flow).collect();
+        for flow in over {
+            self.remove(&flow);
+        }
+    }
+}
--- /dev/null
+++ b/crates/valvestage-policy/src/steering/steering_options.rs
@@ -0,0 +1,39 @@
+//! Limits and weights of steering.
+
+use std::time::Duration;
+
+use valvestage_core::ids::ZoneName;
+
+/// `SteeringOptions` are the limits and weights of steering.
+#[derive(Debug, Clone)]
+pub struct SteeringOptions {
+    /// Availability zone of this VM.
+    pub zone: ZoneName,
+    /// Flows remembered at most. A record has some 100 bytes; the size to design for has 6,200 flows
+    /// a balancer.
+    pub max_flows: usize,
+    /// Load of an open flow that has no request under way, in requests. A long flow sends about one
+    /// request a second, which takes some 40 ms.
+    pub resting_flow_load: f64,
+    /// How much busier, in requests a slot, the servers of this zone may be before a flow is placed
+    /// in another zone. From the trials that docs/PLATFORM.md lists.
+    pub zone_preference: f64,
+    /// Load factor of a backend server that is still slow from its start.
+    pub cold_factor: f64,
+    /// A gone backend server is remembered for so long, so that its flows can be told. Flows are
+    /// forgotten after 60 s.
+    pub remember_gone: Duration,
+}
+
+impl Default for SteeringOptions {
+    fn default() -> Self {
+        Self {
+            zone: ZoneName::new(),
+            max_flows: 200_000,
+            resting_flow_load: 0.05,
+            zone_preference: 1.5,
+            cold_factor: 1.6,
+            remember_gone: Duration::from_secs(60),
+        }
+    }
+}
--- /dev/null
+++ b/crates/valvestage-policy/src/steering/steering_policy.rs
@@ -0,0 +1,276 @@
+//! The parts of steering together.
+
+use std::hash::Hasher;
+use std::time::{Duration, Instant};
+
+use siphasher::sip::SipHasher13;
+use valvestage_core::ids::InstanceId;
+
+use super::backend_choice::{ChoiceCandidate, choose};
+use super::backend_directory::BackendDirectory;
+use super::backend_entry::{BackendEntry, BackendPhase};
+use super::backend_health::BackendHealth;
+use super::caller_packet::{CallerPacket, DropReason, FlowAddresses, PacketVerdict, ResetReason};
+use super::flow_record::{FlowRecord, FlowSign};
+use super::flow_tracker::FlowTracker;
+use super::route_map::RouteMap;
+use super::steering_options::SteeringOptions;
+
+/// `SteeringPolicy` decides where each packet of a caller goes.
+#[derive(Debug)]
+pub struct SteeringPolicy {
+    options: SteeringOptions,
+    routes: RouteMap,
+    /// Whether all backend servers were read once.
+    directory_complete: bool,
+    directory: BackendDirectory,
+    flows: FlowTracker,
+    health: BackendHealth,
+}
+
+impl SteeringPolicy {
+    /// `new` knows nothing yet.
+    #[must_use]
+    pub fn new(options: SteeringOptions) -> Self {
+        Self {
+            options,
+            routes: RouteMap::default(),
+            directory_complete: false,
+            directory: BackendDirectory::default(),
+            flows: FlowTracker::default(),
+            health: BackendHealth::default(),
+        }
+    }
+
+    /// `is_ready` tells whether enough is known to place flows.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.routes.version > 0 && self.directory_complete
+    }
+
+    /// `flow_count` gives the number of flows that are remembered.
+    #[must_use]
+    pub fn flow_count(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// `on_routes` puts a configuration in force; one that is not newer is ignored.
+    pub fn on_routes(&mut self, routes: RouteMap) -> bool {
+        if routes.version <= self.routes.version {
+            return false;
+        }
+
+        self.routes = routes;
+        true
+    }
+
+    /// `on_backend` takes a new or changed entry in.
+    pub fn on_backend(&mut self, entry: BackendEntry) {
+        self.directory.put(entry);
+    }
+
+    /// `on_backend_gone` takes in that an entry is gone.
+    pub fn on_backend_gone(&mut self, instance: InstanceId, now: Instant) {
+        self.directory.mark_gone(instance, now);
+    }
+
+    /// `on_directory_complete` takes in that all entries were read.
+    pub fn on_directory_complete(&mut self) {
+        self.directory_complete = true;
+    }
+
+    /// `on_tick` forgets what is too old; to be called about once a second.
+    pub fn on_tick(&mut self, now: Instant) {
+        let idle_timeout = Duration::from_millis(self.routes.idle_timeout_ms);
+
+        self.flows.expire(now, idle_timeout);
+        if let Some(before) = now.checked_sub(self.options.remember_gone) {
+            self.directory.forget_gone(before);
+        }
+        let directory = &self.directory;
+        self.health.forget(|instance| directory.get(instance).is_some());
+    }
+
+    /// `on_packet` decides about a packet.
+    pub fn on_packet(&mut self, packet: &CallerPacket, now: Instant) -> PacketVerdict {
+        if !self.is_ready() {
+            return PacketVerdict::Drop(DropReason::NotReady);
+        }
+
+        if packet.opening {
+            self.on_opening(packet, now)
+        } else {
+            self.on_further(packet, now)
+        }
+    }
+
+    /// A packet that asks to open a flow.
+    fn on_opening(&mut self, packet: &CallerPacket, now: Instant) -> PacketVerdict {
+        if let Some(verdict) = self.on_opening_copy(packet, now) {
+            return verdict;
+        }
+
+        let draw = draw_of(&packet.flow);
+        let Some(service) = self.routes.target(packet.flow.service, draw) else {
+            return PacketVerdict::Reset(ResetReason::NoRoute);
+        };
+        let Some(instance) = self.place(service, None, draw, now) else {
+            return PacketVerdict::Reset(ResetReason::NoBackend);
+        };
+
+        if self.flows.len() < self.options.max_flows {
+            self.flows.insert(packet.flow, FlowRecord::open_at(instance, now));
+        }
+        self.forward(instance)
+    }
+
+    /// A copy goes where the first one went, unless that backend server shows no life.
+    fn on_opening_copy(&mut self, packet: &CallerPacket, now: Instant) -> Option<PacketVerdict> {
+        /// Time in which a backend server answers. Copies come 200 ms apart; two that were read
+        /// together show nothing.
+        const ANSWER_TIME: Duration = Duration::from_millis(150);
+
+        let instance = self.flows.get(&packet.flow)?.instance;
+        let first_at = self.flows.get(&packet.flow)?.last_packet;
+        let sign = self.flows.observe(packet, now);
+        if now.saturating_duration_since(first_at) >= ANSWER_TIME {
+            self.health.observe(instance, packet.flow, sign, now);
+        }
+
+        let entry = self.directory.get(instance)?;
+        let takes_new = entry.phase == BackendPhase::Ready
+            && self.routes.leads_to(packet.flow.service, &entry.service);
+        let unanswered = match sign {
+            FlowSign::Unanswered(since) => {
+                now.saturating_duration_since(first_at) >= ANSWER_TIME
+                    && !self.health.shows_life_since(instance, since)
+            }
+            _ => false,
+        };
+        if takes_new && !unanswered {
+            return Some(self.forward(instance));
+        }
+        if !takes_new {
+            return None;
+        }
+
+        let service = entry.service.clone();
+        let other = self.place(&service, Some(instance), draw_of(&packet.flow), now)?;
+        self.flows.insert(packet.flow, FlowRecord::open_at(other, now));
+        Some(self.forward(other))
+    }
+
+    /// A packet of a flow that a backend server has answered.
+    fn on_further(&mut self, packet: &CallerPacket, now: Instant) -> PacketVerdict {
+        if !self.routes.routes.contains_key(&packet.flow.service) {
+            return PacketVerdict::Reset(ResetReason::NoRoute);
+        }
+        let Some(instance) = self.instance_of(packet) else {
+            return PacketVerdict::Drop(DropReason::UnknownToken);
+        };
+
+        self.observe(instance, packet, now);
+        let Some(entry) = self.directory.get(instance) else {
+            return PacketVerdict::Drop(DropReason::UnknownToken);
+        };
+        if matches!(entry.phase, BackendPhase::Gone { .. }) && !packet.reset {
+            self.flows.remove(&packet.flow);
+            return PacketVerdict::Reset(ResetReason::BackendGone);
+        }
+
+        if packet.reset {
+            self.flows.remove(&packet.flow);
+        }
+        self.forward(instance)
+    }
+
+    /// The backend server of an open flow. The token goes before the record: a copy of the opening
+    /// packet may have gone to another one than the one that the caller took.
+    fn instance_of(&self, packet: &CallerPacket) -> Option<InstanceId> {
+        let record = self.flows.get(&packet.flow);
+        if let Some(record) = record
+            && record.open
+        {
+            return Some(record.instance);
+        }
+
+        let named = self.directory.by_token(packet.token).map(|entry| entry.instance);
+        named.or(record.map(|record| record.instance))
+    }
+
+    fn observe(&mut self, instance: InstanceId, packet: &CallerPacket, now: Instant) {
+        let known = self.flows.get(&packet.flow).is_some_and(|flow| flow.instance == instance);
+
+        let sign = if known {
+            self.flows.observe(packet, now)
+        } else {
+            if self.flows.len() < self.options.max_flows {
+                let record = FlowRecord::taken_over(instance, packet, now);
+                self.flows.insert(packet.flow, record);
+            }
+            FlowSign::Neutral
+        };
+        self.health.observe(instance, packet.flow, sign, now);
+    }
+
+    /// Chooses a backend server for a new flow.
+    fn place(
+        &self,
+        service: &str,
+        except: Option<InstanceId>,
+        draw: u64,
+        now: Instant,
+    ) -> Option<InstanceId> {
+        let takes_new = |entry: &&BackendEntry| {
+            entry.service == service
+                && entry.phase == BackendPhase::Ready
+                && self.directory.owns_token(entry.instance)
+        };
+        let candidates = self.directory.iter().filter(takes_new);
+        let candidates: Vec<ChoiceCandidate<'_>> =
+            candidates.map(|entry| self.candidate(entry, except, now)).collect();
+
+        choose(&candidates, draw)
+    }
+
+    fn candidate<'a>(
+        &self,
+        entry: &'a BackendEntry,
+        except: Option<InstanceId>,
+        now: Instant,
+    ) -> ChoiceCandidate<'a> {
+        let requests = self.flows.load(entry.instance).in_requests(self.options.resting_flow_load);
+        let is_cold = entry.cold_until.is_some_and(|until| until > now);
+        let factor = if is_cold { self.options.cold_factor } else { 1.0 };
+        let distance =
+            if entry.zone == self.options.zone { 0.0 } else { self.options.zone_preference };
+
+        ChoiceCandidate {
+            entry,
+            load: (requests + 1.0) * factor / f64::from(entry.slots) + distance,
+            suspect: self.health.is_suspect(entry.instance, now) || except == Some(entry.instance),
+        }
+    }
+
+    fn forward(&self, instance: InstanceId) -> PacketVerdict {
+        match self.directory.get(instance) {
+            Some(entry) => PacketVerdict::Forward {
+                instance,
+                address: entry.address,
+                token: BackendDirectory::token_of(instance),
+            },
+            None => PacketVerdict::Drop(DropReason::UnknownToken),
+        }
+    }
+}
+
+/// A number that is the same for a flow at every balancer.
+fn draw_of(flow: &FlowAddresses) -> u64 {
+    let mut hasher = SipHasher13::new();
+
+    for address in [flow.caller, flow.service] {
+        hasher.write(&address.ip().octets());
+        hasher.write_u16(address.port());
+    }
+    hasher.finish()
+}
