--- a/crates/valvestage-core/src/ids.rs
+++ b/crates/valvestage-core/src/ids.rs
@@ -44,3 +44,6 @@
 
 /// Token of 32 bits that names the backend server of a flow; 0 is none.
 pub type ShortToken = u32;
+
+/// Revision of the platform's store; grows with each change of any object.
+pub type StoreRevision = u64;
--- a/crates/valvestage-entry/src/control_thread.rs
+++ b/crates/valvestage-entry/src/control_thread.rs
@@ -7,10 +7,12 @@
 use std::time::Duration;
 
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc::Receiver;
 use valvestage_core::settings::EntrySettings;
 use valvestage_platform::{StoreClient, StoreOptions};
 
-use crate::updates::{SteeringUpdate, UpdateSender};
+use crate::store_tasks::StoreOrder;
+use crate::updates::{ControlUpdate, UpdateSender};
 use crate::{ready_server, store_tasks};
 
 /// Longest wait for an answer of the store, which takes 4 ms on a calm day and is at times some 60
@@ -32,6 +34,8 @@
     pub ready_listener: TcpListener,
     /// Whether this VM takes packets.
     pub ready: Arc<AtomicBool>,
+    /// Calls to the store that the data thread asks for.
+    pub orders: Receiver<StoreOrder>,
     /// News for the data thread.
     pub updates: UpdateSender,
 }
@@ -48,13 +52,12 @@
             address: self.settings.store_address.into(),
             timeout: STORE_TIMEOUT,
         });
-        actix_rt::spawn(store_tasks::follow_routes(client.clone(), self.updates.clone()));
-        actix_rt::spawn(store_tasks::follow_backends(client, self.updates.clone()));
+        actix_rt::spawn(store_tasks::run(client, self.orders, self.updates.clone()));
         actix_rt::spawn(ready_server::start(self.ready_listener, self.ready.clone())?);
 
         terminate.recv().await;
         log::info!("SIGTERM: no longer ready, forwarding for a while");
-        self.updates.send(SteeringUpdate::Stop);
+        self.updates.send(ControlUpdate::Stop);
         self.ready.store(false, Ordering::Relaxed);
         let longest = self.settings.stop_within.saturating_sub(KILL_MARGIN);
         tokio::time::sleep(FORWARD_AFTER_TERM.min(longest)).await;
--- a/crates/valvestage-entry/src/data_thread.rs
+++ b/crates/valvestage-entry/src/data_thread.rs
@@ -1,130 +1,197 @@
-//! Packets of callers, in and out.
+//! Packets of callers and messages of other balancers, in and out.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use crossbeam_channel::Receiver;
 use mio::net::UdpSocket;
 use mio::{Events, Interest, Poll, Token};
+use tokio::sync::mpsc;
 use valvestage_platform::packet;
-use valvestage_policy::steering::{CallerPacket, DropReason, PacketVerdict, SteeringPolicy};
+use valvestage_policy::steering::{
+    CallerPacket, DropReason, EntryPolicy, KeeperAction, PacketVerdict,
+};
 
-use crate::updates::SteeringUpdate;
+use crate::peer_codec;
+use crate::store_tasks::StoreOrder;
+use crate::updates::ControlUpdate;
 
 /// Marks events of the data socket.
-pub const DATA_SOCKET: Token = Token(0);
+const DATA_SOCKET: Token = Token(0);
 
-/// Marks updates of the control thread.
-pub const UPDATES: Token = Token(1);
+/// Marks events of the peer socket.
+const PEER_SOCKET: Token = Token(1);
 
-/// Time between two ticks of the policy.
-const TICK: Duration = Duration::from_secs(1);
+/// Marks updates of the control thread.
+pub const UPDATES: Token = Token(2);
 
 /// Packets kept while nothing is known yet; callers send each again after 200 ms.
 const MAX_EARLY_PACKETS: usize = 256;
 
+/// Datagrams read from one socket before the other one has its turn.
+const BATCH: usize = 64;
+
+/// `DataLinks` is what joins the data thread to the world.
+pub struct DataLinks {
+    /// Waits for all of them.
+    pub poll: Poll,
+    /// Packets of callers.
+    pub data_socket: UdpSocket,
+    /// Messages of other balancers.
+    pub peer_socket: UdpSocket,
+    /// News of the control thread.
+    pub updates: Receiver<ControlUpdate>,
+    /// Calls to the store.
+    pub orders: mpsc::Sender<StoreOrder>,
+    /// Whether this VM takes packets.
+    pub ready: Arc<AtomicBool>,
+}
+
 /// `DataThread` forwards packets as the policy says.
 pub struct DataThread {
-    poll: Poll,
-    socket: UdpSocket,
-    policy: SteeringPolicy,
-    updates: Receiver<SteeringUpdate>,
-    ready: Arc<AtomicBool>,
+    links: DataLinks,
+    policy: EntryPolicy,
     /// Whether the process was told to stop; it is never ready again.
     stopping: bool,
     early: Vec<Vec<u8>>,
-    next_tick: Instant,
     /// Room for the datagram being sent.
     outgoing: Vec<u8>,
 }
 
 impl DataThread {
-    /// `new` prepares the thread; the socket is registered with the poll.
-    pub fn new(
-        poll: Poll,
-        mut socket: UdpSocket,
-        policy: SteeringPolicy,
-        updates: Receiver<SteeringUpdate>,
-        ready: Arc<AtomicBool>,
-    ) -> io::Result<Self> {
-        poll.registry().register(&mut socket, DATA_SOCKET, Interest::READABLE)?;
+    /// `new` prepares the thread.
+    pub fn new(mut links: DataLinks, policy: EntryPolicy) -> io::Result<Self> {
+        let registry = links.poll.registry();
+        registry.register(&mut links.data_socket, DATA_SOCKET, Interest::READABLE)?;
+        registry.register(&mut links.peer_socket, PEER_SOCKET, Interest::READABLE)?;
 
         Ok(Self {
-            poll,
-            socket,
+            links,
             policy,
-            updates,
-            ready,
             stopping: false,
             early: Vec::new(),
-            next_tick: Instant::now() + TICK,
             outgoing: Vec::with_capacity(packet::PREFIX_BYTES + packet::MAX_PACKET_BYTES),
         })
     }
 
     /// `run` forwards packets as long as the process lives.
     pub fn run(mut self) -> io::Result<()> {
-        /// Events taken from one poll; there are two sources.
+        /// Events taken from one poll; there are three sources.
         const MAX_EVENTS: usize = 8;
         let mut events = Events::with_capacity(MAX_EVENTS);
 
         loop {
-            let wait = self.next_tick.saturating_duration_since(Instant::now());
-            match self.poll.poll(&mut events, Some(wait)) {
+            let now = Instant::now();
+            let actions = self.policy.on_tick(now);
+            self.act(actions);
+
+            let wait = self.policy.next_due().saturating_duration_since(Instant::now());
+            match self.links.poll.poll(&mut events, Some(wait)) {
                 Err(error) if error.kind() != io::ErrorKind::Interrupted => return Err(error),
                 _ => {}
             }
-
             self.take_updates();
-            self.receive();
-            self.tick();
+            while self.receive_packets() | self.receive_messages() {}
         }
     }
 
     fn take_updates(&mut self) {
-        let now = Instant::now();
-        while let Ok(update) = self.updates.try_recv() {
-            self.take_update(update, now);
+        while let Ok(update) = self.links.updates.try_recv() {
+            let now = Instant::now();
+            let actions = match update {
+                ControlUpdate::Routes(reply) => self.policy.on_routes_reply(reply, now),
+                ControlUpdate::Backends(reply) => self.policy.on_backends_reply(reply, now),
+                ControlUpdate::Stop => {
+                    self.stopping = true;
+                    Vec::new()
+                }
+            };
+            self.act(actions);
         }
+    }
 
-        if self.policy.is_ready() && !self.stopping && !self.ready.swap(true, Ordering::Relaxed) {
+    /// Becomes ready as soon as enough is known.
+    fn check_ready(&mut self) {
+        if !self.policy.is_ready() || self.stopping {
+            return;
+        }
+
+        if !self.links.ready.swap(true, Ordering::Relaxed) {
+            log::info!(early_packets = self.early.len(); "ready");
             for datagram in std::mem::take(&mut self.early) {
-                self.handle(&datagram);
+                self.handle_packet(&datagram);
             }
         }
     }
 
-    fn take_update(&mut self, update: SteeringUpdate, now: Instant) {
-        match update {
-            SteeringUpdate::Routes(routes) => {
-                self.policy.on_routes(routes);
+    /// Reads a batch of packets; true if there may be more.
+    fn receive_packets(&mut self) -> bool {
+        let mut datagram = [0; packet::MAX_PACKET_BYTES + 1];
+
+        for _ in 0..BATCH {
+            match self.links.data_socket.recv(&mut datagram) {
+                Ok(length) => self.handle_packet(&datagram[..length]),
+                Err(error) => {
+                    log_receive("packet", &error);
+                    return false;
+                }
             }
-            SteeringUpdate::Backend(entry) => self.policy.on_backend(entry),
-            SteeringUpdate::BackendGone(instance) => self.policy.on_backend_gone(instance, now),
-            SteeringUpdate::DirectoryComplete => self.policy.on_directory_complete(),
-            SteeringUpdate::Stop => self.stopping = true,
         }
+        true
     }
 
-    fn receive(&mut self) {
-        let mut datagram = [0; packet::MAX_PACKET_BYTES + 1];
+    /// Reads a batch of messages; true if there may be more.
+    fn receive_messages(&mut self) -> bool {
+        let mut datagram = [0; peer_codec::MAX_DATAGRAM_BYTES];
 
-        loop {
-            match self.socket.recv(&mut datagram) {
-                Ok(length) => self.handle(&datagram[..length]),
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+        for _ in 0..BATCH {
+            match self.links.peer_socket.recv_from(&mut datagram) {
+                Ok((length, SocketAddr::V4(sender))) => {
+                    self.handle_message(sender, &datagram[..length]);
+                }
+                Ok(_) => {}
                 Err(error) => {
-                    log::warn!("receive packet: {error}");
-                    return;
+                    log_receive("message", &error);
+                    return false;
+                }
+            }
+        }
+        true
+    }
+
+    fn handle_message(&mut self, sender: SocketAddrV4, datagram: &[u8]) {
+        let Some(message) = peer_codec::decode(datagram) else {
+            log::debug!("a datagram of {sender} is no message");
+            return;
+        };
+
+        let actions = self.policy.on_message(sender, message, Instant::now());
+        self.act(actions);
+    }
+
+    fn act(&mut self, actions: Vec<KeeperAction>) {
+        for action in actions {
+            match action {
+                KeeperAction::Tell(peer, message) => {
+                    if let Some(datagram) = peer_codec::encode(&message) {
+                        let peer = SocketAddr::V4(peer);
+                        log_unsent(self.links.peer_socket.send_to(&datagram, peer), peer);
+                    }
+                }
+                KeeperAction::Call(kind, call) => {
+                    if let Err(error) = self.links.orders.try_send((kind, call)) {
+                        log::error!("a call to the store is lost: {error}");
+                    }
                 }
             }
         }
+        self.check_ready();
     }
 
-    fn handle(&mut self, datagram: &[u8]) {
+    fn handle_packet(&mut self, datagram: &[u8]) {
         let Some(packet) = packet::decode(datagram) else {
             return;
         };
@@ -132,8 +199,8 @@
         match self.policy.on_packet(&packet, Instant::now()) {
             PacketVerdict::Forward { instance, address, token } => {
                 packet::encode_forward(datagram, instance, token, &mut self.outgoing);
-                let sent = self.socket.send_to(&self.outgoing, SocketAddr::V4(address));
-                log_unsent(sent, SocketAddr::V4(address));
+                let address = SocketAddr::V4(address);
+                log_unsent(self.links.data_socket.send_to(&self.outgoing, address), address);
             }
             PacketVerdict::Reset(_) => self.send_reset(&packet),
             PacketVerdict::Drop(DropReason::NotReady) => self.keep_early(datagram),
@@ -149,26 +216,23 @@
 
     fn send_reset(&self, packet: &CallerPacket) {
         // Callers are reached on the port that data addresses have.
-        let port = self.socket.local_addr().map_or(0, |address| address.port());
+        let port = self.links.data_socket.local_addr().map_or(0, |address| address.port());
         let caller = SocketAddr::new((*packet.flow.caller.ip()).into(), port);
 
-        log_unsent(self.socket.send_to(&packet::encode_reset(packet), caller), caller);
+        let reset = packet::encode_reset(packet);
+        log_unsent(self.links.data_socket.send_to(&reset, caller), caller);
     }
+}
 
-    fn tick(&mut self) {
-        let now = Instant::now();
-        if now < self.next_tick {
-            return;
-        }
-
-        self.policy.on_tick(now);
-        self.next_tick = now + TICK;
+fn log_receive(what: &str, error: &io::Error) {
+    if error.kind() != io::ErrorKind::WouldBlock {
+        log::warn!("receive {what}: {error}");
     }
 }
 
-/// A packet that cannot be sent is like one that is lost: its sender sends it again.
+/// A datagram that cannot be sent is like one that is lost: its sender sends it again.
 fn log_unsent(sent: io::Result<usize>, peer: SocketAddr) {
     if let Err(error) = sent {
-        log::debug!("send packet to {peer}: {error}");
+        log::debug!("send datagram to {peer}: {error}");
     }
 }
--- a/crates/valvestage-entry/src/lib.rs
+++ b/crates/valvestage-entry/src/lib.rs
@@ -8,14 +8,16 @@
 //! | [`process`] | start and planned stop |
 //! | [`data_thread`] | packets of callers, in and out |
 //! | [`control_thread`] | store, readiness |
-//! | [`store_tasks`] | keeping up with the store |
+//! | [`store_tasks`] | calls to the store |
+//! | [`peer_codec`] | messages between balancers as datagrams |
 //! | [`ready_server`] | the routers' question whether this VM takes packets |
-//! | [`updates`] | what the control thread tells the data thread |
+//! | [`updates`] | what the control thread and the data thread tell each other |
 //! | [`errors`] | the error type of this crate |
 
 pub mod control_thread;
 pub mod data_thread;
 pub mod errors;
+pub mod peer_codec;
 pub mod process;
 pub mod ready_server;
 pub mod store_tasks;
--- a/crates/valvestage-entry/src/process.rs
+++ b/crates/valvestage-entry/src/process.rs
@@ -1,20 +1,26 @@
 //! Start and planned stop.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::{SocketAddr, SocketAddrV4, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::thread;
+use std::time::{Instant, SystemTime};
 
 use mio::net::UdpSocket;
 use mio::{Poll, Waker};
+use tokio::sync::mpsc;
 use valvestage_core::settings::EntrySettings;
-use valvestage_policy::steering::{SteeringOptions, SteeringPolicy};
+use valvestage_policy::steering::{EntryOptions, EntryPolicy, SteeringOptions};
 
 use crate::control_thread::ControlThread;
-use crate::data_thread::{DataThread, UPDATES};
+use crate::data_thread::{DataLinks, DataThread, UPDATES};
 use crate::errors::EntryError;
 use crate::updates;
 
+/// Calls to the store under way at most: one for each kind of objects.
+const ORDERS: usize = 8;
+
 /// `EntryProcess` has its sockets bound and is ready to run.
 pub struct EntryProcess {
     data: DataThread,
@@ -26,28 +32,28 @@
     pub fn bind(settings: EntrySettings) -> Result<Self, EntryError> {
         let poll = Poll::new().map_err(setup("make poll"))?;
         let waker = Waker::new(poll.registry(), UPDATES).map_err(setup("make waker"))?;
-        let (sender, receiver) = updates::ring(Arc::new(waker));
+        let (sender, updates) = updates::ring(Arc::new(waker));
+        let (order_sender, orders) = mpsc::channel(ORDERS);
         let ready = Arc::new(AtomicBool::new(false));
 
-        let address = settings.data_address;
-        let socket = UdpSocket::bind(SocketAddr::V4(address));
-        let socket = socket.map_err(on_address("bind data socket", address))?;
-        let options = SteeringOptions { zone: settings.zone.clone(), ..Default::default() };
-        let policy = SteeringPolicy::new(options);
-        let data = DataThread::new(poll, socket, policy, receiver, ready.clone());
+        let data_socket = bind_udp("bind data socket", settings.data_address)?;
+        let peer_socket = bind_udp("bind peer socket", settings.peer_address)?;
+        let links = DataLinks {
+            poll,
+            data_socket,
+            peer_socket,
+            updates,
+            orders: order_sender,
+            ready: ready.clone(),
+        };
+        let policy = EntryPolicy::new(options(&settings), Instant::now());
+        let data = DataThread::new(links, policy).map_err(setup("register sockets"))?;
 
         let address = settings.ready_address;
         let listener = TcpListener::bind(address);
         let ready_listener = listener.map_err(on_address("listen for readiness", address))?;
-        Ok(Self {
-            data: data.map_err(setup("register data socket"))?,
-            control: ControlThread {
-                settings,
-                ready_listener,
-                ready,
-                updates: sender,
-            },
-        })
+        let control = ControlThread { settings, ready_listener, ready, orders, updates: sender };
+        Ok(Self { data, control })
     }
 
     /// `run` serves until the process is told to stop.
@@ -60,6 +66,25 @@
     }
 }
 
+fn options(settings: &EntrySettings) -> EntryOptions {
+    let steering = SteeringOptions { zone: settings.zone.clone(), ..Default::default() };
+    // Differs between VMs, and between two starts of one.
+    let mut hasher = DefaultHasher::new();
+    settings.name.hash(&mut hasher);
+    SystemTime::now().hash(&mut hasher);
+
+    EntryOptions {
+        steering,
+        peer_address: settings.peer_address,
+        seeds: settings.seeds.clone(),
+        seed: hasher.finish(),
+    }
+}
+
+fn bind_udp(step: &'static str, address: SocketAddrV4) -> Result<UdpSocket, EntryError> {
+    UdpSocket::bind(SocketAddr::V4(address)).map_err(on_address(step, address))
+}
+
 fn setup(step: &'static str) -> impl Fn(std::io::Error) -> EntryError {
     move |cause| EntryError::Setup { step, cause }
 }
--- a/crates/valvestage-policy/src/steering.rs
+++ b/crates/valvestage-policy/src/steering.rs
@@ -13,8 +13,15 @@
 //! | [`flow_record`], [`flow_tracker`] | what the packets of a flow have shown so far |
 //! | [`backend_load`], [`backend_choice`] | where a new flow goes |
 //! | [`backend_health`] | which backend servers seem dead |
+//! | [`steering_policy`] | what is done with each packet |
+//! | [`knowledge`] | routes and backend servers together |
 //! | [`store_follower`] | keeping up with a kind of objects in the store |
-//! | [`steering_policy`] | the parts together |
+//! | [`watch_duty`] | which balancers follow the store |
+//! | [`peer_message`], [`peer_table`] | what balancers tell each other, and whom |
+//! | [`knowledge_parts`], [`part_assembly`] | knowledge in datagrams |
+//! | [`knowledge_keeper`] | keeping knowledge up to date |
+//! | [`seeded_draw`] | draws that repeat themselves |
+//! | [`entry_policy`] | the parts together |
 
 pub mod backend_choice;
 pub mod backend_directory;
@@ -22,17 +29,30 @@
 pub mod backend_health;
 pub mod backend_load;
 pub mod caller_packet;
+pub mod entry_policy;
 pub mod flow_record;
 pub mod flow_tracker;
+pub mod knowledge;
+pub mod knowledge_keeper;
+pub mod knowledge_parts;
+pub mod part_assembly;
+pub mod peer_message;
+pub mod peer_table;
 pub mod route_map;
+pub mod seeded_draw;
 pub mod steering_options;
 pub mod steering_policy;
 pub mod store_follower;
+pub mod watch_duty;
 
 pub use backend_directory::BackendDirectory;
 pub use backend_entry::{BackendEntry, BackendPhase};
 pub use caller_packet::{CallerPacket, DropReason, FlowAddresses, PacketVerdict, ResetReason};
+pub use entry_policy::{EntryOptions, EntryPolicy};
+pub use knowledge::Knowledge;
+pub use knowledge_keeper::{BackendNews, KeeperAction, KnowledgeKeeper};
+pub use peer_message::PeerMessage;
 pub use route_map::{RouteMap, RouteTarget};
 pub use steering_options::SteeringOptions;
 pub use steering_policy::SteeringPolicy;
-pub use store_follower::{FollowerStep, ListedObject, StoreFollower, StoreReply};
+pub use store_follower::{StoreCall, StoreFollower, StoreKind, StoreReply};
--- a/crates/valvestage-policy/src/steering/backend_choice.rs
+++ b/crates/valvestage-policy/src/steering/backend_choice.rs
@@ -11,8 +11,19 @@
     pub entry: &'a BackendEntry,
     /// Its load in requests a slot, with everything that counts against it.
     pub load: f64,
-    /// Whether it seems dead.
-    pub suspect: bool,
+    /// What speaks against it.
+    pub doubt: ChoiceDoubt,
+}
+
+/// `ChoiceDoubt` is what speaks against a backend server; the worst comes last.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ChoiceDoubt {
+    /// Nothing.
+    None,
+    /// It does not answer.
+    Silent,
+    /// Its entry is missing.
+    Missing,
 }
 
 /// `choose` gives the least loaded candidate; those that seem dead come last, and equal ones are
@@ -21,7 +32,7 @@
 pub fn choose(candidates: &[ChoiceCandidate<'_>], draw: u64) -> Option<InstanceId> {
     let rank = |candidate: &ChoiceCandidate<'_>| {
         let tie = (candidate.entry.instance ^ draw).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-        (candidate.suspect, candidate.load, tie)
+        (candidate.doubt, candidate.load, tie)
     };
 
     candidates
--- a/crates/valvestage-policy/src/steering/backend_directory.rs
+++ b/crates/valvestage-policy/src/steering/backend_directory.rs
@@ -1,19 +1,32 @@
 //! All backend servers that are known, the gone ones among them.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Instant;
 
-use valvestage_core::ids::{InstanceId, ShortToken};
+use valvestage_core::ids::{InstanceId, ShortToken, StoreRevision};
 
 use super::backend_entry::{BackendEntry, BackendPhase};
 
 /// `BackendDirectory` holds the backend servers by incarnation and by token.
+///
+/// What is known comes from the store and from peers, in any order. For each backend server the
+/// highest revision wins. `complete_until` says up to which revision nothing is missing, so that an
+/// unknown entry of an earlier revision is one that has gone long ago.
 #[derive(Debug, Default)]
 pub struct BackendDirectory {
     entries: HashMap<InstanceId, BackendEntry>,
     /// The incarnation that each token names. Where two have the same token, the first one known
     /// keeps it until it is forgotten.
     tokens: HashMap<ShortToken, InstanceId>,
+    /// Every change up to this revision is known; 0: nothing was read yet.
+    complete_until: StoreRevision,
+    /// Every change up to this revision is known but for entries that are missing and may return.
+    /// Not below `complete_until`.
+    read_until: StoreRevision,
+    /// Revision of the last change that is known.
+    changed_at: StoreRevision,
+    /// Gone entries of revisions before this one are forgotten.
+    remembers_from: StoreRevision,
 }
 
 impl BackendDirectory {
@@ -27,30 +40,142 @@
         ShortToken::try_from(hash).unwrap_or(ShortToken::MAX).max(1)
     }
 
-    /// `put` adds or replaces an entry.
-    pub fn put(&mut self, entry: BackendEntry) {
-        let token = Self::token_of(entry.instance);
+    /// `complete_until` gives the revision up to which every change is known.
+    #[must_use]
+    pub fn complete_until(&self) -> StoreRevision {
+        self.complete_until
+    }
+
+    /// `changed_at` gives the revision of the last change that is known.
+    #[must_use]
+    pub fn changed_at(&self) -> StoreRevision {
+        self.changed_at
+    }
+
+    /// `remembers` tells whether all changes after a revision are still known.
+    #[must_use]
+    pub fn remembers(&self, after: StoreRevision) -> bool {
+        after > 0 && after >= self.remembers_from
+    }
 
+    /// `is_complete` tells whether all entries were read once.
+    #[must_use]
+    pub fn is_complete(&self) -> bool {
+        self.complete_until > 0
+    }
+
+    /// `put` takes in what an entry was at its revision; false if more is known already.
+    pub fn put(&mut self, mut entry: BackendEntry) -> bool {
+        match self.entries.get_mut(&entry.instance) {
+            Some(known) if known.revision > entry.revision => return false,
+            Some(known) if known.revision == entry.revision => {
+                // The same entry read again: it is there after all.
+                let was_missing = known.missing_until.take().is_some();
+                return was_missing;
+            }
+            _ => {}
+        }
+
+        entry.missing_until = None;
+        self.changed_at = self.changed_at.max(entry.revision);
+        let token = Self::token_of(entry.instance);
         self.tokens.entry(token).or_insert(entry.instance);
         self.entries.insert(entry.instance, entry);
+        true
+    }
+
+    /// `is_obsolete` tells whether a peer tells of an entry that has gone long ago: its revision is
+    /// one up to which every change is known, and yet it is not known.
+    #[must_use]
+    pub fn is_obsolete(&self, instance: InstanceId, revision: StoreRevision) -> bool {
+        revision <= self.complete_until && !self.entries.contains_key(&instance)
+    }
+
+    /// `mark_gone` takes in that an entry went at a revision; false if that is old news.
+    pub fn mark_gone(&mut self, instance: InstanceId, at: StoreRevision, now: Instant) -> bool {
+        let Some(entry) = self.entries.get_mut(&instance) else {
+            return false;
+        };
+        if entry.is_gone() || entry.revision > at {
+            return false;
+        }
+
+        entry.phase = BackendPhase::Gone { since: now };
+        entry.revision = at;
+        entry.missing_until = None;
+        self.changed_at = self.changed_at.max(at);
+        true
+    }
+
+    /// `complete` takes in that every change up to a revision was read. While entries are missing
+    /// that may return, that is not the whole truth yet.
+    pub fn complete(&mut self, until: StoreRevision) {
+        self.read_until = self.read_until.max(until);
+
+        if !self.has_missing() {
+            self.complete_until = self.read_until;
+        }
     }
 
-    /// `mark_gone` marks an entry as missing; one that is missing already keeps its time.
-    pub fn mark_gone(&mut self, instance: InstanceId, now: Instant) {
-        if let Some(entry) = self.entries.get_mut(&instance)
-            && !matches!(entry.phase, BackendPhase::Gone { .. })
-        {
-            entry.phase = BackendPhase::Gone { since: now };
+    /// `retain_listed` handles the entries that a whole list of a revision does not have: they are
+    /// gone, or missing until the time given.
+    pub fn retain_listed(
+        &mut self,
+        listed: &HashSet<InstanceId>,
+        at: StoreRevision,
+        missing_until: Option<Instant>,
+        now: Instant,
+    ) {
+        let is_absent = |entry: &&BackendEntry| {
+            !entry.is_gone() && entry.revision <= at && !listed.contains(&entry.instance)
+        };
+        let absent: Vec<_> =
+            self.entries.values().filter(is_absent).map(|entry| entry.instance).collect();
+
+        for instance in absent {
+            if missing_until.is_none() {
+                self.mark_gone(instance, at, now);
+            } else if let Some(entry) = self.entries.get_mut(&instance)
+                && entry.missing_until.is_none()
+            {
+                entry.missing_until = missing_until;
+            }
+        }
+    }
+
+    /// `has_missing` tells whether entries are missing that may return.
+    #[must_use]
+    pub fn has_missing(&self) -> bool {
+        self.entries.values().any(|entry| entry.missing_until.is_some())
+    }
+
+    /// `expire_missing` turns the entries gone that have not returned in time; false if there are
+    /// none.
+    pub fn expire_missing(&mut self, now: Instant) -> bool {
+        let is_over = |entry: &&BackendEntry| entry.missing_until.is_some_and(|until| until <= now);
+        let over: Vec<_> =
+            self.entries.values().filter(is_over).map(|entry| entry.instance).collect();
+
+        for instance in &over {
+            self.mark_gone(*instance, self.read_until, now);
         }
+        self.complete(self.read_until);
+        !over.is_empty()
     }
 
-    /// `forget_gone` removes the entries that are missing since before a time.
+    /// `forget_gone` removes the entries that are gone since before a time.
     pub fn forget_gone(&mut self, before: Instant) {
-        let entries = &mut self.entries;
+        let mut forgotten = self.remembers_from;
+        self.entries.retain(|_, entry| match entry.phase {
+            BackendPhase::Gone { since } if since < before => {
+                forgotten = forgotten.max(entry.revision);
+                false
+            }
+            _ => true,
+        });
 
-        entries.retain(
-            |_, entry| !matches!(entry.phase, BackendPhase::Gone { since } if since < before),
-        );
+        self.remembers_from = forgotten;
+        let entries = &self.entries;
         self.tokens.retain(|_, instance| entries.contains_key(instance));
     }
 
--- a/crates/valvestage-policy/src/steering/backend_entry.rs
+++ b/crates/valvestage-policy/src/steering/backend_entry.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 use std::time::Instant;
 
-use valvestage_core::ids::{InstanceId, ServiceName, ZoneName};
+use valvestage_core::ids::{InstanceId, ServiceName, StoreRevision, ZoneName};
 
 /// `BackendPhase` is where a backend server stands in its life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -12,9 +12,9 @@
     Ready,
     /// It keeps its flows and takes no new ones.
     Draining,
-    /// Its entry is missing since this time.
+    /// Its entry is gone from the store.
     Gone {
-        /// When the entry was found missing.
+        /// When this balancer learned of it.
         since: Instant,
     },
 }
@@ -24,6 +24,8 @@
 pub struct BackendEntry {
     /// Which incarnation; a restarted one is another.
     pub instance: InstanceId,
+    /// The store's revision at the last change; the highest one known wins.
+    pub revision: StoreRevision,
     /// The service that it runs.
     pub service: ServiceName,
     /// Where it takes packets.
@@ -36,4 +38,15 @@
     pub cold_until: Option<Instant>,
     /// Where it stands.
     pub phase: BackendPhase,
+    /// Set while its entry is missing after the store was away: it counts as gone at this time
+    /// unless it returns.
+    pub missing_until: Option<Instant>,
+}
+
+impl BackendEntry {
+    /// `is_gone` tells whether the entry is gone from the store.
+    #[must_use]
+    pub fn is_gone(&self) -> bool {
+        matches!(self.phase, BackendPhase::Gone { .. })
+    }
 }
--- a/crates/valvestage-policy/src/steering/backend_health.rs
+++ b/crates/valvestage-policy/src/steering/backend_health.rs
@@ -24,6 +24,12 @@
 /// Missing answers further apart than this have nothing to do with each other.
 const STRIKE_WINDOW: Duration = Duration::from_secs(2);
 
+/// How long another balancer's word counts; it says it again with each heartbeat.
+const TOLD_FOR: Duration = Duration::from_millis(1_000);
+
+/// Suspects named in one heartbeat; more of them mean that the fault is elsewhere.
+const MAX_TOLD: usize = 16;
+
 /// `HealthRecord` is what is known about one backend server.
 #[derive(Debug, Default)]
 struct HealthRecord {
@@ -31,6 +37,8 @@
     /// Flows that miss an answer, with the time of the latest sign; no flow twice.
     strikes: Vec<(FlowAddresses, Instant)>,
     suspect_until: Option<Instant>,
+    /// Until when another balancer's word for it counts.
+    told_until: Option<Instant>,
 }
 
 /// `BackendHealth` collects signs of life and of death.
@@ -64,6 +72,27 @@
         record.last_life = Some(now);
         record.strikes.clear();
         record.suspect_until = None;
+        record.told_until = None;
+    }
+
+    /// `on_told` takes in that a backend server seems dead to another balancer.
+    pub fn on_told(&mut self, instance: InstanceId, now: Instant) {
+        /// A sign of life seen here within this time goes before what another one says.
+        const LIFE_COUNTS_FOR: Duration = Duration::from_millis(500);
+
+        let record = self.records.entry(instance).or_default();
+        if record.last_life.is_none_or(|life| now - life > LIFE_COUNTS_FOR) {
+            record.told_until = Some(now + TOLD_FOR);
+        }
+    }
+
+    /// `suspects` gives the backend servers that seem dead from here.
+    #[must_use]
+    pub fn suspects(&self, now: Instant) -> Vec<InstanceId> {
+        let is_suspect = |record: &HealthRecord| record.suspect_until.is_some_and(|at| at > now);
+        let suspects = self.records.iter().filter(|(_, record)| is_suspect(record));
+
+        suspects.map(|(instance, _)| *instance).take(MAX_TOLD).collect()
     }
 
     fn observe_strike(
@@ -81,7 +110,7 @@
         record.strikes.retain(|(other, at)| *other != flow && now - *at <= STRIKE_WINDOW);
         record.strikes.push((flow, now));
         let suspect = record.strikes.len() >= FLOWS_TO_SUSPECT;
-        let is_new = suspect && !record.suspect_until.is_some_and(|until| until > now);
+        let is_new = suspect && record.suspect_until.is_none_or(|until| until <= now);
         if suspect {
             record.suspect_until = Some(now + SUSPECT_FOR);
         }
@@ -93,7 +122,7 @@
     pub fn is_suspect(&self, instance: InstanceId, now: Instant) -> bool {
         self.records
             .get(&instance)
-            .is_some_and(|record| record.suspect_until.is_some_and(|until| until > now))
+            .is_some_and(|record| record.suspect_until.max(record.told_until) > Some(now))
     }
 
     /// `shows_life_since` tells whether a backend server has answered any flow since a time.
--- /dev/null
+++ b/crates/valvestage-policy/src/steering/entry_policy.rs
@@ -0,0 +1,161 @@
+//! All decisions of one entry VM.
+
+use std::net::SocketAddrV4;
+use std::time::{Duration, Instant};
+
+use super::caller_packet::{CallerPacket, DropReason, PacketVerdict};
+use super::knowledge::Knowledge;
+use super::knowledge_keeper::{BackendNews, KeeperAction, KnowledgeKeeper};
+use super::peer_message::PeerMessage;
+use super::route_map::RouteMap;
+use super::steering_options::SteeringOptions;
+use super::steering_policy::SteeringPolicy;
+use super::store_follower::StoreReply;
+
+/// Time between two rounds of forgetting what is too old.
+const CLEANING_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time between two looks at what is due.
+const TICK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// `EntryOptions` is what a balancer is told at its start.
+#[derive(Debug, Clone)]
+pub struct EntryOptions {
+    /// Limits and weights of steering, with the availability zone of this VM.
+    pub steering: SteeringOptions,
+    /// Where this balancer takes messages of others.
+    pub peer_address: SocketAddrV4,
+    /// Where some others may take messages.
+    pub seeds: Vec<SocketAddrV4>,
+    /// Seed of all draws.
+    pub seed: u64,
+}
+
+/// `EntryPolicy` steers packets by what it keeps up to date.
+#[derive(Debug)]
+pub struct EntryPolicy {
+    knowledge: Knowledge,
+    steering: SteeringPolicy,
+    keeper: KnowledgeKeeper,
+    next_tick: Instant,
+    next_cleaning: Instant,
+}
+
+impl EntryPolicy {
+    /// `new` knows nothing yet.
+    #[must_use]
+    pub fn new(options: EntryOptions, now: Instant) -> Self {
+        let zone = options.steering.zone.clone();
+
+        Self {
+            knowledge: Knowledge::default(),
+            steering: SteeringPolicy::new(options.steering),
+            keeper: KnowledgeKeeper::new(
+                zone,
+                options.peer_address,
+                &options.seeds,
+                options.seed,
+                now,
+            ),
+            next_tick: now,
+            next_cleaning: now + CLEANING_INTERVAL,
+        }
+    }
+
+    /// `is_ready` tells whether enough is known to place flows.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.knowledge.is_complete()
+    }
+
+    /// `knowledge` gives what is known.
+    #[must_use]
+    pub fn knowledge(&self) -> &Knowledge {
+        &self.knowledge
+    }
+
+    /// `keeper` gives how it is kept up to date.
+    #[must_use]
+    pub fn keeper(&self) -> &KnowledgeKeeper {
+        &self.keeper
+    }
+
+    /// `steering` gives what is known of flows.
+    #[must_use]
+    pub fn steering(&self) -> &SteeringPolicy {
+        &self.steering
+    }
+
+    /// `on_packet` decides about a packet of a caller.
+    pub fn on_packet(&mut self, packet: &CallerPacket, now: Instant) -> PacketVerdict {
+        if !self.is_ready() {
+            return PacketVerdict::Drop(DropReason::NotReady);
+        }
+
+        self.steering.on_packet(&self.knowledge, packet, now)
+    }
+
+    /// `on_message` takes a message of another balancer in.
+    pub fn on_message(
+        &mut self,
+        sender: SocketAddrV4,
+        message: PeerMessage,
+        now: Instant,
+    ) -> Vec<KeeperAction> {
+        if let PeerMessage::Heartbeat(heartbeat) = &message {
+            self.steering.on_peer_suspects(&heartbeat.suspects, now);
+        }
+
+        let mut actions = self.keeper.on_message(&mut self.knowledge, sender, message, now);
+        actions.extend(self.step_keeper(now));
+        actions
+    }
+
+    /// `on_routes_reply` takes the store's answer about the configuration in.
+    pub fn on_routes_reply(
+        &mut self,
+        reply: StoreReply<RouteMap>,
+        now: Instant,
+    ) -> Vec<KeeperAction> {
+        self.keeper.on_routes_reply(&mut self.knowledge, reply, now);
+
+        self.step_keeper(now)
+    }
+
+    /// `on_backends_reply` takes the store's answer about backend servers in.
+    pub fn on_backends_reply(
+        &mut self,
+        reply: StoreReply<BackendNews>,
+        now: Instant,
+    ) -> Vec<KeeperAction> {
+        self.keeper.on_backends_reply(&mut self.knowledge, reply, now);
+
+        self.step_keeper(now)
+    }
+
+    /// `next_due` gives when [`Self::on_tick`] is to be called at the latest.
+    #[must_use]
+    pub fn next_due(&self) -> Instant {
+        self.next_tick
+    }
+
+    /// `on_tick` does what is due.
+    pub fn on_tick(&mut self, now: Instant) -> Vec<KeeperAction> {
+        if now < self.next_tick {
+            return Vec::new();
+        }
+
+        self.next_tick = now + TICK_INTERVAL;
+        if self.next_cleaning <= now {
+            self.next_cleaning = now + CLEANING_INTERVAL;
+            self.steering.on_tick(&mut self.knowledge, now);
+        }
+        self.step_keeper(now)
+    }
+
+    fn step_keeper(&mut self, now: Instant) -> Vec<KeeperAction> {
+        let suspects = self.steering.suspects(now);
+
+        self.keeper.on_tick(&mut self.knowledge, &suspects, now)
+    }
+}
--- /dev/null
+++ b/crates/valvestage-policy/src/steering/knowledge_keeper.rs
@@ -0,0 +1,451 @@
+//! Keeping knowledge up to date, from the store and from other balancers.
+
+use std::collections::HashSet;
+use std::net::SocketAddrV4;
+use std::time::{Duration, Instant};
+
+use valvestage_core::ids::{InstanceId, StoreRevision, ZoneName};
+
+use super::backend_entry::BackendEntry;
+use super::knowledge::Knowledge;
+use super::knowledge_parts::{backends_messages, entry_of, routes_messages, routes_of};
+use super::part_assembly::PartAssembly;
+use super::peer_message::{
+    BackendsPart, KnowledgePull, PeerHeartbeat, PeerMessage, RoutesPart, WatcherSighting,
+};
+use super::peer_table::PeerTable;
+use super::route_map::RouteMap;
+use super::seeded_draw::SeededDraw;
+use super::store_follower::{Completeness, StoreCall, StoreFollower, StoreKind, StoreReply};
+use super::watch_duty::{WatchDuty, millis_since};
+
+/// Time between two rounds of heartbeats.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Balancers that each round goes to. 4 every 400 ms are some 2 KB a second, half of what control
+/// may cost a VM; news reaches 420 balancers in five rounds, and is passed on at once.
+const HEARTBEAT_FANOUT: usize = 4;
+
+/// Balancers named in a heartbeat.
+const PEERS_TOLD: usize = 4;
+
+/// Entries that lapsed while the store was away return within about 2 s; one that is missing after
+/// that is gone.
+const RETURN_TIME: Duration = Duration::from_millis(2_300);
+
+/// The same peer is not asked again before its answer can have come.
+const PULL_INTERVAL: Duration = Duration::from_millis(50);
+
+/// `KeeperAction` is what the driver is to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum KeeperAction {
+    /// Send a message to another balancer.
+    Tell(SocketAddrV4, PeerMessage),
+    /// Call the store, and give the reply to the keeper.
+    Call(StoreKind, StoreCall),
+}
+
+/// `BackendNews` is what the store says of one backend server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BackendNews {
+    /// The incarnation.
+    pub instance: InstanceId,
+    /// The store's revision at the change.
+    pub revision: StoreRevision,
+    /// Its entry; none if it was deleted.
+    pub entry: Option<BackendEntry>,
+}
+
+/// `KnowledgeKeeper` decides when to ask the store and what to tell other balancers.
+#[derive(Debug)]
+pub struct KnowledgeKeeper {
+    zone: ZoneName,
+    own: SocketAddrV4,
+    peers: PeerTable,
+    duty: WatchDuty,
+    draw: SeededDraw,
+    routes_follower: StoreFollower,
+    backends_follower: StoreFollower,
+    /// What the list that is being read has so far.
+    listed: HashSet<InstanceId>,
+    routes_parts: Option<PartAssembly<RoutesPart>>,
+    backends_parts: Option<PartAssembly<BackendsPart>>,
+    /// When the store confirmed what is known, at this balancer or at another one.
+    confirmed: Option<Instant>,
+    next_heartbeat: Instant,
+    /// Whether something is new that others may not know.
+    has_news: bool,
+    last_pull: Option<(SocketAddrV4, Instant)>,
+}
+
+impl KnowledgeKeeper {
+    /// `new` knows nothing but the balancers that the settings name.
+    #[must_use]
+    pub fn new(
+        zone: ZoneName,
+        own: SocketAddrV4,
+        seeds: &[SocketAddrV4],
+        seed: u64,
+        now: Instant,
+    ) -> Self {
+        let mut draw = SeededDraw::new(seed);
+        let mut peers = PeerTable::new(own, seeds);
+        peers.start_at(draw.below(1 << 16));
+
+        Self {
+            zone,
+            own,
+            peers,
+            duty: WatchDuty::new(own),
+            draw,
+            routes_follower: StoreFollower::default(),
+            backends_follower: StoreFollower::default(),
+            listed: HashSet::new(),
+            routes_parts: None,
+            backends_parts: None,
+            confirmed: None,
+            next_heartbeat: now,
+            has_news: false,
+            last_pull: None,
+        }
+    }
+
+    /// `peer_count` gives the number of balancers that were heard of.
+    #[must_use]
+    pub fn peer_count(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// `is_watching` tells whether this balancer follows the store.
+    #[must_use]
+    pub fn is_watching(&self) -> bool {
+        self.duty.is_on_duty()
+    }
+
+    /// `confirmed` gives when the store last confirmed what is known.
+    #[must_use]
+    pub fn confirmed(&self) -> Option<Instant> {
+        self.confirmed
+    }
+
+    /// `is_store_failing` tells whether the store does not answer this balancer.
+    #[must_use]
+    pub fn is_store_failing(&self) -> bool {
+        self.routes_follower.is_failing() || self.backends_follower.is_failing()
+    }
+
+    /// `on_tick` gives what is due; to be called several times a second, and after each news.
+    pub fn on_tick(
+        &mut self,
+        knowledge: &mut Knowledge,
+        suspects: &[InstanceId],
+        now: Instant,
+    ) -> Vec<KeeperAction> {
+        self.expire_missing(knowledge, now);
+        let mut actions = self.calls(knowledge, now);
+
+        if self.has_news || self.next_heartbeat <= now {
+            self.peers.forget_silent(now);
+            let answering = self.is_answering(now);
+            let draw = self.draw.unit();
+            self.duty.step(answering, draw, now);
+            actions.extend(self.heartbeats(knowledge, suspects, now));
+        }
+        actions
+    }
+
+    /// `next_due` gives when [`Self::on_tick`] has something to do at the latest.
+    #[must_use]
+    pub fn next_due(&self) -> Instant {
+        self.next_heartbeat
+    }
+
+    fn expire_missing(&mut self, knowledge: &mut Knowledge, now: Instant) {
+        self.has_news |= knowledge.directory.expire_missing(now);
+    }
+
+    fn calls(&mut self, knowledge: &Knowledge, now: Instant) -> Vec<KeeperAction> {
+        if knowledge.is_complete() && !self.duty.is_on_duty() {
+            return Vec::new();
+        }
+
+        let known_until = knowledge.directory.complete_until();
+        let routes = self.routes_follower.next_call(0, now);
+        let backends = self.backends_follower.next_call(known_until, now);
+        let routes = routes.map(|call| KeeperAction::Call(StoreKind::Configuration, call));
+        let backends = backends.map(|call| KeeperAction::Call(StoreKind::Backends, call));
+        routes.into_iter().chain(backends).collect()
+    }
+
+    /// Whether the store answers this balancer, for both kinds.
+    fn is_answering(&self, now: Instant) -> bool {
+        /// One watch, and a slow answer.
+        const ANSWER_LIFE: Duration = Duration::from_millis(2_500);
+
+        self.answered_at().is_some_and(|at| now.saturating_duration_since(at) <= ANSWER_LIFE)
+    }
+
+    /// When the store last answered for the kind that it answered longer ago.
+    fn answered_at(&self) -> Option<Instant> {
+        let routes = self.routes_follower.last_answer()?;
+        let backends = self.backends_follower.last_answer()?;
+
+        Some(routes.min(backends))
+    }
+
+    fn heartbeats(
+        &mut self,
+        knowledge: &Knowledge,
+        suspects: &[InstanceId],
+        now: Instant,
+    ) -> Vec<KeeperAction> {
+        self.has_news = false;
+        self.next_heartbeat = now + HEARTBEAT_INTERVAL;
+        let heartbeat = self.heartbeat(knowledge, suspects, now);
+
+        let chosen = self.peers.choose(HEARTBEAT_FANOUT).into_iter();
+        chosen
+            .map(|peer| KeeperAction::Tell(peer, PeerMessage::Heartbeat(heartbeat.clone())))
+            .collect()
+    }
+
+    fn heartbeat(
+        &mut self,
+        knowledge: &Knowledge,
+        suspects: &[InstanceId],
+        now: Instant,
+    ) -> PeerHeartbeat {
+        let mut watchers = self.duty.sightings(now);
+        if self.duty.is_on_duty()
+            && let Some(at) = self.answered_at()
+        {
+            watchers.push(WatcherSighting { peer: self.own, age_ms: millis_since(at, now) });
+        }
+        let draw = self.draw.below(1 << 16);
+
+        PeerHeartbeat {
+            zone: self.zone.clone(),
+            version: knowledge.routes.version,
+            complete_until: knowledge.directory.complete_until(),
+            changed_at: knowledge.directory.changed_at(),
+            age_ms: self.confirmed.map_or(u32::MAX, |at| millis_since(at, now)),
+            watchers,
+            peers: self.peers.sample(PEERS_TOLD, draw, now),
+            suspects: suspects.to_vec(),
+        }
+    }
+
+    /// `on_message` takes a message of another balancer in.
+    pub fn on_message(
+        &mut self,
+        knowledge: &mut Knowledge,
+        sender: SocketAddrV4,
+        message: PeerMessage,
+        now: Instant,
+    ) -> Vec<KeeperAction> {
+        let is_new = self.peers.on_heard(sender, now);
+
+        match message {
+            PeerMessage::Heartbeat(heartbeat) => {
+                self.on_heartbeat(knowledge, sender, &heartbeat, is_new, now)
+            }
+            PeerMessage::Pull(pull) => answer_pull(knowledge, sender, pull, now),
+            PeerMessage::Routes(part) => {
+                self.on_routes_part(knowledge, sender, part);
+                Vec::new()
+            }
+            PeerMessage::Backends(part) => {
+                self.on_backends_part(knowledge, sender, part, now);
+                Vec::new()
+            }
+        }
+    }
+
+    fn on_heartbeat(
+        &mut self,
+        knowledge: &mut Knowledge,
+        sender: SocketAddrV4,
+        heartbeat: &PeerHeartbeat,
+        is_new: bool,
+        now: Instant,
+    ) -> Vec<KeeperAction> {
+        for peer in &heartbeat.peers {
+            self.peers.on_told(*peer, now);
+        }
+        for sighting in &heartbeat.watchers {
+            self.duty.on_sighting(*sighting, now);
+        }
+
+        let mut actions = Vec::new();
+        if is_new {
+            // One that has just started learns at once whom it can ask.
+            let answer = self.heartbeat(knowledge, &[], now);
+            actions.push(KeeperAction::Tell(sender, PeerMessage::Heartbeat(answer)));
+        }
+        let directory = &mut knowledge.directory;
+        let knows_more = heartbeat.version > knowledge.routes.version
+            || heartbeat.changed_at > directory.complete_until()
+            || !directory.is_complete() && heartbeat.complete_until > 0;
+        if knows_more {
+            actions.extend(self.pull(knowledge, sender, now));
+            return actions;
+        }
+
+        // Nothing has changed after what is known here, so it is complete as far as the peer's is.
+        directory.complete(heartbeat.complete_until);
+        if heartbeat.version == knowledge.routes.version
+            && heartbeat.complete_until == directory.complete_until()
+        {
+            self.confirm(heartbeat.age_ms, now);
+        }
+        actions
+    }
+
+    fn confirm(&mut self, age_ms: u32, now: Instant) {
+        let at = now.checked_sub(Duration::from_millis(age_ms.into()));
+
+        self.confirmed = self.confirmed.max(at);
+    }
+
+    fn pull(
+        &mut self,
+        knowledge: &Knowledge,
+        sender: SocketAddrV4,
+        now: Instant,
+    ) -> Option<KeeperAction> {
+        if let Some((peer, at)) = self.last_pull
+            && peer == sender
+            && now.saturating_duration_since(at) < PULL_INTERVAL
+        {
+            return None;
+        }
+
+        self.last_pull = Some((sender, now));
+        let pull = KnowledgePull {
+            version: knowledge.routes.version,
+            complete_until: knowledge.directory.complete_until(),
+        };
+        Some(KeeperAction::Tell(sender, PeerMessage::Pull(pull)))
+    }
+
+    fn on_routes_part(
+        &mut self,
+        knowledge: &mut Knowledge,
+        sender: SocketAddrV4,
+        part: RoutesPart,
+    ) {
+        let (version, number) = (part.version, part.part);
+        if version <= knowledge.routes.version {
+            return;
+        }
+
+        let parts = PartAssembly::add(&mut self.routes_parts, sender, version, number, part);
+        if let Some(parts) = parts {
+            self.has_news |= knowledge.routes.replace(routes_of(parts));
+        }
+    }
+
+    fn on_backends_part(
+        &mut self,
+        knowledge: &mut Knowledge,
+        sender: SocketAddrV4,
+        part: BackendsPart,
+        now: Instant,
+    ) {
+        let (after, until, number) = (part.after, part.until, part.part);
+        let parts = PartAssembly::add(&mut self.backends_parts, sender, until, number, part);
+        let Some(parts) = parts else { return };
+
+        let directory = &mut knowledge.directory;
+        let mut listed = HashSet::new();
+        for change in parts.into_iter().flat_map(|part| part.changes) {
+            listed.insert(change.instance);
+            if !directory.is_obsolete(change.instance, change.revision) {
+                self.has_news |= directory.put(entry_of(change, now));
+            }
+        }
+        if after == 0 && until > directory.complete_until() {
+            directory.retain_listed(&listed, until, None, now);
+        }
+        if after <= directory.complete_until() {
+            directory.complete(until);
+        }
+    }
+
+    /// `on_routes_reply` takes the store's answer about the configuration in.
+    pub fn on_routes_reply(
+        &mut self,
+        knowledge: &mut Knowledge,
+        reply: StoreReply<RouteMap>,
+        now: Instant,
+    ) {
+        let news = self.routes_follower.on_reply(reply, now);
+
+        for routes in news.objects {
+            self.has_news |= knowledge.routes.replace(routes);
+        }
+        self.confirm_own();
+    }
+
+    /// `on_backends_reply` takes the store's answer about backend servers in.
+    pub fn on_backends_reply(
+        &mut self,
+        knowledge: &mut Knowledge,
+        reply: StoreReply<BackendNews>,
+        now: Instant,
+    ) {
+        let news = self.backends_follower.on_reply(reply, now);
+        let directory = &mut knowledge.directory;
+        let begins = matches!(
+            news.completes,
+            Completeness::ListBegins | Completeness::ListEnds { single_page: true, .. }
+        );
+        if begins {
+            self.listed.clear();
+        }
+
+        for change in news.objects {
+            self.listed.insert(change.instance);
+            self.has_news |= match change.entry {
+                Some(entry) => directory.put(entry),
+                None => directory.mark_gone(change.instance, change.revision, now),
+            };
+        }
+        match news.completes {
+            Completeness::Unchanged | Completeness::ListBegins => {}
+            Completeness::Until(revision) => directory.complete(revision),
+            Completeness::ListEnds { revision, after_outage, .. } => {
+                let missing_until = after_outage.then(|| now + RETURN_TIME);
+                directory.retain_listed(&self.listed, revision, missing_until, now);
+                directory.complete(revision);
+                self.has_news = true;
+            }
+        }
+        self.confirm_own();
+    }
+
+    fn confirm_own(&mut self) {
+        self.confirmed = self.confirmed.max(self.answered_at());
+    }
+}
+
+/// Tells a balancer what it does not know.
+fn answer_pull(
+    knowledge: &Knowledge,
+    sender: SocketAddrV4,
+    pull: KnowledgePull,
+    now: Instant,
+) -> Vec<KeeperAction> {
+    let mut messages = Vec::new();
+
+    if knowledge.routes.version > pull.version {
+        messages.extend(routes_messages(&knowledge.routes));
+    }
+    let directory = &knowledge.directory;
+    if directory.is_complete()
+        && (directory.changed_at() > pull.complete_until || pull.complete_until == 0)
+    {
+        messages.extend(backends_messages(directory, pull.complete_until, now));
+    }
+    messages.into_iter().map(|message| KeeperAction::Tell(sender, message)).collect()
+}
--- /dev/null
+++ b/crates/valvestage-policy/src/steering/peer_message.rs
@@ -0,0 +1,146 @@
+//! What balancers tell each other, one message a datagram.
+//!
+//! Heartbeats say how much a balancer knows; one that knows less asks for the rest. Everything told
+//! carries a version or a revision of the store, and only what is newer is taken, so messages may be
+//! lost, doubled or late. They are not authenticated: the settings hold no secret, and one from the
+//! store could not be had while the store is away, which is when peers matter most. Addresses of
+//! balancers are reached from the deployment's own network only, and a message can add nothing that
+//! the backend server named by it would not check for itself.
+
+use std::net::SocketAddrV4;
+
+use serde::{Deserialize, Serialize};
+use valvestage_core::ids::{
+    ConfigurationVersion, InstanceId, ServiceName, StoreRevision, ZoneName,
+};
+
+use super::route_map::RouteTarget;
+
+/// Bytes of data in one datagram at most, so that none is cut into fragments on an Ethernet link.
+pub const MAX_MESSAGE_BYTES: usize = 1_400;
+
+/// `PeerMessage` is one message between balancers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// How much the sender knows.
+    Heartbeat(PeerHeartbeat),
+    /// Asks for what the sender does not know.
+    Pull(KnowledgePull),
+    /// A part of a configuration.
+    Routes(RoutesPart),
+    /// Some backend servers.
+    Backends(BackendsPart),
+}
+
+/// `PeerHeartbeat` says how much its sender knows, and of whom.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerHeartbeat {
+    /// Availability zone of the sender.
+    pub zone: ZoneName,
+    /// Version of its configuration.
+    pub version: ConfigurationVersion,
+    /// Up to which revision it knows every change of backend servers.
+    pub complete_until: StoreRevision,
+    /// Revision of the last change that it knows.
+    pub changed_at: StoreRevision,
+    /// How long ago the store confirmed all this, milliseconds; at the sender or before it.
+    pub age_ms: u32,
+    /// Balancers that follow the store, the sender among them if it does.
+    pub watchers: Vec<WatcherSighting>,
+    /// Some balancers that it has heard.
+    pub peers: Vec<SocketAddrV4>,
+    /// Backend servers that seem dead to it.
+    pub suspects: Vec<InstanceId>,
+}
+
+/// `WatcherSighting` says when a balancer was last known to follow the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WatcherSighting {
+    /// The balancer.
+    pub peer: SocketAddrV4,
+    /// How long ago the store answered it, milliseconds.
+    pub age_ms: u32,
+}
+
+/// `KnowledgePull` asks for what its sender does not know.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KnowledgePull {
+    /// Version of the sender's configuration.
+    pub version: ConfigurationVersion,
+    /// Up to which revision it knows every change of backend servers.
+    pub complete_until: StoreRevision,
+}
+
+/// `MessagePart` counts the datagrams that belong together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MessagePart {
+    /// Number of this one, from 0.
+    pub index: u16,
+    /// How many there are; at least 1.
+    pub count: u16,
+}
+
+/// `RoutesPart` is some of the routes of one configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RoutesPart {
+    /// Which part.
+    pub part: MessagePart,
+    /// Version of the configuration.
+    pub version: ConfigurationVersion,
+    /// Silence after which a flow may be forgotten, milliseconds.
+    pub idle_timeout_ms: u64,
+    /// Address and targets.
+    pub routes: Vec<(SocketAddrV4, Vec<RouteTarget>)>,
+}
+
+/// `BackendsPart` is some of the changes of backend servers after a revision.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BackendsPart {
+    /// Which part.
+    pub part: MessagePart,
+    /// The changes begin after this revision; 0: all that there is.
+    pub after: StoreRevision,
+    /// With all parts, every change up to this revision is known.
+    pub until: StoreRevision,
+    /// The changes.
+    pub changes: Vec<BackendChange>,
+}
+
+/// `BackendChange` is what a backend server was at a revision.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BackendChange {
+    /// The incarnation.
+    pub instance: InstanceId,
+    /// The store's revision at the change.
+    pub revision: StoreRevision,
+    /// What it was then.
+    pub record: BackendRecord,
+}
+
+/// `BackendRecord` is the entry of a backend server as balancers tell it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BackendRecord {
+    /// The service that it runs.
+    pub service: ServiceName,
+    /// Where it takes packets.
+    pub address: SocketAddrV4,
+    /// Availability zone of its VM.
+    pub zone: ZoneName,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// How much longer it is slow from its start, milliseconds.
+    pub cold_left_ms: u32,
+    /// Where it stands.
+    pub standing: BackendStanding,
+}
+
+/// `BackendStanding` is [`super::BackendPhase`] without a time of this VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum BackendStanding {
+    /// It takes new flows.
+    Ready,
+    /// It takes no new ones.
+    Draining,
+    /// Its entry is gone.
+    Gone,
+}
--- /dev/null
+++ b/crates/valvestage-policy/src/steering/peer_table.rs
@@ -0,0 +1,110 @@
+//! The other balancers that are known.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+use std::time::{Duration, Instant};
+
+/// A balancer that was not heard of for so long is forgotten, unless the settings name it. It is more
+/// than the longest cut that the platform's pages tell of.
+const FORGET_AFTER: Duration = Duration::from_secs(20);
+
+/// Balancers remembered at most, by far more than the size to design for.
+const MAX_PEERS: usize = 2_048;
+
+/// A balancer heard of within this time is told on to others.
+const TELL_WITHIN: Duration = Duration::from_secs(3);
+
+/// `PeerTable` holds the addresses of other balancers.
+#[derive(Debug)]
+pub struct PeerTable {
+    own: SocketAddrV4,
+    /// Named by the settings; never forgotten.
+    seeds: Vec<SocketAddrV4>,
+    /// When each balancer was last heard itself; none if others told of it.
+    heard: BTreeMap<SocketAddrV4, PeerSighting>,
+    /// Where the next choice begins.
+    cursor: usize,
+}
+
+/// When a balancer was heard, and heard of.
+#[derive(Debug, Clone, Copy)]
+struct PeerSighting {
+    heard_itself: Option<Instant>,
+    heard_of: Instant,
+}
+
+impl PeerTable {
+    /// `new` knows the balancers that the settings name.
+    #[must_use]
+    pub fn new(own: SocketAddrV4, seeds: &[SocketAddrV4]) -> Self {
+        let seeds = seeds.iter().copied().filter(|seed| *seed != own).collect();
+
+        Self { own, seeds, heard: BTreeMap::new(), cursor: 0 }
+    }
+
+    /// `len` gives the number of balancers that were heard of.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.heard.len()
+    }
+
+    /// `is_empty` tells whether none was heard of.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.heard.is_empty()
+    }
+
+    /// `on_heard` takes in that a balancer has spoken; true if it was not known.
+    pub fn on_heard(&mut self, peer: SocketAddrV4, now: Instant) -> bool {
+        if peer == self.own || self.heard.len() >= MAX_PEERS {
+            return false;
+        }
+
+        let sighting = PeerSighting { heard_itself: Some(now), heard_of: now };
+        self.heard.insert(peer, sighting).is_none()
+    }
+
+    /// `on_told` takes in that another balancer knows of one.
+    pub fn on_told(&mut self, peer: SocketAddrV4, now: Instant) {
+        if peer == self.own || self.heard.len() >= MAX_PEERS {
+            return;
+        }
+
+        let fresh = PeerSighting { heard_itself: None, heard_of: now };
+        self.heard.entry(peer).or_insert(fresh).heard_of = now;
+    }
+
+    /// `forget_silent` forgets balancers that were not heard of for long.
+    pub fn forget_silent(&mut self, now: Instant) {
+        self.heard
+            .retain(|_, sighting| now.saturating_duration_since(sighting.heard_of) < FORGET_AFTER);
+    }
+
+    /// `choose` gives some balancers, others each time until all had their turn.
+    pub fn choose(&mut self, count: usize) -> Vec<SocketAddrV4> {
+        let missing = self.seeds.iter().filter(|seed| !self.heard.contains_key(seed));
+        let all: Vec<SocketAddrV4> = self.heard.keys().chain(missing).copied().collect();
+        let count = count.min(all.len());
+
+        let chosen = (0..count).map(|step| all[(self.cursor + step) % all.len()]).collect();
+        self.cursor = if all.is_empty() { 0 } else { (self.cursor + count) % all.len() };
+        chosen
+    }
+
+    /// `start_at` sets where choices begin, so that balancers do not all begin with the same one.
+    pub fn start_at(&mut self, cursor: usize) {
+        self.cursor = cursor;
+    }
+
+    /// `sample` gives some balancers that were heard lately, others each time.
+    pub fn sample(&self, count: usize, draw: usize, now: Instant) -> Vec<SocketAddrV4> {
+        let is_recent = |sighting: &PeerSighting| {
+            sighting.heard_itself.is_some_and(|at| now.saturating_duration_since(at) < TELL_WITHIN)
+        };
+        let recent = self.heard.iter().filter(|(_, sighting)| is_recent(sighting));
+        let recent: Vec<SocketAddrV4> = recent.map(|(peer, _)| *peer).collect();
+
+        let count = count.min(recent.len());
+        (0..count).map(|step| recent[(draw + step) % recent.len()]).collect()
+    }
+}
--- a/crates/valvestage-policy/src/steering/steering_policy.rs
+++ b/crates/valvestage-policy/src/steering/steering_policy.rs
@@ -6,24 +6,20 @@
 use siphasher::sip::SipHasher13;
 use valvestage_core::ids::InstanceId;
 
-use super::backend_choice::{ChoiceCandidate, choose};
+use super::backend_choice::{ChoiceCandidate, ChoiceDoubt, choose};
 use super::backend_directory::BackendDirectory;
 use super::backend_entry::{BackendEntry, BackendPhase};
 use super::backend_health::BackendHealth;
 use super::caller_packet::{CallerPacket, DropReason, FlowAddresses, PacketVerdict, ResetReason};
 use super::flow_record::{FlowRecord, FlowSign};
 use super::flow_tracker::FlowTracker;
-use super::route_map::RouteMap;
+use super::knowledge::Knowledge;
 use super::steering_options::SteeringOptions;
 
 /// `SteeringPolicy` decides where each packet of a caller goes.
 #[derive(Debug)]
 pub struct SteeringPolicy {
     options: SteeringOptions,
-    routes: RouteMap,
-    /// Whether all backend servers were read once.
-    directory_complete: bool,
-    directory: BackendDirectory,
     flows: FlowTracker,
     health: BackendHealth,
 }
@@ -32,20 +28,7 @@
     /// `new` knows nothing yet.
     #[must_use]
     pub fn new(options: SteeringOptions) -> Self {
-        Self {
-            options,
-            routes: RouteMap::default(),
-            directory_complete: false,
-            directory: BackendDirectory::default(),
-            flows: FlowTracker::default(),
-            health: BackendHealth::default(),
-        }
-    }
-
-    /// `is_ready` tells whether enough is known to place flows.
-    #[must_use]
-    pub fn is_ready(&self) -> bool {
-        self.routes.version > 0 && self.directory_complete
+        Self { options, flows: FlowTracker::default(), health: BackendHealth::default() }
     }
 
     /// `flow_count` gives the number of flows that are remembered.
@@ -54,78 +37,81 @@
         self.flows.len()
     }
 
-    /// `on_routes` puts a configuration in force; one that is not newer is ignored.
-    pub fn on_routes(&mut self, routes: RouteMap) -> bool {
-        if routes.version <= self.routes.version {
-            return false;
-        }
-
-        self.routes = routes;
-        true
-    }
-
-    /// `on_backend` takes a new or changed entry in.
-    pub fn on_backend(&mut self, entry: BackendEntry) {
-        self.directory.put(entry);
-    }
-
-    /// `on_backend_gone` takes in that an entry is gone.
-    pub fn on_backend_gone(&mut self, instance: InstanceId, now: Instant) {
-        self.directory.mark_gone(instance, now);
-    }
-
-    /// `on_directory_complete` takes in that all entries were read.
-    pub fn on_directory_complete(&mut self) {
-        self.directory_complete = true;
-    }
-
     /// `on_tick` forgets what is too old; to be called about once a second.
-    pub fn on_tick(&mut self, now: Instant) {
-        let idle_timeout = Duration::from_millis(self.routes.idle_timeout_ms);
+    pub fn on_tick(&mut self, knowledge: &mut Knowledge, now: Instant) {
+        let idle_timeout = Duration::from_millis(knowledge.routes.idle_timeout_ms);
 
         self.flows.expire(now, idle_timeout);
         if let Some(before) = now.checked_sub(self.options.remember_gone) {
-            self.directory.forget_gone(before);
+            knowledge.directory.forget_gone(before);
         }
-        let directory = &self.directory;
+        let directory = &knowledge.directory;
         self.health.forget(|instance| directory.get(instance).is_some());
     }
 
+    /// `on_peer_suspects` takes in which backend servers seem dead to another balancer.
+    pub fn on_peer_suspects(&mut self, suspects: &[InstanceId], now: Instant) {
+        for instance in suspects {
+            self.health.on_told(*instance, now);
+        }
+    }
+
+    /// `suspects` gives the backend servers that seem dead from here.
+    #[must_use]
+    pub fn suspects(&self, now: Instant) -> Vec<InstanceId> {
+        self.health.suspects(now)
+    }
+
     /// `on_packet` decides about a packet.
-    pub fn on_packet(&mut self, packet: &CallerPacket, now: Instant) -> PacketVerdict {
-        if !self.is_ready() {
+    pub fn on_packet(
+        &mut self,
+        knowledge: &Knowledge,
+        packet: &CallerPacket,
+        now: Instant,
+    ) -> PacketVerdict {
+        if !knowledge.is_complete() {
             return PacketVerdict::Drop(DropReason::NotReady);
         }
 
         if packet.opening {
-            self.on_opening(packet, now)
+            self.on_opening(knowledge, packet, now)
         } else {
-            self.on_further(packet, now)
+            self.on_further(knowledge, packet, now)
         }
     }
 
     /// A packet that asks to open a flow.
-    fn on_opening(&mut self, packet: &CallerPacket, now: Instant) -> PacketVerdict {
-        if let Some(verdict) = self.on_opening_copy(packet, now) {
+    fn on_opening(
+        &mut self,
+        knowledge: &Knowledge,
+        packet: &CallerPacket,
+        now: Instant,
+    ) -> PacketVerdict {
+        if let Some(verdict) = self.on_opening_copy(knowledge, packet, now) {
             return verdict;
         }
 
         let draw = draw_of(&packet.flow);
-        let Some(service) = self.routes.target(packet.flow.service, draw) else {
+        let Some(service) = knowledge.routes.target(packet.flow.service, draw) else {
             return PacketVerdict::Reset(ResetReason::NoRoute);
         };
-        let Some(instance) = self.place(service, None, draw, now) else {
+        let Some(instance) = self.place(knowledge, service, None, draw, now) else {
             return PacketVerdict::Reset(ResetReason::NoBackend);
         };
 
         if self.flows.len() < self.options.max_flows {
             self.flows.insert(packet.flow, FlowRecord::open_at(instance, now));
         }
-        self.forward(instance)
+        forward(knowledge, instance)
     }
 
     /// A copy goes where the first one went, unless that backend server shows no life.
-    fn on_opening_copy(&mut self, packet: &CallerPacket, now: Instant) -> Option<PacketVerdict> {
+    fn on_opening_copy(
+        &mut self,
+        knowledge: &Knowledge,
+        packet: &CallerPacket,
+        now: Instant,
+    ) -> Option<PacketVerdict> {
         /// Time in which a backend server answers. Copies come 200 ms apart; two that were read
         /// together show nothing.
         const ANSWER_TIME: Duration = Duration::from_millis(150);
@@ -137,9 +123,9 @@
             self.health.observe(instance, packet.flow, sign, now);
         }
 
-        let entry = self.directory.get(instance)?;
+        let entry = knowledge.directory.get(instance)?;
         let takes_new = entry.phase == BackendPhase::Ready
-            && self.routes.leads_to(packet.flow.service, &entry.service);
+            && knowledge.routes.leads_to(packet.flow.service, &entry.service);
         let unanswered = match sign {
             FlowSign::Unanswered(since) => {
                 now.saturating_duration_since(first_at) >= ANSWER_TIME
@@ -148,32 +134,37 @@
             _ => false,
         };
         if takes_new && !unanswered {
-            return Some(self.forward(instance));
+            return Some(forward(knowledge, instance));
         }
         if !takes_new {
             return None;
         }
 
         let service = entry.service.clone();
-        let other = self.place(&service, Some(instance), draw_of(&packet.flow), now)?;
+        let other = self.place(knowledge, &service, Some(instance), draw_of(&packet.flow), now)?;
         self.flows.insert(packet.flow, FlowRecord::open_at(other, now));
-        Some(self.forward(other))
+        Some(forward(knowledge, other))
     }
 
     /// A packet of a flow that a backend server has answered.
-    fn on_further(&mut self, packet: &CallerPacket, now: Instant) -> PacketVerdict {
-        if !self.routes.routes.contains_key(&packet.flow.service) {
+    fn on_further(
+        &mut self,
+        knowledge: &Knowledge,
+        packet: &CallerPacket,
+        now: Instant,
+    ) -> PacketVerdict {
+        if !knowledge.routes.routes.contains_key(&packet.flow.service) {
             return PacketVerdict::Reset(ResetReason::NoRoute);
         }
-        let Some(instance) = self.instance_of(packet) else {
+        let Some(instance) = self.instance_of(knowledge, packet) else {
             return PacketVerdict::Drop(DropReason::UnknownToken);
         };
 
         self.observe(instance, packet, now);
-        let Some(entry) = self.directory.get(instance) else {
+        let Some(entry) = knowledge.directory.get(instance) else {
             return PacketVerdict::Drop(DropReason::UnknownToken);
         };
-        if matches!(entry.phase, BackendPhase::Gone { .. }) && !packet.reset {
+        if entry.is_gone() && !packet.reset {
             self.flows.remove(&packet.flow);
             return PacketVerdict::Reset(ResetReason::BackendGone);
         }
@@ -181,12 +172,12 @@
         if packet.reset {
             self.flows.remove(&packet.flow);
         }
-        self.forward(instance)
+        forward(knowledge, instance)
     }
 
     /// The backend server of an open flow. The token goes before the record: a copy of the opening
     /// packet may have gone to another one than the one that the caller took.
-    fn instance_of(&self, packet: &CallerPacket) -> Option<InstanceId> {
+    fn instance_of(&self, knowledge: &Knowledge, packet: &CallerPacket) -> Option<InstanceId> {
         let record = self.flows.get(&packet.flow);
         if let Some(record) = record
             && record.open
@@ -194,7 +185,7 @@
             return Some(record.instance);
         }
 
-        let named = self.directory.by_token(packet.token).map(|entry| entry.instance);
+        let named = knowledge.directory.by_token(packet.token).map(|entry| entry.instance);
         named.or(record.map(|record| record.instance))
     }
 
@@ -216,6 +207,7 @@
     /// Chooses a backend server for a new flow.
     fn place(
         &self,
+        knowledge: &Knowledge,
         service: &str,
         except: Option<InstanceId>,
         draw: u64,
@@ -224,9 +216,9 @@
         let takes_new = |entry: &&BackendEntry| {
             entry.service == service
                 && entry.phase == BackendPhase::Ready
-                && self.directory.owns_token(entry.instance)
+                && knowledge.directory.owns_token(entry.instance)
         };
-        let candidates = self.directory.iter().filter(takes_new);
+        let candidates = knowledge.directory.iter().filter(takes_new);
         let candidates: Vec<ChoiceCandidate<'_>> =
             candidates.map(|entry| self.candidate(entry, except, now)).collect();
 
@@ -245,22 +237,31 @@
         let distance =
             if entry.zone == self.options.zone { 0.0 } else { self.options.zone_preference };
 
+        let is_silent =
+            self.health.is_suspect(entry.instance, now) || except == Some(entry.instance);
+        let doubt = match (entry.missing_until, is_silent) {
+            (Some(_), _) => ChoiceDoubt::Missing,
+            (None, true) => ChoiceDoubt::Silent,
+            (None, false) => ChoiceDoubt::None,
+        };
+
         ChoiceCandidate {
             entry,
             load: (requests + 1.0) * factor / f64::from(entry.slots) + distance,
-            suspect: self.health.is_suspect(entry.instance, now) || except == Some(entry.instance),
+            doubt,
         }
     }
+}
 
-    fn forward(&self, instance: InstanceId) -> PacketVerdict {
-        match self.directory.get(instance) {
-            Some(entry) => PacketVerdict::Forward {
-                instance,
-                address: entry.address,
-                token: BackendDirectory::token_of(instance),
-            },
-            None => PacketVerdict::Drop(DropReason::UnknownToken),
-        }
+/// The verdict that a packet goes to a backend server.
+fn forward(knowledge: &Knowledge, instance: InstanceId) -> PacketVerdict {
+    match knowledge.directory.get(instance) {
+        Some(entry) => PacketVerdict::Forward {
+            instance,
+            address: entry.address,
+            token: BackendDirectory::token_of(instance),
+        },
+        None => PacketVerdict::Drop(DropReason::UnknownToken),
     }
 }
 
--- a/crates/valvestage-policy/src/steering/store_follower.rs
+++ b/crates/valvestage-policy/src/steering/store_follower.rs
@@ -4,12 +4,13 @@
 //! replays what changed in between. A watch whose history is gone starts a new list. What is known
 //! stays in force meanwhile.
 
-use std::collections::HashSet;
 use std::time::{Duration, Instant};
 
-/// Longest wait of one watch. A watch that is cut off without a word is noticed only after this time,
-/// and a configuration has to be in force 3 s after its acknowledgement.
-const WATCH_WAIT: Duration = Duration::from_millis(2_000);
+use valvestage_core::ids::StoreRevision;
+
+/// Longest wait of one watch. A watch that is cut off without a word shows it only by its end, and a
+/// configuration has to be in force 3 s after its acknowledgement.
+pub const WATCH_WAIT: Duration = Duration::from_millis(1_500);
 
 /// Pause after a first failure; doubled with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
@@ -17,22 +18,21 @@
 /// Longest pause: a store that returns is noticed within this time.
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 
-/// Entries that lapsed while the store was away return within 2 s; one that is missing after that is
-/// gone.
-const RETURN_TIME: Duration = Duration::from_millis(2_500);
+/// Pause after changes: those of the next moment come with one call.
+const COALESCE_PAUSE: Duration = Duration::from_millis(100);
 
-/// `ListedObject` is one object of a list or watch, with the shape that its reader gave it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ListedObject<T> {
-    /// Its name.
-    pub name: String,
-    /// Its value; none if it was deleted.
-    pub value: Option<T>,
+/// `StoreKind` is a kind of objects that steering follows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum StoreKind {
+    /// The operator's configuration.
+    Configuration,
+    /// The entries of backend servers.
+    Backends,
 }
 
-/// `FollowerStep` is what the driver is to do next.
+/// `StoreCall` is one call to the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum FollowerStep {
+pub enum StoreCall {
     /// Read the page of the list that follows a name; none: the first page.
     List {
         /// The last name of the page before.
@@ -41,15 +41,10 @@
     /// Wait for changes.
     Watch {
         /// The revision to wait after.
-        revision: u64,
+        revision: StoreRevision,
         /// Longest wait.
         wait: Duration,
     },
-    /// Do nothing until this time.
-    Pause {
-        /// When to ask again.
-        until: Instant,
-    },
 }
 
 /// `StoreReply` is how a call ended.
@@ -58,18 +53,18 @@
     /// A page of the list.
     Page {
         /// Its objects.
-        objects: Vec<ListedObject<T>>,
-        /// Whether more pages follow.
-        more: bool,
+        objects: Vec<T>,
+        /// Name of the last object, if a further page follows it.
+        next_after: Option<String>,
         /// The store's revision.
-        revision: u64,
+        revision: StoreRevision,
     },
     /// Changes, in order; possibly none.
     Changes {
         /// The changed objects.
-        objects: Vec<ListedObject<T>>,
+        objects: Vec<T>,
         /// The revision to go on from.
-        revision: u64,
+        revision: StoreRevision,
     },
     /// The history that the watch asked for is gone.
     HistoryGone,
@@ -79,55 +74,71 @@
 
 /// `FollowerNews` is what a reply brought.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum FollowerNews<T> {
-    /// An object was read or changed.
-    Put(String, T),
-    /// An object is gone.
-    Gone(String),
+pub struct FollowerNews<T> {
+    /// Objects, in order.
+    pub objects: Vec<T>,
+    /// What the objects complete.
+    pub completes: Completeness,
+}
+
+/// `Completeness` says what is known after a reply.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Completeness {
+    /// Nothing more than before.
+    Unchanged,
+    /// A first page: what a list has so far begins here.
+    ListBegins,
+    /// The last page of a list.
+    ListEnds {
+        /// The revision of its first page: changes after it are still to come.
+        revision: StoreRevision,
+        /// Whether calls have failed since the list before, so that entries may have lapsed.
+        after_outage: bool,
+        /// Whether the last page is also the first.
+        single_page: bool,
+    },
+    /// All changes up to a revision.
+    Until(StoreRevision),
 }
 
 /// Where the follower stands.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 enum Phase {
-    Listing { after: Option<String>, revision: Option<u64>, seen: HashSet<String> },
-    Watching { revision: u64 },
+    Listing { after: Option<String>, revision: Option<StoreRevision> },
+    Watching { revision: StoreRevision },
 }
 
 /// `StoreFollower` decides the next call for one kind of objects.
 #[derive(Debug)]
 pub struct StoreFollower {
     phase: Phase,
-    /// The names that are in force.
-    known: HashSet<String>,
-    /// Missing names and when they count as gone.
-    missing: Vec<(String, Instant)>,
-    pause_until: Option<Instant>,
+    /// Whether a call is under way; there is one at most.
+    calling: bool,
+    not_before: Option<Instant>,
     failures: u32,
-    /// Whether calls have failed since the last list: entries may have lapsed meanwhile.
+    /// Whether calls have failed since the last list.
     was_away: bool,
-    /// Whether a whole list was read once.
-    complete: bool,
+    last_answer: Option<Instant>,
 }
 
 impl Default for StoreFollower {
     fn default() -> Self {
         Self {
-            phase: Phase::Listing { after: None, revision: None, seen: HashSet::new() },
-            known: HashSet::new(),
-            missing: Vec::new(),
-            pause_until: None,
+            phase: Phase::Listing { after: None, revision: None },
+            calling: false,
+            not_before: None,
             failures: 0,
             was_away: false,
-            complete: false,
+            last_answer: None,
         }
     }
 }
 
 impl StoreFollower {
-    /// `is_complete` tells whether a whole list was read.
+    /// `last_answer` gives when the store answered last.
     #[must_use]
-    pub fn is_complete(&self) -> bool {
-        self.complete
+    pub fn last_answer(&self) -> Option<Instant> {
+        self.last_answer
     }
 
     /// `is_failing` tells whether the last call failed.
@@ -136,51 +147,56 @@
         self.failures > 0
     }
 
-    /// `next_step` gives what is to be done now.
-    #[must_use]
-    pub fn next_step(&self, now: Instant) -> FollowerStep {
-        if let Some(until) = self.pause_until
-            && until > now
-        {
-            return FollowerStep::Pause { until };
+    /// `next_call` gives the call to make now; none while one is under way or a pause lasts.
+    ///
+    /// Peers may know more than this follower has read itself: then the watch goes on from there.
+    pub fn next_call(&mut self, known_until: StoreRevision, now: Instant) -> Option<StoreCall> {
+        if self.calling || self.not_before.is_some_and(|time| time > now) {
+            return None;
         }
 
-        match &self.phase {
-            Phase::Listing { after, .. } => FollowerStep::List { after: after.clone() },
+        self.calling = true;
+        Some(match &mut self.phase {
+            Phase::Listing { after, .. } => StoreCall::List { after: after.clone() },
             Phase::Watching { revision } => {
-                FollowerStep::Watch { revision: *revision, wait: self.watch_wait(now) }
+                *revision = known_until.max(*revision);
+                StoreCall::Watch { revision: *revision, wait: WATCH_WAIT }
             }
-        }
+        })
     }
 
-    /// A watch ends when the next missing entry counts as gone.
-    fn watch_wait(&self, now: Instant) -> Duration {
-        let until = self.missing.iter().map(|(_, until)| *until).min();
-
-        until.map_or(WATCH_WAIT, |until| {
-            until.saturating_duration_since(now).clamp(FIRST_PAUSE, WATCH_WAIT)
-        })
+    /// `skip_list` takes in that peers have told all that a list would bring.
+    pub fn skip_list(&mut self, known_until: StoreRevision) {
+        if !self.calling && !self.was_away {
+            self.phase = Phase::Watching { revision: known_until };
+        }
     }
 
-    /// `on_reply` takes the result of a call in, and gives what it brought.
-    pub fn on_reply<T>(&mut self, reply: StoreReply<T>, now: Instant) -> Vec<FollowerNews<T>> {
-        let mut news = match reply {
-            StoreReply::Page { objects, more, revision } => {
-                self.on_page(objects, more, revision, now)
+    /// `on_reply` takes the result of the call in, and gives what it brought.
+    pub fn on_reply<T>(&mut self, reply: StoreReply<T>, now: Instant) -> FollowerNews<T> {
+        self.calling = false;
+        let (objects, completes) = match reply {
+            StoreReply::Page { objects, next_after, revision } => {
+                self.on_success(now);
+                (objects, self.on_page(next_after, revision))
+            }
+            StoreReply::Changes { objects, revision } => {
+                self.on_success(now);
+                self.not_before = (!objects.is_empty()).then_some(now + COALESCE_PAUSE);
+                (objects, self.on_changes(revision))
             }
-            StoreReply::Changes { objects, revision } => self.on_changes(objects, revision, now),
             StoreReply::HistoryGone => {
+                self.on_success(now);
                 self.restart_list();
-                Vec::new()
+                (Vec::new(), Completeness::Unchanged)
             }
             StoreReply::Failed => {
                 self.on_failure(now);
-                Vec::new()
+                (Vec::new(), Completeness::Unchanged)
             }
         };
 
-        news.extend(self.take_gone(now));
-        news
+        FollowerNews { objects, completes }
     }
 
     fn on_failure(&mut self, now: Instant) {
@@ -188,100 +204,46 @@
 
         self.failures += 1;
         self.was_away = true;
-        self.pause_until = Some(now + pause.min(LONGEST_PAUSE));
+        self.not_before = Some(now + pause.min(LONGEST_PAUSE));
         self.restart_list();
     }
 
     fn restart_list(&mut self) {
-        self.phase = Phase::Listing { after: None, revision: None, seen: HashSet::new() };
+        self.phase = Phase::Listing { after: None, revision: None };
     }
 
-    fn on_success(&mut self) {
+    fn on_success(&mut self, now: Instant) {
         self.failures = 0;
-        self.pause_until = None;
+        self.not_before = None;
+        self.last_answer = Some(now);
     }
 
-    fn on_page<T>(
-        &mut self,
-        objects: Vec<ListedObject<T>>,
-        more: bool,
-        page_revision: u64,
-        now: Instant,
-    ) -> Vec<FollowerNews<T>> {
-        self.on_success();
-        let Phase::Listing { after, revision, seen } = &mut self.phase else {
-            return Vec::new();
+    fn on_page(&mut self, next_after: Option<String>, page: StoreRevision) -> Completeness {
+        let Phase::Listing { revision, .. } = &self.phase else {
+            return Completeness::Unchanged;
         };
 
-        let first_revision = *revision.get_or_insert(page_revision);
-        *after = objects.last().map(|object| object.name.clone());
-        seen.extend(objects.iter().map(|object| object.name.clone()));
-        let news = self.take_in(objects, now);
-
-        if !more {
-            self.finish_list(first_revision, now);
-        }
-        news
-    }
-
-    fn finish_list(&mut self, revision: u64, now: Instant) {
-        let next = Phase::Watching { revision };
-        let Phase::Listing { seen, .. } = std::mem::replace(&mut self.phase, next) else {
-            return;
-        };
-
-        let gone_at = if self.was_away { now + RETURN_TIME } else { now };
-        let absent = self.known.difference(&seen);
-        let waiting = |name: &&String| !self.missing.iter().any(|(other, _)| other == *name);
-        let absent: Vec<_> = absent.filter(waiting).map(|name| (name.clone(), gone_at)).collect();
-        self.missing.extend(absent);
-        self.was_away = false;
-        self.complete = true;
-    }
-
-    fn on_changes<T>(
-        &mut self,
-        objects: Vec<ListedObject<T>>,
-        revision: u64,
-        now: Instant,
-    ) -> Vec<FollowerNews<T>> {
-        self.on_success();
-        if let Phase::Watching { revision: known } = &mut self.phase {
-            *known = revision.max(*known);
+        let is_first = revision.is_none();
+        let first_revision = revision.unwrap_or(page);
+        if next_after.is_some() {
+            self.phase = Phase::Listing { after: next_after, revision: Some(first_revision) };
+            return if is_first { Completeness::ListBegins } else { Completeness::Unchanged };
         }
 
-        self.take_in(objects, now)
-    }
-
-    fn take_in<T>(&mut self, objects: Vec<ListedObject<T>>, now: Instant) -> Vec<FollowerNews<T>> {
-        let mut news = Vec::with_capacity(objects.len());
-
-        for object in objects {
-            match object.value {
-                Some(value) => {
-                    self.known.insert(object.name.clone());
-                    self.missing.retain(|(name, _)| *name != object.name);
-                    news.push(FollowerNews::Put(object.name, value));
-                }
-                None if self.known.contains(&object.name) => {
-                    self.missing.retain(|(name, _)| *name != object.name);
-                    self.missing.push((object.name, now));
-                }
-                None => {}
-            }
+        self.phase = Phase::Watching { revision: first_revision };
+        Completeness::ListEnds {
+            revision: first_revision,
+            after_outage: std::mem::take(&mut self.was_away),
+            single_page: is_first,
         }
-        news
     }
 
-    /// The missing names whose time is over.
-    fn take_gone<T>(&mut self, now: Instant) -> Vec<FollowerNews<T>> {
-        let (gone, waiting): (Vec<_>, Vec<_>) =
-            self.missing.drain(..).partition(|(_, until)| *until <= now);
-        self.missing = waiting;
+    fn on_changes(&mut self, until: StoreRevision) -> Completeness {
+        let Phase::Watching { revision } = &mut self.phase else {
+            return Completeness::Unchanged;
+        };
 
-        for (name, _) in &gone {
-            self.known.remove(name);
-        }
-        gone.into_iter().map(|(name, _)| FollowerNews::Gone(name)).collect()
+        *revision = until.max(*revision);
+        Completeness::Until(*revision)
     }
 }
