Reload the settings on SIGHUP and when the file changes

Change: settings_task reads the file again; seeds and the store's address take effect at once, what needs a restart is said in the log line.

--- a/crates/valvestage-entry/src/control_thread.rs
+++ b/crates/valvestage-entry/src/control_thread.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::TcpListener;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -13,7 +14,7 @@
 
 use crate::store_tasks::StoreOrder;
 use crate::updates::{ControlUpdate, UpdateSender};
-use crate::{ready_server, store_tasks};
+use crate::{ready_server, settings_task, store_tasks};
 
 /// Longest wait for an answer of the store, which takes 4 ms on a calm day and is at times some 60
 /// times slower.
@@ -28,6 +29,8 @@
 
 /// `ControlThread` is what the thread needs.
 pub struct ControlThread {
+    /// The file that the settings were read from.
+    pub settings_file: PathBuf,
     /// Settings of this VM.
     pub settings: EntrySettings,
     /// Where readiness is asked for.
@@ -52,6 +55,12 @@
             address: self.settings.store_address.into(),
             timeout: STORE_TIMEOUT,
         });
+        actix_rt::spawn(settings_task::run(
+            self.settings_file,
+            self.settings.clone(),
+            client.clone(),
+            self.updates.clone(),
+        ));
         actix_rt::spawn(store_tasks::run(client, self.orders, self.updates.clone()));
         actix_rt::spawn(ready_server::start(self.ready_listener, self.ready.clone())?);
 
--- a/crates/valvestage-entry/src/lib.rs
+++ b/crates/valvestage-entry/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`store_tasks`] | calls to the store |
 //! | [`peer_codec`] | messages between balancers as datagrams |
 //! | [`ready_server`] | the routers' question whether this VM takes packets |
+//! | [`settings_task`] | settings that change while the process runs |
 //! | [`updates`] | what the control thread and the data thread tell each other |
 //! | [`errors`] | the error type of this crate |
 
@@ -20,6 +21,7 @@
 pub mod peer_codec;
 pub mod process;
 pub mod ready_server;
+pub mod settings_task;
 pub mod store_tasks;
 pub mod updates;
 
--- a/crates/valvestage-entry/src/main.rs
+++ b/crates/valvestage-entry/src/main.rs
@@ -2,8 +2,11 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 
 use bpaf::Bpaf;
+use signal_hook::consts::SIGHUP;
 use valvestage_core::settings::EntrySettings;
 use valvestage_entry::{EntryError, EntryProcess};
 use valvestage_process::command_line::{parse, settings_are_right, usage_error};
@@ -27,6 +30,7 @@
 }
 
 fn main() -> ExitCode {
+    ignore_early_hangup();
     let arguments = match parse(&arguments()) {
         Ok(arguments) => arguments,
         Err(code) => return code,
@@ -39,7 +43,7 @@
         return settings_are_right(&arguments.settings);
     }
 
-    match serve(settings) {
+    match serve(arguments.settings, settings) {
         Ok(()) => ExitCode::from(exit_codes::SUCCESS),
         Err(error) => {
             log::error!("{error}");
@@ -49,12 +53,21 @@
     }
 }
 
-fn serve(settings: EntrySettings) -> Result<(), EntryError> {
+/// SIGHUP ends a process that does not handle it, and it may come before the settings are watched.
+fn ignore_early_hangup() {
+    let ignored = Arc::new(AtomicBool::new(false));
+
+    if let Err(error) = signal_hook::flag::register(SIGHUP, ignored) {
+        eprintln!("{PROGRAM}: SIGHUP cannot be handled: {error}");
+    }
+}
+
+fn serve(file: PathBuf, settings: EntrySettings) -> Result<(), EntryError> {
     let logger = logging::start(true);
     if let Err(error) = &logger {
         eprintln!("{PROGRAM}: no log: {error}");
     }
 
     log::info!(vm = settings.name.as_str(), zone = settings.zone.as_str(); "starting");
-    EntryProcess::bind(settings)?.run()
+    EntryProcess::bind(file, settings)?.run()
 }
--- a/crates/valvestage-entry/src/process.rs
+++ b/crates/valvestage-entry/src/process.rs
@@ -2,6 +2,7 @@
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::{SocketAddr, SocketAddrV4, TcpListener};
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::thread;
@@ -28,8 +29,8 @@
 }
 
 impl EntryProcess {
-    /// `bind` takes the addresses of the settings.
-    pub fn bind(settings: EntrySettings) -> Result<Self, EntryError> {
+    /// `bind` takes the addresses of the settings, which are read again when the file changes.
+    pub fn bind(settings_file: PathBuf, settings: EntrySettings) -> Result<Self, EntryError> {
         let poll = Poll::new().map_err(setup("make poll"))?;
         let waker = Waker::new(poll.registry(), UPDATES).map_err(setup("make waker"))?;
         let (sender, updates) = updates::ring(Arc::new(waker));
@@ -52,7 +53,14 @@
         let address = settings.ready_address;
         let listener = TcpListener::bind(address);
         let ready_listener = listener.map_err(on_address("listen for readiness", address))?;
-        let control = ControlThread { settings, ready_listener, ready, orders, updates: sender };
+        let control = ControlThread {
+            settings_file,
+            settings,
+            ready_listener,
+            ready,
+            orders,
+            updates: sender,
+        };
         Ok(Self { data, control })
     }
 
--- a/crates/valvestage-entry/src/updates.rs
+++ b/crates/valvestage-entry/src/updates.rs
@@ -1,5 +1,6 @@
 //! What the control thread and the data thread tell each other, over bounded rings.
 
+use std::net::SocketAddrV4;
 use std::sync::Arc;
 
 use crossbeam_channel::{Receiver, Sender, bounded};
@@ -16,6 +17,8 @@
     Routes(StoreReply<RouteMap>),
     /// The store's answer about backend servers.
     Backends(StoreReply<BackendNews>),
+    /// The settings name other balancers.
+    Seeds(Vec<SocketAddrV4>),
     /// The process is to stop: it is not ready any more, and forwards until it ends.
     Stop,
 }
--- a/crates/valvestage-policy/src/steering/entry_policy.rs
+++ b/crates/valvestage-policy/src/steering/entry_policy.rs
@@ -133,6 +133,11 @@
         self.step_keeper(now)
     }
 
+    /// `on_seeds` takes in that the settings name other balancers than before.
+    pub fn on_seeds(&mut self, seeds: &[SocketAddrV4]) {
+        self.keeper.on_seeds(seeds);
+    }
+
     /// `next_due` gives when [`Self::on_tick`] is to be called at the latest.
     #[must_use]
     pub fn next_due(&self) -> Instant {
--- a/crates/valvestage-policy/src/steering/knowledge_keeper.rs
+++ b/crates/valvestage-policy/src/steering/knowledge_keeper.rs
@@ -154,6 +154,11 @@
         actions
     }
 
+    /// `on_seeds` takes in that the settings name other balancers than before.
+    pub fn on_seeds(&mut self, seeds: &[SocketAddrV4]) {
+        self.peers.set_seeds(seeds);
+    }
+
     /// `next_due` gives when [`Self::on_tick`] has something to do at the latest.
     #[must_use]
     pub fn next_due(&self) -> Instant {
--- a/crates/valvestage-policy/src/steering/peer_table.rs
+++ b/crates/valvestage-policy/src/steering/peer_table.rs
@@ -37,9 +37,15 @@
     /// `new` knows the balancers that the settings name.
     #[must_use]
     pub fn new(own: SocketAddrV4, seeds: &[SocketAddrV4]) -> Self {
-        let seeds = seeds.iter().copied().filter(|seed| *seed != own).collect();
+        let mut table = Self { own, seeds: Vec::new(), heard: BTreeMap::new(), cursor: 0 };
 
-        Self { own, seeds, heard: BTreeMap::new(), cursor: 0 }
+        table.set_seeds(seeds);
+        table
+    }
+
+    /// `set_seeds` replaces the balancers that the settings name.
+    pub fn set_seeds(&mut self, seeds: &[SocketAddrV4]) {
+        self.seeds = seeds.iter().copied().filter(|seed| *seed != self.own).collect();
     }
 
     /// `len` gives the number of balancers that were heard of.
