Speak the platform's published protocol everywhere; the invented object API goes

Cause: two clients and two spellings of one store stood in the repository. Change: StoreClient lists, watches, reads and writes by kind and name with revisions; PlatformClient carries the product's own objects over it (kinds valvestage and valvestage-leases); the stand-in store speaks the same protocol, with pages, history that goes, and deletions. valvestage-wire::platform goes.

--- a/crates/valvestage-balancer/src/control/control_system.rs
+++ b/crates/valvestage-balancer/src/control/control_system.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use actix_rt::System;
-use valvestage_platform::{PlatformClient, PlatformOptions};
+use valvestage_platform::{PlatformClient, StoreOptions};
 use valvestage_wire::peers::PeerKey;
 
 use super::control_state::ControlState;
@@ -39,7 +39,7 @@
 async fn serve(inputs: ControlInputs) -> Result<(), BalancerError> {
     let state = inputs.state;
     let peers = PeerClients::new(inputs.peer_key.clone());
-    let client = PlatformClient::new(PlatformOptions {
+    let client = PlatformClient::new(StoreOptions {
         address: state.settings.platform_address,
         token: inputs.platform_token,
         timeout: PLATFORM_TIMEOUT,
--- a/crates/valvestage-balancer/src/control/platform_driver.rs
+++ b/crates/valvestage-balancer/src/control/platform_driver.rs
@@ -4,9 +4,9 @@
 use std::time::{Duration, SystemTime};
 
 use valvestage_core::ids::ObjectVersion;
+use valvestage_platform::objects::WatchResult;
 use valvestage_platform::{PlatformClient, PlatformError};
 use valvestage_policy::control::{PlatformCall, PlatformReply};
-use valvestage_wire::platform::WatchResult;
 
 use super::control_state::ControlState;
 use crate::metrics::{PlatformLabel, PlatformResult};
@@ -46,7 +46,7 @@
     /// Waits for changes.
     pub(super) async fn watch(
         &self,
-        after: ObjectVersion,
+        after: Option<ObjectVersion>,
         wait: Duration,
     ) -> Result<WatchResult, PlatformError> {
         let result = self.client.watch(after, wait).await;
--- a/crates/valvestage-balancer/src/control/watch_task.rs
+++ b/crates/valvestage-balancer/src/control/watch_task.rs
@@ -4,8 +4,7 @@
 use std::time::{Duration, SystemTime};
 
 use tokio::time::sleep;
-use valvestage_platform::objects::{from_json, watched_key};
-use valvestage_wire::platform::WatchResult;
+use valvestage_platform::objects::{WatchResult, from_json, watched_key};
 
 use super::control_state::ControlState;
 use super::platform_driver::PlatformDriver;
@@ -17,7 +16,7 @@
 const PAUSE: Duration = Duration::from_millis(300);
 
 pub(super) async fn run(state: Arc<ControlState>, platform: PlatformDriver) {
-    let mut after = 0;
+    let mut after = None;
 
     loop {
         if !state.read(|policy| policy.should_watch(SystemTime::now())) {
@@ -28,7 +27,7 @@
         match platform.watch(after, WATCH_WAIT).await {
             Ok(result) => {
                 // A platform whose watch lags may answer with less than before.
-                after = after.max(result.revision);
+                after = after.max(Some(result.revision));
                 take_in(&state, result);
             }
             Err(error) => {
--- a/crates/valvestage-entry/src/control_thread.rs
+++ b/crates/valvestage-entry/src/control_thread.rs
@@ -53,6 +53,7 @@
         let mut terminate = signal(SignalKind::terminate())?;
         let client = StoreClient::new(StoreOptions {
             address: self.settings.store_address.into(),
+            token: None,
             timeout: STORE_TIMEOUT,
         });
         actix_rt::spawn(settings_task::run(
--- a/crates/valvestage-operator/src/api.rs
+++ b/crates/valvestage-operator/src/api.rs
@@ -10,7 +10,7 @@
 use actix_web::{Error, HttpResponse, error::ErrorUnauthorized};
 use valvestage_core::Configuration;
 use valvestage_core::settings::DeploymentSettings;
-use valvestage_platform::{PlatformClient, PlatformOptions};
+use valvestage_platform::{PlatformClient, StoreOptions};
 use valvestage_policy::operations::Intent;
 use valvestage_process::secrets::same_token;
 use valvestage_wire::operators::{ConfirmResult, StatusReport};
@@ -28,7 +28,7 @@
 #[derive(Clone)]
 pub struct ApiOptions {
     /// How to reach the platform.
-    pub platform: PlatformOptions,
+    pub platform: StoreOptions,
     /// Admin addresses of the balancers.
     pub balancers: Vec<std::net::SocketAddr>,
     /// Token for the balancers.
--- a/crates/valvestage-operator/src/main.rs
+++ b/crates/valvestage-operator/src/main.rs
@@ -8,7 +8,7 @@
 use bpaf::Bpaf;
 use valvestage_core::settings::OperatorSettings;
 use valvestage_operator::api::{ApiOptions, configure};
-use valvestage_platform::PlatformOptions;
+use valvestage_platform::StoreOptions;
 use valvestage_process::command_line::{parse, settings_are_right, usage_error};
 use valvestage_process::secrets::read_token;
 use valvestage_process::{ProcessError, exit_codes, logging};
@@ -61,7 +61,7 @@
 }
 
 fn api_options(settings: &OperatorSettings) -> Result<ApiOptions, ProcessError> {
-    let platform = PlatformOptions {
+    let platform = StoreOptions {
         address: settings.platform_address,
         token: settings.platform_token_file.as_deref().map(read_token).transpose()?,
         timeout: PLATFORM_TIMEOUT,
--- a/crates/valvestage-standins/src/platform.rs
+++ b/crates/valvestage-standins/src/platform.rs
@@ -6,4 +6,4 @@
 
 pub use faults::Faults;
 pub use server::{PlatformStandin, start};
-pub use store::ObjectStore;
+pub use store::{ObjectStore, WriteRefusal};
--- a/crates/valvestage-standins/src/platform/faults.rs
+++ b/crates/valvestage-standins/src/platform/faults.rs
@@ -14,4 +14,6 @@
     pub lose_answers: u32,
     /// Watches do not show the newest revisions, so many of them.
     pub watch_lag: u64,
+    /// Objects in a page of a list; 0 for as many as usual.
+    pub page: usize,
 }
--- a/crates/valvestage-standins/src/platform/server.rs
+++ b/crates/valvestage-standins/src/platform/server.rs
@@ -6,22 +6,28 @@
 use std::time::Duration;
 
 use actix_web::dev::Server;
-use actix_web::http::header::{IF_MATCH, IF_NONE_MATCH};
-use actix_web::web::{Data, Json, JsonConfig, Path, PayloadConfig, Query, get, post, put};
-use actix_web::{App, HttpRequest, HttpResponse, HttpServer};
+use actix_web::web::{Data, Json, JsonConfig, Path, PayloadConfig, Query, delete, get, post, put};
+use actix_web::{App, HttpResponse, HttpServer};
 use serde::Deserialize;
 use serde_json::Value;
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout_at};
-use valvestage_core::ids::ObjectVersion;
-use valvestage_wire::platform::WriteResult;
+use valvestage_core::ids::StoreRevision;
+use valvestage_platform::messages::WireObject;
+use valvestage_platform::objects::kind_of;
 
 use super::faults::Faults;
-use super::store::ObjectStore;
+use super::store::{ObjectStore, WriteRefusal};
 
 /// Longest value.
 const MAX_VALUE_BYTES: usize = 1 << 20;
 
+/// Objects in a page of a list.
+const PAGE: usize = 500;
+
+/// Longest wait of a watch, milliseconds.
+const MAX_WAIT_MS: u64 = 30_000;
+
 /// `PlatformStandin` is the state that all connections share.
 #[derive(Clone, Default)]
 pub struct PlatformStandin {
@@ -36,20 +42,42 @@
 }
 
 impl PlatformStandin {
-    /// `put` writes an object whatever its version, for tests.
+    /// `put` writes one of the product's own objects whatever its version, for tests.
     pub fn put(&self, key: &str, value: Value) {
+        self.put_object(kind_of(key), key, value);
+    }
+
+    /// `get` reads one of the product's own objects, for tests.
+    #[must_use]
+    pub fn get(&self, key: &str) -> Option<Value> {
+        self.store().read(kind_of(key), key).map(|object| object.spec.clone())
+    }
+
+    /// `put_object` writes any object whatever its revision, for tests.
+    pub fn put_object(&self, kind: &str, name: &str, value: Value) {
         let mut store = self.store();
-        let expected = store.read(key).map(|object| object.version);
 
-        store.write(key, expected, value);
+        if store.read(kind, name).is_some() {
+            let _ = store.replace(kind, name, None, value);
+        } else {
+            let _ = store.create(kind, name, value);
+        }
         drop(store);
         self.inner.written.notify_waiters();
     }
 
-    /// `get` reads an object, for tests.
-    #[must_use]
-    pub fn get(&self, key: &str) -> Option<Value> {
-        self.store().read(key).map(|object| object.value.clone())
+    /// `delete_object` removes an object, for tests.
+    pub fn delete_object(&self, kind: &str, name: &str) {
+        self.store().delete(kind, name);
+
+        self.inner.written.notify_waiters();
+    }
+
+    /// `forget_history` makes watches that began before fail.
+    pub fn forget_history(&self) {
+        self.store().forget_history();
+
+        self.inner.written.notify_waiters();
     }
 
     /// `misbehave` sets the faults.
@@ -74,6 +102,23 @@
 
         (!faults.down).then_some(())
     }
+
+    /// Answers a write that was done or refused; the answer of one that was done may be lost.
+    fn answer_write(&self, result: Result<WireObject, WriteRefusal>) -> HttpResponse {
+        let object = match result {
+            Ok(object) => object,
+            Err(WriteRefusal::Missing) => return HttpResponse::NotFound().finish(),
+            Err(WriteRefusal::Conflict(object)) => return HttpResponse::Conflict().json(object),
+        };
+        self.inner.written.notify_waiters();
+
+        let mut faults = self.faults();
+        if faults.lose_answers > 0 {
+            faults.lose_answers -= 1;
+            return unavailable();
+        }
+        HttpResponse::Ok().json(object)
+    }
 }
 
 /// `start` serves on a listener; the address of the listener is known before.
@@ -84,11 +129,13 @@
     let server = HttpServer::new(move || {
         App::new()
             .app_data(data.clone())
-            .app_data(PayloadConfig::new(MAX_VALUE_BYTES))
-            .app_data(JsonConfig::default().limit(MAX_VALUE_BYTES))
-            .route("/v1/objects/{key}", get().to(read))
-            .route("/v1/objects/{key}", put().to(write))
-            .route("/v1/watch", get().to(watch))
+            .app_data(PayloadConfig::new(2 * MAX_VALUE_BYTES))
+            .app_data(JsonConfig::default().limit(2 * MAX_VALUE_BYTES))
+            .route("/-/objects/{kind}", get().to(list_or_watch))
+            .route("/-/objects/{kind}", post().to(create))
+            .route("/-/objects/{kind}/{name}", get().to(read))
+            .route("/-/objects/{kind}/{name}", put().to(replace))
+            .route("/-/objects/{kind}/{name}", delete().to(remove))
             .route("/faults", post().to(set_faults))
     })
     .workers(1)
@@ -98,62 +145,40 @@
     Ok((address, server))
 }
 
-async fn read(standin: Data<PlatformStandin>, key: Path<String>) -> HttpResponse {
-    if standin.admit().await.is_none() {
-        return unavailable();
-    }
-
-    match standin.store().read(&key) {
-        Some(object) => HttpResponse::Ok().json(object),
-        None => HttpResponse::NotFound().finish(),
-    }
+#[derive(Deserialize)]
+struct ListQuery {
+    after: Option<String>,
+    watch: Option<StoreRevision>,
+    #[serde(default)]
+    wait_ms: u64,
 }
 
-async fn write(
-    request: HttpRequest,
+async fn list_or_watch(
     standin: Data<PlatformStandin>,
-    key: Path<String>,
-    value: Json<Value>,
+    kind: Path<String>,
+    query: Query<ListQuery>,
 ) -> HttpResponse {
+    if let Some(after) = query.watch {
+        return watch(&standin, &kind, after, query.wait_ms.min(MAX_WAIT_MS)).await;
+    }
     if standin.admit().await.is_none() {
         return unavailable();
     }
-    let Some(expected) = expected_version(&request) else {
-        return HttpResponse::BadRequest().body("If-Match or If-None-Match is needed\n");
-    };
 
-    let written = standin.store().write(&key, expected, value.into_inner());
-    let Some(version) = written else {
-        return HttpResponse::PreconditionFailed().finish();
+    let page = match standin.faults().page {
+        0 => PAGE,
+        page => page,
     };
-    standin.inner.written.notify_waiters();
-
-    // The write took effect; its answer may still be lost.
-    let mut faults = standin.faults();
-    if faults.lose_answers > 0 {
-        faults.lose_answers -= 1;
-        return unavailable();
-    }
-    HttpResponse::Ok().json(WriteResult { version })
+    HttpResponse::Ok().json(standin.store().list(&kind, query.after.as_deref(), page))
 }
 
-fn expected_version(request: &HttpRequest) -> Option<Option<ObjectVersion>> {
-    let text = |name| request.headers().get(name).and_then(|value| value.to_str().ok());
-
-    if text(IF_NONE_MATCH) == Some("*") {
-        return Some(None);
-    }
-    text(IF_MATCH)?.trim_matches('"').parse().ok().map(Some)
-}
-
-#[derive(Deserialize)]
-struct WatchQuery {
-    after: ObjectVersion,
-    timeout_ms: u64,
-}
-
-async fn watch(standin: Data<PlatformStandin>, query: Query<WatchQuery>) -> HttpResponse {
-    let deadline = Instant::now() + Duration::from_millis(query.timeout_ms);
+async fn watch(
+    standin: &PlatformStandin,
+    kind: &str,
+    after: StoreRevision,
+    wait_ms: u64,
+) -> HttpResponse {
+    let deadline = Instant::now() + Duration::from_millis(wait_ms);
 
     loop {
         if standin.admit().await.is_none() {
@@ -163,14 +188,65 @@
         // Listen before looking, so that no write falls between.
         let written = standin.inner.written.notified();
         let lag = standin.faults().watch_lag;
-        let result = standin.store().changes(query.after, lag);
-        if !result.objects.is_empty() || Instant::now() >= deadline {
-            return HttpResponse::Ok().json(result);
+        let Some(page) = standin.store().changes(kind, after, lag) else {
+            return HttpResponse::Gone().finish();
+        };
+        if !page.events.is_empty() || Instant::now() >= deadline {
+            return HttpResponse::Ok().json(page);
         }
         let _ = timeout_at(deadline, written).await;
     }
 }
 
+async fn read(standin: Data<PlatformStandin>, path: Path<(String, String)>) -> HttpResponse {
+    if standin.admit().await.is_none() {
+        return unavailable();
+    }
+
+    match standin.store().read(&path.0, &path.1) {
+        Some(object) => HttpResponse::Ok().json(object),
+        None => HttpResponse::NotFound().finish(),
+    }
+}
+
+async fn create(
+    standin: Data<PlatformStandin>,
+    kind: Path<String>,
+    object: Json<WireObject>,
+) -> HttpResponse {
+    if standin.admit().await.is_none() {
+        return unavailable();
+    }
+
+    let object = object.into_inner();
+    let result = standin.store().create(&kind, &object.meta.name, object.spec);
+    standin.answer_write(result)
+}
+
+async fn replace(
+    standin: Data<PlatformStandin>,
+    path: Path<(String, String)>,
+    object: Json<WireObject>,
+) -> HttpResponse {
+    if standin.admit().await.is_none() {
+        return unavailable();
+    }
+
+    let WireObject { meta, spec, .. } = object.into_inner();
+    let expected = (meta.revision > 0).then_some(meta.revision);
+    let result = standin.store().replace(&path.0, &path.1, expected, spec);
+    standin.answer_write(result)
+}
+
+async fn remove(standin: Data<PlatformStandin>, path: Path<(String, String)>) -> HttpResponse {
+    if standin.admit().await.is_none() {
+        return unavailable();
+    }
+
+    let removed = standin.store().delete(&path.0, &path.1);
+    standin.answer_write(removed.ok_or(WriteRefusal::Missing))
+}
+
 async fn set_faults(standin: Data<PlatformStandin>, faults: Json<Faults>) -> HttpResponse {
     standin.misbehave(faults.into_inner());
 
--- a/crates/valvestage-standins/src/platform/store.rs
+++ b/crates/valvestage-standins/src/platform/store.rs
@@ -1,55 +1,127 @@
-//! Objects with versions, in memory.
+//! Objects by kind and name, with a history of changes, in memory.
 
 use std::collections::BTreeMap;
+use std::ops::Bound;
 
 use serde_json::Value;
-use valvestage_core::ids::ObjectVersion;
-use valvestage_wire::platform::{StoredObject, WatchResult};
+use valvestage_core::ids::StoreRevision;
+use valvestage_platform::messages::{ListPage, ObjectMeta, WatchPage, WireEvent, WireObject};
 
-/// Objects that are written too often to be watched.
-const UNWATCHED_PREFIX: &str = "lease-";
+/// `WriteRefusal` says why nothing was written.
+#[derive(Debug, Clone, PartialEq)]
+pub enum WriteRefusal {
+    /// There is no such object.
+    Missing,
+    /// The object is as given, not as the condition says.
+    Conflict(Box<WireObject>),
+}
 
-/// `ObjectStore` holds objects; each write of any object raises the revision.
+/// `ObjectStore` holds objects; each change of any object raises the revision.
 #[derive(Debug, Default)]
 pub struct ObjectStore {
-    revision: ObjectVersion,
-    objects: BTreeMap<String, StoredObject>,
+    revision: StoreRevision,
+    objects: BTreeMap<(String, String), WireObject>,
+    /// Changes in order, with their kinds.
+    history: Vec<(StoreRevision, String, WireEvent)>,
+    /// Changes up to this revision are forgotten.
+    forgotten: StoreRevision,
 }
 
 impl ObjectStore {
     /// `read` gives an object.
     #[must_use]
-    pub fn read(&self, key: &str) -> Option<&StoredObject> {
-        self.objects.get(key)
+    pub fn read(&self, kind: &str, name: &str) -> Option<&WireObject> {
+        self.objects.get(&(kind.to_owned(), name.to_owned()))
     }
 
-    /// `write` writes an object if its version is the one given (`None`: it does not exist).
-    pub fn write(
+    /// `create` makes an object.
+    pub fn create(
         &mut self,
-        key: &str,
-        expected: Option<ObjectVersion>,
+        kind: &str,
+        name: &str,
         value: Value,
-    ) -> Option<ObjectVersion> {
-        if self.objects.get(key).map(|object| object.version) != expected {
-            return None;
+    ) -> Result<WireObject, WriteRefusal> {
+        if let Some(known) = self.read(kind, name) {
+            return Err(WriteRefusal::Conflict(Box::new(known.clone())));
+        }
+
+        Ok(self.store(kind, name, value))
+    }
+
+    /// `replace` replaces the value of an object, if its revision is the one given where one is.
+    pub fn replace(
+        &mut self,
+        kind: &str,
+        name: &str,
+        expected: Option<StoreRevision>,
+        value: Value,
+    ) -> Result<WireObject, WriteRefusal> {
+        let known = self.read(kind, name).ok_or(WriteRefusal::Missing)?;
+        if expected.is_some_and(|expected| expected != known.meta.revision) {
+            return Err(WriteRefusal::Conflict(Box::new(known.clone())));
+        }
+        if known.spec == value {
+            return Ok(known.clone());
         }
 
+        Ok(self.store(kind, name, value))
+    }
+
+    /// `delete` removes an object.
+    pub fn delete(&mut self, kind: &str, name: &str) -> Option<WireObject> {
+        let mut object = self.objects.remove(&(kind.to_owned(), name.to_owned()))?;
+
         self.revision += 1;
-        let object = StoredObject { key: key.to_owned(), version: self.revision, value };
-        self.objects.insert(key.to_owned(), object);
-        Some(self.revision)
+        object.meta.revision = self.revision;
+        let event = WireEvent { object: object.clone(), deleted: true };
+        self.history.push((self.revision, kind.to_owned(), event));
+        Some(object)
     }
 
-    /// `changes` gives what changed after a revision, as of `lag` revisions ago.
+    fn store(&mut self, kind: &str, name: &str, value: Value) -> WireObject {
+        self.revision += 1;
+        let meta = ObjectMeta { name: name.to_owned(), revision: self.revision };
+        let object = WireObject { meta, spec: value, status: Value::Null };
+
+        self.objects.insert((kind.to_owned(), name.to_owned()), object.clone());
+        let event = WireEvent { object: object.clone(), deleted: false };
+        self.history.push((self.revision, kind.to_owned(), event));
+        object
+    }
+
+    /// `list` gives a page of a kind's objects.
+    #[must_use]
+    pub fn list(&self, kind: &str, after: Option<&str>, page: usize) -> ListPage {
+        let start = match after {
+            Some(name) => Bound::Excluded((kind.to_owned(), name.to_owned())),
+            None => Bound::Included((kind.to_owned(), String::new())),
+        };
+        let of_kind = self.objects.range((start, Bound::Unbounded));
+        let mut of_kind = of_kind.take_while(|((other, _), _)| other == kind);
+
+        let items = of_kind.by_ref().take(page).map(|(_, object)| object.clone()).collect();
+        ListPage { items, more: of_kind.next().is_some(), revision: self.revision }
+    }
+
+    /// `changes` gives a kind's changes after a revision, as of `lag` revisions ago; none if they
+    /// are forgotten.
     #[must_use]
-    pub fn changes(&self, after: ObjectVersion, lag: u64) -> WatchResult {
+    pub fn changes(&self, kind: &str, after: StoreRevision, lag: u64) -> Option<WatchPage> {
+        if after < self.forgotten {
+            return None;
+        }
+
         let until = self.revision.saturating_sub(lag);
-        let changed = self.objects.values().filter(|object| {
-            object.version > after
-                && object.version <= until
-                && !object.key.starts_with(UNWATCHED_PREFIX)
-        });
+        let is_asked = |(revision, other, _): &&(StoreRevision, String, WireEvent)| {
+            *revision > after && *revision <= until && other == kind
+        };
+        let events = self.history.iter().filter(is_asked).map(|(_, _, event)| event.clone());
+        Some(WatchPage { events: events.collect(), revision: until.max(after) })
+    }
 
-        WatchResult { revision: until.max(after), objects: changed.cloned().collect() }
+    /// `forget_history` drops all changes so far.
+    pub fn forget_history(&mut self) {
+        self.forgotten = self.revision;
+        self.history.clear();
     }
 }
--- a/crates/valvestage-wire/src/lib.rs
+++ b/crates/valvestage-wire/src/lib.rs
@@ -1,10 +1,9 @@
-//! What valvestage's processes say to each other and to the platform.
+//! What valvestage's processes say to each other and to operators.
 //!
 //! | module | contents |
 //! |---|---|
 //! | [`envelope`] | the header before each datagram's opaque payload (PROXY protocol v2) |
 //! | [`peers`] | the service that balancers offer each other (tarpc over TCP) |
-//! | [`platform`] | objects and messages of the platform's object API (JSON over HTTP) |
 //! | [`operators`] | messages of the operators' API (JSON over HTTP) |
 //! | [`status`] | what a balancer tells operators of itself (JSON over HTTP) |
 //! | [`errors`] | the error type of this crate |
@@ -13,7 +12,6 @@
 pub mod errors;
 pub mod operators;
 pub mod peers;
-pub mod platform;
 pub mod status;
 
 pub use envelope::{Envelope, Header, Target};
