Test steering: packets, health, directory, followers, peers, whole deployments

What failed first and was mended: a token of another service was forwarded (now dropped unless a configuration led there); a missing route was refused even when the configuration might be out of date (now dropped until confirmed); a caller's port used again went to the old backend server.

--- a/crates/valvestage-policy/src/steering/knowledge_keeper.rs
+++ b/crates/valvestage-policy/src/steering/knowledge_keeper.rs
@@ -70,8 +70,6 @@
     listed: HashSet<InstanceId>,
     routes_parts: Option<PartAssembly<RoutesPart>>,
     backends_parts: Option<PartAssembly<BackendsPart>>,
-    /// When the store confirmed what is known, at this balancer or at another one.
-    confirmed: Option<Instant>,
     next_heartbeat: Instant,
     /// Whether something is new that others may not know.
     has_news: bool,
@@ -103,7 +101,6 @@
             listed: HashSet::new(),
             routes_parts: None,
             backends_parts: None,
-            confirmed: None,
             next_heartbeat: now,
             has_news: false,
             last_pull: None,
@@ -122,12 +119,6 @@
         self.duty.is_on_duty()
     }
 
-    /// `confirmed` gives when the store last confirmed what is known.
-    #[must_use]
-    pub fn confirmed(&self) -> Option<Instant> {
-        self.confirmed
-    }
-
     /// `is_store_failing` tells whether the store does not answer this balancer.
     #[must_use]
     pub fn is_store_failing(&self) -> bool {
@@ -233,7 +224,7 @@
             version: knowledge.routes.version,
             complete_until: knowledge.directory.complete_until(),
             changed_at: knowledge.directory.changed_at(),
-            age_ms: self.confirmed.map_or(u32::MAX, |at| millis_since(at, now)),
+            age_ms: knowledge.confirmed_at().map_or(u32::MAX, |at| millis_since(at, now)),
             watchers,
             peers: self.peers.sample(PEERS_TOLD, draw, now),
             suspects: suspects.to_vec(),
@@ -301,17 +292,12 @@
         if heartbeat.version == knowledge.routes.version
             && heartbeat.complete_until == directory.complete_until()
         {
-            self.confirm(heartbeat.age_ms, now);
+            let age = Duration::from_millis(heartbeat.age_ms.into());
+            knowledge.confirm(now.checked_sub(age));
         }
         actions
     }
 
-    fn confirm(&mut self, age_ms: u32, now: Instant) {
-        let at = now.checked_sub(Duration::from_millis(age_ms.into()));
-
-        self.confirmed = self.confirmed.max(at);
-    }
-
     fn pull(
         &mut self,
         knowledge: &Knowledge,
@@ -346,7 +332,7 @@
 
         let parts = PartAssembly::add(&mut self.routes_parts, sender, version, number, part);
         if let Some(parts) = parts {
-            self.has_news |= knowledge.routes.replace(routes_of(parts));
+            self.has_news |= knowledge.replace_routes(routes_of(parts));
         }
     }
 
@@ -387,9 +373,9 @@
         let news = self.routes_follower.on_reply(reply, now);
 
         for routes in news.objects {
-            self.has_news |= knowledge.routes.replace(routes);
+            self.has_news |= knowledge.replace_routes(routes);
         }
-        self.confirm_own();
+        knowledge.confirm(self.answered_at());
     }
 
     /// `on_backends_reply` takes the store's answer about backend servers in.
@@ -426,11 +412,7 @@
                 self.has_news = true;
             }
         }
-        self.confirm_own();
-    }
-
-    fn confirm_own(&mut self) {
-        self.confirmed = self.confirmed.max(self.answered_at());
+        knowledge.confirm(self.answered_at());
     }
 }
 
--- a/crates/valvestage-policy/src/steering/route_map.rs
+++ b/crates/valvestage-policy/src/steering/route_map.rs
@@ -27,16 +27,6 @@
 }
 
 impl RouteMap {
-    /// `replace` puts a newer version in force; false if the other one is not newer.
-    pub fn replace(&mut self, newer: Self) -> bool {
-        let is_newer = newer.version > self.version;
-
-        if is_newer {
-            *self = newer;
-        }
-        is_newer
-    }
-
     /// `target` gives the service for a new flow; the same draw always gives the same service.
     #[must_use]
     pub fn target(&self, address: SocketAddrV4, draw: u64) -> Option<&ServiceName> {
--- a/crates/valvestage-policy/src/steering/steering_policy.rs
+++ b/crates/valvestage-policy/src/steering/steering_policy.rs
@@ -93,7 +93,7 @@
 
         let draw = draw_of(&packet.flow);
         let Some(service) = knowledge.routes.target(packet.flow.service, draw) else {
-            return PacketVerdict::Reset(ResetReason::NoRoute);
+            return refuse_route(knowledge, now);
         };
         let Some(instance) = self.place(knowledge, service, None, draw, now) else {
             return PacketVerdict::Reset(ResetReason::NoBackend);
@@ -116,8 +116,12 @@
         /// together show nothing.
         const ANSWER_TIME: Duration = Duration::from_millis(150);
 
-        let instance = self.flows.get(&packet.flow)?.instance;
-        let first_at = self.flows.get(&packet.flow)?.last_packet;
+        let record = self.flows.get(&packet.flow)?;
+        if record.open && packet.acknowledged == 0 {
+            // The caller uses the port again.
+            return None;
+        }
+        let (instance, first_at) = (record.instance, record.last_packet);
         let sign = self.flows.observe(packet, now);
         if now.saturating_duration_since(first_at) >= ANSWER_TIME {
             self.health.observe(instance, packet.flow, sign, now);
@@ -154,16 +158,20 @@
         now: Instant,
     ) -> PacketVerdict {
         if !knowledge.routes.routes.contains_key(&packet.flow.service) {
-            return PacketVerdict::Reset(ResetReason::NoRoute);
+            return refuse_route(knowledge, now);
         }
         let Some(instance) = self.instance_of(knowledge, packet) else {
             return PacketVerdict::Drop(DropReason::UnknownToken);
         };
 
-        self.observe(instance, packet, now);
         let Some(entry) = knowledge.directory.get(instance) else {
             return PacketVerdict::Drop(DropReason::UnknownToken);
         };
+        if !knowledge.may_lead_to(packet.flow.service, &entry.service) {
+            return PacketVerdict::Drop(DropReason::WrongService);
+        }
+
+        self.observe(instance, packet, now);
         if entry.is_gone() && !packet.reset {
             self.flows.remove(&packet.flow);
             return PacketVerdict::Reset(ResetReason::BackendGone);
@@ -253,6 +261,16 @@
     }
 }
 
+/// The verdict on a packet for an address without a route. A configuration that may be out of date
+/// refuses nothing: the caller sends the packet again.
+fn refuse_route(knowledge: &Knowledge, now: Instant) -> PacketVerdict {
+    if knowledge.is_certain(now) {
+        PacketVerdict::Reset(ResetReason::NoRoute)
+    } else {
+        PacketVerdict::Drop(DropReason::NoRoute)
+    }
+}
+
 /// The verdict that a packet goes to a backend server.
 fn forward(knowledge: &Knowledge, instance: InstanceId) -> PacketVerdict {
     match knowledge.directory.get(instance) {
--- /dev/null
+++ b/crates/valvestage-policy/tests/steering/deployment.rs
@@ -0,0 +1,309 @@
+//! Several balancers around one store, in simulated time.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddrV4;
+use std::time::{Duration, Instant};
+
+use valvestage_policy::steering::{
+    BackendEntry, BackendNews, EntryOptions, EntryPolicy, KeeperAction, PeerMessage, RouteMap,
+    SteeringOptions, StoreCall, StoreKind, StoreReply,
+};
+
+use crate::fixtures::{address, millis};
+
+/// Time of a datagram, or of an answer of the store.
+const DELAY: Duration = Duration::from_millis(2);
+
+/// The store, as far as these tests need it.
+#[derive(Default)]
+pub struct FakeStore {
+    pub revision: u64,
+    pub routes: Option<RouteMap>,
+    pub backends: BTreeMap<u64, BackendEntry>,
+    history: Vec<(u64, StoreKind, Option<RouteMap>, Option<BackendNews>)>,
+    /// Changes up to this revision are forgotten.
+    pub forgotten: u64,
+    pub calls: usize,
+}
+
+impl FakeStore {
+    pub fn put_routes(&mut self, routes: RouteMap) {
+        self.revision += 1;
+        self.routes = Some(routes.clone());
+        self.history.push((self.revision, StoreKind::Configuration, Some(routes), None));
+    }
+
+    pub fn put_backend(&mut self, mut entry: BackendEntry) {
+        self.revision += 1;
+        entry.revision = self.revision;
+        let (instance, revision) = (entry.instance, self.revision);
+        self.backends.insert(instance, entry.clone());
+        let news = BackendNews { instance, revision, entry: Some(entry) };
+        self.history.push((revision, StoreKind::Backends, None, Some(news)));
+    }
+
+    pub fn delete_backend(&mut self, instance: u64) {
+        self.revision += 1;
+        self.backends.remove(&instance);
+        let news = BackendNews { instance, revision: self.revision, entry: None };
+        self.history.push((self.revision, StoreKind::Backends, None, Some(news)));
+    }
+
+    fn answer_routes(&self, call: &StoreCall) -> Option<StoreReply<RouteMap>> {
+        Some(match call {
+            StoreCall::List { .. } => StoreReply::Page {
+                objects: self.routes.iter().cloned().collect(),
+                next_after: None,
+                revision: self.revision,
+            },
+            StoreCall::Watch { revision, .. } if *revision < self.forgotten => {
+                StoreReply::HistoryGone
+            }
+            StoreCall::Watch { revision, .. } => {
+                let news = self.news(*revision, StoreKind::Configuration);
+                let objects: Vec<_> = news.filter_map(|(_, _, routes, _)| routes.clone()).collect();
+                if objects.is_empty() {
+                    return None;
+                }
+                StoreReply::Changes { objects, revision: self.revision }
+            }
+        })
+    }
+
+    fn answer_backends(&self, call: &StoreCall) -> Option<StoreReply<BackendNews>> {
+        Some(match call {
+            StoreCall::List { .. } => {
+                let objects = self.backends.values().map(|entry| BackendNews {
+                    instance: entry.instance,
+                    revision: entry.revision,
+                    entry: Some(entry.clone()),
+                });
+                StoreReply::Page {
+                    objects: objects.collect(),
+                    next_after: None,
+                    revision: self.revision,
+                }
+            }
+            StoreCall::Watch { revision, .. } if *revision < self.forgotten => {
+                StoreReply::HistoryGone
+            }
+            StoreCall::Watch { revision, .. } => {
+                let news = self.news(*revision, StoreKind::Backends);
+                let objects: Vec<_> = news.filter_map(|(_, _, _, news)| news.clone()).collect();
+                if objects.is_empty() {
+                    return None;
+                }
+                StoreReply::Changes { objects, revision: self.revision }
+            }
+        })
+    }
+
+    fn news(
+        &self,
+        after: u64,
+        kind: StoreKind,
+    ) -> impl Iterator<Item = &(u64, StoreKind, Option<RouteMap>, Option<BackendNews>)> {
+        self.history.iter().filter(move |(at, other, _, _)| *at > after && *other == kind)
+    }
+}
+
+/// A call that waits for its answer.
+struct OpenCall {
+    node: usize,
+    kind: StoreKind,
+    call: StoreCall,
+    answer_at: Instant,
+    ends_at: Instant,
+}
+
+/// Balancers around one store.
+pub struct Deployment {
+    pub now: Instant,
+    pub store: FakeStore,
+    pub nodes: Vec<Option<EntryPolicy>>,
+    /// Balancers that the store does not answer, without a word.
+    pub cut_from_store: Vec<usize>,
+    /// Balancers that hear nobody.
+    pub cut_from_peers: Vec<usize>,
+    /// Whether the store refuses every call.
+    pub store_down: bool,
+    datagrams: VecDeque<(Instant, usize, usize, PeerMessage)>,
+    calls: Vec<OpenCall>,
+    /// Bytes between balancers, as the codec would have them, roughly.
+    pub messages: usize,
+}
+
+pub fn node_address(node: usize) -> SocketAddrV4 {
+    address(u8::try_from(node + 1).unwrap(), 7_000)
+}
+
+impl Deployment {
+    pub fn new(count: usize) -> Self {
+        let mut deployment = Self {
+            now: Instant::now(),
+            store: FakeStore::default(),
+            nodes: (0..count).map(|_| None).collect(),
+            cut_from_store: Vec::new(),
+            cut_from_peers: Vec::new(),
+            store_down: false,
+            datagrams: VecDeque::new(),
+            calls: Vec::new(),
+            messages: 0,
+        };
+
+        for node in 0..count {
+            deployment.start(node);
+        }
+        deployment
+    }
+
+    /// Starts a balancer, which knows nothing.
+    pub fn start(&mut self, node: usize) {
+        self.stop(node);
+        let options = EntryOptions {
+            steering: SteeringOptions { zone: "zone-a".to_owned(), ..Default::default() },
+            peer_address: node_address(node),
+            seeds: vec![node_address(0), node_address(1), node_address(2)],
+            seed: u64::try_from(node).unwrap(),
+        };
+
+        self.nodes[node] = Some(EntryPolicy::new(options, self.now));
+    }
+
+    /// Kills a balancer.
+    pub fn stop(&mut self, node: usize) {
+        self.nodes[node] = None;
+        self.calls.retain(|call| call.node != node);
+    }
+
+    pub fn node(&self, node: usize) -> &EntryPolicy {
+        self.nodes[node].as_ref().expect("the balancer runs")
+    }
+
+    pub fn versions(&self) -> Vec<u64> {
+        self.nodes.iter().flatten().map(|node| node.knowledge().routes.version).collect()
+    }
+
+    pub fn watchers(&self) -> usize {
+        self.nodes.iter().flatten().filter(|node| node.keeper().is_watching()).count()
+    }
+
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+
+        while self.now < end {
+            self.now += millis(1);
+            self.deliver();
+            self.answer();
+            self.tick();
+        }
+    }
+
+    /// Runs until something holds; gives how long that took.
+    pub fn run_until(&mut self, holds: impl Fn(&Self) -> bool) -> Duration {
+        let start = self.now;
+
+        while !holds(self) {
+            assert!(self.now - start < millis(30_000), "it never holds");
+            self.run(millis(1));
+        }
+        self.now - start
+    }
+
+    fn tick(&mut self) {
+        for node in 0..self.nodes.len() {
+            let Some(policy) = &mut self.nodes[node] else { continue };
+            let actions = policy.on_tick(self.now);
+            self.act(node, actions);
+        }
+    }
+
+    fn deliver(&mut self) {
+        while self.datagrams.front().is_some_and(|(at, ..)| *at <= self.now) {
+            let Some((_, from, to, message)) = self.datagrams.pop_front() else { return };
+            let is_cut = self.cut_from_peers.contains(&from) || self.cut_from_peers.contains(&to);
+            if is_cut {
+                continue;
+            }
+            if let Some(policy) = &mut self.nodes[to] {
+                let actions = policy.on_message(node_address(from), message, self.now);
+                self.act(to, actions);
+            }
+        }
+    }
+
+    fn answer(&mut self) {
+        for call in std::mem::take(&mut self.calls) {
+            if call.answer_at > self.now {
+                self.calls.push(call);
+                continue;
+            }
+            let is_cut = self.cut_from_store.contains(&call.node);
+            let is_over = call.ends_at <= self.now;
+            if self.store_down || is_cut && is_over {
+                self.reply(&call, None);
+            } else if is_cut || !self.answer_call(&call, is_over) {
+                self.calls.push(call);
+            }
+        }
+    }
+
+    /// Answers a call if there is something to say; true if it was answered.
+    fn answer_call(&mut self, call: &OpenCall, is_over: bool) -> bool {
+        let revision = self.store.revision;
+        let has_answer = match call.kind {
+            StoreKind::Configuration => self.store.answer_routes(&call.call).is_some(),
+            StoreKind::Backends => self.store.answer_backends(&call.call).is_some(),
+        };
+
+        if has_answer || is_over {
+            self.reply(call, Some(revision));
+        }
+        has_answer || is_over
+    }
+
+    fn reply(&mut self, call: &OpenCall, revision: Option<u64>) {
+        let Some(policy) = &mut self.nodes[call.node] else { return };
+
+        let actions = match (call.kind, revision) {
+            (StoreKind::Configuration, None) => {
+                policy.on_routes_reply(StoreReply::Failed, self.now)
+            }
+            (StoreKind::Backends, None) => policy.on_backends_reply(StoreReply::Failed, self.now),
+            (StoreKind::Configuration, Some(revision)) => {
+                let reply = self.store.answer_routes(&call.call);
+                let nothing = StoreReply::Changes { objects: Vec::new(), revision };
+                policy.on_routes_reply(reply.unwrap_or(nothing), self.now)
+            }
+            (StoreKind::Backends, Some(revision)) => {
+                let reply = self.store.answer_backends(&call.call);
+                let nothing = StoreReply::Changes { objects: Vec::new(), revision };
+                policy.on_backends_reply(reply.unwrap_or(nothing), self.now)
+            }
+        };
+        self.act(call.node, actions);
+    }
+
+    fn act(&mut self, node: usize, actions: Vec<KeeperAction>) {
+        for action in actions {
+            match action {
+                KeeperAction::Tell(peer, message) => {
+                    let to = (0..self.nodes.len()).find(|other| node_address(*other) == peer);
+                    self.messages += 1;
+                    if let Some(to) = to {
+                        self.datagrams.push_back((self.now + DELAY, node, to, message));
+                    }
+                }
+                KeeperAction::Call(kind, call) => {
+                    let wait = match &call {
+                        StoreCall::List { .. } => millis(500),
+                        StoreCall::Watch { wait, .. } => *wait + millis(500),
+                    };
+                    let (answer_at, ends_at) = (self.now + DELAY, self.now + wait);
+                    self.store.calls += 1;
+                    self.calls.push(OpenCall { node, kind, call, answer_at, ends_at });
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/valvestage-policy/tests/steering/directory.rs
@@ -0,0 +1,128 @@
+//! What is known of backend servers, whatever order it comes in.
+
+use std::collections::HashSet;
+
+use quickcheck::quickcheck;
+use valvestage_policy::steering::{BackendDirectory, BackendEntry, BackendPhase};
+
+use crate::fixtures::{AWAY, HOME, backend, millis, start};
+
+fn draining(instance: u64, revision: u64) -> BackendEntry {
+    BackendEntry { revision, phase: BackendPhase::Draining, ..backend(instance, "core", HOME) }
+}
+
+#[test]
+fn the_highest_revision_wins() {
+    let mut directory = BackendDirectory::default();
+    directory.put(draining(5, 9));
+
+    assert!(!directory.put(backend(5, "core", HOME)));
+    assert_eq!(directory.get(5).unwrap().phase, BackendPhase::Draining);
+}
+
+#[test]
+fn a_gone_entry_stays_gone_for_news_that_is_older() {
+    let (mut directory, now) = (BackendDirectory::default(), start());
+    directory.put(backend(5, "core", HOME));
+    directory.mark_gone(5, 20, now);
+
+    assert!(!directory.put(draining(5, 19)));
+    assert!(directory.get(5).unwrap().is_gone());
+}
+
+#[test]
+fn an_entry_that_returns_is_there_again() {
+    let (mut directory, now) = (BackendDirectory::default(), start());
+    directory.put(backend(5, "core", HOME));
+    directory.mark_gone(5, 20, now);
+
+    assert!(directory.put(BackendEntry { revision: 25, ..backend(5, "core", HOME) }));
+    assert!(!directory.get(5).unwrap().is_gone());
+}
+
+#[test]
+fn what_a_peer_tells_of_an_entry_gone_long_ago_is_obsolete() {
+    let (mut directory, now) = (BackendDirectory::default(), start());
+    directory.put(backend(5, "core", HOME));
+    directory.mark_gone(5, 20, now);
+    directory.complete(30);
+    directory.forget_gone(now + millis(1));
+
+    assert!(directory.is_obsolete(5, 5));
+    assert!(!directory.is_obsolete(6, 31));
+    assert!(!directory.remembers(19), "changes after 19 are not all known any more");
+    assert!(directory.remembers(20));
+}
+
+#[test]
+fn entries_missing_after_an_outage_may_return() {
+    let (mut directory, now) = (BackendDirectory::default(), start());
+    directory.put(backend(5, "core", HOME));
+    directory.put(backend(6, "core", HOME));
+    directory.complete(10);
+
+    directory.retain_listed(&HashSet::new(), 40, Some(now + millis(2_000)), now);
+    directory.complete(40);
+    assert!(!directory.get(5).unwrap().is_gone());
+    assert_eq!(directory.complete_until(), 10, "what is missing is not settled yet");
+
+    // One returns under the same id, the other does not.
+    directory.put(BackendEntry { revision: 41, ..backend(5, "core", HOME) });
+    assert!(directory.expire_missing(now + millis(2_000)));
+    assert!(!directory.get(5).unwrap().is_gone());
+    assert!(directory.get(6).unwrap().is_gone());
+    assert_eq!(directory.complete_until(), 40);
+    assert!(directory.changed_at() > 10, "peers have to ask for it");
+}
+
+#[test]
+fn entries_missing_without_an_outage_are_gone_at_once() {
+    let (mut directory, now) = (BackendDirectory::default(), start());
+    directory.put(backend(5, "core", HOME));
+    directory.put(backend(50, "core", HOME));
+
+    directory.retain_listed(&HashSet::new(), 40, None, now);
+    assert!(directory.get(5).unwrap().is_gone());
+    assert!(!directory.get(50).unwrap().is_gone(), "it is newer than the list");
+}
+
+#[test]
+fn a_token_names_one_incarnation() {
+    let mut directory = BackendDirectory::default();
+    directory.put(backend(5, "core", HOME));
+    directory.put(backend(6, "photos", AWAY));
+
+    let token = BackendDirectory::token_of(6);
+    assert_eq!(directory.by_token(token).unwrap().service, "photos");
+    assert!(directory.by_token(BackendDirectory::token_of(7)).is_none());
+}
+
+quickcheck! {
+    /// The order in which changes arrive does not matter.
+    fn changes_commute(changes: Vec<(u8, u8, bool)>) -> bool {
+        let now = start();
+        let apply = |changes: &[(u8, u8, bool)]| {
+            let mut directory = BackendDirectory::default();
+            for (instance, revision, leaves) in changes {
+                let (instance, revision) = (u64::from(instance % 8) + 1, u64::from(*revision) + 1);
+                let mut entry = BackendEntry { revision, ..backend(instance, "core", HOME) };
+                if *leaves {
+                    entry.phase = BackendPhase::Gone { since: now };
+                }
+                directory.put(entry);
+            }
+            let mut known: Vec<_> =
+                directory.iter().map(|entry| (entry.instance, entry.revision)).collect();
+            known.sort_unstable();
+            known
+        };
+
+        let mut reversed = changes.clone();
+        reversed.reverse();
+        apply(&changes) == apply(&reversed)
+    }
+
+    fn tokens_are_never_zero(instance: u64) -> bool {
+        BackendDirectory::token_of(instance) != 0
+    }
+}
--- /dev/null
+++ b/crates/valvestage-policy/tests/steering/fixtures.rs
@@ -0,0 +1,98 @@
+//! What the tests of steering share.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::{Duration, Instant};
+
+use valvestage_policy::steering::{
+    BackendEntry, BackendPhase, CallerPacket, FlowAddresses, Knowledge, RouteMap, RouteTarget,
+};
+
+/// The zone of the balancer under test.
+pub const HOME: &str = "zone-a";
+
+/// Another zone.
+pub const AWAY: &str = "zone-b";
+
+pub fn millis(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+pub fn address(last: u8, port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, last), port)
+}
+
+/// Where callers send what is for a service.
+pub fn front(port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), port)
+}
+
+pub fn flow(caller_port: u16) -> FlowAddresses {
+    FlowAddresses { caller: address(200, caller_port), service: front(443) }
+}
+
+pub fn target(service: &str, weight: u32) -> RouteTarget {
+    RouteTarget { service: service.to_owned(), weight }
+}
+
+pub fn routes(version: u64, targets: &[(u16, &str)]) -> RouteMap {
+    let routes = targets.iter().map(|(port, service)| (front(*port), vec![target(service, 1)]));
+
+    RouteMap { version, routes: routes.collect(), idle_timeout_ms: 15_000 }
+}
+
+pub fn backend(instance: u64, service: &str, zone: &str) -> BackendEntry {
+    BackendEntry {
+        instance,
+        revision: instance,
+        service: service.to_owned(),
+        address: address(u8::try_from(instance % 250).unwrap(), 8_080),
+        zone: zone.to_owned(),
+        slots: 2,
+        cold_until: None,
+        phase: BackendPhase::Ready,
+        missing_until: None,
+    }
+}
+
+/// Routes 443 to `core` and 80 to `photos`, and the backend servers given.
+pub fn knowledge(backends: &[BackendEntry]) -> Knowledge {
+    let mut knowledge = Knowledge::default();
+    knowledge.replace_routes(routes(1, &[(443, "core"), (80, "photos")]));
+    knowledge.confirm(Some(start()));
+
+    for entry in backends {
+        knowledge.directory.put(entry.clone());
+    }
+    knowledge.directory.complete(1_000);
+    knowledge
+}
+
+/// The opening packet of a flow, after so many copies of it.
+pub fn opening(flow: FlowAddresses, copies: u32) -> CallerPacket {
+    CallerPacket {
+        flow,
+        opening: true,
+        closing: false,
+        reset: false,
+        token: 0,
+        sequence: 1_000,
+        acknowledged: copies,
+        data_length: 0,
+    }
+}
+
+/// A later packet of a flow.
+pub fn data(flow: FlowAddresses, token: u32, sequence: u32, length: u32, ack: u32) -> CallerPacket {
+    CallerPacket {
+        opening: false,
+        token,
+        sequence,
+        acknowledged: ack,
+        data_length: length,
+        ..opening(flow, 0)
+    }
+}
+
+pub fn start() -> Instant {
+    Instant::now()
+}
--- /dev/null
+++ b/crates/valvestage-policy/tests/steering/flow_record.rs
@@ -0,0 +1,83 @@
+//! What the packets of a flow show.
+
+use quickcheck::quickcheck;
+use valvestage_policy::steering::flow_record::{FlowRecord, FlowSign};
+
+use crate::fixtures::{data, flow, millis, opening, start};
+
+#[test]
+fn a_copy_of_the_opening_packet_shows_that_an_answer_is_missing() {
+    let now = start();
+    let mut record = FlowRecord::open_at(7, now);
+
+    let sign = record.observe(&opening(flow(1), 1), now + millis(200));
+    assert_eq!(sign, FlowSign::Unanswered(now));
+}
+
+#[test]
+fn the_first_packet_after_the_opening_shows_that_the_backend_server_lives() {
+    let now = start();
+    let mut record = FlowRecord::open_at(7, now);
+
+    let sign = record.observe(&data(flow(1), 9, 1_001, 0, 501), now + millis(7));
+    assert_eq!(sign, FlowSign::Alive);
+    assert!(record.open);
+    assert!(!record.is_busy());
+}
+
+#[test]
+fn a_request_is_under_way_until_the_caller_acknowledges_more() {
+    let now = start();
+    let mut record = FlowRecord::open_at(7, now);
+    record.observe(&data(flow(1), 9, 1_001, 0, 501), now);
+
+    record.observe(&data(flow(1), 9, 1_001, 100, 501), now + millis(1));
+    assert!(record.is_busy());
+    record.observe(&data(flow(1), 9, 1_101, 0, 900), now + millis(50));
+    assert!(!record.is_busy());
+}
+
+#[test]
+fn data_that_comes_again_shows_since_when_an_answer_is_missing() {
+    let now = start();
+    let mut record = FlowRecord::open_at(7, now);
+    record.observe(&data(flow(1), 9, 1_001, 0, 501), now);
+    record.observe(&data(flow(1), 9, 1_001, 100, 501), now + millis(1));
+
+    let sign = record.observe(&data(flow(1), 9, 1_001, 100, 501), now + millis(201));
+    assert_eq!(sign, FlowSign::Unanswered(now + millis(1)));
+}
+
+#[test]
+fn byte_numbers_wrap_around() {
+    let now = start();
+    let mut record = FlowRecord::open_at(7, now);
+    record.observe(&data(flow(1), 9, u32::MAX - 10, 0, u32::MAX - 5), now);
+
+    record.observe(&data(flow(1), 9, u32::MAX - 10, 100, u32::MAX - 5), now + millis(1));
+    let sign = record.observe(&data(flow(1), 9, 89, 0, 200), now + millis(30));
+    assert_eq!(sign, FlowSign::Alive);
+}
+
+quickcheck! {
+    /// Whatever packets come, a record never claims life without an answer, and nothing panics.
+    fn any_packets_are_taken(packets: Vec<(bool, u32, u16, u32)>) -> bool {
+        let now = start();
+        let mut record = FlowRecord::open_at(7, now);
+        let mut acknowledged = None;
+
+        packets.into_iter().all(|(is_opening, sequence, length, ack)| {
+            let packet = if is_opening {
+                opening(flow(1), ack)
+            } else {
+                data(flow(1), 9, sequence, length.into(), ack)
+            };
+            let is_same = acknowledged == Some(ack);
+            let sign = record.observe(&packet, now);
+            if !is_opening {
+                acknowledged = Some(ack);
+            }
+            sign != FlowSign::Alive || !is_opening && !is_same
+        })
+    }
+}
--- /dev/null
+++ b/crates/valvestage-policy/tests/steering/follower.rs
@@ -0,0 +1,119 @@
+//! Listing, watching, and what goes wrong meanwhile.
+
+use valvestage_policy::steering::store_follower::{Completeness, FollowerNews};
+use valvestage_policy::steering::{StoreCall, StoreFollower, StoreReply};
+
+use crate::fixtures::{millis, start};
+
+fn page(objects: &[u32], next: Option<&str>, revision: u64) -> StoreReply<u32> {
+    let next_after = next.map(str::to_owned);
+
+    StoreReply::Page { objects: objects.to_vec(), next_after, revision }
+}
+
+fn changes(objects: &[u32], revision: u64) -> StoreReply<u32> {
+    StoreReply::Changes { objects: objects.to_vec(), revision }
+}
+
+fn watched_revision(call: Option<StoreCall>) -> Option<u64> {
+    match call {
+        Some(StoreCall::Watch { revision, .. }) => Some(revision),
+        _ => None,
+    }
+}
+
+#[test]
+fn all_pages_are_read_and_the_watch_begins_at_the_first_one() {
+    let (mut follower, now) = (StoreFollower::default(), start());
+
+    assert_eq!(follower.next_call(0, now), Some(StoreCall::List { after: None }));
+    let news = follower.on_reply(page(&[1, 2], Some("b"), 10), now);
+    assert_eq!(news.completes, Completeness::ListBegins);
+    let second = Some(StoreCall::List { after: Some("b".to_owned()) });
+    assert_eq!(follower.next_call(0, now), second);
+
+    // Something changed between the two pages: the watch replays it.
+    let news = follower.on_reply(page(&[3], None, 15), now);
+    let ends = Completeness::ListEnds { revision: 10, after_outage: false, single_page: false };
+    assert_eq!(news, FollowerNews { objects: vec![3], completes: ends });
+    assert_eq!(watched_revision(follower.next_call(0, now)), Some(10));
+}
+
+#[test]
+fn there_is_one_call_at_a_time() {
+    let (mut follower, now) = (StoreFollower::default(), start());
+
+    assert!(follower.next_call(0, now).is_some());
+    assert!(follower.next_call(0, now + millis(5_000)).is_none());
+}
+
+#[test]
+fn a_watch_goes_on_where_it_ended_or_where_peers_are() {
+    let (mut follower, now) = (StoreFollower::default(), start());
+    follower.next_call(0, now);
+    follower.on_reply(page(&[], None, 10), now);
+    follower.next_call(0, now);
+
+    let news = follower.on_reply(changes(&[4], 12), now);
+    assert_eq!(news.completes, Completeness::Until(12));
+    let later = now + millis(500);
+    assert_eq!(watched_revision(follower.next_call(20, later)), Some(20));
+}
+
+#[test]
+fn a_revision_never_goes_back() {
+    let (mut follower, now) = (StoreFollower::default(), start());
+    follower.next_call(0, now);
+    follower.on_reply(page(&[], None, 10), now);
+    follower.next_call(0, now);
+
+    follower.on_reply(changes(&[], 8), now);
+    assert_eq!(watched_revision(follower.next_call(0, now)), Some(10));
+}
+
+#[test]
+fn history_that_is_gone_leads_to_a_new_list_without_an_outage() {
+    let (mut follower, now) = (StoreFollower::default(), start());
+    follower.next_call(0, now);
+    follower.on_reply(page(&[1], None, 10), now);
+    follower.next_call(0, now);
+
+    follower.on_reply(StoreReply::<u32>::HistoryGone, now);
+    assert_eq!(follower.next_call(0, now), Some(StoreCall::List { after: None }));
+    let news = follower.on_reply(page(&[1], None, 30), now);
+    let ends = Completeness::ListEnds { revision: 30, after_outage: false, single_page: true };
+    assert_eq!(news.completes, ends);
+}
+
+#[test]
+fn failures_are_followed_by_pauses_that_grow_to_a_limit() {
+    let (mut follower, mut now) = (StoreFollower::default(), start());
+    let mut pauses = Vec::new();
+
+    for _ in 0..6 {
+        assert!(follower.next_call(0, now).is_some());
+        follower.on_reply(StoreReply::<u32>::Failed, now);
+        let failed_at = now;
+        while follower.next_call(0, now).is_none() {
+            now += millis(10);
+        }
+        follower.on_reply(StoreReply::<u32>::Failed, now);
+        pauses.push(now - failed_at);
+        now += millis(1_000);
+    }
+    assert!(pauses.is_sorted());
+    assert!(pauses.iter().all(|pause| *pause <= millis(1_000)));
+}
+
+#[test]
+fn the_first_list_after_failures_says_so() {
+    let (mut follower, now) = (StoreFollower::default(), start());
+    follower.next_call(0, now);
+    follower.on_reply(StoreReply::<u32>::Failed, now);
+
+    let later = now + millis(1_000);
+    follower.next_call(0, later);
+    let news = follower.on_reply(page(&[1], None, 10), later);
+    let ends = Completeness::ListEnds { revision: 10, after_outage: true, single_page: true };
+    assert_eq!(news.completes, ends);
+}
--- /dev/null
+++ b/crates/valvestage-policy/tests/steering/keepers.rs
@@ -0,0 +1,198 @@
+//! Balancers keep each other up to date.
+
+use valvestage_policy::steering::BackendPhase;
+
+use crate::deployment::Deployment;
+use crate::fixtures::{HOME, backend, millis, routes};
+
+/// A deployment in which every balancer knows a configuration and four backend servers.
+fn settled(count: usize) -> Deployment {
+    let mut deployment = Deployment::new(count);
+    deployment.store.put_routes(routes(3, &[(443, "core")]));
+    for instance in 1..=4 {
+        deployment.store.put_backend(backend(instance, "core", HOME));
+    }
+
+    deployment.run(millis(4_000));
+    assert!(deployment.nodes.iter().flatten().all(|node| node.is_ready()));
+    deployment
+}
+
+fn all_have_version(deployment: &Deployment, version: u64) -> bool {
+    deployment.versions().iter().all(|known| *known == version)
+}
+
+fn all_know_gone(deployment: &Deployment, instance: u64) -> bool {
+    deployment.nodes.iter().flatten().all(|node| {
+        let entry = node.knowledge().directory.get(instance);
+        entry.is_none_or(|entry| entry.is_gone())
+    })
+}
+
+#[test]
+fn two_balancers_follow_the_store_and_the_others_leave_it_alone() {
+    let mut deployment = settled(12);
+    assert_eq!(deployment.watchers(), 2);
+
+    let before = deployment.store.calls;
+    deployment.run(millis(30_000));
+    let calls = deployment.store.calls - before;
+    assert!(calls <= 2 * 2 * 21, "{calls} calls in 30 s");
+    assert_eq!(deployment.watchers(), 2);
+}
+
+#[test]
+fn a_configuration_is_everywhere_within_a_moment() {
+    let mut deployment = settled(30);
+
+    deployment.store.put_routes(routes(8, &[(443, "core"), (80, "core")]));
+    let took = deployment.run_until(|now| all_have_version(now, 8));
+    assert!(took <= millis(500), "{took:?}");
+}
+
+#[test]
+fn a_drain_is_everywhere_within_a_moment() {
+    let mut deployment = settled(30);
+
+    let mut leaving = backend(2, "core", HOME);
+    leaving.phase = BackendPhase::Draining;
+    deployment.store.put_backend(leaving);
+    let took = deployment.run_until(|now| {
+        now.nodes
+            .iter()
+            .flatten()
+            .all(|node| node.knowledge().directory.get(2).unwrap().phase == BackendPhase::Draining)
+    });
+    assert!(took <= millis(500), "{took:?}");
+}
+
+#[test]
+fn a_configuration_comes_in_time_when_both_followers_die() {
+    let mut deployment = settled(12);
+    let followers: Vec<_> =
+        (0..12).filter(|node| deployment.node(*node).keeper().is_watching()).collect();
+
+    for node in followers {
+        deployment.stop(node);
+    }
+    deployment.store.put_routes(routes(8, &[(443, "core")]));
+    let took = deployment.run_until(|now| all_have_version(now, 8));
+    assert!(took <= millis(3_500), "{took:?}");
+}
+
+#[test]
+fn a_configuration_comes_in_time_when_both_followers_lose_the_store() {
+    let mut deployment = settled(12);
+    deployment.cut_from_store =
+        (0..12).filter(|node| deployment.node(*node).keeper().is_watching()).collect();
+
+    deployment.store.put_routes(routes(8, &[(443, "core")]));
+    let took = deployment.run_until(|now| all_have_version(now, 8));
+    assert!(took <= millis(4_500), "{took:?}");
+}
+
+#[test]
+fn a_balancer_that_starts_while_the_store_is_away_learns_from_its_peers() {
+    let mut deployment = settled(8);
+    deployment.store_down = true;
+    deployment.run(millis(1_000));
+
+    deployment.start(6);
+    let took = deployment.run_until(|now| now.node(6).is_ready());
+    assert!(took <= millis(600), "{took:?}");
+    assert_eq!(deployment.node(6).knowledge().directory.iter().count(), 4);
+}
+
+#[test]
+fn a_balancer_whom_the_store_turns_away_stays_up_to_date() {
+    let mut deployment = settled(8);
+    deployment.cut_from_store = vec![5];
+
+    deployment.start(5);
+    deployment.store.put_routes(routes(8, &[(443, "core")]));
+    let took = deployment.run_until(|now| all_have_version(now, 8));
+    assert!(took <= millis(1_500), "{took:?}");
+}
+
+#[test]
+fn entries_that_lapse_while_the_store_is_away_and_return_are_never_gone() {
+    let mut deployment = settled(8);
+    deployment.store_down = true;
+    deployment.run(millis(4_000));
+
+    // They lapse during the outage; the store returns, and 1.5 s later so do they.
+    for instance in 1..=3 {
+        deployment.store.delete_backend(instance);
+    }
+    deployment.store_down = false;
+    for _ in 0..1_500 {
+        deployment.run(millis(1));
+        for node in deployment.nodes.iter().flatten() {
+            let entry = node.knowledge().directory.get(1).unwrap();
+            assert!(!entry.is_gone());
+        }
+    }
+    for instance in 1..=2 {
+        deployment.store.put_backend(backend(instance, "core", HOME));
+    }
+    deployment.run(millis(4_000));
+    for node in deployment.nodes.iter().flatten() {
+        assert!(!node.knowledge().directory.get(1).unwrap().is_gone());
+        assert!(!node.knowledge().directory.get(2).unwrap().is_gone());
+    }
+    assert!(all_know_gone(&deployment, 3), "the third one has not returned");
+}
+
+#[test]
+fn history_that_the_store_forgets_is_read_anew() {
+    let mut deployment = settled(8);
+    deployment.cut_from_store = (0..8).collect();
+    deployment.run(millis(100));
+
+    deployment.store.delete_backend(4);
+    deployment.store.put_routes(routes(8, &[(443, "core")]));
+    deployment.store.forgotten = deployment.store.revision;
+    deployment.cut_from_store.clear();
+    deployment.run(millis(5_000));
+    assert!(all_have_version(&deployment, 8));
+    assert!(all_know_gone(&deployment, 4));
+}
+
+#[test]
+fn one_that_was_cut_off_brings_nothing_back() {
+    let mut deployment = settled(8);
+    deployment.cut_from_store = vec![3];
+    deployment.cut_from_peers = vec![3];
+    deployment.run(millis(1_000));
+    deployment.store.delete_backend(4);
+    deployment.store.put_routes(routes(8, &[(443, "core")]));
+    // Long enough for the others to forget that the backend server ever was.
+    deployment.run(millis(70_000));
+
+    deployment.cut_from_store.clear();
+    deployment.cut_from_peers.clear();
+    for _ in 0..300 {
+        deployment.run(millis(10));
+        let others = deployment.nodes.iter().flatten().enumerate().filter(|(node, _)| *node != 3);
+        for (_, node) in others {
+            assert_eq!(node.knowledge().routes.version, 8);
+            let entry = node.knowledge().directory.get(4);
+            assert!(entry.is_none_or(|entry| entry.is_gone()));
+        }
+    }
+    assert!(all_have_version(&deployment, 8));
+    assert!(all_know_gone(&deployment, 4));
+}
+
+#[test]
+fn messages_a_balancer_do_not_grow_with_the_deployment() {
+    let rate = |count: usize| {
+        let mut deployment = settled(count);
+        let before = deployment.messages;
+        deployment.run(millis(10_000));
+        (deployment.messages - before) / count
+    };
+
+    let (small, large) = (rate(12), rate(90));
+    assert!(large <= small + small / 4, "{small} and {large} messages in 10 s");
+}
--- /dev/null
+++ b/crates/valvestage-policy/tests/steering/main.rs
@@ -0,0 +1,12 @@
+//! Steering of packets whose flows only their two ends can read.
+
+mod backend_health;
+mod deployment;
+mod directory;
+mod fixtures;
+mod flow_record;
+mod follower;
+mod keepers;
+mod packets;
+mod peers;
+mod watch_duty;
--- /dev/null
+++ b/crates/valvestage-policy/tests/steering/packets.rs
@@ -0,0 +1,321 @@
+//! What is done with each packet.
+
+use std::time::Instant;
+
+use valvestage_policy::steering::{
+    BackendDirectory, BackendEntry, BackendPhase, CallerPacket, DropReason, Knowledge,
+    PacketVerdict, ResetReason, SteeringOptions, SteeringPolicy,
+};
+
+use crate::fixtures::{
+    AWAY, HOME, backend, data, flow, front, knowledge, millis, opening, routes, start, target,
+};
+
+fn policy() -> SteeringPolicy {
+    SteeringPolicy::new(SteeringOptions { zone: HOME.to_owned(), ..Default::default() })
+}
+
+fn instance(verdict: PacketVerdict) -> u64 {
+    match verdict {
+        PacketVerdict::Forward { instance, token, .. } => {
+            assert_eq!(token, BackendDirectory::token_of(instance));
+            instance
+        }
+        other => panic!("not forwarded: {other:?}"),
+    }
+}
+
+/// Opens a flow, and gives its backend server.
+fn open(policy: &mut SteeringPolicy, known: &Knowledge, port: u16, now: Instant) -> u64 {
+    let server = instance(policy.on_packet(known, &opening(flow(port), 0), now));
+    let answer = data(flow(port), BackendDirectory::token_of(server), 1_001, 0, 501);
+
+    assert_eq!(instance(policy.on_packet(known, &answer, now + millis(7))), server);
+    server
+}
+
+/// A request on an open flow.
+fn request(port: u16, server: u64) -> CallerPacket {
+    data(flow(port), BackendDirectory::token_of(server), 1_001, 100, 501)
+}
+
+#[test]
+fn a_flow_stays_at_its_backend_server_through_any_balancer() {
+    let now = start();
+    let known = knowledge(&[backend(1, "core", HOME), backend(2, "core", HOME)]);
+    let mut policies: Vec<_> = (0..3).map(|_| policy()).collect();
+
+    for port in 1..50 {
+        let server = open(&mut policies[0], &known, port, now);
+        for other in &mut policies[1..] {
+            let verdict = other.on_packet(&known, &request(port, server), now + millis(20));
+            assert_eq!(instance(verdict), server);
+        }
+    }
+}
+
+#[test]
+fn a_packet_never_goes_to_another_service() {
+    let now = start();
+    let known = knowledge(&[backend(1, "core", HOME), backend(2, "photos", HOME)]);
+    let mut policy = policy();
+
+    // The caller's token is that of a backend server of another service.
+    let verdict = policy.on_packet(&known, &request(1, 2), now);
+    assert_eq!(verdict, PacketVerdict::Drop(DropReason::WrongService));
+}
+
+#[test]
+fn a_draining_backend_server_keeps_its_flows_and_gets_no_new_ones() {
+    let now = start();
+    let mut known = knowledge(&[backend(1, "core", HOME), backend(2, "core", HOME)]);
+    let mut policy = policy();
+    let server = open(&mut policy, &known, 1, now);
+
+    let leaving = BackendEntry {
+        revision: 2_000,
+        phase: BackendPhase::Draining,
+        ..backend(server, "core", HOME)
+    };
+    known.directory.put(leaving);
+    assert_eq!(instance(policy.on_packet(&known, &request(1, server), now)), server);
+    for port in 2..40 {
+        assert_ne!(instance(policy.on_packet(&known, &opening(flow(port), 0), now)), server);
+    }
+}
+
+#[test]
+fn a_copy_of_an_opening_packet_leaves_a_backend_server_that_is_draining_by_now() {
+    let now = start();
+    let mut known = knowledge(&[backend(1, "core", HOME), backend(2, "core", HOME)]);
+    let mut policy = policy();
+    let server = instance(policy.on_packet(&known, &opening(flow(1), 0), now));
+
+    let leaving = BackendEntry {
+        revision: 2_000,
+        phase: BackendPhase::Draining,
+        ..backend(server, "core", HOME)
+    };
+    known.directory.put(leaving);
+    let copy = policy.on_packet(&known, &opening(flow(1), 1), now + millis(200));
+    assert_ne!(instance(copy), server);
+}
+
+#[test]
+fn copies_read_together_go_to_one_backend_server() {
+    let now = start();
+    let known = knowledge(&[backend(1, "core", HOME), backend(2, "core", HOME)]);
+    let mut policy = policy();
+
+    // This VM was slow: the packet and its copy were both waiting to be read.
+    let first = instance(policy.on_packet(&known, &opening(flow(1), 0), now));
+    let copy = policy.on_packet(&known, &opening(flow(1), 1), now + millis(1));
+    assert_eq!(instance(copy), first);
+}
+
+#[test]
+fn a_copy_leaves_a_backend_server_that_shows_no_life() {
+    let now = start();
+    let known = knowledge(&[backend(1, "core", HOME), backend(2, "core", HOME)]);
+    let mut policy = policy();
+
+    let first = instance(policy.on_packet(&known, &opening(flow(1), 0), now));
+    let copy = policy.on_packet(&known, &opening(flow(1), 1), now + millis(200));
+    assert_ne!(instance(copy), first);
+}
+
+#[test]
+fn a_copy_stays_with_a_backend_server_that_answers_others() {
+    let now = start();
+    let known = knowledge(&[backend(1, "core", HOME)]);
+    let mut policy = policy();
+    let first = instance(policy.on_packet(&known, &opening(flow(1), 0), now));
+
+    open(&mut policy, &known, 2, now + millis(50));
+    let copy = policy.on_packet(&known, &opening(flow(1), 1), now + millis(200));
+    assert_eq!(instance(copy), first);
+}
+
+#[test]
+fn the_token_decides_which_of_two_backend_servers_has_the_flow() {
+    let now = start();
+    let known = knowledge(&[backend(1, "core", HOME), backend(2, "core", HOME)]);
+    let mut policy = policy();
+    let first = instance(policy.on_packet(&known, &opening(flow(1), 0), now));
+    let second = instance(policy.on_packet(&known, &opening(flow(1), 1), now + millis(200)));
+    assert_ne!(first, second);
+
+    // The first one was only slow, and the caller took its answer.
+    let answer = data(flow(1), BackendDirectory::token_of(first), 1_001, 0, 501);
+    assert_eq!(instance(policy.on_packet(&known, &answer, now + millis(210))), first);
+    // Then the second one's answer came, and the caller carries its token. The flow stays.
+    let late = data(flow(1), BackendDirectory::token_of(second), 1_001, 100, 501);
+    assert_eq!(instance(policy.on_packet(&known, &late, now + millis(220))), first);
+}
+
+#[test]
+fn new_flows_spread_by_load() {
+    let now = start();
+    let servers: Vec<_> = (1..=4).map(|number| backend(number, "core", HOME)).collect();
+    let known = knowledge(&servers);
+    let mut policy = policy();
+
+    let mut counts = [0; 5];
+    for port in 0..40 {
+        let server = instance(policy.on_packet(&known, &opening(flow(port), 0), now));
+        counts[usize::try_from(server).unwrap()] += 1;
+    }
+    assert_eq!(counts, [0, 10, 10, 10, 10]);
+}
+
+#[test]
+fn a_cold_backend_server_gets_less() {
+    let now = start();
+    let cold = BackendEntry { cold_until: Some(now + millis(2_000)), ..backend(1, "core", HOME) };
+    let known = knowledge(&[cold, backend(2, "core", HOME)]);
+    let mut policy = policy();
+
+    let servers = (0..40).map(|port| policy.on_packet(&known, &opening(flow(port), 0), now));
+    let to_cold = servers.filter(|verdict| instance(*verdict) == 1).count();
+    assert!((10..=18).contains(&to_cold), "{to_cold} of 40");
+}
+
+#[test]
+fn the_own_zone_comes_first_and_overflows() {
+    let now = start();
+    let known = knowledge(&[backend(1, "core", HOME), backend(2, "core", AWAY)]);
+    let mut policy = policy();
+
+    let first = (0..3).map(|port| policy.on_packet(&known, &opening(flow(port), 0), now));
+    assert!(first.map(instance).all(|server| server == 1));
+    let rest = (3..20).map(|port| policy.on_packet(&known, &opening(flow(port), 0), now));
+    assert!(rest.map(instance).any(|server| server == 2));
+}
+
+#[test]
+fn a_missing_route_is_refused_at_once() {
+    let now = start();
+    let known = knowledge(&[backend(1, "core", HOME)]);
+    let mut packet = opening(flow(1), 0);
+    packet.flow.service = front(9_999);
+
+    let verdict = policy().on_packet(&known, &packet, now);
+    assert_eq!(verdict, PacketVerdict::Reset(ResetReason::NoRoute));
+}
+
+#[test]
+fn what_may_be_out_of_date_refuses_nothing() {
+    let now = start();
+    let known = knowledge(&[backend(1, "core", HOME)]);
+    let mut packet = opening(flow(1), 0);
+    packet.flow.service = front(9_999);
+
+    // The store has confirmed nothing for a while: the route may be there by now.
+    let verdict = policy().on_packet(&known, &packet, now + millis(20_000));
+    assert_eq!(verdict, PacketVerdict::Drop(DropReason::NoRoute));
+}
+
+#[test]
+fn a_port_that_a_caller_uses_again_is_a_new_flow() {
+    let now = start();
+    let mut known = knowledge(&[backend(1, "core", HOME), backend(2, "core", HOME)]);
+    let mut policy = policy();
+    let server = open(&mut policy, &known, 1, now);
+
+    let leaving = BackendEntry {
+        revision: 2_000,
+        phase: BackendPhase::Draining,
+        ..backend(server, "core", HOME)
+    };
+    known.directory.put(leaving);
+    let again = policy.on_packet(&known, &opening(flow(1), 0), now + millis(3_000));
+    assert_ne!(instance(again), server);
+}
+
+#[test]
+fn a_service_without_backend_servers_is_refused_at_once() {
+    let now = start();
+    let known = knowledge(&[backend(1, "photos", HOME)]);
+
+    let verdict = policy().on_packet(&known, &opening(flow(1), 0), now);
+    assert_eq!(verdict, PacketVerdict::Reset(ResetReason::NoBackend));
+}
+
+#[test]
+fn flows_of_a_gone_backend_server_are_told_at_once() {
+    let now = start();
+    let mut known = knowledge(&[backend(1, "core", HOME)]);
+    let mut policy = policy();
+    open(&mut policy, &known, 1, now);
+
+    known.directory.mark_gone(1, 2_000, now);
+    let verdict = policy.on_packet(&known, &request(1, 1), now + millis(50));
+    assert_eq!(verdict, PacketVerdict::Reset(ResetReason::BackendGone));
+}
+
+#[test]
+fn flows_of_a_missing_backend_server_stay() {
+    let now = start();
+    let mut known = knowledge(&[backend(1, "core", HOME)]);
+    let mut policy = policy();
+    open(&mut policy, &known, 1, now);
+
+    let until = Some(now + millis(2_000));
+    known.directory.retain_listed(&std::collections::HashSet::new(), 2_000, until, now);
+    assert_eq!(instance(policy.on_packet(&known, &request(1, 1), now + millis(50))), 1);
+}
+
+#[test]
+fn an_unknown_token_is_never_guessed() {
+    let now = start();
+    let known = knowledge(&[backend(1, "core", HOME)]);
+
+    let verdict = policy().on_packet(&known, &request(1, 99), now);
+    assert_eq!(verdict, PacketVerdict::Drop(DropReason::UnknownToken));
+}
+
+#[test]
+fn an_open_flow_outlives_a_configuration_that_sends_new_ones_elsewhere() {
+    let now = start();
+    let mut known = knowledge(&[backend(1, "core", HOME), backend(2, "photos", HOME)]);
+    let mut policy = policy();
+    open(&mut policy, &known, 1, now);
+
+    known.replace_routes(routes(2, &[(443, "photos")]));
+    assert_eq!(instance(policy.on_packet(&known, &request(1, 1), now + millis(50))), 1);
+    assert_eq!(instance(policy.on_packet(&known, &opening(flow(2), 0), now + millis(50))), 2);
+}
+
+#[test]
+fn an_older_configuration_never_replaces_a_newer_one() {
+    let mut known = knowledge(&[]);
+    assert!(known.replace_routes(routes(5, &[(443, "core")])));
+
+    assert!(!known.replace_routes(routes(4, &[(80, "core")])));
+    assert!(!known.replace_routes(routes(5, &[(80, "core")])));
+    assert!(known.replace_routes(routes(9, &[(80, "core")])));
+}
+
+#[test]
+fn a_split_route_gives_each_service_its_share() {
+    let mut map = routes(1, &[]);
+    map.routes.insert(front(443), vec![target("core", 90), target("photos", 10)]);
+
+    let draws = (0..10_000_u64).map(|draw| draw.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 7);
+    let to_core = draws.filter(|draw| map.target(front(443), *draw).unwrap() == "core").count();
+    assert!((8_800..=9_200).contains(&to_core), "{to_core} of 10,000");
+}
+
+#[test]
+fn idle_flows_are_forgotten() {
+    let now = start();
+    let mut known = knowledge(&[backend(1, "core", HOME)]);
+    let mut policy = policy();
+    open(&mut policy, &known, 1, now);
+    policy.on_packet(&known, &opening(flow(2), 0), now);
+
+    policy.on_tick(&mut known, now + millis(5_000));
+    assert_eq!(policy.flow_count(), 1, "one that never opened is forgotten first");
+    policy.on_tick(&mut known, now + millis(20_000));
+    assert_eq!(policy.flow_count(), 0);
+}
