--- a/crates/valvestage-entry/src/data_thread.rs
+++ b/crates/valvestage-entry/src/data_thread.rs
@@ -15,6 +15,7 @@
     CallerPacket, DropReason, EntryPolicy, KeeperAction, PacketVerdict,
 };
 
+use crate::decision_lines::DecisionLog;
 use crate::peer_codec;
 use crate::store_tasks::StoreOrder;
 use crate::updates::ControlUpdate;
@@ -59,11 +60,12 @@
     early: Vec<Vec<u8>>,
     /// Room for the datagram being sent.
     outgoing: Vec<u8>,
+    log: DecisionLog,
 }
 
 impl DataThread {
     /// `new` prepares the thread.
-    pub fn new(mut links: DataLinks, policy: EntryPolicy) -> io::Result<Self> {
+    pub fn new(mut links: DataLinks, policy: EntryPolicy, log: DecisionLog) -> io::Result<Self> {
         let registry = links.poll.registry();
         registry.register(&mut links.data_socket, DATA_SOCKET, Interest::READABLE)?;
         registry.register(&mut links.peer_socket, PEER_SOCKET, Interest::READABLE)?;
@@ -74,6 +76,7 @@
             stopping: false,
             early: Vec::new(),
             outgoing: Vec::with_capacity(packet::PREFIX_BYTES + packet::MAX_PACKET_BYTES),
+            log,
         })
     }
 
@@ -95,9 +98,19 @@
             }
             self.take_updates();
             while self.receive_packets() | self.receive_messages() {}
+            self.log_decisions();
         }
     }
 
+    fn log_decisions(&mut self) {
+        let now = Instant::now();
+
+        for decision in self.policy.take_decisions() {
+            self.log.write(&decision, now);
+        }
+        self.policy.take_answers();
+    }
+
     fn take_updates(&mut self) {
         while let Ok(update) = self.links.updates.try_recv() {
             let now = Instant::now();
--- /dev/null
+++ b/crates/valvestage-entry/src/decision_lines.rs
@@ -0,0 +1,196 @@
+//! Decisions as JSON log lines.
+
+use std::fmt::Display;
+use std::time::{Duration, Instant};
+
+use serde_json::{Map, Value};
+use valvestage_policy::steering::backend_choice::ChoiceDoubt;
+use valvestage_policy::steering::{
+    BackendPhase, Decision, FlowAddresses, FlowPlacement, NewsSource,
+};
+use valvestage_process::log_ring::LogRing;
+use valvestage_process::structured_log::time_of_day;
+
+use crate::log_budget::LogBudget;
+
+/// `DecisionLog` writes decisions within a budget.
+pub struct DecisionLog {
+    ring: Option<LogRing>,
+    budget: LogBudget,
+}
+
+impl DecisionLog {
+    /// `new` writes to a ring; without one it writes nothing.
+    #[must_use]
+    pub fn new(ring: Option<LogRing>) -> Self {
+        Self { ring, budget: LogBudget::default() }
+    }
+
+    /// `write` writes the line of a decision if the budget allows it.
+    pub fn write(&mut self, decision: &Decision, now: Instant) {
+        let Some(ring) = &self.ring else { return };
+        let event = event_name(decision);
+        let Some(left_out) = self.budget.admit(event, is_ordinary(decision), now) else { return };
+
+        let mut line = LineFields::new(event);
+        if left_out > 0 {
+            line.put("left_out_before", left_out);
+        }
+        fill(&mut line, decision);
+        ring.write(Value::Object(line.fields).to_string().into_bytes());
+    }
+}
+
+/// `event_name` gives the name of a decision in logs.
+#[must_use]
+pub fn event_name(decision: &Decision) -> &'static str {
+    match decision {
+        Decision::Placed(placement) if placement.instead_of.is_some() => "moved",
+        Decision::Placed(_) => "placed",
+        Decision::Reset { .. } => "reset",
+        Decision::Dropped { .. } => "dropped",
+        Decision::Suspected { .. } => "suspected",
+        Decision::Cleared { .. } => "cleared",
+        Decision::RoutesInForce { .. } => "routes_in_force",
+        Decision::BackendChanged { .. } => "backend_changed",
+        Decision::BackendMissing { .. } => "backend_missing",
+        Decision::WatchDuty { .. } => "watch_duty",
+        Decision::StoreLink { .. } => "store_link",
+        Decision::PeerFound { .. } => "peer_found",
+        Decision::PeerLost { .. } => "peer_lost",
+        Decision::Certainty { .. } => "certainty",
+        Decision::Paused { .. } => "paused",
+    }
+}
+
+/// Those that come with every flow.
+fn is_ordinary(decision: &Decision) -> bool {
+    matches!(decision, Decision::Placed(placement) if placement.instead_of.is_none())
+}
+
+/// Fields of a line.
+struct LineFields {
+    fields: Map<String, Value>,
+}
+
+impl LineFields {
+    fn new(event: &'static str) -> Self {
+        let mut line = Self { fields: Map::new() };
+
+        line.put("time_ms", time_of_day());
+        line.put("event", event);
+        line
+    }
+
+    fn put(&mut self, name: &str, value: impl Into<Value>) {
+        self.fields.insert(name.to_owned(), value.into());
+    }
+
+    fn put_text(&mut self, name: &str, value: impl Display) {
+        self.put(name, value.to_string());
+    }
+
+    /// The same form as in the store: hex digits.
+    fn put_instance(&mut self, name: &str, instance: u64) {
+        self.put(name, format!("{instance:x}"));
+    }
+
+    fn put_time(&mut self, name: &str, time: Duration) {
+        self.put(name, u64::try_from(time.as_millis()).unwrap_or(u64::MAX));
+    }
+
+    fn put_flow(&mut self, flow: &FlowAddresses) {
+        self.put_text("caller", flow.caller);
+        self.put_text("address", flow.service);
+    }
+
+    fn put_source(&mut self, source: NewsSource) {
+        match source {
+            NewsSource::Store => self.put("source", "store"),
+            NewsSource::Expiry => self.put("source", "not returned in time"),
+            NewsSource::Peer(peer) => self.put_text("source", peer),
+        }
+    }
+}
+
+fn fill(line: &mut LineFields, decision: &Decision) {
+    match decision {
+        Decision::Placed(placement) => fill_placement(line, placement),
+        Decision::Reset { flow, reason, instance } => {
+            line.put_flow(flow);
+            line.put("reason", reason.name());
+            if let Some(instance) = instance {
+                line.put_instance("backend", *instance);
+            }
+        }
+        Decision::Dropped { flow, reason, token } => {
+            line.put_flow(flow);
+            line.put("reason", reason.name());
+            line.put("token", *token);
+        }
+        Decision::Suspected { instance, flows, waited } => {
+            line.put_instance("backend", *instance);
+            line.put("flows", *flows);
+            line.put_time("waited_ms", *waited);
+        }
+        Decision::Cleared { instance } | Decision::BackendMissing { instance } => {
+            line.put_instance("backend", *instance);
+        }
+        Decision::RoutesInForce { version, former, addresses, source } => {
+            line.put("version", *version);
+            line.put("former_version", *former);
+            line.put("addresses", *addresses);
+            line.put_source(*source);
+        }
+        Decision::BackendChanged { instance, revision, service, phase, source } => {
+            line.put_instance("backend", *instance);
+            line.put("revision", *revision);
+            line.put("service", service.as_str());
+            line.put("phase", phase_name(*phase));
+            line.put_source(*source);
+        }
+        Decision::WatchDuty { on_duty, others } => {
+            line.put("follows_store", *on_duty);
+            line.put("others", *others);
+        }
+        Decision::StoreLink { kind, answers } => {
+            line.put("kind", format!("{kind:?}"));
+            line.put("answers", *answers);
+        }
+        Decision::PeerFound { peer } | Decision::PeerLost { peer } => line.put_text("peer", peer),
+        Decision::Certainty { is_certain, version } => {
+            line.put("certain", *is_certain);
+            line.put("version", *version);
+        }
+        Decision::Paused { time } => line.put_time("paused_ms", *time),
+    }
+}
+
+fn fill_placement(line: &mut LineFields, placement: &FlowPlacement) {
+    line.put_flow(&placement.flow);
+    line.put("service", placement.service.as_str());
+    line.put_instance("backend", placement.instance);
+    line.put("zone", placement.zone.as_str());
+    line.put("load", (placement.load * 100.0).round() / 100.0);
+    line.put("candidates", placement.candidates);
+    line.put("version", placement.version);
+    match placement.doubt {
+        ChoiceDoubt::None => {}
+        ChoiceDoubt::Silent => line.put("doubt", "silent"),
+        ChoiceDoubt::Missing => line.put("doubt", "missing"),
+    }
+    if let Some(former) = placement.instead_of {
+        line.put_instance("instead_of", former);
+    }
+    if let Some(age) = placement.age {
+        line.put_time("knowledge_age_ms", age);
+    }
+}
+
+fn phase_name(phase: BackendPhase) -> &'static str {
+    match phase {
+        BackendPhase::Ready => "ready",
+        BackendPhase::Draining => "draining",
+        BackendPhase::Gone { .. } => "gone",
+    }
+}
--- a/crates/valvestage-entry/src/errors.rs
+++ b/crates/valvestage-entry/src/errors.rs
@@ -26,6 +26,9 @@
         /// What the operating system said.
         cause: io::Error,
     },
+    /// Log lines cannot be written.
+    #[error("{0}")]
+    Log(valvestage_process::ProcessError),
     /// A thread ended that should run as long as the process.
     #[error("the {0} thread has ended")]
     ThreadEnded(&'static str),
--- a/crates/valvestage-entry/src/lib.rs
+++ b/crates/valvestage-entry/src/lib.rs
@@ -11,13 +11,16 @@
 //! | [`store_tasks`] | calls to the store |
 //! | [`peer_codec`] | messages between balancers as datagrams |
 //! | [`ready_server`] | the routers' question whether this VM takes packets |
+//! | [`decision_lines`], [`log_budget`] | decisions as log lines, so many a second |
 //! | [`settings_task`] | settings that change while the process runs |
 //! | [`updates`] | what the control thread and the data thread tell each other |
 //! | [`errors`] | the error type of this crate |
 
 pub mod control_thread;
 pub mod data_thread;
+pub mod decision_lines;
 pub mod errors;
+pub mod log_budget;
 pub mod peer_codec;
 pub mod process;
 pub mod ready_server;
--- a/crates/valvestage-entry/src/main.rs
+++ b/crates/valvestage-entry/src/main.rs
@@ -8,9 +8,11 @@
 use bpaf::Bpaf;
 use signal_hook::consts::SIGHUP;
 use valvestage_core::settings::EntrySettings;
+use valvestage_entry::decision_lines::DecisionLog;
 use valvestage_entry::{EntryError, EntryProcess};
 use valvestage_process::command_line::{parse, settings_are_right, usage_error};
-use valvestage_process::{exit_codes, logging};
+use valvestage_process::log_ring::LogRing;
+use valvestage_process::{exit_codes, structured_log};
 
 /// Name in messages.
 const PROGRAM: &str = "valvestage-entry";
@@ -63,11 +65,9 @@
 }
 
 fn serve(file: PathBuf, settings: EntrySettings) -> Result<(), EntryError> {
-    let logger = logging::start(true);
-    if let Err(error) = &logger {
-        eprintln!("{PROGRAM}: no log: {error}");
-    }
+    let ring = LogRing::start(std::io::stdout()).map_err(EntryError::Log)?;
+    let _logger = structured_log::start(ring.clone()).map_err(EntryError::Log)?;
 
     log::info!(vm = settings.name.as_str(), zone = settings.zone.as_str(); "starting");
-    EntryProcess::bind(file, settings)?.run()
+    EntryProcess::bind(file, settings, DecisionLog::new(Some(ring)))?.run()
 }
--- a/crates/valvestage-entry/src/process.rs
+++ b/crates/valvestage-entry/src/process.rs
@@ -16,6 +16,7 @@
 
 use crate::control_thread::ControlThread;
 use crate::data_thread::{DataLinks, DataThread, UPDATES};
+use crate::decision_lines::DecisionLog;
 use crate::errors::EntryError;
 use crate::updates;
 
@@ -30,7 +31,11 @@
 
 impl EntryProcess {
     /// `bind` takes the addresses of the settings, which are read again when the file changes.
-    pub fn bind(settings_file: PathBuf, settings: EntrySettings) -> Result<Self, EntryError> {
+    pub fn bind(
+        settings_file: PathBuf,
+        settings: EntrySettings,
+        log: DecisionLog,
+    ) -> Result<Self, EntryError> {
         let poll = Poll::new().map_err(setup("make poll"))?;
         let waker = Waker::new(poll.registry(), UPDATES).map_err(setup("make waker"))?;
         let (sender, updates) = updates::ring(Arc::new(waker));
@@ -48,7 +53,7 @@
             ready: ready.clone(),
         };
         let policy = EntryPolicy::new(options(&settings), Instant::now());
-        let data = DataThread::new(links, policy).map_err(setup("register sockets"))?;
+        let data = DataThread::new(links, policy, log).map_err(setup("register sockets"))?;
 
         let address = settings.ready_address;
         let listener = TcpListener::bind(address);
--- a/crates/valvestage-policy/src/steering.rs
+++ b/crates/valvestage-policy/src/steering.rs
@@ -11,7 +11,7 @@
 //! | [`backend_entry`] | what is known of one backend server |
 //! | [`backend_directory`] | all backend servers, the gone ones among them |
 //! | [`flow_record`], [`flow_tracker`] | what the packets of a flow have shown so far |
-//! | [`backend_load`], [`backend_choice`] | where a new flow goes |
+//! | [`backend_load`], [`backend_choice`], `flow_placer` | where a new flow goes |
 //! | [`backend_health`] | which backend servers seem dead |
 //! | [`steering_policy`] | what is done with each packet |
 //! | [`knowledge`] | routes and backend servers together |
@@ -21,6 +21,7 @@
 //! | [`knowledge_parts`], [`part_assembly`] | knowledge in datagrams |
 //! | [`knowledge_keeper`] | keeping knowledge up to date |
 //! | [`seeded_draw`] | draws that repeat themselves |
+//! | [`decision`] | what was decided, for logs and counters |
 //! | [`entry_policy`] | the parts together |
 
 pub mod backend_choice;
@@ -29,7 +30,9 @@
 pub mod backend_health;
 pub mod backend_load;
 pub mod caller_packet;
+pub mod decision;
 pub mod entry_policy;
+mod flow_placer;
 pub mod flow_record;
 pub mod flow_tracker;
 pub mod knowledge;
@@ -48,6 +51,7 @@
 pub use backend_directory::BackendDirectory;
 pub use backend_entry::{BackendEntry, BackendPhase};
 pub use caller_packet::{CallerPacket, DropReason, FlowAddresses, PacketVerdict, ResetReason};
+pub use decision::{AnswerTime, Decision, FlowPlacement, NewsSource};
 pub use entry_policy::{EntryOptions, EntryPolicy};
 pub use knowledge::Knowledge;
 pub use knowledge_keeper::{BackendNews, KeeperAction, KnowledgeKeeper};
--- a/crates/valvestage-policy/src/steering/backend_choice.rs
+++ b/crates/valvestage-policy/src/steering/backend_choice.rs
@@ -1,7 +1,5 @@
 //! Where a new flow goes.
 
-use valvestage_core::ids::InstanceId;
-
 use super::backend_entry::BackendEntry;
 
 /// `ChoiceCandidate` is a backend server that may take a new flow.
@@ -29,7 +27,7 @@
 /// `choose` gives the least loaded candidate; those that seem dead come last, and equal ones are
 /// told apart by a draw, so that balancers with the same view do not all take the same.
 #[must_use]
-pub fn choose(candidates: &[ChoiceCandidate<'_>], draw: u64) -> Option<InstanceId> {
+pub fn choose<'a>(candidates: &[ChoiceCandidate<'a>], draw: u64) -> Option<ChoiceCandidate<'a>> {
     let rank = |candidate: &ChoiceCandidate<'_>| {
         let tie = (candidate.entry.instance ^ draw).wrapping_mul(0x9e37_79b9_7f4a_7c15);
         (candidate.doubt, candidate.load, tie)
@@ -41,5 +39,5 @@
             let (a, b) = (rank(a), rank(b));
             a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2))
         })
-        .map(|candidate| candidate.entry.instance)
+        .copied()
 }
--- a/crates/valvestage-policy/src/steering/backend_directory.rs
+++ b/crates/valvestage-policy/src/steering/backend_directory.rs
@@ -117,30 +117,31 @@
         }
     }
 
-    /// `retain_listed` handles the entries that a whole list of a revision does not have: they are
-    /// gone, or missing until the time given.
+    /// `retain_listed` handles the entries that a whole list of a revision does not have, and gives
+    /// them: they are gone, or missing until the time given.
     pub fn retain_listed(
         &mut self,
         listed: &HashSet<InstanceId>,
         at: StoreRevision,
         missing_until: Option<Instant>,
         now: Instant,
-    ) {
+    ) -> Vec<InstanceId> {
         let is_absent = |entry: &&BackendEntry| {
             !entry.is_gone() && entry.revision <= at && !listed.contains(&entry.instance)
         };
         let absent: Vec<_> =
             self.entries.values().filter(is_absent).map(|entry| entry.instance).collect();
 
-        for instance in absent {
+        for instance in &absent {
             if missing_until.is_none() {
-                self.mark_gone(instance, at, now);
-            } else if let Some(entry) = self.entries.get_mut(&instance)
+                self.mark_gone(*instance, at, now);
+            } else if let Some(entry) = self.entries.get_mut(instance)
                 && entry.missing_until.is_none()
             {
                 entry.missing_until = missing_until;
             }
         }
+        absent
     }
 
     /// `has_missing` tells whether entries are missing that may return.
@@ -149,9 +150,8 @@
         self.entries.values().any(|entry| entry.missing_until.is_some())
     }
 
-    /// `expire_missing` turns the entries gone that have not returned in time; false if there are
-    /// none.
-    pub fn expire_missing(&mut self, now: Instant) -> bool {
+    /// `expire_missing` turns the entries gone that have not returned in time, and gives them.
+    pub fn expire_missing(&mut self, now: Instant) -> Vec<InstanceId> {
         let is_over = |entry: &&BackendEntry| entry.missing_until.is_some_and(|until| until <= now);
         let over: Vec<_> =
             self.entries.values().filter(is_over).map(|entry| entry.instance).collect();
@@ -160,7 +160,7 @@
             self.mark_gone(*instance, self.read_until, now);
         }
         self.complete(self.read_until);
-        !over.is_empty()
+        over
     }
 
     /// `forget_gone` removes the entries that are gone since before a time.
--- a/crates/valvestage-policy/src/steering/backend_health.rs
+++ b/crates/valvestage-policy/src/steering/backend_health.rs
@@ -11,12 +11,21 @@
 use valvestage_core::ids::InstanceId;
 
 use super::caller_packet::FlowAddresses;
+use super::decision::Decision;
+use super::flow_placer::ANSWER_TIME;
 use super::flow_record::FlowSign;
 
 /// Flows that have to miss an answer before their backend server is suspected. One flow alone may
 /// have lost datagrams.
 const FLOWS_TO_SUSPECT: usize = 2;
 
+/// Flows that have to miss an answer before open flows are ended. A reset of a flow whose backend
+/// server lives is worse than a wait, so it takes more than a suspicion.
+const FLOWS_TO_GIVE_UP: usize = 3;
+
+/// Flows that are enough for that when another balancer says the same.
+const FLOWS_TO_AGREE: usize = 2;
+
 /// How long a suspicion lasts; then a new flow tries the backend server again. Entries of dead
 /// backend servers go after some 2.3 s.
 const SUSPECT_FOR: Duration = Duration::from_millis(2_500);
@@ -48,31 +57,30 @@
 }
 
 impl BackendHealth {
-    /// `observe` takes a sign in; true if the backend server has just become suspect.
+    /// `observe` takes a sign in, and gives what is believed anew.
     pub fn observe(
         &mut self,
         instance: InstanceId,
         flow: FlowAddresses,
         sign: FlowSign,
         now: Instant,
-    ) -> bool {
+    ) -> Option<Decision> {
         match sign {
-            FlowSign::Neutral => false,
-            FlowSign::Alive => {
-                self.observe_life(instance, now);
-                false
-            }
+            FlowSign::Neutral => None,
+            FlowSign::Alive(_) => self.observe_life(instance, now),
             FlowSign::Unanswered(since) => self.observe_strike(instance, flow, since, now),
         }
     }
 
-    fn observe_life(&mut self, instance: InstanceId, now: Instant) {
+    fn observe_life(&mut self, instance: InstanceId, now: Instant) -> Option<Decision> {
         let record = self.records.entry(instance).or_default();
+        let was_suspect = record.suspect_until.is_some_and(|until| until > now);
 
         record.last_life = Some(now);
         record.strikes.clear();
         record.suspect_until = None;
         record.told_until = None;
+        was_suspect.then_some(Decision::Cleared { instance })
     }
 
     /// `on_told` takes in that a backend server seems dead to another balancer.
@@ -101,20 +109,22 @@
         flow: FlowAddresses,
         since: Instant,
         now: Instant,
-    ) -> bool {
+    ) -> Option<Decision> {
         let record = self.records.entry(instance).or_default();
-        if record.last_life.is_some_and(|life| life >= since) {
-            return false;
+        let waited = now.saturating_duration_since(since);
+        if waited < ANSWER_TIME || record.last_life.is_some_and(|life| life >= since) {
+            return None;
         }
 
         record.strikes.retain(|(other, at)| *other != flow && now - *at <= STRIKE_WINDOW);
         record.strikes.push((flow, now));
-        let suspect = record.strikes.len() >= FLOWS_TO_SUSPECT;
+        let flows = record.strikes.len();
+        let suspect = flows >= FLOWS_TO_SUSPECT;
         let is_new = suspect && record.suspect_until.is_none_or(|until| until <= now);
         if suspect {
             record.suspect_until = Some(now + SUSPECT_FOR);
         }
-        is_new
+        is_new.then_some(Decision::Suspected { instance, flows, waited })
     }
 
     /// `is_suspect` tells whether a backend server seems dead.
@@ -125,6 +135,16 @@
             .is_some_and(|record| record.suspect_until.max(record.told_until) > Some(now))
     }
 
+    /// `is_given_up` tells whether flows of a backend server are to be ended.
+    #[must_use]
+    pub fn is_given_up(&self, instance: InstanceId, now: Instant) -> bool {
+        self.records.get(&instance).is_some_and(|record| {
+            let is_told = record.told_until > Some(now);
+            let needed = if is_told { FLOWS_TO_AGREE } else { FLOWS_TO_GIVE_UP };
+            record.suspect_until > Some(now) && record.strikes.len() >= needed
+        })
+    }
+
     /// `shows_life_since` tells whether a backend server has answered any flow since a time.
     #[must_use]
     pub fn shows_life_since(&self, instance: InstanceId, since: Instant) -> bool {
--- /dev/null
+++ b/crates/valvestage-policy/src/steering/decision.rs
@@ -0,0 +1,164 @@
+//! What was decided, and from what: for logs and counters.
+
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use valvestage_core::ids::{
+    ConfigurationVersion, InstanceId, ServiceName, StoreRevision, ZoneName,
+};
+
+use super::backend_choice::ChoiceDoubt;
+use super::backend_entry::BackendPhase;
+use super::caller_packet::{DropReason, FlowAddresses, ResetReason};
+use super::store_follower::StoreKind;
+
+/// `Decision` is one thing that was decided about a flow, or that is believed from now on.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Decision {
+    /// A new flow goes to a backend server.
+    Placed(FlowPlacement),
+    /// A flow was ended.
+    Reset {
+        /// The flow.
+        flow: FlowAddresses,
+        /// Why.
+        reason: ResetReason,
+        /// Its backend server, if it had one.
+        instance: Option<InstanceId>,
+    },
+    /// A packet was dropped.
+    Dropped {
+        /// The flow.
+        flow: FlowAddresses,
+        /// Why.
+        reason: DropReason,
+        /// The token that the packet had.
+        token: u32,
+    },
+    /// A backend server seems dead.
+    Suspected {
+        /// The backend server.
+        instance: InstanceId,
+        /// How many flows miss an answer.
+        flows: usize,
+        /// For how long the longest has waited.
+        waited: Duration,
+    },
+    /// A backend server that seemed dead has answered.
+    Cleared {
+        /// The backend server.
+        instance: InstanceId,
+    },
+    /// A configuration is in force.
+    RoutesInForce {
+        /// Its version.
+        version: ConfigurationVersion,
+        /// The version before.
+        former: ConfigurationVersion,
+        /// How many addresses it has.
+        addresses: usize,
+        /// Who told of it.
+        source: NewsSource,
+    },
+    /// Something else is believed of a backend server.
+    BackendChanged {
+        /// The backend server.
+        instance: InstanceId,
+        /// The store's revision of the change.
+        revision: StoreRevision,
+        /// The service that it runs.
+        service: ServiceName,
+        /// Where it stands now.
+        phase: BackendPhase,
+        /// Who told of it.
+        source: NewsSource,
+    },
+    /// The entry of a backend server is missing after an outage of the store, and may return.
+    BackendMissing {
+        /// The backend server.
+        instance: InstanceId,
+    },
+    /// This balancer begins or ceases to follow the store.
+    WatchDuty {
+        /// Whether it follows the store now.
+        on_duty: bool,
+        /// How many others are known to.
+        others: usize,
+    },
+    /// The store answers this balancer again, or does not any more.
+    StoreLink {
+        /// For which kind of objects.
+        kind: StoreKind,
+        /// Whether it answers.
+        answers: bool,
+    },
+    /// Another balancer was heard for the first time.
+    PeerFound {
+        /// Its address.
+        peer: SocketAddrV4,
+    },
+    /// Nothing was heard of a balancer for long.
+    PeerLost {
+        /// Its address.
+        peer: SocketAddrV4,
+    },
+    /// What is known may be out of date, or is confirmed again.
+    Certainty {
+        /// Whether the store has confirmed it lately.
+        is_certain: bool,
+        /// Version of the configuration in force.
+        version: ConfigurationVersion,
+    },
+    /// The process stood still for a time.
+    Paused {
+        /// For how long.
+        time: Duration,
+    },
+}
+
+/// `FlowPlacement` is where a new flow goes, and why.
+#[derive(Debug, Clone, PartialEq)]
+pub struct FlowPlacement {
+    /// The flow.
+    pub flow: FlowAddresses,
+    /// The service.
+    pub service: ServiceName,
+    /// The backend server.
+    pub instance: InstanceId,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Its load in requests a slot, with what its zone and a cold start add.
+    pub load: f64,
+    /// What speaks against it.
+    pub doubt: ChoiceDoubt,
+    /// How many could have been chosen.
+    pub candidates: usize,
+    /// The one that showed no life before, if this is a copy of the opening packet.
+    pub instead_of: Option<InstanceId>,
+    /// Version of the configuration.
+    pub version: ConfigurationVersion,
+    /// How long ago the store confirmed what is known.
+    pub age: Option<Duration>,
+}
+
+/// `NewsSource` is who told of something.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NewsSource {
+    /// The store.
+    Store,
+    /// Another balancer.
+    Peer(SocketAddrV4),
+    /// The time: it has not returned.
+    Expiry,
+}
+
+/// `AnswerTime` is how long a backend server took to answer, as a caller saw it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AnswerTime {
+    /// The backend server.
+    pub instance: InstanceId,
+    /// Whether it answered an opening packet; otherwise a request.
+    pub opening: bool,
+    /// From the packet to the caller's acknowledgement of the answer.
+    pub time: Duration,
+}
--- a/crates/valvestage-policy/src/steering/entry_policy.rs
+++ b/crates/valvestage-policy/src/steering/entry_policy.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::caller_packet::{CallerPacket, DropReason, PacketVerdict};
+use super::decision::{AnswerTime, Decision};
 use super::knowledge::Knowledge;
 use super::knowledge_keeper::{BackendNews, KeeperAction, KnowledgeKeeper};
 use super::peer_message::PeerMessage;
@@ -68,6 +69,19 @@
         self.knowledge.is_complete()
     }
 
+    /// `take_decisions` gives what was decided and learned since the last call.
+    pub fn take_decisions(&mut self) -> Vec<Decision> {
+        let mut decisions = self.keeper.take_decisions();
+
+        decisions.extend(self.steering.take_decisions());
+        decisions
+    }
+
+    /// `take_answers` gives the answers of backend servers seen since the last call.
+    pub fn take_answers(&mut self) -> Vec<AnswerTime> {
+        self.steering.take_answers()
+    }
+
     /// `knowledge` gives what is known.
     #[must_use]
     pub fn knowledge(&self) -> &Knowledge {
--- /dev/null
+++ b/crates/valvestage-policy/src/steering/flow_placer.rs
@@ -0,0 +1,91 @@
+//! Choosing a backend server for a new flow.
+
+use std::time::{Duration, Instant};
+
+use valvestage_core::ids::InstanceId;
+
+use super::backend_choice::{ChoiceCandidate, ChoiceDoubt, choose};
+use super::backend_entry::{BackendEntry, BackendPhase};
+use super::backend_health::BackendHealth;
+use super::caller_packet::FlowAddresses;
+use super::decision::FlowPlacement;
+use super::flow_tracker::FlowTracker;
+use super::knowledge::Knowledge;
+use super::steering_options::SteeringOptions;
+
+/// `FlowPlacer` looks at everything that speaks for or against a backend server.
+pub(super) struct FlowPlacer<'a> {
+    pub options: &'a SteeringOptions,
+    pub knowledge: &'a Knowledge,
+    pub flows: &'a FlowTracker,
+    pub health: &'a BackendHealth,
+    pub now: Instant,
+}
+
+impl FlowPlacer<'_> {
+    /// `place` chooses a backend server of a service. One that showed no life to this flow comes
+    /// after all others.
+    pub(super) fn place(
+        &self,
+        flow: FlowAddresses,
+        service: &str,
+        instead_of: Option<InstanceId>,
+        draw: u64,
+    ) -> Option<FlowPlacement> {
+        let takes_new = |entry: &&BackendEntry| {
+            entry.service == service
+                && entry.phase == BackendPhase::Ready
+                && self.knowledge.directory.owns_token(entry.instance)
+        };
+        let all = self.knowledge.directory.iter().filter(takes_new);
+        let candidates: Vec<_> = all.map(|entry| self.candidate(entry, instead_of)).collect();
+
+        let chosen = choose(&candidates, draw)?;
+        let confirmed_at = self.knowledge.confirmed_at();
+        Some(FlowPlacement {
+            flow,
+            service: service.to_owned(),
+            instance: chosen.entry.instance,
+            zone: chosen.entry.zone.clone(),
+            load: chosen.load,
+            doubt: chosen.doubt,
+            candidates: candidates.len(),
+            instead_of,
+            version: self.knowledge.routes.version,
+            age: confirmed_at.map(|at| self.now.saturating_duration_since(at)),
+        })
+    }
+
+    fn candidate<'a>(
+        &self,
+        entry: &'a BackendEntry,
+        instead_of: Option<InstanceId>,
+    ) -> ChoiceCandidate<'a> {
+        let requests = self.flows.load(entry.instance).in_requests(self.options.resting_flow_load);
+        let is_cold = entry.cold_until.is_some_and(|until| until > self.now);
+        let factor = if is_cold { self.options.cold_factor } else { 1.0 };
+        let distance =
+            if entry.zone == self.options.zone { 0.0 } else { self.options.zone_preference };
+
+        ChoiceCandidate {
+            entry,
+            load: (requests + 1.0) * factor / f64::from(entry.slots) + distance,
+            doubt: self.doubt(entry, instead_of),
+        }
+    }
+
+    fn doubt(&self, entry: &BackendEntry, instead_of: Option<InstanceId>) -> ChoiceDoubt {
+        let is_silent =
+            self.health.is_suspect(entry.instance, self.now) || instead_of == Some(entry.instance);
+
+        match (entry.missing_until, is_silent) {
+            (Some(_), _) => ChoiceDoubt::Missing,
+            (None, true) => ChoiceDoubt::Silent,
+            (None, false) => ChoiceDoubt::None,
+        }
+    }
+}
+
+/// Time in which a backend server answers an opening packet, or acknowledges data. Callers send
+/// again after 200 ms; two packets that were read together show nothing.
+pub(super) const ANSWER_TIME: Duration = Duration::from_millis(150);
--- a/crates/valvestage-policy/src/steering/flow_record.rs
+++ b/crates/valvestage-policy/src/steering/flow_record.rs
@@ -31,13 +31,22 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FlowSign {
     /// It has answered since the packet before.
-    Alive,
+    Alive(AnswerSign),
     /// The caller sends something again: an answer is missing since the time given.
     Unanswered(Instant),
     /// Nothing.
     Neutral,
 }
 
+/// `AnswerSign` is what an answer shows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AnswerSign {
+    /// Whether it answered an opening packet; otherwise a request.
+    pub opening: bool,
+    /// Since when the answer was awaited; none if more came than was asked for.
+    pub since: Option<Instant>,
+}
+
 impl FlowRecord {
     /// `open_at` starts the record of a flow with its opening packet.
     #[must_use]
@@ -105,9 +114,8 @@
         }
         self.open = true;
         self.acknowledged = packet.acknowledged;
-        self.waiting_since = None;
         self.resends = 0;
-        FlowSign::Alive
+        FlowSign::Alive(AnswerSign { opening: opened, since: self.waiting_since.take() })
     }
 
     /// What the caller sends, for the first time or again.
@@ -122,7 +130,7 @@
             self.waiting_since.get_or_insert(now);
             return sign;
         }
-        if sign == FlowSign::Alive {
+        if matches!(sign, FlowSign::Alive(_)) {
             return sign;
         }
         self.resends += 1;
--- a/crates/valvestage-policy/src/steering/knowledge_keeper.rs
+++ b/crates/valvestage-policy/src/steering/knowledge_keeper.rs
@@ -7,6 +7,7 @@
 use valvestage_core::ids::{InstanceId, StoreRevision, ZoneName};
 
 use super::backend_entry::BackendEntry;
+use super::decision::{Decision, NewsSource};
 use super::knowledge::Knowledge;
 use super::knowledge_parts::{backends_messages, entry_of, routes_messages, routes_of};
 use super::part_assembly::PartAssembly;
@@ -74,6 +75,9 @@
     /// Whether something is new that others may not know.
     has_news: bool,
     last_pull: Option<(SocketAddrV4, Instant)>,
+    /// What was learned since it was last taken.
+    decisions: Vec<Decision>,
+    was_certain: bool,
 }
 
 impl KnowledgeKeeper {
@@ -104,9 +108,16 @@
             next_heartbeat: now,
             has_news: false,
             last_pull: None,
+            decisions: Vec::new(),
+            was_certain: false,
         }
     }
 
+    /// `take_decisions` gives what was learned since the last call.
+    pub fn take_decisions(&mut self) -> Vec<Decision> {
+        std::mem::take(&mut self.decisions)
+    }
+
     /// `peer_count` gives the number of balancers that were heard of.
     #[must_use]
     pub fn peer_count(&self) -> usize {
@@ -136,10 +147,12 @@
         let mut actions = self.calls(knowledge, now);
 
         if self.has_news || self.next_heartbeat <= now {
-            self.peers.forget_silent(now);
+            let lost = self.peers.forget_silent(now);
+            self.decisions.extend(lost.into_iter().map(|peer| Decision::PeerLost { peer }));
             let answering = self.is_answering(now);
             let draw = self.draw.unit();
-            self.duty.step(answering, draw, now);
+            self.step_duty(answering, draw, now);
+            self.note_certainty(knowledge, now);
             actions.extend(self.heartbeats(knowledge, suspects, now));
         }
         actions
@@ -156,8 +169,63 @@
         self.next_heartbeat
     }
 
+    fn step_duty(&mut self, answering: bool, draw: f64, now: Instant) {
+        let was_on_duty = self.duty.is_on_duty();
+
+        self.duty.step(answering, draw, now);
+        let on_duty = self.duty.is_on_duty();
+        if on_duty != was_on_duty {
+            let others = self.duty.others();
+            self.decisions.push(Decision::WatchDuty { on_duty, others });
+        }
+    }
+
+    fn note_certainty(&mut self, knowledge: &Knowledge, now: Instant) {
+        let is_certain = knowledge.is_certain(now);
+
+        if is_certain != self.was_certain {
+            self.was_certain = is_certain;
+            let version = knowledge.routes.version;
+            self.decisions.push(Decision::Certainty { is_certain, version });
+        }
+    }
+
+    /// Keeps that something else is believed of a backend server, and tells others.
+    fn note_backend(&mut self, knowledge: &Knowledge, instance: InstanceId, source: NewsSource) {
+        self.has_news = true;
+        let Some(entry) = knowledge.directory.get(instance) else { return };
+
+        self.decisions.push(match entry.missing_until {
+            Some(_) => Decision::BackendMissing { instance },
+            None => Decision::BackendChanged {
+                instance,
+                revision: entry.revision,
+                service: entry.service.clone(),
+                phase: entry.phase,
+                source,
+            },
+        });
+    }
+
+    /// Puts a configuration in force if it is newer, and tells others.
+    fn take_routes(&mut self, knowledge: &mut Knowledge, routes: RouteMap, source: NewsSource) {
+        let former = knowledge.routes.version;
+
+        if knowledge.replace_routes(routes) {
+            self.has_news = true;
+            self.decisions.push(Decision::RoutesInForce {
+                version: knowledge.routes.version,
+                former,
+                addresses: knowledge.routes.routes.len(),
+                source,
+            });
+        }
+    }
+
     fn expire_missing(&mut self, knowledge: &mut Knowledge, now: Instant) {
-        self.has_news |= knowledge.directory.expire_missing(now);
+        for instance in knowledge.directory.expire_missing(now) {
+            self.note_backend(knowledge, instance, NewsSource::Expiry);
+        }
     }
 
     fn calls(&mut self, knowledge: &Knowledge, now: Instant) -> Vec<KeeperAction> {
@@ -240,6 +308,9 @@
         now: Instant,
     ) -> Vec<KeeperAction> {
         let is_new = self.peers.on_heard(sender, now);
+        if is_new {
+            self.decisions.push(Decision::PeerFound { peer: sender });
+        }
 
         match message {
             PeerMessage::Heartbeat(heartbeat) => {
@@ -332,7 +403,7 @@
 
         let parts = PartAssembly::add(&mut self.routes_parts, sender, version, number, part);
         if let Some(parts) = parts {
-            self.has_news |= knowledge.replace_routes(routes_of(parts));
+            self.take_routes(knowledge, routes_of(parts), NewsSource::Peer(sender));
         }
     }
 
@@ -347,20 +418,27 @@
         let parts = PartAssembly::add(&mut self.backends_parts, sender, until, number, part);
         let Some(parts) = parts else { return };
 
-        let directory = &mut knowledge.directory;
         let mut listed = HashSet::new();
+        let mut changed = Vec::new();
+        let directory = &mut knowledge.directory;
         for change in parts.into_iter().flat_map(|part| part.changes) {
-            listed.insert(change.instance);
-            if !directory.is_obsolete(change.instance, change.revision) {
-                self.has_news |= directory.put(entry_of(change, now));
+            let instance = change.instance;
+            listed.insert(instance);
+            if !directory.is_obsolete(instance, change.revision)
+                && directory.put(entry_of(change, now))
+            {
+                changed.push(instance);
             }
         }
         if after == 0 && until > directory.complete_until() {
-            directory.retain_listed(&listed, until, None, now);
+            changed.extend(directory.retain_listed(&listed, until, None, now));
         }
         if after <= directory.complete_until() {
             directory.complete(until);
         }
+        for instance in changed {
+            self.note_backend(knowledge, instance, NewsSource::Peer(sender));
+        }
     }
 
     /// `on_routes_reply` takes the store's answer about the configuration in.
@@ -370,14 +448,23 @@
         reply: StoreReply<RouteMap>,
         now: Instant,
     ) {
+        let was_failing = self.routes_follower.is_failing();
         let news = self.routes_follower.on_reply(reply, now);
+        let is_failing = self.routes_follower.is_failing();
+        self.note_link(StoreKind::Configuration, was_failing, is_failing);
 
         for routes in news.objects {
-            self.has_news |= knowledge.replace_routes(routes);
+            self.take_routes(knowledge, routes, NewsSource::Store);
         }
         knowledge.confirm(self.answered_at());
     }
 
+    fn note_link(&mut self, kind: StoreKind, was_failing: bool, is_failing: bool) {
+        if was_failing != is_failing {
+            self.decisions.push(Decision::StoreLink { kind, answers: !is_failing });
+        }
+    }
+
     /// `on_backends_reply` takes the store's answer about backend servers in.
     pub fn on_backends_reply(
         &mut self,
@@ -385,8 +472,10 @@
         reply: StoreReply<BackendNews>,
         now: Instant,
     ) {
+        let was_failing = self.backends_follower.is_failing();
         let news = self.backends_follower.on_reply(reply, now);
-        let directory = &mut knowledge.directory;
+        let is_failing = self.backends_follower.is_failing();
+        self.note_link(StoreKind::Backends, was_failing, is_failing);
         let begins = matches!(
             news.completes,
             Completeness::ListBegins | Completeness::ListEnds { single_page: true, .. }
@@ -395,24 +484,48 @@
             self.listed.clear();
         }
 
+        let directory = &mut knowledge.directory;
+        let mut changed = Vec::new();
         for change in news.objects {
             self.listed.insert(change.instance);
-            self.has_news |= match change.entry {
+            let is_news = match change.entry {
                 Some(entry) => directory.put(entry),
                 None => directory.mark_gone(change.instance, change.revision, now),
             };
+            if is_news {
+                changed.push(change.instance);
+            }
+        }
+        changed.extend(self.complete(knowledge, news.completes, now));
+        for instance in changed {
+            self.note_backend(knowledge, instance, NewsSource::Store);
         }
-        match news.completes {
-            Completeness::Unchanged | Completeness::ListBegins => {}
-            Completeness::Until(revision) => directory.complete(revision),
+        knowledge.confirm(self.answered_at());
+    }
+
+    /// Takes in what a reply completes; gives the backend servers that it shows to be gone.
+    fn complete(
+        &mut self,
+        knowledge: &mut Knowledge,
+        completes: Completeness,
+        now: Instant,
+    ) -> Vec<InstanceId> {
+        let directory = &mut knowledge.directory;
+
+        match completes {
+            Completeness::Unchanged | Completeness::ListBegins => Vec::new(),
+            Completeness::Until(revision) => {
+                directory.complete(revision);
+                Vec::new()
+            }
             Completeness::ListEnds { revision, after_outage, .. } => {
                 let missing_until = after_outage.then(|| now + RETURN_TIME);
-                directory.retain_listed(&self.listed, revision, missing_until, now);
+                let absent = directory.retain_listed(&self.listed, revision, missing_until, now);
                 directory.complete(revision);
                 self.has_news = true;
+                absent
             }
         }
-        knowledge.confirm(self.answered_at());
     }
 }
 
--- a/crates/valvestage-policy/src/steering/peer_table.rs
+++ b/crates/valvestage-policy/src/steering/peer_table.rs
@@ -80,10 +80,18 @@
         self.heard.entry(peer).or_insert(fresh).heard_of = now;
     }
 
-    /// `forget_silent` forgets balancers that were not heard of for long.
-    pub fn forget_silent(&mut self, now: Instant) {
-        self.heard
-            .retain(|_, sighting| now.saturating_duration_since(sighting.heard_of) < FORGET_AFTER);
+    /// `forget_silent` forgets balancers that were not heard of for long, and gives them.
+    pub fn forget_silent(&mut self, now: Instant) -> Vec<SocketAddrV4> {
+        let is_silent = |sighting: &PeerSighting| {
+            now.saturating_duration_since(sighting.heard_of) >= FORGET_AFTER
+        };
+        let silent = self.heard.iter().filter(|(_, sighting)| is_silent(sighting));
+        let silent: Vec<SocketAddrV4> = silent.map(|(peer, _)| *peer).collect();
+
+        for peer in &silent {
+            self.heard.remove(peer);
+        }
+        silent
     }
 
     /// `choose` gives some balancers, others each time until all had their turn.
--- a/crates/valvestage-policy/src/steering/steering_policy.rs
+++ b/crates/valvestage-policy/src/steering/steering_policy.rs
@@ -6,11 +6,12 @@
 use siphasher::sip::SipHasher13;
 use valvestage_core::ids::InstanceId;
 
-use super::backend_choice::{ChoiceCandidate, ChoiceDoubt, choose};
 use super::backend_directory::BackendDirectory;
-use super::backend_entry::{BackendEntry, BackendPhase};
+use super::backend_entry::BackendPhase;
 use super::backend_health::BackendHealth;
 use super::caller_packet::{CallerPacket, DropReason, FlowAddresses, PacketVerdict, ResetReason};
+use super::decision::{AnswerTime, Decision};
+use super::flow_placer::{ANSWER_TIME, FlowPlacer};
 use super::flow_record::{FlowRecord, FlowSign};
 use super::flow_tracker::FlowTracker;
 use super::knowledge::Knowledge;
@@ -22,13 +23,33 @@
     options: SteeringOptions,
     flows: FlowTracker,
     health: BackendHealth,
+    /// What was decided since they were last taken.
+    decisions: Vec<Decision>,
+    /// Answers since they were last taken.
+    answers: Vec<AnswerTime>,
 }
 
 impl SteeringPolicy {
     /// `new` knows nothing yet.
     #[must_use]
     pub fn new(options: SteeringOptions) -> Self {
-        Self { options, flows: FlowTracker::default(), health: BackendHealth::default() }
+        Self {
+            options,
+            flows: FlowTracker::default(),
+            health: BackendHealth::default(),
+            decisions: Vec::new(),
+            answers: Vec::new(),
+        }
+    }
+
+    /// `take_decisions` gives what was decided since the last call.
+    pub fn take_decisions(&mut self) -> Vec<Decision> {
+        std::mem::take(&mut self.decisions)
+    }
+
+    /// `take_answers` gives the answers seen since the last call.
+    pub fn take_answers(&mut self) -> Vec<AnswerTime> {
+        std::mem::take(&mut self.answers)
     }
 
     /// `flow_count` gives the number of flows that are remembered.
@@ -73,10 +94,29 @@
             return PacketVerdict::Drop(DropReason::NotReady);
         }
 
-        if packet.opening {
+        let verdict = if packet.opening {
             self.on_opening(knowledge, packet, now)
         } else {
             self.on_further(knowledge, packet, now)
+        };
+        self.note(packet, verdict);
+        verdict
+    }
+
+    /// Keeps what a caller may complain about.
+    fn note(&mut self, packet: &CallerPacket, verdict: PacketVerdict) {
+        let flow = packet.flow;
+
+        match verdict {
+            PacketVerdict::Forward { .. } => {}
+            PacketVerdict::Reset(reason) => {
+                let instance = self.flows.get(&flow).map(|record| record.instance);
+                self.decisions.push(Decision::Reset { flow, reason, instance });
+                self.flows.remove(&flow);
+            }
+            PacketVerdict::Drop(reason) => {
+                self.decisions.push(Decision::Dropped { flow, reason, token: packet.token });
+            }
         }
     }
 
@@ -92,62 +132,76 @@
         }
 
         let draw = draw_of(&packet.flow);
-        let Some(service) = knowledge.routes.target(packet.flow.service, draw) else {
-            return refuse_route(knowledge, now);
-        };
-        let Some(instance) = self.place(knowledge, service, None, draw, now) else {
-            return PacketVerdict::Reset(ResetReason::NoBackend);
-        };
-
-        if self.flows.len() < self.options.max_flows {
-            self.flows.insert(packet.flow, FlowRecord::open_at(instance, now));
+        match knowledge.routes.target(packet.flow.service, draw) {
+            Some(service) => self.place(knowledge, packet.flow, service, None, now),
+            None => refuse_route(knowledge, now),
         }
-        forward(knowledge, instance)
     }
 
-    /// A copy goes where the first one went, unless that backend server shows no life.
+    /// A copy goes where the first one went, unless that backend server shows no life or takes no
+    /// new flows any more. None: the packet is to be handled like a first one.
     fn on_opening_copy(
         &mut self,
         knowledge: &Knowledge,
         packet: &CallerPacket,
         now: Instant,
     ) -> Option<PacketVerdict> {
-        /// Time in which a backend server answers. Copies come 200 ms apart; two that were read
-        /// together show nothing.
-        const ANSWER_TIME: Duration = Duration::from_millis(150);
-
         let record = self.flows.get(&packet.flow)?;
         if record.open && packet.acknowledged == 0 {
             // The caller uses the port again.
             return None;
         }
-        let (instance, first_at) = (record.instance, record.last_packet);
+        let (instance, last_packet) = (record.instance, record.last_packet);
         let sign = self.flows.observe(packet, now);
-        if now.saturating_duration_since(first_at) >= ANSWER_TIME {
-            self.health.observe(instance, packet.flow, sign, now);
-        }
+        self.observe_sign(instance, packet.flow, sign, now);
 
         let entry = knowledge.directory.get(instance)?;
         let takes_new = entry.phase == BackendPhase::Ready
             && knowledge.routes.leads_to(packet.flow.service, &entry.service);
-        let unanswered = match sign {
-            FlowSign::Unanswered(since) => {
-                now.saturating_duration_since(first_at) >= ANSWER_TIME
-                    && !self.health.shows_life_since(instance, since)
-            }
-            _ => false,
-        };
-        if takes_new && !unanswered {
-            return Some(forward(knowledge, instance));
-        }
         if !takes_new {
             return None;
         }
+        let had_time = now.saturating_duration_since(last_packet) >= ANSWER_TIME;
+        if !had_time || !self.is_unanswered(instance, sign) {
+            return Some(forward(knowledge, instance));
+        }
+        Some(self.place(knowledge, packet.flow, &entry.service, Some(instance), now))
+    }
+
+    /// Whether an answer is missing, and nobody else got one meanwhile.
+    fn is_unanswered(&self, instance: InstanceId, sign: FlowSign) -> bool {
+        match sign {
+            FlowSign::Unanswered(since) => !self.health.shows_life_since(instance, since),
+            _ => false,
+        }
+    }
+
+    /// Places a flow. One without any backend server that could take it is refused at once.
+    fn place(
+        &mut self,
+        knowledge: &Knowledge,
+        flow: FlowAddresses,
+        service: &str,
+        instead_of: Option<InstanceId>,
+        now: Instant,
+    ) -> PacketVerdict {
+        let placer = FlowPlacer {
+            options: &self.options,
+            knowledge,
+            flows: &self.flows,
+            health: &self.health,
+            now,
+        };
+        let Some(placement) = placer.place(flow, service, instead_of, draw_of(&flow)) else {
+            return PacketVerdict::Reset(ResetReason::NoBackend);
+        };
 
-        let service = entry.service.clone();
-        let other = self.place(knowledge, &service, Some(instance), draw_of(&packet.flow), now)?;
-        self.flows.insert(packet.flow, FlowRecord::open_at(other, now));
-        Some(forward(knowledge, other))
+        let instance = placement.instance;
+        if self.flows.len() < self.options.max_flows {
+            self.flows.insert(flow, FlowRecord::open_at(instance, now));
+        }
+        self.decisions.push(Decision::Placed(placement));
+        forward(knowledge, instance)
     }
 
     /// A packet of a flow that a backend server has answered.
@@ -163,7 +217,6 @@
         let Some(instance) = self.instance_of(knowledge, packet) else {
             return PacketVerdict::Drop(DropReason::UnknownToken);
         };
-
         let Some(entry) = knowledge.directory.get(instance) else {
             return PacketVerdict::Drop(DropReason::UnknownToken);
         };
@@ -172,19 +225,21 @@
         }
 
         self.observe(instance, packet, now);
-        if entry.is_gone() && !packet.reset {
+        if packet.reset {
             self.flows.remove(&packet.flow);
+            return forward(knowledge, instance);
+        }
+        if entry.is_gone() {
             return PacketVerdict::Reset(ResetReason::BackendGone);
         }
-
-        if packet.reset {
-            self.flows.remove(&packet.flow);
+        if self.health.is_given_up(instance, now) {
+            return PacketVerdict::Reset(ResetReason::BackendSilent);
         }
         forward(knowledge, instance)
     }
 
-    /// The backend server of an open flow. The token goes before the record: a copy of the opening
-    /// packet may have gone to another one than the one that the caller took.
+    /// The backend server of a flow. Before it is open the token goes before the record: a copy of
+    /// the opening packet may have gone to another one than the one that the caller took.
     fn instance_of(&self, knowledge: &Knowledge, packet: &CallerPacket) -> Option<InstanceId> {
         let record = self.flows.get(&packet.flow);
         if let Some(record) = record
@@ -200,64 +255,30 @@
     fn observe(&mut self, instance: InstanceId, packet: &CallerPacket, now: Instant) {
         let known = self.flows.get(&packet.flow).is_some_and(|flow| flow.instance == instance);
 
-        let sign = if known {
-            self.flows.observe(packet, now)
-        } else {
-            if self.flows.len() < self.options.max_flows {
-                let record = FlowRecord::taken_over(instance, packet, now);
-                self.flows.insert(packet.flow, record);
-            }
-            FlowSign::Neutral
-        };
-        self.health.observe(instance, packet.flow, sign, now);
-    }
-
-    /// Chooses a backend server for a new flow.
-    fn place(
-        &self,
-        knowledge: &Knowledge,
-        service: &str,
-        except: Option<InstanceId>,
-        draw: u64,
-        now: Instant,
-    ) -> Option<InstanceId> {
-        let takes_new = |entry: &&BackendEntry| {
-            entry.service == service
-                && entry.phase == BackendPhase::Ready
-                && knowledge.directory.owns_token(entry.instance)
-        };
-        let candidates = knowledge.directory.iter().filter(takes_new);
-        let candidates: Vec<ChoiceCandidate<'_>> =
-            candidates.map(|entry| self.candidate(entry, except, now)).collect();
-
-        choose(&candidates, draw)
+        if known {
+            let sign = self.flows.observe(packet, now);
+            self.observe_sign(instance, packet.flow, sign, now);
+        } else if self.flows.len() < self.options.max_flows {
+            let record = FlowRecord::taken_over(instance, packet, now);
+            self.flows.insert(packet.flow, record);
+        }
     }
 
-    fn candidate<'a>(
-        &self,
-        entry: &'a BackendEntry,
-        except: Option<InstanceId>,
+    fn observe_sign(
+        &mut self,
+        instance: InstanceId,
+        flow: FlowAddresses,
+        sign: FlowSign,
         now: Instant,
-    ) -> ChoiceCandidate<'a> {
-        let requests = self.flows.load(entry.instance).in_requests(self.options.resting_flow_load);
-        let is_cold = entry.cold_until.is_some_and(|until| until > now);
-        let factor = if is_cold { self.options.cold_factor } else { 1.0 };
-        let distance =
-            if entry.zone == self.options.zone { 0.0 } else { self.options.zone_preference };
-
-        let is_silent =
-            self.health.is_suspect(entry.instance, now) || except == Some(entry.instance);
-        let doubt = match (entry.missing_until, is_silent) {
-            (Some(_), _) => ChoiceDoubt::Missing,
-            (None, true) => ChoiceDoubt::Silent,
-            (None, false) => ChoiceDoubt::None,
-        };
-
-        ChoiceCandidate {
-            entry,
-            load: (requests + 1.0) * factor / f64::from(entry.slots) + distance,
-            doubt,
+    ) {
+        if let FlowSign::Alive(answer) = sign
+            && let Some(since) = answer.since
+        {
+            let time = now.saturating_duration_since(since);
+            self.answers.push(AnswerTime { instance, opening: answer.opening, time });
         }
+
+        self.decisions.extend(self.health.observe(instance, flow, sign, now));
     }
 }
 
--- a/crates/valvestage-policy/src/steering/watch_duty.rs
+++ b/crates/valvestage-policy/src/steering/watch_duty.rs
@@ -46,6 +46,12 @@
         self.on_duty
     }
 
+    /// `others` gives the number of others that are known to follow it.
+    #[must_use]
+    pub fn others(&self) -> usize {
+        self.sightings.len()
+    }
+
     /// `on_sighting` takes in that a balancer follows the store.
     pub fn on_sighting(&mut self, sighting: WatcherSighting, now: Instant) {
         let age = Duration::from_millis(sighting.age_ms.into());
--- a/crates/valvestage-policy/tests/steering/backend_health.rs
+++ b/crates/valvestage-policy/tests/steering/backend_health.rs
@@ -1,19 +1,22 @@
 //! When a backend server seems dead.
 
 use valvestage_policy::steering::backend_health::BackendHealth;
-use valvestage_policy::steering::flow_record::FlowSign;
+use valvestage_policy::steering::flow_record::{AnswerSign, FlowSign};
 
 use crate::fixtures::{flow, millis, start};
 
 const SERVER: u64 = 7;
 
+/// An answer to a request.
+const ALIVE: FlowSign = FlowSign::Alive(AnswerSign { opening: false, since: None });
+
 #[test]
 fn one_flow_without_an_answer_is_no_evidence() {
     let (mut health, now) = (BackendHealth::default(), start());
 
     for copy in 1..4 {
         let at = now + millis(200 * copy);
-        assert!(!health.observe(SERVER, flow(1), FlowSign::Unanswered(now), at));
+        assert!(health.observe(SERVER, flow(1), FlowSign::Unanswered(now), at).is_none());
     }
     assert!(!health.is_suspect(SERVER, now + millis(600)));
 }
@@ -23,7 +26,9 @@
     let (mut health, now) = (BackendHealth::default(), start());
 
     health.observe(SERVER, flow(1), FlowSign::Unanswered(now), now + millis(200));
-    assert!(health.observe(SERVER, flow(2), FlowSign::Unanswered(now), now + millis(210)));
+    assert!(
+        health.observe(SERVER, flow(2), FlowSign::Unanswered(now), now + millis(210)).is_some()
+    );
     assert!(health.is_suspect(SERVER, now + millis(220)));
     assert_eq!(health.suspects(now + millis(220)), [SERVER]);
 }
@@ -32,7 +37,7 @@
 fn an_answer_to_any_flow_since_then_outweighs_them() {
     let (mut health, now) = (BackendHealth::default(), start());
 
-    health.observe(SERVER, flow(3), FlowSign::Alive, now + millis(100));
+    health.observe(SERVER, flow(3), ALIVE, now + millis(100));
     health.observe(SERVER, flow(1), FlowSign::Unanswered(now), now + millis(200));
     health.observe(SERVER, flow(2), FlowSign::Unanswered(now), now + millis(210));
     assert!(!health.is_suspect(SERVER, now + millis(220)));
@@ -44,7 +49,7 @@
     health.observe(SERVER, flow(1), FlowSign::Unanswered(now), now + millis(200));
     health.observe(SERVER, flow(2), FlowSign::Unanswered(now), now + millis(210));
 
-    health.observe(SERVER, flow(3), FlowSign::Alive, now + millis(300));
+    health.observe(SERVER, flow(3), ALIVE, now + millis(300));
     assert!(!health.is_suspect(SERVER, now + millis(301)));
 }
 
@@ -72,7 +77,42 @@
 fn a_sign_of_life_seen_here_goes_before_the_word_of_another() {
     let (mut health, now) = (BackendHealth::default(), start());
 
-    health.observe(SERVER, flow(1), FlowSign::Alive, now);
+    health.observe(SERVER, flow(1), ALIVE, now);
     health.on_told(SERVER, now + millis(100));
     assert!(!health.is_suspect(SERVER, now + millis(101)));
 }
+
+#[test]
+fn flows_are_ended_only_when_more_of_them_miss_an_answer() {
+    let (mut health, now) = (BackendHealth::default(), start());
+
+    for port in 1..=2 {
+        health.observe(SERVER, flow(port), FlowSign::Unanswered(now), now + millis(200));
+    }
+    assert!(!health.is_given_up(SERVER, now + millis(201)));
+    health.observe(SERVER, flow(3), FlowSign::Unanswered(now), now + millis(202));
+    assert!(health.is_given_up(SERVER, now + millis(203)));
+    health.observe(SERVER, flow(4), ALIVE, now + millis(204));
+    assert!(!health.is_given_up(SERVER, now + millis(205)));
+}
+
+#[test]
+fn fewer_are_enough_when_another_balancer_says_the_same() {
+    let (mut health, now) = (BackendHealth::default(), start());
+    for port in 1..=2 {
+        health.observe(SERVER, flow(port), FlowSign::Unanswered(now), now + millis(200));
+    }
+
+    health.on_told(SERVER, now + millis(210));
+    assert!(health.is_given_up(SERVER, now + millis(211)));
+}
+
+#[test]
+fn packets_read_together_show_nothing() {
+    let (mut health, now) = (BackendHealth::default(), start());
+
+    for port in 1..=5 {
+        health.observe(SERVER, flow(port), FlowSign::Unanswered(now), now + millis(2));
+    }
+    assert!(!health.is_suspect(SERVER, now + millis(3)));
+}
--- a/crates/valvestage-policy/tests/steering/directory.rs
+++ b/crates/valvestage-policy/tests/steering/directory.rs
@@ -68,7 +68,7 @@
 
     // One returns under the same id, the other does not.
     directory.put(BackendEntry { revision: 41, ..backend(5, "core", HOME) });
-    assert!(directory.expire_missing(now + millis(2_000)));
+    assert_eq!(directory.expire_missing(now + millis(2_000)), [6]);
     assert!(!directory.get(5).unwrap().is_gone());
     assert!(directory.get(6).unwrap().is_gone());
     assert_eq!(directory.complete_until(), 40);
--- a/crates/valvestage-policy/tests/steering/flow_record.rs
+++ b/crates/valvestage-policy/tests/steering/flow_record.rs
@@ -1,7 +1,7 @@
 //! What the packets of a flow show.
 
 use quickcheck::quickcheck;
-use valvestage_policy::steering::flow_record::{FlowRecord, FlowSign};
+use valvestage_policy::steering::flow_record::{AnswerSign, FlowRecord, FlowSign};
 
 use crate::fixtures::{data, flow, millis, opening, start};
 
@@ -20,7 +20,8 @@
     let mut record = FlowRecord::open_at(7, now);
 
     let sign = record.observe(&data(flow(1), 9, 1_001, 0, 501), now + millis(7));
-    assert_eq!(sign, FlowSign::Alive);
+    let answer = AnswerSign { opening: true, since: Some(now) };
+    assert_eq!(sign, FlowSign::Alive(answer));
     assert!(record.open);
     assert!(!record.is_busy());
 }
@@ -56,7 +57,8 @@
 
     record.observe(&data(flow(1), 9, u32::MAX - 10, 100, u32::MAX - 5), now + millis(1));
     let sign = record.observe(&data(flow(1), 9, 89, 0, 200), now + millis(30));
-    assert_eq!(sign, FlowSign::Alive);
+    let answer = AnswerSign { opening: false, since: Some(now + millis(1)) };
+    assert_eq!(sign, FlowSign::Alive(answer));
 }
 
 quickcheck! {
@@ -77,7 +79,7 @@
             if !is_opening {
                 acknowledged = Some(ack);
             }
-            sign != FlowSign::Alive || !is_opening && !is_same
+            !matches!(sign, FlowSign::Alive(_)) || !is_opening && !is_same
         })
     }
 }
--- a/crates/valvestage-process/src/errors.rs
+++ b/crates/valvestage-process/src/errors.rs
@@ -8,6 +8,9 @@
     /// The logger could not be started.
     #[error("start logger: {0}")]
     Logger(#[from] flexi_logger::FlexiLoggerError),
+    /// The thread that writes log lines could not be started.
+    #[error("start log thread: {0}")]
+    LogThread(std::io::Error),
     /// A token file cannot be used.
     #[error("token file {file}: {problem}")]
     TokenFile {
--- a/crates/valvestage-process/src/logging.rs
+++ b/crates/valvestage-process/src/logging.rs
@@ -5,7 +5,7 @@
 use crate::errors::ProcessError;
 
 /// Levels when `RUST_LOG` says nothing; calls that fail are logged by their callers.
-const DEFAULT_LEVEL: &str = "info, tarpc=off";
+pub(crate) const DEFAULT_LEVEL: &str = "info, tarpc=off, actix_server=warn";
 
 /// `start` starts the logger; it ends when the handle is dropped.
 pub fn start(json: bool) -> Result<LoggerHandle, ProcessError> {
--- /dev/null
+++ b/crates/valvestage-process/src/structured_log.rs
@@ -0,0 +1,72 @@
+//! Log records as JSON lines in a [`LogRing`].
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use flexi_logger::writers::LogWriter;
+use flexi_logger::{DeferredNow, Logger, LoggerHandle};
+use log::Record;
+use log::kv::{Error, Key, Value, VisitSource};
+use serde_json::{Map, Value as Json};
+
+use crate::errors::ProcessError;
+use crate::log_ring::LogRing;
+use crate::logging::DEFAULT_LEVEL;
+
+/// `start` sends all records of the `log` macros to a ring.
+pub fn start(ring: LogRing) -> Result<LoggerHandle, ProcessError> {
+    let logger = Logger::try_with_env_or_str(DEFAULT_LEVEL)?;
+
+    Ok(logger.log_to_writer(Box::new(RingWriter { ring })).start()?)
+}
+
+/// `time_of_day` gives the time of day as every line has it: milliseconds since the Unix epoch.
+#[must_use]
+pub fn time_of_day() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+
+    since.map_or(0, |since| u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
+}
+
+struct RingWriter {
+    ring: LogRing,
+}
+
+impl LogWriter for RingWriter {
+    fn write(&self, _now: &mut DeferredNow, record: &Record) -> std::io::Result<()> {
+        let mut line = Map::new();
+        line.insert("time_ms".into(), time_of_day().into());
+        line.insert("level".into(), record.level().as_str().into());
+        line.insert("event".into(), "message".into());
+        line.insert("module".into(), record.module_path().unwrap_or_default().into());
+        line.insert("text".into(), record.args().to_string().into());
+        let mut fields = FieldVisitor { line: &mut line };
+        if record.key_values().visit(&mut fields).is_err() {
+            line.insert("fields".into(), "unreadable".into());
+        }
+
+        self.ring.write(Json::Object(line).to_string().into_bytes());
+        Ok(())
+    }
+
+    fn flush(&self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Puts the fields of a record into its line.
+struct FieldVisitor<'a> {
+    line: &'a mut Map<String, Json>,
+}
+
+impl<'kvs> VisitSource<'kvs> for FieldVisitor<'_> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let json = match (value.to_u64(), value.to_bool()) {
+            (Some(number), _) => number.into(),
+            (None, Some(truth)) => truth.into(),
+            (None, None) => value.to_string().into(),
+        };
+
+        self.line.insert(key.as_str().to_owned(), json);
+        Ok(())
+    }
+}
