Take stale acknowledgements for no life, tell suspects at once, tell gone servers at a start

Change: a new request's acknowledgement is no sign of life; a heartbeat goes out with each new suspect; the first pull after a start asks for all that peers remember.

--- a/crates/valvestage-entry/src/log_budget.rs
+++ b/crates/valvestage-entry/src/log_budget.rs
@@ -9,7 +9,7 @@
 
 /// Lines a second of an event that comes with every flow. 5 cost under a twentieth of the process's
 /// time on a calm day (docs/OPERATIONS.md has the measurement).
-const ORDINARY: u32 = 5;
+const ORDINARY: u32 = 20;
 
 /// Lines a second of every other event.
 const EXCEPTIONAL: u32 = 50;
--- a/crates/valvestage-policy/src/steering/backend_directory.rs
+++ b/crates/valvestage-policy/src/steering/backend_directory.rs
@@ -87,8 +87,10 @@
     /// `is_obsolete` tells whether a peer tells of an entry that has gone long ago: its revision is
     /// one up to which every change is known, and yet it is not known.
     #[must_use]
-    pub fn is_obsolete(&self, instance: InstanceId, revision: StoreRevision) -> bool {
-        revision <= self.complete_until && !self.entries.contains_key(&instance)
+    pub fn is_obsolete(&self, entry: &BackendEntry) -> bool {
+        !entry.is_gone()
+            && entry.revision <= self.complete_until
+            && !self.entries.contains_key(&entry.instance)
     }
 
     /// `mark_gone` takes in that an entry went at a revision; false if that is old news.
--- a/crates/valvestage-policy/src/steering/backend_health.rs
+++ b/crates/valvestage-policy/src/steering/backend_health.rs
@@ -24,7 +24,7 @@
 const FLOWS_TO_GIVE_UP: usize = 3;
 
 /// Flows that are enough for that when another balancer says the same.
-const FLOWS_TO_AGREE: usize = 2;
+const FLOWS_TO_AGREE: usize = 1;
 
 /// How long a suspicion lasts; then a new flow tries the backend server again. Entries of dead
 /// backend servers go after some 2.3 s.
@@ -141,7 +141,8 @@
         self.records.get(&instance).is_some_and(|record| {
             let is_told = record.told_until > Some(now);
             let needed = if is_told { FLOWS_TO_AGREE } else { FLOWS_TO_GIVE_UP };
-            record.suspect_until > Some(now) && record.strikes.len() >= needed
+            let counts = |(_, at): &&(FlowAddresses, Instant)| now - *at <= STRIKE_WINDOW;
+            record.strikes.iter().filter(counts).count() >= needed
         })
     }
 
--- a/crates/valvestage-policy/src/steering/flow_record.rs
+++ b/crates/valvestage-policy/src/steering/flow_record.rs
@@ -112,9 +112,15 @@
         if opened {
             self.sent_until = packet.sequence;
         }
+        // Callers acknowledge every second packet. What a new request acknowledges may have been
+        // received long before it, and says nothing of the backend server now.
+        let is_stale = !opened && self.waiting_since.is_none() && packet.data_length > 0;
         self.open = true;
         self.acknowledged = packet.acknowledged;
         self.resends = 0;
+        if is_stale {
+            return FlowSign::Neutral;
+        }
         FlowSign::Alive(AnswerSign { opening: opened, since: self.waiting_since.take() })
     }
 
--- a/crates/valvestage-policy/src/steering/knowledge_keeper.rs
+++ b/crates/valvestage-policy/src/steering/knowledge_keeper.rs
@@ -75,6 +75,11 @@
     /// Whether something is new that others may not know.
     has_news: bool,
     last_pull: Option<(SocketAddrV4, Instant)>,
+    /// The backend servers that others were told to seem dead.
+    told_suspects: Vec<InstanceId>,
+    /// Whether a peer has told all that it remembers: the store does not tell which backend servers
+    /// are gone, and their flows still come.
+    has_history: bool,
     /// What was learned since it was last taken.
     decisions: Vec<Decision>,
     was_certain: bool,
@@ -108,6 +113,8 @@
             next_heartbeat: now,
             has_news: false,
             last_pull: None,
+            told_suspects: Vec::new(),
+            has_history: false,
             decisions: Vec::new(),
             was_certain: false,
         }
@@ -144,6 +151,7 @@
         now: Instant,
     ) -> Vec<KeeperAction> {
         self.expire_missing(knowledge, now);
+        self.note_suspects(suspects);
         let mut actions = self.calls(knowledge, now);
 
         if self.has_news || self.next_heartbeat <= now {
@@ -169,6 +177,13 @@
         self.next_heartbeat
     }
 
+    /// Others are told of a new suspect at once.
+    fn note_suspects(&mut self, suspects: &[InstanceId]) {
+        self.has_news |= suspects.iter().any(|suspect| !self.told_suspects.contains(suspect));
+
+        self.told_suspects = suspects.to_vec();
+    }
+
     fn step_duty(&mut self, answering: bool, draw: f64, now: Instant) {
         let was_on_duty = self.duty.is_on_duty();
 
@@ -352,7 +367,7 @@
         let directory = &mut knowledge.directory;
         let knows_more = heartbeat.version > knowledge.routes.version
             || heartbeat.changed_at > directory.complete_until()
-            || !directory.is_complete() && heartbeat.complete_until > 0;
+            || !self.has_history && heartbeat.complete_until > 0;
         if knows_more {
             actions.extend(self.pull(knowledge, sender, now));
             return actions;
@@ -385,7 +400,7 @@
         self.last_pull = Some((sender, now));
         let pull = KnowledgePull {
             version: knowledge.routes.version,
-            complete_until: knowledge.directory.complete_until(),
+            complete_until: if self.has_history { knowledge.directory.complete_until() } else { 0 },
         };
         Some(KeeperAction::Tell(sender, PeerMessage::Pull(pull)))
     }
@@ -418,15 +433,15 @@
         let parts = PartAssembly::add(&mut self.backends_parts, sender, until, number, part);
         let Some(parts) = parts else { return };
 
+        self.has_history |= after == 0;
         let mut listed = HashSet::new();
         let mut changed = Vec::new();
         let directory = &mut knowledge.directory;
         for change in parts.into_iter().flat_map(|part| part.changes) {
             let instance = change.instance;
             listed.insert(instance);
-            if !directory.is_obsolete(instance, change.revision)
-                && directory.put(entry_of(change, now))
-            {
+            let entry = entry_of(change, now);
+            if !directory.is_obsolete(&entry) && directory.put(entry) {
                 changed.push(instance);
             }
         }
--- a/crates/valvestage-policy/tests/steering/flow_record.rs
+++ b/crates/valvestage-policy/tests/steering/flow_record.rs
@@ -83,3 +83,19 @@
         })
     }
 }
+
+#[test]
+fn what_a_new_request_acknowledges_was_received_long_before() {
+    let now = start();
+    let mut record = FlowRecord::open_at(7, now);
+    record.observe(&data(flow(1), 9, 1_001, 0, 501), now);
+    record.observe(&data(flow(1), 9, 1_001, 100, 501), now + millis(1));
+    record.observe(&data(flow(1), 9, 1_101, 0, 900), now + millis(50));
+
+    // Callers acknowledge every second packet: the last one of an answer only with what they send
+    // next, however much later. The backend server may have died meanwhile.
+    let sign = record.observe(&data(flow(1), 9, 1_101, 100, 1_000), now + millis(5_000));
+    assert_eq!(sign, FlowSign::Neutral);
+    let sign = record.observe(&data(flow(1), 9, 1_101, 100, 1_000), now + millis(5_200));
+    assert_eq!(sign, FlowSign::Unanswered(now + millis(5_000)));
+}
--- a/crates/valvestage-policy/tests/steering/keepers.rs
+++ b/crates/valvestage-policy/tests/steering/keepers.rs
@@ -1,6 +1,6 @@
 //! Balancers keep each other up to date.
 
-use valvestage_policy::steering::BackendPhase;
+use valvestage_policy::steering::{BackendEntry, BackendPhase};
 
 use crate::deployment::Deployment;
 use crate::fixtures::{HOME, backend, millis, routes};
@@ -196,3 +196,17 @@
     let (small, large) = (rate(12), rate(90));
     assert!(large <= small + small / 4, "{small} and {large} messages in 10 s");
 }
+
+#[test]
+fn a_balancer_that_starts_learns_which_backend_servers_are_gone() {
+    let mut deployment = settled(8);
+    deployment.store.delete_backend(4);
+    deployment.run(millis(3_000));
+
+    // Flows that were on it still come, and are to be told at once.
+    deployment.start(6);
+    let took = deployment.run_until(|now| {
+        now.node(6).knowledge().directory.get(4).is_some_and(BackendEntry::is_gone)
+    });
+    assert!(took <= millis(600), "{took:?}");
+}
--- a/crates/valvestage-process/src/log_ring.rs
+++ b/crates/valvestage-process/src/log_ring.rs
@@ -17,8 +17,8 @@
 /// Lines in the ring: some seconds of a busy balancer's.
 const RING_LENGTH: usize = 4_096;
 
-/// Pause between the first line of a batch and its writing: at most ten wake-ups a second.
-const BATCH_PAUSE: Duration = Duration::from_millis(100);
+/// Pause between the first line of a batch and its writing: a few wake-ups a second, and what a kill may lose.
+const BATCH_PAUSE: Duration = Duration::from_millis(500);
 
 /// Bytes of a batch after which no more lines are added.
 const BATCH_BYTES: usize = 64 * 1024;
