--- a/crates/valvestage-entry/src/control_thread.rs
+++ b/crates/valvestage-entry/src/control_thread.rs
@@ -63,7 +63,12 @@
             self.updates.clone(),
         ));
         actix_rt::spawn(store_tasks::run(client, self.orders, self.updates.clone()));
-        actix_rt::spawn(ready_server::start(self.ready_listener, self.ready.clone())?);
+        let ready = self.ready.clone();
+        actix_rt::spawn(async move {
+            if let Err(error) = ready_server::run(self.ready_listener, ready).await {
+                log::error!("readiness cannot be served: {error}");
+            }
+        });
 
         terminate.recv().await;
         log::info!("SIGTERM: no longer ready, forwarding for a while");
--- a/crates/valvestage-entry/src/lib.rs
+++ b/crates/valvestage-entry/src/lib.rs
@@ -10,6 +10,7 @@
 //! | [`control_thread`] | store, readiness |
 //! | [`store_tasks`] | calls to the store |
 //! | [`peer_codec`] | messages between balancers as datagrams |
+//! | [`http_server`] | HTTP on the control thread |
 //! | [`ready_server`] | the routers' question whether this VM takes packets |
 //! | [`decision_lines`], [`log_budget`] | decisions as log lines, so many a second |
 //! | [`settings_task`] | settings that change while the process runs |
@@ -20,6 +21,7 @@
 pub mod data_thread;
 pub mod decision_lines;
 pub mod errors;
+pub mod http_server;
 pub mod log_budget;
 pub mod peer_codec;
 pub mod process;
--- a/crates/valvestage-entry/src/ready_server.rs
+++ b/crates/valvestage-entry/src/ready_server.rs
@@ -1,28 +1,22 @@
 //! The routers' question whether this VM takes packets.
 
+use std::io;
 use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use actix_web::dev::Server;
-use actix_web::web::{Data, get};
-use actix_web::{App, HttpResponse, HttpServer};
+use actix_http::StatusCode;
 use valvestage_platform::catalogue::READY_PATH;
 
-/// `start` serves readiness on a listener.
-pub fn start(listener: TcpListener, ready: Arc<AtomicBool>) -> std::io::Result<Server> {
-    let data = Data::from(ready);
+use crate::http_server::{HttpAnswer, serve};
 
-    let server = HttpServer::new(move || {
-        App::new().app_data(data.clone()).route(READY_PATH, get().to(answer))
-    });
-    Ok(server.workers(1).disable_signals().listen(listener)?.run())
-}
+/// `run` answers on a listener.
+pub async fn run(listener: TcpListener, ready: Arc<AtomicBool>) -> io::Result<()> {
+    let status = move |path: &str| match (path, ready.load(Ordering::Relaxed)) {
+        (READY_PATH, true) => StatusCode::OK,
+        (READY_PATH, false) => StatusCode::SERVICE_UNAVAILABLE,
+        _ => StatusCode::NOT_FOUND,
+    };
 
-async fn answer(ready: Data<AtomicBool>) -> HttpResponse {
-    if ready.load(Ordering::Relaxed) {
-        HttpResponse::Ok().finish()
-    } else {
-        HttpResponse::ServiceUnavailable().finish()
-    }
+    serve(listener, move |path| HttpAnswer { status: status(path), text: String::new() }).await
 }
