--- a/crates/valvestage-core/src/settings/entry.rs
+++ b/crates/valvestage-core/src/settings/entry.rs
@@ -25,6 +25,9 @@
     pub control_address: SocketAddrV4,
     /// UDP port of messages between balancers, the same on every VM.
     pub peer_port: u16,
+    /// Whether the whole deployment starts for the first time.
+    #[serde(default)]
+    pub first_start: bool,
     /// Control addresses of some VMs that may be up.
     #[serde(default)]
     pub seeds: Vec<SocketAddrV4>,
@@ -49,6 +52,8 @@
     pub control_address: SocketAddrV4,
     /// UDP address of messages between balancers.
     pub peer_address: SocketAddrV4,
+    /// Whether the whole deployment starts for the first time.
+    pub is_first_start: bool,
     /// Peer addresses of some VMs that may be up, without this one.
     pub seeds: Vec<SocketAddrV4>,
     /// TCP address of the platform's store.
@@ -96,6 +101,7 @@
             ready_address: raw.ready_address,
             control_address: raw.control_address,
             peer_address: SocketAddrV4::new(own_ip, raw.peer_port),
+            is_first_start: raw.first_start,
             seeds: seeds.map(|ip| SocketAddrV4::new(ip, raw.peer_port)).collect(),
             store_address: raw.store_address,
             stop_within: Duration::from_secs_f64(raw.stop_within_s),
--- a/crates/valvestage-entry/src/process.rs
+++ b/crates/valvestage-entry/src/process.rs
@@ -90,6 +90,7 @@
         steering,
         peer_address: settings.peer_address,
         seeds: settings.seeds.clone(),
+        is_first_start: settings.is_first_start,
         seed: hasher.finish(),
     }
 }
--- a/crates/valvestage-policy/src/steering/entry_policy.rs
+++ b/crates/valvestage-policy/src/steering/entry_policy.rs
@@ -28,6 +28,8 @@
     pub peer_address: SocketAddrV4,
     /// Where some others may take messages.
     pub seeds: Vec<SocketAddrV4>,
+    /// Whether the whole deployment starts for the first time: then no peer knows anything.
+    pub is_first_start: bool,
     /// Seed of all draws.
     pub seed: u64,
 }
@@ -46,18 +48,10 @@
     /// `new` knows nothing yet.
     #[must_use]
     pub fn new(options: EntryOptions, now: Instant) -> Self {
-        let zone = options.steering.zone.clone();
-
         Self {
             knowledge: Knowledge::default(),
+            keeper: KnowledgeKeeper::new(&options, now),
             steering: SteeringPolicy::new(options.steering),
-            keeper: KnowledgeKeeper::new(
-                zone,
-                options.peer_address,
-                &options.seeds,
-                options.seed,
-                now,
-            ),
             next_tick: now,
             next_cleaning: now + CLEANING_INTERVAL,
         }
@@ -155,12 +149,12 @@
     /// `next_due` gives when [`Self::on_tick`] is to be called at the latest.
     #[must_use]
     pub fn next_due(&self) -> Instant {
-        self.next_tick
+        self.next_tick.min(self.keeper.next_due())
     }
 
     /// `on_tick` does what is due.
     pub fn on_tick(&mut self, now: Instant) -> Vec<KeeperAction> {
-        if now < self.next_tick {
+        if now < self.next_due() {
             return Vec::new();
         }
 
--- a/crates/valvestage-policy/src/steering/knowledge_keeper.rs
+++ b/crates/valvestage-policy/src/steering/knowledge_keeper.rs
@@ -8,17 +8,16 @@
 
 use super::backend_entry::BackendEntry;
 use super::decision::{Decision, NewsSource};
+use super::entry_policy::EntryOptions;
 use super::knowledge::Knowledge;
 use super::knowledge_parts::{backends_messages, entry_of, routes_messages, routes_of};
 use super::part_assembly::PartAssembly;
-use super::peer_message::{
-    BackendsPart, KnowledgePull, PeerHeartbeat, PeerMessage, RoutesPart, WatcherSighting,
-};
+use super::peer_message::{BackendsPart, KnowledgePull, PeerHeartbeat, PeerMessage, RoutesPart};
 use super::peer_table::PeerTable;
 use super::route_map::RouteMap;
 use super::seeded_draw::SeededDraw;
 use super::store_follower::{Completeness, StoreCall, StoreFollower, StoreKind, StoreReply};
-use super::watch_duty::{WatchDuty, millis_since};
+use super::watch_duty::{DutyState, WatchDuty, millis_since};
 
 /// Time between two rounds of heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
@@ -61,7 +60,6 @@
 #[derive(Debug)]
 pub struct KnowledgeKeeper {
     zone: ZoneName,
-    own: SocketAddrV4,
     peers: PeerTable,
     duty: WatchDuty,
     draw: SeededDraw,
@@ -88,22 +86,16 @@
 impl KnowledgeKeeper {
     /// `new` knows nothing but the balancers that the settings name.
     #[must_use]
-    pub fn new(
-        zone: ZoneName,
-        own: SocketAddrV4,
-        seeds: &[SocketAddrV4],
-        seed: u64,
-        now: Instant,
-    ) -> Self {
-        let mut draw = SeededDraw::new(seed);
-        let mut peers = PeerTable::new(own, seeds);
-        peers.start_at(draw.below(1 << 16));
-
+    pub fn new(options: &EntryOptions, now: Instant) -> Self {
+        let EntryOptions { peer_address: own, seeds, seed, is_first_start, .. } = options;
+        let own = *own;
+        let zone = options.steering.zone.clone();
+        let mut draw = SeededDraw::new(*seed);
+        let duty = WatchDuty::new(own, zone.clone(), *is_first_start, draw.unit(), now);
         Self {
             zone,
-            own,
-            peers,
-            duty: WatchDuty::new(own),
+            peers: PeerTable::new(own, seeds),
+            duty,
             draw,
             routes_follower: StoreFollower::default(),
             backends_follower: StoreFollower::default(),
@@ -152,14 +144,12 @@
     ) -> Vec<KeeperAction> {
         self.expire_missing(knowledge, now);
         self.note_suspects(suspects);
+        self.step_duty(knowledge, now);
         let mut actions = self.calls(knowledge, now);
 
         if self.has_news || self.next_heartbeat <= now {
             let lost = self.peers.forget_silent(now);
             self.decisions.extend(lost.into_iter().map(|peer| Decision::PeerLost { peer }));
-            let answering = self.is_answering(now);
-            let draw = self.draw.unit();
-            self.step_duty(answering, draw, now);
             self.note_certainty(knowledge, now);
             actions.extend(self.heartbeats(knowledge, suspects, now));
         }
@@ -174,7 +164,9 @@
     /// `next_due` gives when [`Self::on_tick`] has something to do at the latest.
     #[must_use]
     pub fn next_due(&self) -> Instant {
-        self.next_heartbeat
+        let heartbeat = self.next_heartbeat;
+
+        self.duty.next_due().map_or(heartbeat, |due| due.min(heartbeat))
     }
 
     /// Others are told of a new suspect at once.
@@ -184,10 +176,16 @@
         self.told_suspects = suspects.to_vec();
     }
 
-    fn step_duty(&mut self, answering: bool, draw: f64, now: Instant) {
+    fn step_duty(&mut self, knowledge: &Knowledge, now: Instant) {
         let was_on_duty = self.duty.is_on_duty();
+        let state = DutyState {
+            is_answering: self.is_answering(now),
+            is_complete: knowledge.is_complete(),
+            has_zones: self.peers.hears_other_zones(now),
+            draw: self.draw.unit(),
+        };
 
-        self.duty.step(answering, draw, now);
+        self.duty.step(state, now);
         let on_duty = self.duty.is_on_duty();
         if on_duty != was_on_duty {
             let others = self.duty.others();
@@ -244,7 +242,7 @@
     }
 
     fn calls(&mut self, knowledge: &Knowledge, now: Instant) -> Vec<KeeperAction> {
-        if knowledge.is_complete() && !self.duty.is_on_duty() {
+        if !self.duty.is_on_duty() {
             return Vec::new();
         }
 
@@ -282,7 +280,7 @@
         self.next_heartbeat = now + HEARTBEAT_INTERVAL;
         let heartbeat = self.heartbeat(knowledge, suspects, now);
 
-        let chosen = self.peers.choose(HEARTBEAT_FANOUT).into_iter();
+        let chosen = self.peers.choose(HEARTBEAT_FANOUT, &mut self.draw).into_iter();
         chosen
             .map(|peer| KeeperAction::Tell(peer, PeerMessage::Heartbeat(heartbeat.clone())))
             .collect()
@@ -294,12 +292,6 @@
         suspects: &[InstanceId],
         now: Instant,
     ) -> PeerHeartbeat {
-        let mut watchers = self.duty.sightings(now);
-        if self.duty.is_on_duty()
-            && let Some(at) = self.answered_at()
-        {
-            watchers.push(WatcherSighting { peer: self.own, age_ms: millis_since(at, now) });
-        }
         let draw = self.draw.below(1 << 16);
 
         PeerHeartbeat {
@@ -308,7 +300,7 @@
             complete_until: knowledge.directory.complete_until(),
             changed_at: knowledge.directory.changed_at(),
             age_ms: knowledge.confirmed_at().map_or(u32::MAX, |at| millis_since(at, now)),
-            watchers,
+            watchers: self.duty.sightings(self.answered_at(), now),
             peers: self.peers.sample(PEERS_TOLD, draw, now),
             suspects: suspects.to_vec(),
         }
@@ -351,11 +343,14 @@
         is_new: bool,
         now: Instant,
     ) -> Vec<KeeperAction> {
+        if heartbeat.zone != self.zone {
+            self.peers.on_other_zone(now);
+        }
         for peer in &heartbeat.peers {
             self.peers.on_told(*peer, now);
         }
         for sighting in &heartbeat.watchers {
-            self.duty.on_sighting(*sighting, now);
+            self.has_news |= self.duty.on_sighting(sighting, now);
         }
 
         let mut actions = Vec::new();
@@ -398,6 +393,7 @@
         }
 
         self.last_pull = Some((sender, now));
+        self.duty.on_telling_peer(now);
         let pull = KnowledgePull {
             version: knowledge.routes.version,
             complete_until: if self.has_history { knowledge.directory.complete_until() } else { 0 },
@@ -471,7 +467,15 @@
         for routes in news.objects {
             self.take_routes(knowledge, routes, NewsSource::Store);
         }
-        knowledge.confirm(self.answered_at());
+        self.confirm(knowledge);
+    }
+
+    /// Takes in that the store has confirmed what is known.
+    fn confirm(&mut self, knowledge: &mut Knowledge) {
+        if let Some(at) = self.answered_at() {
+            knowledge.confirm(Some(at));
+            self.has_news |= self.duty.on_answer(at);
+        }
     }
 
     fn note_link(&mut self, kind: StoreKind, was_failing: bool, is_failing: bool) {
@@ -515,7 +519,7 @@
         for instance in changed {
             self.note_backend(knowledge, instance, NewsSource::Store);
         }
-        knowledge.confirm(self.answered_at());
+        self.confirm(knowledge);
     }
 
     /// Takes in what a reply completes; gives the backend servers that it shows to be gone.
--- a/crates/valvestage-policy/src/steering/peer_message.rs
+++ b/crates/valvestage-policy/src/steering/peer_message.rs
@@ -54,10 +54,12 @@
 }
 
 /// `WatcherSighting` says when a balancer was last known to follow the store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WatcherSighting {
     /// The balancer.
     pub peer: SocketAddrV4,
+    /// Its availability zone.
+    pub zone: ZoneName,
     /// How long ago the store answered it, milliseconds.
     pub age_ms: u32,
 }
--- a/crates/valvestage-policy/src/steering/peer_table.rs
+++ b/crates/valvestage-policy/src/steering/peer_table.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
+use super::seeded_draw::SeededDraw;
+
 /// A balancer that was not heard of for so long is forgotten, unless the settings name it. It is more
 /// than the longest cut that the platform's pages tell of.
 const FORGET_AFTER: Duration = Duration::from_secs(20);
@@ -22,8 +24,13 @@
     seeds: Vec<SocketAddrV4>,
     /// When each balancer was last heard itself; none if others told of it.
     heard: BTreeMap<SocketAddrV4, PeerSighting>,
-    /// Where the next choice begins.
-    cursor: usize,
+    /// Balancers that have not had their turn yet, in the order of their turns.
+    ///
+    /// Each balancer draws its own order. Where all went through one order at the same pace, whole
+    /// stretches of it would be left out by all of them for a while.
+    turns: Vec<SocketAddrV4>,
+    /// When a balancer of another availability zone was last heard.
+    other_zone_heard: Option<Instant>,
 }
 
 /// When a balancer was heard, and heard of.
@@ -37,7 +44,13 @@
     /// `new` knows the balancers that the settings name.
     #[must_use]
     pub fn new(own: SocketAddrV4, seeds: &[SocketAddrV4]) -> Self {
-        let mut table = Self { own, seeds: Vec::new(), heard: BTreeMap::new(), cursor: 0 };
+        let mut table = Self {
+            own,
+            seeds: Vec::new(),
+            heard: BTreeMap::new(),
+            turns: Vec::new(),
+            other_zone_heard: None,
+        };
 
         table.set_seeds(seeds);
         table
@@ -70,6 +83,18 @@
         self.heard.insert(peer, sighting).is_none()
     }
 
+    /// `on_other_zone` takes in that a balancer of another availability zone has spoken.
+    pub fn on_other_zone(&mut self, now: Instant) {
+        self.other_zone_heard = Some(now);
+    }
+
+    /// `hears_other_zones` tells whether one was heard lately: in a zone that is cut off there is
+    /// nobody else to follow the store.
+    #[must_use]
+    pub fn hears_other_zones(&self, now: Instant) -> bool {
+        self.other_zone_heard.is_some_and(|at| now.saturating_duration_since(at) < TELL_WITHIN)
+    }
+
     /// `on_told` takes in that another balancer knows of one.
     pub fn on_told(&mut self, peer: SocketAddrV4, now: Instant) {
         if peer == self.own || self.heard.len() >= MAX_PEERS {
@@ -95,19 +120,31 @@
     }
 
     /// `choose` gives some balancers, others each time until all had their turn.
-    pub fn choose(&mut self, count: usize) -> Vec<SocketAddrV4> {
-        let missing = self.seeds.iter().filter(|seed| !self.heard.contains_key(seed));
-        let all: Vec<SocketAddrV4> = self.heard.keys().chain(missing).copied().collect();
-        let count = count.min(all.len());
-
-        let chosen = (0..count).map(|step| all[(self.cursor + step) % all.len()]).collect();
-        self.cursor = if all.is_empty() { 0 } else { (self.cursor + count) % all.len() };
+    pub fn choose(&mut self, count: usize, draw: &mut SeededDraw) -> Vec<SocketAddrV4> {
+        let mut chosen = Vec::with_capacity(count);
+
+        while chosen.len() < count {
+            if self.turns.is_empty() {
+                self.turns = self.shuffled(&chosen, draw);
+            }
+            match self.turns.pop() {
+                Some(peer) => chosen.push(peer),
+                None => break,
+            }
+        }
         chosen
     }
 
-    /// `start_at` sets where choices begin, so that balancers do not all begin with the same one.
-    pub fn start_at(&mut self, cursor: usize) {
-        self.cursor = cursor;
+    /// All balancers but some, in a drawn order.
+    fn shuffled(&self, except: &[SocketAddrV4], draw: &mut SeededDraw) -> Vec<SocketAddrV4> {
+        let missing = self.seeds.iter().filter(|seed| !self.heard.contains_key(seed));
+        let all = self.heard.keys().chain(missing).copied();
+        let mut order: Vec<SocketAddrV4> = all.filter(|peer| !except.contains(peer)).collect();
+
+        for last in (1..order.len()).rev() {
+            order.swap(last, draw.below(last + 1));
+        }
+        order
     }
 
     /// `sample` gives some balancers that were heard lately, others each time.
--- a/crates/valvestage-policy/tests/steering/deployment.rs
+++ b/crates/valvestage-policy/tests/steering/deployment.rs
@@ -164,6 +164,7 @@
             steering: SteeringOptions { zone: "zone-a".to_owned(), ..Default::default() },
             peer_address: node_address(node),
             seeds: vec![node_address(0), node_address(1), node_address(2)],
+            is_first_start: false,
             seed: u64::try_from(node).unwrap(),
         };
 
--- a/crates/valvestage-policy/tests/steering/keepers.rs
+++ b/crates/valvestage-policy/tests/steering/keepers.rs
@@ -41,6 +41,16 @@
     assert_eq!(deployment.watchers(), 2);
 }
 
+#[test]
+fn ninety_balancers_call_the_store_no_more_than_twelve() {
+    let mut deployment = settled(90);
+
+    let before = deployment.store.calls;
+    deployment.run(millis(30_000));
+    let calls = deployment.store.calls - before;
+    assert!(calls <= 2 * 2 * 21, "{calls} calls in 30 s");
+}
+
 #[test]
 fn a_configuration_is_everywhere_within_a_moment() {
     let mut deployment = settled(30);
@@ -210,3 +220,15 @@
     });
     assert!(took <= millis(600), "{took:?}");
 }
+
+#[test]
+fn a_balancer_that_starts_among_others_calls_the_store_for_nothing() {
+    let mut deployment = settled(8);
+    deployment.cut_from_store = (0..7).collect();
+    deployment.run(millis(10));
+
+    let before = deployment.store.calls;
+    deployment.start(7);
+    deployment.run_until(|now| now.node(7).is_ready());
+    assert_eq!(deployment.store.calls, before);
+}
--- a/crates/valvestage-policy/tests/steering/peers.rs
+++ b/crates/valvestage-policy/tests/steering/peers.rs
@@ -4,6 +4,7 @@
 use valvestage_policy::steering::part_assembly::PartAssembly;
 use valvestage_policy::steering::peer_message::{MAX_MESSAGE_BYTES, MessagePart, PeerMessage};
 use valvestage_policy::steering::peer_table::PeerTable;
+use valvestage_policy::steering::seeded_draw::SeededDraw;
 use valvestage_policy::steering::{BackendDirectory, RouteMap};
 
 use crate::fixtures::{HOME, address, backend, front, millis, start, target};
@@ -16,7 +17,8 @@
         table.on_heard(address(last, 7), now);
     }
 
-    let mut chosen: Vec<_> = (0..2).flat_map(|_| table.choose(4)).collect();
+    let mut draw = SeededDraw::new(1);
+    let mut chosen: Vec<_> = (0..2).flat_map(|_| table.choose(4, &mut draw)).collect();
     chosen.sort_unstable();
     let all: Vec<_> = (2..=9).map(|last| address(last, 7)).collect();
     assert_eq!(chosen, all);
@@ -29,7 +31,7 @@
 
     table.on_heard(address(1, 7), now);
     table.on_told(address(1, 7), now);
-    assert!(table.choose(4).is_empty());
+    assert!(table.choose(4, &mut SeededDraw::new(1)).is_empty());
 }
 
 #[test]
@@ -40,7 +42,7 @@
     table.on_heard(address(3, 7), now);
 
     table.forget_silent(now + millis(60_000));
-    assert_eq!(table.choose(4), [address(2, 7)]);
+    assert_eq!(table.choose(4, &mut SeededDraw::new(1)), [address(2, 7)]);
 }
 
 #[test]
