Let a few balancers try at a time while the store is away, and tell of outages

Found by the new tests: relayed ages lost the time of the way, so that news that is passed on at once never grew old (a storm of datagrams); a balancer that had not tried during an outage took lapsed entries for gone. Change: one that gets no answer for 1.6 s lets others try; ages grow by 10 ms a hop; heartbeats say when the store last failed, and entries that go until 3.1 s after that are missing, not gone.

--- a/crates/valvestage-policy/src/steering/backend_directory.rs
+++ b/crates/valvestage-policy/src/steering/backend_directory.rs
@@ -109,6 +109,18 @@
         true
     }
 
+    /// `mark_missing` takes in that an entry is missing and may return until a time; false if that is
+    /// known, or it is gone.
+    pub fn mark_missing(&mut self, instance: InstanceId, until: Instant) -> bool {
+        match self.entries.get_mut(&instance) {
+            Some(entry) if !entry.is_gone() && entry.missing_until.is_none() => {
+                entry.missing_until = Some(until);
+                true
+            }
+            _ => false,
+        }
+    }
+
     /// `complete` takes in that every change up to a revision was read. While entries are missing
     /// that may return, that is not the whole truth yet.
     pub fn complete(&mut self, until: StoreRevision) {
@@ -135,13 +147,10 @@
             self.entries.values().filter(is_absent).map(|entry| entry.instance).collect();
 
         for instance in &absent {
-            if missing_until.is_none() {
-                self.mark_gone(*instance, at, now);
-            } else if let Some(entry) = self.entries.get_mut(instance)
-                && entry.missing_until.is_none()
-            {
-                entry.missing_until = missing_until;
-            }
+            match missing_until {
+                Some(until) => self.mark_missing(*instance, until),
+                None => self.mark_gone(*instance, at, now),
+            };
         }
         absent
     }
--- a/crates/valvestage-policy/src/steering/knowledge_keeper.rs
+++ b/crates/valvestage-policy/src/steering/knowledge_keeper.rs
@@ -17,7 +17,7 @@
 use super::route_map::RouteMap;
 use super::seeded_draw::SeededDraw;
 use super::store_follower::{Completeness, StoreCall, StoreFollower, StoreKind, StoreReply};
-use super::watch_duty::{DutyState, WatchDuty, millis_since};
+use super::watch_duty::{DutyState, WatchDuty, millis_since, time_of_age};
 
 /// Time between two rounds of heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
@@ -75,6 +75,8 @@
     last_pull: Option<(SocketAddrV4, Instant)>,
     /// The backend servers that others were told to seem dead.
     told_suspects: Vec<InstanceId>,
+    /// When the store last failed to answer this balancer or another one.
+    last_failure: Option<Instant>,
     /// Whether a peer has told all that it remembers: the store does not tell which backend servers
     /// are gone, and their flows still come.
     has_history: bool,
@@ -106,6 +108,7 @@
             has_news: false,
             last_pull: None,
             told_suspects: Vec::new(),
+            last_failure: None,
             has_history: false,
             decisions: Vec::new(),
             was_certain: false,
@@ -179,8 +182,8 @@
     fn step_duty(&mut self, knowledge: &Knowledge, now: Instant) {
         let was_on_duty = self.duty.is_on_duty();
         let state = DutyState {
-            is_answering: self.is_answering(now),
-            is_complete: knowledge.is_complete(),
+            is_answering: self.answering_since(now).is_some(),
+            is_complete: knowledge.is_complete() || knowledge.is_certain(now),
             has_zones: self.peers.hears_other_zones(now),
             draw: self.draw.unit(),
         };
@@ -188,11 +191,43 @@
         self.duty.step(state, now);
         let on_duty = self.duty.is_on_duty();
         if on_duty != was_on_duty {
+            self.has_news |= on_duty;
+            if on_duty {
+                self.begin_following(knowledge, now);
+            }
             let others = self.duty.others();
             self.decisions.push(Decision::WatchDuty { on_duty, others });
         }
     }
 
+    /// Whether entries that go may be ones that lapsed in an outage, and return.
+    fn is_unsettled(&self, now: Instant) -> bool {
+        /// A failed call is followed by another one within 0.8 s, so that the store has returned by
+        /// then if it answers.
+        const RETRY_TIME: Duration = Duration::from_millis(800);
+
+        self.last_failure
+            .is_some_and(|at| now.saturating_duration_since(at) < RETRY_TIME + RETURN_TIME)
+    }
+
+    fn note_failure<T>(&mut self, reply: &StoreReply<T>, now: Instant) {
+        if matches!(reply, StoreReply::Failed) {
+            self.last_failure = Some(now);
+        }
+    }
+
+    /// Where nobody has followed the store for a while, it may have been away.
+    fn begin_following(&mut self, knowledge: &Knowledge, now: Instant) {
+        /// Entries lapse after three heartbeats of some 0.8 s.
+        const SHORTEST_LAPSE: Duration = Duration::from_secs(2);
+
+        let confirmed_at = knowledge.confirmed_at();
+        let is_old = |at: Instant| now.saturating_duration_since(at) >= SHORTEST_LAPSE;
+        if confirmed_at.is_some_and(is_old) {
+            self.backends_follower.assume_outage();
+        }
+    }
+
     fn note_certainty(&mut self, knowledge: &Knowledge, now: Instant) {
         let is_certain = knowledge.is_certain(now);
 
@@ -254,12 +289,13 @@
         routes.into_iter().chain(backends).collect()
     }
 
-    /// Whether the store answers this balancer, for both kinds.
-    fn is_answering(&self, now: Instant) -> bool {
+    /// When the store last answered this balancer, for both kinds; none while it does not.
+    fn answering_since(&self, now: Instant) -> Option<Instant> {
         /// One watch, and a slow answer.
         const ANSWER_LIFE: Duration = Duration::from_millis(2_500);
 
-        self.answered_at().is_some_and(|at| now.saturating_duration_since(at) <= ANSWER_LIFE)
+        let is_recent = |at: &Instant| now.saturating_duration_since(*at) <= ANSWER_LIFE;
+        self.answered_at().filter(is_recent).filter(|_| !self.is_store_failing())
     }
 
     /// When the store last answered for the kind that it answered longer ago.
@@ -300,7 +336,8 @@
             complete_until: knowledge.directory.complete_until(),
             changed_at: knowledge.directory.changed_at(),
             age_ms: knowledge.confirmed_at().map_or(u32::MAX, |at| millis_since(at, now)),
-            watchers: self.duty.sightings(self.answered_at(), now),
+            outage_age_ms: self.last_failure.map_or(u32::MAX, |at| millis_since(at, now)),
+            watchers: self.duty.sightings(self.answering_since(now), now),
             peers: self.peers.sample(PEERS_TOLD, draw, now),
             suspects: suspects.to_vec(),
         }
@@ -346,6 +383,7 @@
         if heartbeat.zone != self.zone {
             self.peers.on_other_zone(now);
         }
+        self.last_failure = self.last_failure.max(time_of_age(heartbeat.outage_age_ms, now));
         for peer in &heartbeat.peers {
             self.peers.on_told(*peer, now);
         }
@@ -373,8 +411,7 @@
         if heartbeat.version == knowledge.routes.version
             && heartbeat.complete_until == directory.complete_until()
         {
-            let age = Duration::from_millis(heartbeat.age_ms.into());
-            knowledge.confirm(now.checked_sub(age));
+            knowledge.confirm(time_of_age(heartbeat.age_ms, now));
         }
         actions
     }
@@ -459,6 +496,7 @@
         reply: StoreReply<RouteMap>,
         now: Instant,
     ) {
+        self.note_failure(&reply, now);
         let was_failing = self.routes_follower.is_failing();
         let news = self.routes_follower.on_reply(reply, now);
         let is_failing = self.routes_follower.is_failing();
@@ -491,6 +529,7 @@
         reply: StoreReply<BackendNews>,
         now: Instant,
     ) {
+        self.note_failure(&reply, now);
         let was_failing = self.backends_follower.is_failing();
         let news = self.backends_follower.on_reply(reply, now);
         let is_failing = self.backends_follower.is_failing();
@@ -504,11 +543,13 @@
         }
 
         let directory = &mut knowledge.directory;
+        let may_return = self.is_unsettled(now);
         let mut changed = Vec::new();
         for change in news.objects {
             self.listed.insert(change.instance);
             let is_news = match change.entry {
                 Some(entry) => directory.put(entry),
+                None if may_return => directory.mark_missing(change.instance, now + RETURN_TIME),
                 None => directory.mark_gone(change.instance, change.revision, now),
             };
             if is_news {
@@ -538,7 +579,8 @@
                 Vec::new()
             }
             Completeness::ListEnds { revision, after_outage, .. } => {
-                let missing_until = after_outage.then(|| now + RETURN_TIME);
+                let may_return = after_outage || self.is_unsettled(now);
+                let missing_until = may_return.then(|| now + RETURN_TIME);
                 let absent = directory.retain_listed(&self.listed, revision, missing_until, now);
                 directory.complete(revision);
                 self.has_news = true;
--- a/crates/valvestage-policy/src/steering/peer_message.rs
+++ b/crates/valvestage-policy/src/steering/peer_message.rs
@@ -45,6 +45,9 @@
     pub changed_at: StoreRevision,
     /// How long ago the store confirmed all this, milliseconds; at the sender or before it.
     pub age_ms: u32,
+    /// How long ago the store last failed to answer the sender, or one that it heard of,
+    /// milliseconds.
+    pub outage_age_ms: u32,
     /// Balancers that follow the store, the sender among them if it does.
     pub watchers: Vec<WatcherSighting>,
     /// Some balancers that it has heard.
@@ -60,8 +63,10 @@
     pub peer: SocketAddrV4,
     /// Its availability zone.
     pub zone: ZoneName,
-    /// How long ago the store answered it, milliseconds.
+    /// How long ago the store answered it, or else it was trying, milliseconds.
     pub age_ms: u32,
+    /// Whether the store answers it.
+    pub is_answered: bool,
 }
 
 /// `KnowledgePull` asks for what its sender does not know.
--- a/crates/valvestage-policy/src/steering/store_follower.rs
+++ b/crates/valvestage-policy/src/steering/store_follower.rs
@@ -165,10 +165,12 @@
         })
     }
 
-    /// `skip_list` takes in that peers have told all that a list would bring.
-    pub fn skip_list(&mut self, known_until: StoreRevision) {
-        if !self.calling && !self.was_away {
-            self.phase = Phase::Watching { revision: known_until };
+    /// `assume_outage` begins anew with a list, as after failures: nobody has followed the store for a
+    /// while, so entries may have lapsed unseen.
+    pub fn assume_outage(&mut self) {
+        if !self.calling {
+            self.was_away = true;
+            self.restart_list();
         }
     }
 
--- a/crates/valvestage-policy/src/steering/watch_duty.rs
+++ b/crates/valvestage-policy/src/steering/watch_duty.rs
@@ -5,6 +5,10 @@
 //! time so that not all begin at once, and one that hears of too many stops. Of many the two with the
 //! lowest addresses stay, the second one in another availability zone than the first, since a zone that
 //! is cut off takes its followers with it.
+//!
+//! While the store answers nobody, or turns some balancers away, a few try at a time. One that gets no
+//! answer lets others try, so that calls do not grow with the deployment, and one that the store
+//! does answer is found.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
@@ -28,6 +32,18 @@
 /// Followers told of in one heartbeat; more of them are about to stop.
 const MAX_TOLD: usize = 4;
 
+/// A balancer that tries without an answer counts for so long after it was heard of.
+const TRYING_LIFE: Duration = Duration::from_millis(1_200);
+
+/// Balancers that try at once, of those that know nothing yet: each of them has callers waiting.
+const WANTED_BEGINNERS: usize = 4;
+
+/// A balancer that gets no answer lets others try after this time.
+const TRY_FOR: Duration = Duration::from_millis(1_600);
+
+/// Then it does not try again for so long.
+const REST_FOR: Duration = Duration::from_millis(1_500);
+
 /// Longest pause before a balancer begins to follow the store. With the life of a sighting it stays
 /// below the 3 s within which a configuration has to be in force, but for the last ones to begin.
 const LONGEST_HESITATION: Duration = Duration::from_millis(600);
@@ -50,7 +66,7 @@
 pub struct DutyState {
     /// Whether the store answers this balancer.
     pub is_answering: bool,
-    /// Whether this balancer knows all that it needs.
+    /// Whether this balancer knows all that it needs, or all that there is.
     pub is_complete: bool,
     /// Whether balancers of more than one availability zone are known.
     pub has_zones: bool,
@@ -58,13 +74,23 @@
     pub draw: f64,
 }
 
-/// When the store last answered another balancer.
+/// What is known of another balancer that follows the store.
 #[derive(Debug, Clone)]
 struct Sighting {
-    answered_at: Instant,
+    /// When the store last answered it, or when it was trying.
+    seen_at: Instant,
+    is_answered: bool,
     zone: ZoneName,
 }
 
+impl Sighting {
+    fn is_alive(&self, now: Instant) -> bool {
+        let life = if self.is_answered { SIGHTING_LIFE } else { TRYING_LIFE };
+
+        now.saturating_duration_since(self.seen_at) <= life
+    }
+}
+
 /// `WatchDuty` decides whether this balancer follows the store.
 #[derive(Debug)]
 pub struct WatchDuty {
@@ -77,6 +103,10 @@
     told: Option<Instant>,
     /// When to begin, while there are too few.
     begin_at: Option<Instant>,
+    /// Until when to try, while the store does not answer.
+    try_until: Option<Instant>,
+    /// Until when not to try.
+    rest_until: Option<Instant>,
 }
 
 impl WatchDuty {
@@ -98,6 +128,8 @@
             sightings: BTreeMap::new(),
             told: None,
             begin_at: Some(now + START_HESITATION + spread.mul_f64(draw)),
+            try_until: None,
+            rest_until: None,
         }
     }
 
@@ -127,26 +159,22 @@
     }
 
     /// `on_sighting` takes in that a balancer follows the store; true if others should hear it now.
-    pub fn on_sighting(&mut self, sighting: &WatcherSighting, now: Instant) -> bool {
-        let age = Duration::from_millis(sighting.age_ms.into());
-        let Some(answered_at) = now.checked_sub(age) else { return false };
-        if sighting.peer == self.own || age > SIGHTING_LIFE {
+    pub fn on_sighting(&mut self, told: &WatcherSighting, now: Instant) -> bool {
+        let Some(seen_at) = time_of_age(told.age_ms, now) else { return false };
+        let sighting = Sighting { seen_at, is_answered: told.is_answered, zone: told.zone.clone() };
+        if told.peer == self.own || !sighting.is_alive(now) {
             return false;
         }
 
-        let zone = sighting.zone.clone();
-        match self.sightings.get_mut(&sighting.peer) {
-            Some(known) if answered_at <= known.answered_at => false,
-            Some(known) => {
-                let step = answered_at - known.answered_at;
-                known.answered_at = answered_at;
-                step >= TELLING_STEP
-            }
-            None => {
-                self.sightings.insert(sighting.peer, Sighting { answered_at, zone });
-                true
-            }
+        let known = self.sightings.get(&told.peer);
+        if known.is_some_and(|known| seen_at <= known.seen_at) {
+            return false;
         }
+        let is_news = known.is_none_or(|known| {
+            seen_at - known.seen_at >= TELLING_STEP || known.is_answered != told.is_answered
+        });
+        self.sightings.insert(told.peer, sighting);
+        is_news
     }
 
     /// `on_answer` takes in that the store has answered this balancer; true if others should hear it
@@ -161,18 +189,21 @@
     }
 
     /// `sightings` gives those that follow the store, for heartbeats. `answered_at` is when the store
-    /// last answered this balancer.
+    /// last answered this balancer; none while it does not.
     #[must_use]
     pub fn sightings(&self, answered_at: Option<Instant>, now: Instant) -> Vec<WatcherSighting> {
-        let own = answered_at.filter(|_| self.on_duty).map(|at| WatcherSighting {
+        let own = WatcherSighting {
             peer: self.own,
             zone: self.zone.clone(),
-            age_ms: millis_since(at, now),
-        });
+            age_ms: answered_at.map_or(0, |at| millis_since(at, now)),
+            is_answered: answered_at.is_some(),
+        };
+        let own = self.on_duty.then_some(own);
         let others = self.sightings.iter().map(|(peer, sighting)| WatcherSighting {
             peer: *peer,
             zone: sighting.zone.clone(),
-            age_ms: millis_since(sighting.answered_at, now),
+            age_ms: millis_since(sighting.seen_at, now),
+            is_answered: sighting.is_answered,
         });
 
         own.into_iter().chain(others).take(MAX_TOLD).collect()
@@ -180,18 +211,42 @@
 
     /// `step` decides anew.
     pub fn step(&mut self, state: DutyState, now: Instant) {
-        let is_alive = |sighting: &Sighting| {
-            now.saturating_duration_since(sighting.answered_at) <= SIGHTING_LIFE
-        };
-        self.sightings.retain(|_, sighting| is_alive(sighting));
+        self.sightings.retain(|_, sighting| sighting.is_alive(now));
+        if state.is_answering {
+            self.try_until = None;
+        }
 
         if state.is_complete && self.has_enough(state) {
             self.begin_at = None;
             // One whom the store does not answer makes room whatever its address.
             self.on_duty &= state.is_answering && self.is_chosen(state);
+        } else if self.on_duty {
+            self.try_on(state, now);
+        } else {
+            self.consider(state, now);
+        }
+    }
+
+    /// Goes on, or lets others try.
+    fn try_on(&mut self, state: DutyState, now: Instant) {
+        if state.is_answering {
             return;
         }
-        if self.on_duty {
+
+        let try_until = *self.try_until.get_or_insert(now + TRY_FOR);
+        if try_until <= now {
+            self.on_duty = false;
+            self.try_until = None;
+            self.rest_until = Some(now + REST_FOR);
+        }
+    }
+
+    /// Begins, unless enough others are at it.
+    fn consider(&mut self, state: DutyState, now: Instant) {
+        let wanted = if state.is_complete { WANTED_WATCHERS } else { WANTED_BEGINNERS };
+        let trying = self.sightings.values().filter(|sighting| !sighting.is_answered).count();
+        if trying >= wanted || self.rest_until.is_some_and(|until| until > now) {
+            self.begin_at = None;
             return;
         }
 
@@ -203,21 +258,28 @@
         }
     }
 
-    /// Whether the others are enough: two, and not both in one zone where there are more.
+    /// Whether the store answers enough others: two, and not both in one zone where there are more.
     fn has_enough(&self, state: DutyState) -> bool {
-        let mut zones: Vec<&ZoneName> =
-            self.sightings.values().map(|sighting| &sighting.zone).collect();
+        let answered = self.answered();
+        let mut zones: Vec<&ZoneName> = answered.iter().map(|(_, zone)| *zone).collect();
         zones.sort_unstable();
         zones.dedup();
 
         let wanted_zones = if state.has_zones { WANTED_WATCHERS } else { 1 };
-        self.sightings.len() >= WANTED_WATCHERS && zones.len() >= wanted_zones
+        answered.len() >= WANTED_WATCHERS && zones.len() >= wanted_zones
+    }
+
+    /// The others whom the store answers, by address.
+    fn answered(&self) -> Vec<(SocketAddrV4, &ZoneName)> {
+        let answered = self.sightings.iter().filter(|(_, sighting)| sighting.is_answered);
+
+        answered.map(|(peer, sighting)| (*peer, &sighting.zone)).collect()
     }
 
     /// Whether this balancer is one of those that stay.
     fn is_chosen(&self, state: DutyState) -> bool {
-        let others = self.sightings.iter().map(|(peer, sighting)| (*peer, &sighting.zone));
-        let mut all: Vec<_> = others.chain([(self.own, &self.zone)]).collect();
+        let mut all = self.answered();
+        all.push((self.own, &self.zone));
         all.sort_unstable();
 
         let Some((first, first_zone)) = all.first().copied() else { return true };
@@ -227,6 +289,15 @@
     }
 }
 
+/// Added to what a message says of ages, for its way. With less than the real time a piece of news
+/// that is passed on at once would stay young for ever.
+const HOP_AGE: Duration = Duration::from_millis(10);
+
+/// The time of something that another balancer gave an age for.
+pub(super) fn time_of_age(age_ms: u32, now: Instant) -> Option<Instant> {
+    now.checked_sub(Duration::from_millis(age_ms.into()) + HOP_AGE)
+}
+
 pub(super) fn millis_since(time: Instant, now: Instant) -> u32 {
     let age = now.saturating_duration_since(time).as_millis();
 
--- a/crates/valvestage-policy/tests/steering/keepers.rs
+++ b/crates/valvestage-policy/tests/steering/keepers.rs
@@ -153,6 +153,25 @@
     assert!(all_know_gone(&deployment, 3), "the third one has not returned");
 }
 
+#[test]
+fn an_entry_that_lapses_just_after_the_return_of_the_store_may_return() {
+    let mut deployment = settled(8);
+    deployment.store_down = true;
+    deployment.run(millis(4_000));
+    deployment.store_down = false;
+    deployment.run(millis(1_500));
+
+    deployment.store.delete_backend(1);
+    deployment.run(millis(700));
+    deployment.store.put_backend(backend(1, "core", HOME));
+    for _ in 0..3_000 {
+        deployment.run(millis(1));
+        for node in deployment.nodes.iter().flatten() {
+            assert!(!node.knowledge().directory.get(1).unwrap().is_gone());
+        }
+    }
+}
+
 #[test]
 fn history_that_the_store_forgets_is_read_anew() {
     let mut deployment = settled(8);
@@ -232,3 +251,41 @@
     deployment.run_until(|now| now.node(7).is_ready());
     assert_eq!(deployment.store.calls, before);
 }
+
+#[test]
+fn an_outage_of_the_store_does_not_make_all_of_them_call_it() {
+    let mut deployment = settled(90);
+    deployment.store_down = true;
+
+    let before = deployment.store.calls;
+    deployment.run(millis(10_000));
+    let calls = deployment.store.calls - before;
+    assert!(calls <= 250, "{calls} calls in 10 s");
+
+    deployment.store_down = false;
+    deployment.store.put_routes(routes(8, &[(443, "core")]));
+    let took = deployment.run_until(|now| all_have_version(now, 8));
+    assert!(took <= millis(2_500), "{took:?}");
+}
+
+#[test]
+fn a_store_that_answers_only_some_of_them_is_enough() {
+    let mut deployment = settled(30);
+    deployment.cut_from_store = (0..25).collect();
+
+    deployment.store.put_routes(routes(8, &[(443, "core")]));
+    let took = deployment.run_until(|now| all_have_version(now, 8));
+    assert!(took <= millis(12_000), "{took:?}");
+}
+
+#[test]
+fn balancers_without_any_configuration_yet_do_not_all_call_the_store() {
+    let mut deployment = Deployment::new(90);
+    deployment.run(millis(4_000));
+
+    let calls = deployment.store.calls;
+    assert!(calls <= 150, "{calls} calls in 4 s");
+    deployment.store.put_routes(routes(3, &[(443, "core")]));
+    let took = deployment.run_until(|now| all_have_version(now, 3));
+    assert!(took <= millis(1_000), "{took:?}");
+}
--- a/crates/valvestage-policy/tests/steering/watch_duty.rs
+++ b/crates/valvestage-policy/tests/steering/watch_duty.rs
@@ -8,7 +8,12 @@
 use crate::fixtures::{AWAY, HOME, address, millis, start};
 
 fn sighting(last: u8, age_ms: u32) -> WatcherSighting {
-    WatcherSighting { peer: address(last, 7_000), zone: zone_of(last).to_owned(), age_ms }
+    WatcherSighting {
+        peer: address(last, 7_000),
+        zone: zone_of(last).to_owned(),
+        age_ms,
+        is_answered: true,
+    }
 }
 
 /// Odd addresses are in one zone, even ones in the other.
@@ -216,3 +221,26 @@
     assert!(begins(false, 0.99) <= millis(60), "traffic is waiting");
     assert!(begins(true, 0.9) > begins(true, 0.1) + millis(500));
 }
+
+#[test]
+fn a_few_try_at_a_time_while_the_store_answers_nobody() {
+    let now = start();
+    let trying = |last: u8| WatcherSighting { is_answered: false, ..sighting(last, 0) };
+    let mut duty = starting(9, 0.0, now);
+    duty.on_sighting(&trying(1), now);
+    duty.on_sighting(&trying(2), now);
+    duty.step(state(false, 0.0), now + millis(100));
+    assert!(!duty.is_on_duty());
+
+    // They have let go.
+    let later = now + millis(2_000);
+    duty.step(state(false, 0.0), later);
+    assert!(duty.is_on_duty());
+    duty.step(state(false, 0.0), later + millis(10));
+    duty.step(state(false, 0.0), later + millis(1_700));
+    assert!(!duty.is_on_duty(), "it lets others try");
+    duty.step(state(false, 0.0), later + millis(1_800));
+    assert!(!duty.is_on_duty());
+    duty.step(state(false, 0.0), later + millis(4_000));
+    assert!(duty.is_on_duty(), "nobody else does");
+}
