--- a/crates/valvestage-entry/src/control_thread.rs
+++ b/crates/valvestage-entry/src/control_thread.rs
@@ -12,9 +12,10 @@
 use valvestage_core::settings::EntrySettings;
 use valvestage_platform::{StoreClient, StoreOptions};
 
-use crate::store_tasks::StoreOrder;
+use crate::entry_metrics::EntryMetrics;
+use crate::store_tasks::{StoreLinks, StoreOrder};
 use crate::updates::{ControlUpdate, UpdateSender};
-use crate::{ready_server, settings_task, store_tasks};
+use crate::{metrics_server, ready_server, settings_task, store_tasks};
 
 /// Longest wait for an answer of the store, which takes 4 ms on a calm day and is at times some 60
 /// times slower.
@@ -35,6 +36,10 @@
     pub settings: EntrySettings,
     /// Where readiness is asked for.
     pub ready_listener: TcpListener,
+    /// Where metrics are asked for.
+    pub metrics_listener: TcpListener,
+    /// What is counted.
+    pub metrics: Arc<EntryMetrics>,
     /// Whether this VM takes packets.
     pub ready: Arc<AtomicBool>,
     /// Calls to the store that the data thread asks for.
@@ -62,12 +67,17 @@
             client.clone(),
             self.updates.clone(),
         ));
-        actix_rt::spawn(store_tasks::run(client, self.orders, self.updates.clone()));
+        let links =
+            StoreLinks { client, updates: self.updates.clone(), metrics: self.metrics.clone() };
+        actix_rt::spawn(store_tasks::run(links, self.orders));
         let ready = self.ready.clone();
+        let listener = self.ready_listener;
         actix_rt::spawn(async move {
-            if let Err(error) = ready_server::run(self.ready_listener, ready).await {
-                log::error!("readiness cannot be served: {error}");
-            }
+            log_end("readiness", ready_server::run(listener, ready).await);
+        });
+        let listener = self.metrics_listener;
+        actix_rt::spawn(async move {
+            log_end("metrics", metrics_server::run(listener, self.metrics).await);
         });
 
         terminate.recv().await;
@@ -80,3 +90,9 @@
         Ok(())
     }
 }
+
+fn log_end(what: &str, result: io::Result<()>) {
+    if let Err(error) = result {
+        log::error!("{what} cannot be served any more: {error}");
+    }
+}
--- a/crates/valvestage-entry/src/data_thread.rs
+++ b/crates/valvestage-entry/src/data_thread.rs
@@ -4,7 +4,7 @@
 use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crossbeam_channel::Receiver;
 use mio::net::UdpSocket;
@@ -16,6 +16,7 @@
 };
 
 use crate::decision_lines::DecisionLog;
+use crate::entry_metrics::EntryMetrics;
 use crate::peer_codec;
 use crate::store_tasks::StoreOrder;
 use crate::updates::ControlUpdate;
@@ -32,6 +33,9 @@
 /// Packets kept while nothing is known yet; callers send each again after 200 ms.
 const MAX_EARLY_PACKETS: usize = 256;
 
+/// Time between two readings of the gauges.
+const GAUGE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Datagrams read from one socket before the other one has its turn.
 const BATCH: usize = 64;
 
@@ -49,6 +53,8 @@
     pub orders: mpsc::Sender<StoreOrder>,
     /// Whether this VM takes packets.
     pub ready: Arc<AtomicBool>,
+    /// What is counted.
+    pub metrics: Arc<EntryMetrics>,
 }
 
 /// `DataThread` forwards packets as the policy says.
@@ -61,6 +67,7 @@
     /// Room for the datagram being sent.
     outgoing: Vec<u8>,
     log: DecisionLog,
+    next_gauges: Instant,
 }
 
 impl DataThread {
@@ -77,6 +84,7 @@
             early: Vec::new(),
             outgoing: Vec::with_capacity(packet::PREFIX_BYTES + packet::MAX_PACKET_BYTES),
             log,
+            next_gauges: Instant::now(),
         })
     }
 
@@ -106,9 +114,16 @@
         let now = Instant::now();
 
         for decision in self.policy.take_decisions() {
+            self.links.metrics.on_decision(&decision);
             self.log.write(&decision, now);
         }
-        self.policy.take_answers();
+        for answer in self.policy.take_answers() {
+            self.links.metrics.on_answer(self.policy.knowledge(), answer);
+        }
+        if self.next_gauges <= now {
+            self.next_gauges = now + GAUGE_INTERVAL;
+            self.links.metrics.observe(&self.policy, self.log.left_out(), now);
+        }
     }
 
     fn take_updates(&mut self) {
@@ -181,6 +196,7 @@
 
     fn handle_message(&mut self, sender: SocketAddrV4, datagram: &[u8]) {
         let Some(message) = peer_codec::decode(datagram) else {
+            self.links.metrics.on_unreadable();
             log::debug!("a datagram of {sender} is no message");
             return;
         };
@@ -195,7 +211,7 @@
                 KeeperAction::Tell(peer, message) => {
                     if let Some(datagram) = peer_codec::encode(&message) {
                         let peer = SocketAddr::V4(peer);
-                        log_unsent(self.links.peer_socket.send_to(&datagram, peer), peer);
+                        self.note_sent(self.links.peer_socket.send_to(&datagram, peer), peer);
                     }
                 }
                 KeeperAction::Call(kind, call) => {
@@ -210,6 +226,7 @@
 
     fn handle_packet(&mut self, datagram: &[u8]) {
         let Some(packet) = packet::decode(datagram) else {
+            self.links.metrics.on_unreadable();
             return;
         };
 
@@ -217,7 +234,8 @@
             PacketVerdict::Forward { instance, address, token } => {
                 packet::encode_forward(datagram, instance, token, &mut self.outgoing);
                 let address = SocketAddr::V4(address);
-                log_unsent(self.links.data_socket.send_to(&self.outgoing, address), address);
+                let sent = self.links.data_socket.send_to(&self.outgoing, address);
+                self.note_sent(sent, address);
             }
             PacketVerdict::Reset(_) => self.send_reset(&packet),
             PacketVerdict::Drop(DropReason::NotReady) => self.keep_early(datagram),
@@ -237,7 +255,15 @@
         let caller = SocketAddr::new((*packet.flow.caller.ip()).into(), port);
 
         let reset = packet::encode_reset(packet);
-        log_unsent(self.links.data_socket.send_to(&reset, caller), caller);
+        self.note_sent(self.links.data_socket.send_to(&reset, caller), caller);
+    }
+
+    /// A datagram that cannot be sent is like one that is lost: its sender sends it again.
+    fn note_sent(&self, sent: io::Result<usize>, peer: SocketAddr) {
+        if let Err(error) = sent {
+            self.links.metrics.on_unsent();
+            log::debug!("send datagram to {peer}: {error}");
+        }
     }
 }
 
@@ -246,10 +272,3 @@
         log::warn!("receive {what}: {error}");
     }
 }
-
-/// A datagram that cannot be sent is like one that is lost: its sender sends it again.
-fn log_unsent(sent: io::Result<usize>, peer: SocketAddr) {
-    if let Err(error) = sent {
-        log::debug!("send datagram to {peer}: {error}");
-    }
-}
--- a/crates/valvestage-entry/src/decision_lines.rs
+++ b/crates/valvestage-entry/src/decision_lines.rs
@@ -26,6 +26,12 @@
         Self { ring, budget: LogBudget::default() }
     }
 
+    /// `left_out` gives the number of lines that the ring had no room for and no line has told of.
+    #[must_use]
+    pub fn left_out(&self) -> u64 {
+        self.ring.as_ref().map_or(0, LogRing::left_out)
+    }
+
     /// `write` writes the line of a decision if the budget allows it.
     pub fn write(&mut self, decision: &Decision, now: Instant) {
         let Some(ring) = &self.ring else { return };
--- /dev/null
+++ b/crates/valvestage-entry/src/entry_metrics.rs
@@ -0,0 +1,258 @@
+//! Counters, gauges and histograms of one entry VM.
+//!
+//! Label values are bounded: reasons and events are fixed names, and of services and availability zones
+//! only so many are told apart.
+
+use std::collections::BTreeSet;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::time::{Duration, Instant};
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+use valvestage_policy::steering::{
+    AnswerTime, BackendPhase, Decision, EntryPolicy, Knowledge, StoreKind,
+};
+
+use crate::decision_lines::event_name;
+
+/// Prefix of all names.
+const PREFIX: &str = "valvestage_entry";
+
+/// Services, and availability zones, that are told apart; the rest is `other`.
+const MAX_NAMES: usize = 64;
+
+/// Upper bounds of the answer times, seconds: around the aims of the deployments, 0.1 to 2 s, and the
+/// callers' waits of 0.2, 0.6 and 1.4 s.
+const ANSWER_BOUNDS: [f64; 12] =
+    [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 1.4, 3.0];
+
+/// `EventLabel` names an event of the log.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct EventLabel {
+    /// Its name.
+    pub event: &'static str,
+}
+
+/// `ReasonLabel` names a reason.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ReasonLabel {
+    /// Its name.
+    pub reason: &'static str,
+}
+
+/// `PlaceLabel` names a service and an availability zone.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct PlaceLabel {
+    /// The service.
+    pub service: String,
+    /// The availability zone of the backend server.
+    pub zone: String,
+}
+
+/// `CallLabel` names a call to the store and how it ended.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct CallLabel {
+    /// Kind of objects.
+    pub kind: &'static str,
+    /// `answered` or `failed`.
+    pub outcome: &'static str,
+}
+
+/// `EntryMetrics` is shared by all threads.
+pub struct EntryMetrics {
+    registry: Registry,
+    events: Family<EventLabel, Counter>,
+    resets: Family<ReasonLabel, Counter>,
+    drops: Family<ReasonLabel, Counter>,
+    placements: Family<PlaceLabel, Counter>,
+    handshakes: Family<PlaceLabel, Histogram>,
+    answers: Family<PlaceLabel, Histogram>,
+    store_calls: Family<CallLabel, Counter>,
+    unreadable: Counter,
+    unsent: Counter,
+    log_lines_left_out: Gauge<u64, AtomicU64>,
+    flows: Gauge<u64, AtomicU64>,
+    peers: Gauge<u64, AtomicU64>,
+    follows_store: Gauge<u64, AtomicU64>,
+    version: Gauge<u64, AtomicU64>,
+    knowledge_age_ms: Gauge<u64, AtomicU64>,
+    backends: Gauge<u64, AtomicU64>,
+    suspects: Gauge<u64, AtomicU64>,
+    names: Mutex<BTreeSet<String>>,
+}
+
+impl Default for EntryMetrics {
+    fn default() -> Self {
+        let histogram = || Histogram::new(ANSWER_BOUNDS);
+        let mut metrics = Self {
+            registry: Registry::with_prefix(PREFIX),
+            events: Family::default(),
+            resets: Family::default(),
+            drops: Family::default(),
+            placements: Family::default(),
+            handshakes: Family::new_with_constructor(histogram),
+            answers: Family::new_with_constructor(histogram),
+            store_calls: Family::default(),
+            unreadable: Counter::default(),
+            unsent: Counter::default(),
+            log_lines_left_out: Gauge::default(),
+            flows: Gauge::default(),
+            peers: Gauge::default(),
+            follows_store: Gauge::default(),
+            version: Gauge::default(),
+            knowledge_age_ms: Gauge::default(),
+            backends: Gauge::default(),
+            suspects: Gauge::default(),
+            names: Mutex::default(),
+        };
+
+        metrics.register();
+        metrics
+    }
+}
+
+impl EntryMetrics {
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+
+        registry.register("events", "Decisions by event of the log", self.events.clone());
+        registry.register("resets", "Flows ended, by reason", self.resets.clone());
+        registry.register("drops", "Packets dropped, by reason", self.drops.clone());
+        registry.register("placements", "New flows placed", self.placements.clone());
+        registry.register(
+            "handshake_seconds",
+            "From an opening packet to the caller's next one",
+            self.handshakes.clone(),
+        );
+        registry.register(
+            "answer_seconds",
+            "From a request to the acknowledgement of its first answer",
+            self.answers.clone(),
+        );
+        registry.register("store_calls", "Calls to the store", self.store_calls.clone());
+        registry.register("unreadable_packets", "Datagrams not read", self.unreadable.clone());
+        registry.register("unsent_packets", "Datagrams not sent", self.unsent.clone());
+        registry.register(
+            "log_lines_left_out",
+            "Log lines left out since the last that told so",
+            self.log_lines_left_out.clone(),
+        );
+        registry.register("flows", "Flows remembered", self.flows.clone());
+        registry.register("peers", "Other balancers heard of", self.peers.clone());
+        registry.register("follows_store", "1 if it follows the store", self.follows_store.clone());
+        registry.register("configuration_version", "Version in force", self.version.clone());
+        registry.register(
+            "knowledge_age_milliseconds",
+            "Since the store confirmed what is known, here or at a peer",
+            self.knowledge_age_ms.clone(),
+        );
+        registry.register("backends", "Backend servers that take flows", self.backends.clone());
+        registry.register("suspects", "Backend servers that seem dead", self.suspects.clone());
+    }
+
+    /// `text` gives all of them in the exposition format.
+    #[must_use]
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+
+        match encode(&mut text, &self.registry) {
+            Ok(()) => text,
+            Err(error) => format!("# the metrics cannot be written: {error}\n"),
+        }
+    }
+
+    /// `on_decision` counts a decision.
+    pub fn on_decision(&self, decision: &Decision) {
+        let event = event_name(decision);
+        self.events.get_or_create(&EventLabel { event }).inc();
+
+        match decision {
+            Decision::Placed(placement) => {
+                let label = self.place(&placement.service, &placement.zone);
+                self.placements.get_or_create(&label).inc();
+            }
+            Decision::Reset { reason, .. } => {
+                self.resets.get_or_create(&ReasonLabel { reason: reason.name() }).inc();
+            }
+            Decision::Dropped { reason, .. } => {
+                self.drops.get_or_create(&ReasonLabel { reason: reason.name() }).inc();
+            }
+            _ => {}
+        }
+    }
+
+    /// `on_answer` takes in how long a backend server took.
+    pub fn on_answer(&self, knowledge: &Knowledge, answer: AnswerTime) {
+        let Some(entry) = knowledge.directory.get(answer.instance) else { return };
+
+        let label = self.place(&entry.service, &entry.zone);
+        let family = if answer.opening { &self.handshakes } else { &self.answers };
+        family.get_or_create(&label).observe(answer.time.as_secs_f64());
+    }
+
+    /// `on_store_call` counts a call to the store.
+    pub fn on_store_call(&self, kind: StoreKind, is_answered: bool) {
+        let kind = match kind {
+            StoreKind::Configuration => "configuration",
+            StoreKind::Backends => "backends",
+        };
+        let outcome = if is_answered { "answered" } else { "failed" };
+
+        self.store_calls.get_or_create(&CallLabel { kind, outcome }).inc();
+    }
+
+    /// `on_unreadable` counts a datagram that is no packet or message.
+    pub fn on_unreadable(&self) {
+        self.unreadable.inc();
+    }
+
+    /// `on_unsent` counts a datagram that the operating system did not take.
+    pub fn on_unsent(&self) {
+        self.unsent.inc();
+    }
+
+    /// `observe` sets the gauges.
+    pub fn observe(&self, policy: &EntryPolicy, lines_left_out: u64, now: Instant) {
+        let knowledge = policy.knowledge();
+        let age = knowledge.confirmed_at().map(|at| now.saturating_duration_since(at));
+        let takes_new = |phase: BackendPhase| phase == BackendPhase::Ready;
+        let ready = knowledge.directory.iter().filter(|entry| takes_new(entry.phase)).count();
+
+        set(&self.flows, policy.steering().flow_count());
+        set(&self.peers, policy.keeper().peer_count());
+        set(&self.follows_store, usize::from(policy.keeper().is_watching()));
+        set(&self.backends, ready);
+        set(&self.suspects, policy.steering().suspects(now).len());
+        self.version.set(knowledge.routes.version);
+        self.knowledge_age_ms.set(age.map_or(u64::MAX, millis));
+        self.log_lines_left_out.set(lines_left_out);
+    }
+
+    fn place(&self, service: &str, zone: &str) -> PlaceLabel {
+        PlaceLabel { service: self.bounded(service), zone: self.bounded(zone) }
+    }
+
+    fn bounded(&self, name: &str) -> String {
+        let mut names = self.names.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+
+        if names.contains(name) || names.len() < 2 * MAX_NAMES && names.insert(name.to_owned()) {
+            name.to_owned()
+        } else {
+            "other".to_owned()
+        }
+    }
+}
+
+fn set(gauge: &Gauge<u64, AtomicU64>, value: usize) {
+    gauge.set(u64::try_from(value).unwrap_or(u64::MAX));
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/valvestage-entry/src/lib.rs
+++ b/crates/valvestage-entry/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`http_server`] | HTTP on the control thread |
 //! | [`ready_server`] | the routers' question whether this VM takes packets |
 //! | [`decision_lines`], [`log_budget`] | decisions as log lines, so many a second |
+//! | [`entry_metrics`], [`metrics_server`] | counters and histograms |
 //! | [`settings_task`] | settings that change while the process runs |
 //! | [`updates`] | what the control thread and the data thread tell each other |
 //! | [`errors`] | the error type of this crate |
@@ -20,9 +21,11 @@
 pub mod control_thread;
 pub mod data_thread;
 pub mod decision_lines;
+pub mod entry_metrics;
 pub mod errors;
 pub mod http_server;
 pub mod log_budget;
+pub mod metrics_server;
 pub mod peer_codec;
 pub mod process;
 pub mod ready_server;
--- /dev/null
+++ b/crates/valvestage-entry/src/metrics_server.rs
@@ -0,0 +1,22 @@
+//! Metrics over HTTP.
+
+use std::io;
+use std::net::TcpListener;
+use std::sync::Arc;
+
+use actix_http::StatusCode;
+
+use crate::entry_metrics::EntryMetrics;
+use crate::http_server::{HttpAnswer, serve};
+
+/// Where they are asked for.
+const PATH: &str = "/metrics";
+
+/// `run` answers on a listener.
+pub async fn run(listener: TcpListener, metrics: Arc<EntryMetrics>) -> io::Result<()> {
+    serve(listener, move |path| match path {
+        PATH => HttpAnswer { status: StatusCode::OK, text: metrics.text() },
+        _ => HttpAnswer { status: StatusCode::NOT_FOUND, text: String::new() },
+    })
+    .await
+}
--- a/crates/valvestage-entry/src/process.rs
+++ b/crates/valvestage-entry/src/process.rs
@@ -17,6 +17,7 @@
 use crate::control_thread::ControlThread;
 use crate::data_thread::{DataLinks, DataThread, UPDATES};
 use crate::decision_lines::DecisionLog;
+use crate::entry_metrics::EntryMetrics;
 use crate::errors::EntryError;
 use crate::updates;
 
@@ -41,6 +42,7 @@
         let (sender, updates) = updates::ring(Arc::new(waker));
         let (order_sender, orders) = mpsc::channel(ORDERS);
         let ready = Arc::new(AtomicBool::new(false));
+        let metrics = Arc::new(EntryMetrics::default());
 
         let data_socket = bind_udp("bind data socket", settings.data_address)?;
         let peer_socket = bind_udp("bind peer socket", settings.peer_address)?;
@@ -51,18 +53,18 @@
             updates,
             orders: order_sender,
             ready: ready.clone(),
+            metrics: metrics.clone(),
         };
         let policy = EntryPolicy::new(options(&settings), Instant::now());
         let data = DataThread::new(links, policy, log).map_err(setup("register sockets"))?;
 
-        let address = settings.ready_address;
-        let listener = TcpListener::bind(address);
-        let ready_listener = listener.map_err(on_address("listen for readiness", address))?;
         let control = ControlThread {
+            ready_listener: listen("listen for readiness", settings.ready_address)?,
+            metrics_listener: listen("listen for metrics", settings.control_address)?,
             settings_file,
             settings,
-            ready_listener,
             ready,
+            metrics,
             orders,
             updates: sender,
         };
@@ -99,6 +101,10 @@
     UdpSocket::bind(SocketAddr::V4(address)).map_err(on_address(step, address))
 }
 
+fn listen(step: &'static str, address: SocketAddrV4) -> Result<TcpListener, EntryError> {
+    TcpListener::bind(address).map_err(on_address(step, address))
+}
+
 fn setup(step: &'static str) -> impl Fn(std::io::Error) -> EntryError {
     move |cause| EntryError::Setup { step, cause }
 }
--- a/crates/valvestage-entry/src/store_tasks.rs
+++ b/crates/valvestage-entry/src/store_tasks.rs
@@ -1,37 +1,57 @@
 //! Calls to the store that the policy asks for.
 
+use std::sync::Arc;
 use std::time::Instant;
 
 use tokio::sync::mpsc::Receiver;
 use valvestage_platform::catalogue::{BACKEND_KIND, CONFIGURATION_KIND, read_backend, read_routes};
 use valvestage_platform::messages::WireEvent;
 use valvestage_platform::{PlatformError, StoreClient};
-use valvestage_policy::steering::{StoreCall, StoreKind, StoreReply};
+use valvestage_policy::steering::{BackendNews, RouteMap, StoreCall, StoreKind, StoreReply};
 
+use crate::entry_metrics::EntryMetrics;
 use crate::updates::{ControlUpdate, UpdateSender};
 
 /// `StoreOrder` is one call that the policy asks for.
 pub type StoreOrder = (StoreKind, StoreCall);
 
+/// `StoreLinks` is what a call needs.
+#[derive(Clone)]
+pub struct StoreLinks {
+    /// Calls the store.
+    pub client: StoreClient,
+    /// Replies for the data thread.
+    pub updates: UpdateSender,
+    /// What is counted.
+    pub metrics: Arc<EntryMetrics>,
+}
+
 /// `run` carries out orders, one for each kind at a time, until the data thread ends.
-pub async fn run(client: StoreClient, mut orders: Receiver<StoreOrder>, updates: UpdateSender) {
+pub async fn run(links: StoreLinks, mut orders: Receiver<StoreOrder>) {
     while let Some((kind, call)) = orders.recv().await {
-        let (client, updates) = (client.clone(), updates.clone());
-
-        actix_rt::spawn(async move {
-            let update = match kind {
-                StoreKind::Configuration => ControlUpdate::Routes(
-                    carry_out(&client, CONFIGURATION_KIND, call, read_configuration).await,
-                ),
-                StoreKind::Backends => ControlUpdate::Backends(
-                    carry_out(&client, BACKEND_KIND, call, read_backend_event).await,
-                ),
-            };
-            updates.send(update);
-        });
+        actix_rt::spawn(answer(links.clone(), kind, call));
     }
 }
 
+async fn answer(links: StoreLinks, kind: StoreKind, call: StoreCall) {
+    let client = &links.client;
+
+    let (update, is_answered) = match kind {
+        StoreKind::Configuration => {
+            let reply = carry_out(client, CONFIGURATION_KIND, call, read_configuration).await;
+            let is_answered = reply != StoreReply::Failed;
+            (ControlUpdate::Routes(reply), is_answered)
+        }
+        StoreKind::Backends => {
+            let reply = carry_out(client, BACKEND_KIND, call, read_backend_event).await;
+            let is_answered = reply != StoreReply::Failed;
+            (ControlUpdate::Backends(reply), is_answered)
+        }
+    };
+    links.metrics.on_store_call(kind, is_answered);
+    links.updates.send(update);
+}
+
 async fn carry_out<T>(
     client: &StoreClient,
     kind: &'static str,
@@ -50,11 +70,11 @@
 }
 
 /// A configuration stays in force until another one comes, so its deletion says nothing.
-fn read_configuration(event: &WireEvent) -> Option<valvestage_policy::steering::RouteMap> {
+fn read_configuration(event: &WireEvent) -> Option<RouteMap> {
     if event.deleted { None } else { logged(read_routes(&event.object)) }
 }
 
-fn read_backend_event(event: &WireEvent) -> Option<valvestage_policy::steering::BackendNews> {
+fn read_backend_event(event: &WireEvent) -> Option<BackendNews> {
     logged(read_backend(event, Instant::now()))
 }
 
