--- a/crates/valvestage-policy/tests/steering/fixtures.rs
+++ b/crates/valvestage-policy/tests/steering/fixtures.rs
@@ -3,6 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::{Duration, Instant};
 
+use quickcheck::{Gen, QuickCheck};
 use valvestage_policy::steering::{
     BackendEntry, BackendPhase, CallerPacket, FlowAddresses, Knowledge, RouteMap, RouteTarget,
 };
@@ -96,3 +97,8 @@
 pub fn start() -> Instant {
     Instant::now()
 }
+
+/// The same draws on every run.
+pub fn seeded() -> QuickCheck {
+    QuickCheck::new().tests(500).rng(Gen::from_size_and_seed(100, 42))
+}
