Test the real program among stand-ins; flush the log at the end

Found by the tests: the metrics page could not be written before the store had confirmed anything (a gauge of u64::MAX has no text form); the last log lines were lost at a planned stop.

--- a/crates/valvestage-entry/src/entry_metrics.rs
+++ b/crates/valvestage-entry/src/entry_metrics.rs
@@ -27,6 +27,10 @@
 /// Services, and availability zones, that are told apart; the rest is `other`.
 const MAX_NAMES: usize = 64;
 
+/// Age of what was never confirmed, milliseconds: some 49 days. The exposition format has no room for
+/// the largest numbers.
+const NEVER_MS: u64 = u32::MAX as u64;
+
 /// Upper bounds of the answer times, seconds: around the aims of the deployments, 0.1 to 2 s, and the
 /// callers' waits of 0.2, 0.6 and 1.4 s.
 const ANSWER_BOUNDS: [f64; 12] =
@@ -230,7 +234,7 @@
         set(&self.backends, ready);
         set(&self.suspects, policy.steering().suspects(now).len());
         self.version.set(knowledge.routes.version);
-        self.knowledge_age_ms.set(age.map_or(u64::MAX, millis));
+        self.knowledge_age_ms.set(age.map_or(NEVER_MS, millis));
         self.log_lines_left_out.set(lines_left_out);
     }
 
@@ -254,5 +258,5 @@
 }
 
 fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+    u64::try_from(time.as_millis()).unwrap_or(NEVER_MS).min(NEVER_MS)
 }
--- a/crates/valvestage-entry/src/main.rs
+++ b/crates/valvestage-entry/src/main.rs
@@ -4,6 +4,7 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::time::Duration;
 
 use bpaf::Bpaf;
 use signal_hook::consts::SIGHUP;
@@ -17,6 +18,9 @@
 /// Name in messages.
 const PROGRAM: &str = "valvestage-entry";
 
+/// Longest wait for the last log lines at the end.
+const LAST_LINES: Duration = Duration::from_millis(500);
+
 /// Steers callers' packets to backend servers.
 ///
 /// Exit codes: 0 stopped as planned, 1 failed while running, 2 wrong command line or settings.
@@ -69,5 +73,8 @@
     let _logger = structured_log::start(ring.clone()).map_err(EntryError::Log)?;
 
     log::info!(vm = settings.name.as_str(), zone = settings.zone.as_str(); "starting");
-    EntryProcess::bind(file, settings, DecisionLog::new(Some(ring)))?.run()
+    let log = DecisionLog::new(Some(ring.clone()));
+    let result = EntryProcess::bind(file, settings, log).and_then(EntryProcess::run);
+    ring.flush(LAST_LINES);
+    result
 }
--- /dev/null
+++ b/crates/valvestage-entry/tests/process/main.rs
@@ -0,0 +1,215 @@
+//! The real program among stand-ins.
+
+mod site;
+
+use std::fs;
+use std::process::Command;
+
+use nix::sys::signal::Signal;
+use valvestage_platform::packet::HEAD_BYTES;
+use valvestage_standins::platform::Faults;
+
+use site::{Caller, FakeBackend, Site, token_of, wait_until};
+
+const SYN: u8 = 2;
+const RST: u8 = 4;
+const ACK: u8 = 32;
+
+#[test]
+fn any_balancer_steers_a_flow_by_its_token() {
+    let site = Site::new();
+    site.configure(3, "core");
+    let backends = [site.backend(1, "core"), site.backend(2, "core")];
+    let one = site.balancer("one", &[]);
+    let two = site.balancer("two", &[&one]);
+    one.wait_ready();
+    two.wait_ready();
+
+    let caller = Caller::new(&one);
+    caller.send(&one, SYN, 40_001, 0, 0);
+    wait_until("a backend server gets it", || backends.iter().any(FakeBackend::has_packet));
+    let backend = backends.iter().find(|backend| backend.has_packet()).unwrap();
+    let (instance, packet) = backend.receive();
+    assert_eq!(instance, backend.instance);
+
+    let token = token_of(&packet);
+    assert_ne!(token, 0);
+    for balancer in [&one, &two] {
+        caller.send(balancer, ACK, 40_001, token, 100);
+        let (instance, packet) = backend.receive();
+        assert_eq!((instance, packet.len()), (backend.instance, HEAD_BYTES + 100));
+    }
+}
+
+#[test]
+fn callers_without_a_route_are_refused_at_once() {
+    let site = Site::new();
+    site.configure(3, "core");
+    let balancer = site.balancer("one", &[]);
+    balancer.wait_ready();
+
+    // The route is there, but nobody runs its service.
+    let caller = Caller::new(&balancer);
+    caller.send(&balancer, SYN, 40_001, 0, 0);
+    let reset = caller.receive();
+    assert_eq!((reset[0], reset.len()), (RST, HEAD_BYTES));
+    wait_until("it is counted", || {
+        balancer.metric("valvestage_entry_resets_total{reason=\"no_backend\"}") == Some(1)
+    });
+}
+
+#[test]
+fn a_balancer_that_starts_while_the_store_is_away_serves_from_its_peers_knowledge() {
+    let site = Site::new();
+    site.configure(3, "core");
+    let backend = site.backend(1, "core");
+    let one = site.balancer("one", &[]);
+    one.wait_ready();
+
+    site.standin.misbehave(Faults { down: true, ..Faults::default() });
+    let two = site.balancer("two", &[&one]);
+    two.wait_ready();
+    wait_until("it tells its version", || {
+        two.metric("valvestage_entry_configuration_version") == Some(3)
+    });
+    let caller = Caller::new(&two);
+    caller.send(&two, SYN, 40_001, 0, 0);
+    assert_eq!(backend.receive().0, 1);
+}
+
+#[test]
+fn a_change_reaches_a_balancer_that_does_not_follow_the_store() {
+    let site = Site::new();
+    site.configure(3, "core");
+    let one = site.balancer("one", &[]);
+    one.wait_ready();
+    let two = site.balancer("two", &[&one]);
+    let three = site.balancer("three", &[&one]);
+    two.wait_ready();
+    three.wait_ready();
+
+    site.configure(9, "core");
+    for balancer in [&one, &two, &three] {
+        wait_until("the version is in force", || {
+            balancer.metric("valvestage_entry_configuration_version") == Some(9)
+        });
+    }
+}
+
+#[test]
+fn metrics_can_be_read_before_anything_is_known() {
+    let site = Site::new();
+    site.standin.misbehave(Faults { down: true, ..Faults::default() });
+    let balancer = site.balancer("one", &[]);
+
+    wait_until("it has failed to reach the store", || {
+        let name = "valvestage_entry_store_calls_total{kind=\"backends\",outcome=\"failed\"}";
+        balancer.metric(name).is_some_and(|count| count > 0)
+    });
+    assert!(!balancer.is_ready());
+}
+
+#[test]
+fn sigterm_ends_readiness_first_and_packets_last() {
+    let site = Site::new();
+    site.configure(3, "core");
+    let backend = site.backend(1, "core");
+    let balancer = site.balancer("one", &[]);
+    balancer.wait_ready();
+
+    let caller = Caller::new(&balancer);
+    balancer.signal(Signal::SIGTERM);
+    wait_until("it is not ready", || !balancer.is_ready());
+    caller.send(&balancer, SYN, 40_001, 0, 0);
+    assert_eq!(backend.receive().0, 1);
+    let (status, log) = balancer.wait();
+    assert!(status.success(), "{status}");
+    assert!(log.contains("\"event\":\"placed\""), "{log}");
+    assert!(log.contains("stopped"), "{log}");
+}
+
+#[test]
+fn settings_are_read_again_and_bad_ones_change_nothing() {
+    let site = Site::new();
+    site.configure(3, "core");
+    let balancer = site.balancer("one", &[]);
+    balancer.wait_ready();
+
+    let good = fs::read_to_string(&balancer.file).unwrap();
+    fs::write(&balancer.file, "zone = 3\n").unwrap();
+    balancer.signal(Signal::SIGHUP);
+    wait_until("it goes on", || balancer.is_ready());
+    fs::write(&balancer.file, good.replace("seeds = []", "seeds = [\"127.9.9.9:1\"]")).unwrap();
+    balancer.signal(Signal::SIGHUP);
+    wait_until("it goes on", || balancer.is_ready());
+    balancer.signal(Signal::SIGTERM);
+    let (status, log) = balancer.wait();
+    assert!(status.success(), "{status}");
+    assert!(log.contains("the settings in force stay"), "{log}");
+    assert!(log.contains("reloaded"), "{log}");
+}
+
+#[test]
+fn a_reader_that_stalls_costs_no_packet() {
+    let site = Site::new();
+    site.configure(3, "core");
+    let backend = site.backend(1, "core");
+    // Nobody reads its standard output.
+    let balancer = site.balancer("one", &[]);
+    balancer.wait_ready();
+
+    let caller = Caller::new(&balancer);
+    for port in 1..=3_000 {
+        caller.send(&balancer, SYN, port, 0, 0);
+        assert_eq!(backend.receive().0, 1);
+    }
+    wait_until("all are counted", || {
+        balancer.metric("valvestage_entry_events_total{event=\"placed\"}") == Some(3_000)
+    });
+}
+
+#[test]
+fn datagrams_that_are_no_packets_are_counted_and_ignored() {
+    let site = Site::new();
+    site.configure(3, "core");
+    let balancer = site.balancer("one", &[]);
+    balancer.wait_ready();
+
+    let sender = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    for datagram in [&[][..], &[1], &[255; 35], &[2; 36], &[255; 1_500]] {
+        sender.send_to(datagram, balancer.data_address()).unwrap();
+    }
+    wait_until("they are counted", || {
+        balancer.metric("valvestage_entry_unreadable_packets_total") == Some(5)
+    });
+    assert!(balancer.is_ready());
+}
+
+#[test]
+fn wrong_settings_are_refused_by_name() {
+    let folder = std::env::temp_dir().join(format!("valvestage-entry-bad-{}", std::process::id()));
+    fs::create_dir_all(&folder).unwrap();
+    let site = Site::new();
+    let good = site.settings("one", std::net::Ipv4Addr::LOCALHOST, &[]);
+
+    for (text, expected, code) in [
+        (good.clone(), "the settings are right", 0),
+        (good.replace("zone = \"zone-a\"", "zone = \"\""), "zone", 2),
+        (good.replace("stop_within_s = 6", "stop_within_s = 0"), "stop_within_s", 2),
+        (good.replace("name =", "nam ="), "nam", 2),
+    ] {
+        let file = folder.join("entry.toml");
+        fs::write(&file, text).unwrap();
+        let output = Command::new(env!("CARGO_BIN_EXE_valvestage-entry"))
+            .arg("--settings")
+            .arg(&file)
+            .arg("--check-settings")
+            .output()
+            .unwrap();
+        let said = [output.stdout, output.stderr].concat();
+        let said = String::from_utf8_lossy(&said);
+        assert!(said.contains(expected), "{said}");
+        assert_eq!(output.status.code(), Some(code));
+    }
+    fs::remove_dir_all(&folder).unwrap();
+}
--- /dev/null
+++ b/crates/valvestage-entry/tests/process/site.rs
@@ -0,0 +1,271 @@
+//! A small site: a stand-in store, backend servers as sockets, the real program.
+
+use std::fs;
+use std::io::Read;
+use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, TcpStream, UdpSocket};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use serde_json::json;
+use valvestage_platform::packet::{HEAD_BYTES, PREFIX_BYTES};
+use valvestage_standins::platform::{PlatformStandin, start};
+
+/// An event that has not come by then will not come.
+pub const LONGEST_WAIT: Duration = Duration::from_secs(60);
+
+/// Pause between two looks at something that is awaited.
+const LOOK_AGAIN: Duration = Duration::from_millis(10);
+
+/// Address that callers send to.
+pub const SERVICE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
+
+/// Waits until something holds.
+pub fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
+    let give_up = Instant::now() + LONGEST_WAIT;
+
+    while !holds() {
+        assert!(Instant::now() < give_up, "still waiting: {what}");
+        thread::sleep(LOOK_AGAIN);
+    }
+}
+
+/// A loopback address that no other test has, of this run or of another one at the same time, so that
+/// its ports are free.
+fn fresh_ip() -> Ipv4Addr {
+    static COUNT: AtomicU8 = AtomicU8::new(1);
+    let number = COUNT.fetch_add(1, Ordering::Relaxed);
+    assert!(number < u8::MAX, "the tests have used up their addresses");
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+
+    Ipv4Addr::new(127, high.max(1), low, number)
+}
+
+/// A backend server: what reaches it is read from its socket.
+pub struct FakeBackend {
+    pub instance: u64,
+    socket: UdpSocket,
+}
+
+impl FakeBackend {
+    /// Whether a packet reaches it; a packet for another one may be seen first.
+    pub fn has_packet(&self) -> bool {
+        let mut byte = [0; 1];
+        self.socket.set_nonblocking(true).unwrap();
+        let is_there = self.socket.peek(&mut byte).is_ok();
+
+        self.socket.set_nonblocking(false).unwrap();
+        is_there
+    }
+
+    /// The next packet that reaches it: the incarnation that is meant, and the packet.
+    pub fn receive(&self) -> (u64, Vec<u8>) {
+        let mut datagram = [0; 2_048];
+        let length = self.socket.recv(&mut datagram).expect("a packet reaches the backend server");
+        let instance = u64::from_be_bytes(datagram[..PREFIX_BYTES].try_into().unwrap());
+
+        (instance, datagram[PREFIX_BYTES..length].to_vec())
+    }
+}
+
+/// The site.
+pub struct Site {
+    pub standin: PlatformStandin,
+    store: SocketAddrV4,
+    folder: PathBuf,
+    /// Ports are alike on all VMs.
+    ports: [u16; 4],
+}
+
+impl Site {
+    pub fn new() -> Self {
+        let standin = PlatformStandin::default();
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let served = standin.clone();
+        let store = match listener.local_addr().unwrap() {
+            std::net::SocketAddr::V4(address) => address,
+            std::net::SocketAddr::V6(_) => unreachable!("it is bound to an IPv4 address"),
+        };
+        thread::spawn(move || {
+            actix_rt::System::new().block_on(async move {
+                let (_, server) = start(listener, served).unwrap();
+                server.await.unwrap();
+            });
+        });
+
+        let folder = std::env::temp_dir().join(format!("valvestage-entry-{}", fresh_ip()));
+        fs::create_dir_all(&folder).unwrap();
+        let held: Vec<_> = (0..4).map(|_| UdpSocket::bind("127.0.0.1:0").unwrap()).collect();
+        let ports: Vec<u16> =
+            held.iter().map(|socket| socket.local_addr().unwrap().port()).collect();
+        Self { standin, store, folder, ports: ports.try_into().unwrap() }
+    }
+
+    /// Writes a configuration that sends callers to a service.
+    pub fn configure(&self, version: u64, service: &str) {
+        let routes = json!([{"name": "r", "host": SERVICE.ip().to_string(),
+            "path_prefix": format!("/{}/", SERVICE.port()), "service": service}]);
+        let spec = json!({"version": version, "routes": routes, "services": [],
+            "limits": {"idle_timeout_ms": 15_000}});
+
+        self.standin.put_object("config", "main", spec);
+    }
+
+    /// Starts a backend server of a service and writes its entry.
+    pub fn backend(&self, instance: u64, service: &str) -> FakeBackend {
+        let socket = UdpSocket::bind((fresh_ip(), 0)).unwrap();
+        socket.set_read_timeout(Some(LONGEST_WAIT)).unwrap();
+        let address = socket.local_addr().unwrap().to_string();
+        let spec = json!({"service": service, "address": address, "zone": "zone-a", "version": "v",
+            "slots": 2, "state": "ready", "cold_left_ms": 0, "seq": 1});
+
+        self.standin.put_object("servers", &format!("i-{instance:x}"), spec);
+        FakeBackend { instance, socket }
+    }
+
+    /// Starts a balancer.
+    pub fn balancer(&self, name: &str, seeds: &[&Balancer]) -> Balancer {
+        let ip = fresh_ip();
+        let file = self.folder.join(format!("{name}.toml"));
+        let seeds: Vec<_> = seeds.iter().map(|peer| format!("\"{}:1\"", peer.ip)).collect();
+        let settings = self.settings(name, ip, &seeds);
+        fs::write(&file, settings).unwrap();
+
+        let child = Command::new(env!("CARGO_BIN_EXE_valvestage-entry"))
+            .arg("--settings")
+            .arg(&file)
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap();
+        Balancer { ip, ports: self.ports, file, child }
+    }
+
+    pub fn settings(&self, name: &str, ip: Ipv4Addr, seeds: &[String]) -> String {
+        let [data, ready, control, peer] = self.ports;
+
+        format!(
+            "name = \"{name}\"\nzone = \"zone-a\"\ndata_address = \"{ip}:{data}\"\n\
+             ready_address = \"{ip}:{ready}\"\ncontrol_address = \"{ip}:{control}\"\n\
+             peer_port = {peer}\nseeds = [{}]\nstore_address = \"{}\"\nstop_within_s = 6\n",
+            seeds.join(", "),
+            self.store
+        )
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// A running balancer.
+pub struct Balancer {
+    pub ip: Ipv4Addr,
+    ports: [u16; 4],
+    pub file: PathBuf,
+    child: Child,
+}
+
+impl Balancer {
+    pub fn data_address(&self) -> SocketAddrV4 {
+        SocketAddrV4::new(self.ip, self.ports[0])
+    }
+
+    /// The body of a page, with the status before it; none if nobody answers.
+    fn get(&self, port: u16, path: &str) -> Option<String> {
+        use std::io::Write;
+        let mut stream = TcpStream::connect((self.ip, port)).ok()?;
+        stream.set_read_timeout(Some(LONGEST_WAIT)).ok()?;
+        write!(stream, "GET {path} HTTP/1.1\r\nHost: test\r\nConnection: close\r\n\r\n").ok()?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).ok()?;
+        Some(answer)
+    }
+
+    pub fn is_ready(&self) -> bool {
+        let answer = self.get(self.ports[1], "/-/readiness");
+
+        answer.is_some_and(|answer| answer.starts_with("HTTP/1.1 200"))
+    }
+
+    pub fn wait_ready(&self) {
+        wait_until("the balancer is ready", || self.is_ready());
+    }
+
+    /// The value of a metric; none if it is not there.
+    pub fn metric(&self, name: &str) -> Option<u64> {
+        let text = self.get(self.ports[2], "/metrics")?;
+        let line = text.lines().find(|line| line.starts_with(name))?;
+
+        line.rsplit(' ').next()?.parse().ok()
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        let id = i32::try_from(self.child.id()).unwrap();
+        kill(Pid::from_raw(id), signal).unwrap();
+    }
+
+    /// Waits for the end, and gives what the process has written.
+    pub fn wait(mut self) -> (ExitStatus, String) {
+        let mut text = String::new();
+        self.child.stdout.take().unwrap().read_to_string(&mut text).unwrap();
+
+        (self.child.wait().unwrap(), text)
+    }
+}
+
+impl Drop for Balancer {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A caller: it hears answers on the port that data addresses have.
+pub struct Caller {
+    socket: UdpSocket,
+    address: SocketAddrV4,
+}
+
+impl Caller {
+    pub fn new(balancer: &Balancer) -> Self {
+        let address = SocketAddrV4::new(fresh_ip(), balancer.ports[0]);
+        let socket = UdpSocket::bind(address).unwrap();
+        socket.set_read_timeout(Some(LONGEST_WAIT)).unwrap();
+
+        Self { socket, address }
+    }
+
+    /// Sends a packet of a flow; its data is as long as said.
+    pub fn send(&self, to: &Balancer, flags: u8, port: u16, token: u32, data: usize) {
+        let mut packet = vec![0; HEAD_BYTES + data];
+        packet[0] = flags;
+        packet[6..10].copy_from_slice(&token.to_le_bytes());
+        packet[10..12].copy_from_slice(&u16::try_from(data).unwrap().to_le_bytes());
+        packet[12..16].copy_from_slice(&1_000_u32.to_le_bytes());
+        packet[20..22].copy_from_slice(&port.to_le_bytes());
+        packet[22..26].copy_from_slice(&u32::from(*self.address.ip()).to_le_bytes());
+        packet[26..30].copy_from_slice(&u32::from(*SERVICE.ip()).to_le_bytes());
+        packet[30..32].copy_from_slice(&SERVICE.port().to_le_bytes());
+
+        self.socket.send_to(&packet, to.data_address()).unwrap();
+    }
+
+    /// The next packet that the caller gets.
+    pub fn receive(&self) -> Vec<u8> {
+        let mut packet = [0; 2_048];
+        let length = self.socket.recv(&mut packet).expect("a packet reaches the caller");
+
+        packet[..length].to_vec()
+    }
+}
+
+/// The token in a packet.
+pub fn token_of(packet: &[u8]) -> u32 {
+    u32::from_le_bytes(packet[6..10].try_into().unwrap())
+}
--- /dev/null
+++ b/crates/valvestage-process/tests/log_ring.rs
@@ -0,0 +1,67 @@
+//! Log lines never hold up their writers.
+
+use std::io::{self, Write};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::{Duration, Instant};
+
+use valvestage_process::log_ring::LogRing;
+
+/// An output whose every write waits for a permit, and which tells what it wrote.
+struct StalledOutput {
+    permits: Receiver<()>,
+    written: Sender<String>,
+}
+
+impl Write for StalledOutput {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let _ = self.permits.recv();
+        let _ = self.written.send(String::from_utf8_lossy(bytes).into_owned());
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn a_stalled_reader_loses_lines_that_are_counted_and_told_of() {
+    let (permit, permits) = channel();
+    let (written, lines) = channel();
+    let ring = LogRing::start(StalledOutput { permits, written }).unwrap();
+
+    // Nothing is taken from the ring: were writing to wait for room, this would never end.
+    for number in 0..20_000 {
+        ring.write(format!("line {number}").into_bytes());
+    }
+    assert!(ring.left_out() >= 10_000, "{} left out", ring.left_out());
+
+    drop(permit);
+    let mut text = String::new();
+    let give_up = Instant::now() + Duration::from_secs(60);
+    while !text.contains("lines_left_out") {
+        assert!(Instant::now() < give_up, "nobody tells of the lines left out");
+        if let Ok(more) = lines.recv_timeout(Duration::from_secs(1)) {
+            text.push_str(&more);
+        }
+    }
+    assert!(text.contains("line 0\n"));
+}
+
+#[test]
+fn lines_come_in_order_and_whole() {
+    let (permit, permits) = channel();
+    let (written, lines) = channel();
+    let ring = LogRing::start(StalledOutput { permits, written }).unwrap();
+    drop(permit);
+
+    for number in 0..100 {
+        ring.write(format!("line {number}").into_bytes());
+    }
+    let mut text = String::new();
+    while text.lines().count() < 100 {
+        text.push_str(&lines.recv_timeout(Duration::from_secs(60)).unwrap());
+    }
+    let expected: Vec<String> = (0..100).map(|number| format!("line {number}")).collect();
+    assert_eq!(text.lines().collect::<Vec<_>>(), expected);
+}
