--- a/crates/valvectl/src/arguments.rs
+++ b/crates/valvectl/src/arguments.rs
@@ -1,10 +1,11 @@
 //! The command line.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::path::PathBuf;
 
 use bpaf::Bpaf;
 use valvestage_policy::operations::{Intent, NewBackend};
+use valvestage_story::StoryQuery;
 
 /// Plans and confirms changes, shows status, explains decisions.
 ///
@@ -14,11 +15,11 @@
 #[bpaf(options, version)]
 pub struct Arguments {
     /// Address of the operators' API
-    #[bpaf(long, env("VALVESTAGE_OPERATOR"), argument("ADDRESS"))]
-    pub operator: String,
+    #[bpaf(long, env("VALVESTAGE_OPERATOR"), argument("ADDRESS"), optional)]
+    pub operator: Option<String>,
     /// File with the operators' bearer token
-    #[bpaf(long, env("VALVESTAGE_TOKEN_FILE"), argument("FILE"))]
-    pub token_file: PathBuf,
+    #[bpaf(long, env("VALVESTAGE_TOKEN_FILE"), argument("FILE"), optional)]
+    pub token_file: Option<PathBuf>,
     /// Print JSON instead of sentences
     #[bpaf(long)]
     pub json: bool,
@@ -190,6 +191,15 @@
         #[bpaf(positional("VERSION"))]
         version: u64,
     },
+    /// A flow, backend server or configuration, from logs of valvestage-entry
+    #[bpaf(command)]
+    Log {
+        #[bpaf(external(log_subject))]
+        subject: LogSubject,
+        /// Log files; without any, standard input is read
+        #[bpaf(positional("FILE"), many)]
+        files: Vec<PathBuf>,
+    },
     /// The owner of a service
     #[bpaf(command)]
     Service {
@@ -199,10 +209,32 @@
     },
 }
 
+/// What logs are searched for.
+#[derive(Debug, Clone, Bpaf)]
+pub enum LogSubject {
+    /// Address and port of a flow's caller
+    Caller(#[bpaf(long("caller"), argument("ADDRESS"))] SocketAddrV4),
+    /// Hex digits of a backend server's id
+    Backend(#[bpaf(long("backend"), argument("ID"))] String),
+    /// Version of a configuration
+    Version(#[bpaf(long("version"), argument("VERSION"))] u64),
+}
+
+impl From<LogSubject> for StoryQuery {
+    fn from(subject: LogSubject) -> Self {
+        match subject {
+            LogSubject::Caller(address) => Self::Flow(address),
+            LogSubject::Backend(id) => Self::Backend(id),
+            LogSubject::Version(version) => Self::Version(version),
+        }
+    }
+}
+
 impl Question {
-    /// The query of the API.
+    /// The query of the API; empty for a question that logs answer.
     pub fn query(&self) -> String {
         match self {
+            Self::Log { .. } => String::new(),
             Self::Flow { caller, service } => format!("caller={caller}&service={service}"),
             Self::Request { id } => format!("request={id}"),
             Self::Change { version } => format!("change={version}"),
--- a/crates/valvectl/src/errors.rs
+++ b/crates/valvectl/src/errors.rs
@@ -18,6 +18,17 @@
         /// What went wrong.
         cause: String,
     },
+    /// An option is missing that the command needs.
+    #[error("{0} is needed")]
+    MissingOption(&'static str),
+    /// A log file cannot be read.
+    #[error("log {file}: {cause}")]
+    Log {
+        /// Its path.
+        file: String,
+        /// What the operating system said.
+        cause: std::io::Error,
+    },
     /// The operators' API said no.
     #[error("{}", .problem.problem)]
     Said {
@@ -42,7 +53,9 @@
             Self::Unreachable { .. } => {
                 Some("Try the operator process of another entry VM with --operator.")
             }
-            Self::Token(_) | Self::Deployment(_) => None,
+            Self::MissingOption(_) | Self::Log { .. } | Self::Token(_) | Self::Deployment(_) => {
+                None
+            }
         }
     }
 
@@ -52,7 +65,9 @@
             Self::Unreachable { .. } | Self::Said { status: 503, .. } => exit_codes::UNREACHABLE,
             Self::Said { status: 409 | 422, .. } => exit_codes::REFUSED,
             Self::Said { .. } => exit_codes::FAILURE,
-            Self::Token(_) | Self::Deployment(_) => exit_codes::USAGE,
+            Self::MissingOption(_) | Self::Log { .. } | Self::Token(_) | Self::Deployment(_) => {
+                exit_codes::USAGE
+            }
         }
     }
 }
--- /dev/null
+++ b/crates/valvectl/src/log_stories.rs
@@ -0,0 +1,45 @@
+//! Stories that logs of `valvestage-entry` tell.
+
+use std::fs;
+use std::io::{self, Read};
+use std::path::PathBuf;
+
+use valvestage_process::exit_codes;
+use valvestage_story::sentences::sentence;
+use valvestage_story::{LogLine, StoryQuery, tell as tell_story};
+
+use crate::arguments::LogSubject;
+use crate::errors::CtlError;
+
+/// Prints what the logs tell, a sentence a line; the exit code is 1 if they tell nothing.
+pub fn tell(subject: LogSubject, files: &[PathBuf]) -> Result<u8, CtlError> {
+    let text = read(files)?;
+    let lines = text.lines().filter_map(|line| LogLine::try_from(line).ok()).collect();
+
+    let told = tell_story(lines, &StoryQuery::from(subject));
+    for line in &told {
+        println!("{} {} {}", line.time_ms, line.vm, sentence(line));
+    }
+    if told.is_empty() {
+        println!("The logs say nothing of it: it was left out under load, or other VMs had it.");
+        return Ok(exit_codes::FAILURE);
+    }
+    Ok(exit_codes::SUCCESS)
+}
+
+fn read(files: &[PathBuf]) -> Result<String, CtlError> {
+    let mut text = String::new();
+
+    if files.is_empty() {
+        io::stdin()
+            .read_to_string(&mut text)
+            .map_err(|cause| CtlError::Log { file: "standard input".to_owned(), cause })?;
+    }
+    for file in files {
+        let more = fs::read_to_string(file);
+        let name = file.display().to_string();
+        text.push_str(&more.map_err(|cause| CtlError::Log { file: name, cause })?);
+        text.push('\n');
+    }
+    Ok(text)
+}
--- a/crates/valvectl/src/main.rs
+++ b/crates/valvectl/src/main.rs
@@ -5,11 +5,13 @@
 //! | `arguments` | the command line |
 //! | `calls` | calls of the operators' API |
 //! | `errors` | errors and their exit codes |
+//! | `log_stories` | stories that logs tell |
 //! | `sentences` | results in plain words |
 
 mod arguments;
 mod calls;
 mod errors;
+mod log_stories;
 mod sentences;
 
 use std::process::ExitCode;
@@ -19,7 +21,7 @@
 use valvestage_process::command_line::parse;
 use valvestage_process::exit_codes;
 
-use crate::arguments::{Arguments, Command, arguments};
+use crate::arguments::{Arguments, Command, Question, arguments};
 use crate::calls::OperatorClient;
 use crate::errors::CtlError;
 
@@ -43,7 +45,10 @@
 }
 
 async fn run(arguments: &Arguments) -> Result<u8, CtlError> {
-    let client = OperatorClient::new(&arguments.operator, &arguments.token_file)?;
+    if let Command::Why { question: Question::Log { subject, files } } = &arguments.command {
+        return log_stories::tell(subject.clone(), files);
+    }
+    let client = client(arguments)?;
     let json = arguments.json;
 
     match &arguments.command {
@@ -79,6 +84,14 @@
     Ok(exit_codes::SUCCESS)
 }
 
+fn client(arguments: &Arguments) -> Result<OperatorClient, CtlError> {
+    let operator = arguments.operator.as_ref().ok_or(CtlError::MissingOption("--operator"))?;
+    let token_file = arguments.token_file.as_ref();
+    let token_file = token_file.ok_or(CtlError::MissingOption("--token-file"))?;
+
+    OperatorClient::new(operator, token_file)
+}
+
 fn print(json: bool, value: &impl Serialize, sentences: String) {
     if json {
         println!("{}", serde_json::to_string_pretty(value).unwrap_or_default());
--- a/crates/valvestage-entry/src/decision_lines.rs
+++ b/crates/valvestage-entry/src/decision_lines.rs
@@ -16,14 +16,16 @@
 /// `DecisionLog` writes decisions within a budget.
 pub struct DecisionLog {
     ring: Option<LogRing>,
+    /// Name of this VM.
+    vm: String,
     budget: LogBudget,
 }
 
 impl DecisionLog {
     /// `new` writes to a ring; without one it writes nothing.
     #[must_use]
-    pub fn new(ring: Option<LogRing>) -> Self {
-        Self { ring, budget: LogBudget::default() }
+    pub fn new(ring: Option<LogRing>, vm: String) -> Self {
+        Self { ring, vm, budget: LogBudget::default() }
     }
 
     /// `left_out` gives the number of lines that the ring had no room for and no line has told of.
@@ -39,6 +41,7 @@
         let Some(left_out) = self.budget.admit(event, is_ordinary(decision), now) else { return };
 
         let mut line = LineFields::new(event);
+        line.put("vm", self.vm.as_str());
         if left_out > 0 {
             line.put("left_out_before", left_out);
         }
--- a/crates/valvestage-entry/src/main.rs
+++ b/crates/valvestage-entry/src/main.rs
@@ -73,7 +73,7 @@
     let _logger = structured_log::start(ring.clone()).map_err(EntryError::Log)?;
 
     log::info!(vm = settings.name.as_str(), zone = settings.zone.as_str(); "starting");
-    let log = DecisionLog::new(Some(ring.clone()));
+    let log = DecisionLog::new(Some(ring.clone()), settings.name.clone());
     let result = EntryProcess::bind(file, settings, log).and_then(EntryProcess::run);
     ring.flush(LAST_LINES);
     result
--- a/crates/valvestage-entry/tests/process/main.rs
+++ b/crates/valvestage-entry/tests/process/main.rs
@@ -1,6 +1,7 @@
 //! The real program among stand-ins.
 
 mod site;
+mod walks;
 
 use std::fs;
 use std::process::Command;
--- a/crates/valvestage-entry/tests/process/site.rs
+++ b/crates/valvestage-entry/tests/process/site.rs
@@ -226,6 +226,9 @@
     }
 }
 
+/// Flag of an opening packet.
+const SYN: u8 = 2;
+
 /// A caller: it hears answers on the port that data addresses have.
 pub struct Caller {
     socket: UdpSocket,
@@ -241,19 +244,45 @@
         Self { socket, address }
     }
 
+    /// The address by which logs know a flow.
+    pub fn flow_address(&self, port: u16) -> SocketAddrV4 {
+        SocketAddrV4::new(*self.address.ip(), port)
+    }
+
     /// Sends a packet of a flow; its data is as long as said.
     pub fn send(&self, to: &Balancer, flags: u8, port: u16, token: u32, data: usize) {
-        let mut packet = vec![0; HEAD_BYTES + data];
-        packet[0] = flags;
+        let mut packet = self.packet(flags, port, SERVICE.port());
+        packet.resize(HEAD_BYTES + data, 0);
         packet[6..10].copy_from_slice(&token.to_le_bytes());
         packet[10..12].copy_from_slice(&u16::try_from(data).unwrap().to_le_bytes());
+
+        self.socket.send_to(&packet, to.data_address()).unwrap();
+    }
+
+    /// Sends a copy of an opening packet.
+    pub fn send_copy(&self, to: &Balancer, port: u16, copies: u32) {
+        let mut packet = self.packet(SYN, port, SERVICE.port());
+        packet[16..20].copy_from_slice(&copies.to_le_bytes());
+
+        self.socket.send_to(&packet, to.data_address()).unwrap();
+    }
+
+    /// Sends a packet to another port of the service's address.
+    pub fn send_to_port(&self, to: &Balancer, flags: u8, port: u16, service_port: u16) {
+        let packet = self.packet(flags, port, service_port);
+
+        self.socket.send_to(&packet, to.data_address()).unwrap();
+    }
+
+    fn packet(&self, flags: u8, port: u16, service_port: u16) -> Vec<u8> {
+        let mut packet = vec![0; HEAD_BYTES];
+        packet[0] = flags;
         packet[12..16].copy_from_slice(&1_000_u32.to_le_bytes());
         packet[20..22].copy_from_slice(&port.to_le_bytes());
         packet[22..26].copy_from_slice(&u32::from(*self.address.ip()).to_le_bytes());
         packet[26..30].copy_from_slice(&u32::from(*SERVICE.ip()).to_le_bytes());
-        packet[30..32].copy_from_slice(&SERVICE.port().to_le_bytes());
-
-        self.socket.send_to(&packet, to.data_address()).unwrap();
+        packet[30..32].copy_from_slice(&service_port.to_le_bytes());
+        packet
     }
 
     /// The next packet that the caller gets.
--- /dev/null
+++ b/crates/valvestage-entry/tests/process/walks.rs
@@ -0,0 +1,110 @@
+//! From a caller's complaint to its cause, as docs/OPERATIONS.md says, with the real program's logs.
+
+use nix::sys::signal::Signal;
+use valvestage_standins::platform::Faults;
+use valvestage_story::sentences::sentence;
+use valvestage_story::{LogLine, StoryQuery, tell};
+
+use crate::site::{Balancer, Caller, SERVICE, Site, wait_until};
+use crate::{ACK, SYN};
+
+/// The story of a caller's flow, from the log of a balancer that is stopped for it.
+fn story_of(balancer: Balancer, caller: &Caller, port: u16) -> String {
+    balancer.signal(Signal::SIGTERM);
+    let (_, log) = balancer.wait();
+    let lines = log.lines().filter_map(|line| LogLine::try_from(line).ok()).collect();
+
+    let told = tell(lines, &StoryQuery::Flow(caller.flow_address(port)));
+    told.iter().map(|line| sentence(line) + "\n").collect()
+}
+
+#[test]
+fn a_caller_was_sent_to_a_backend_server_that_had_died() {
+    let site = Site::new();
+    site.configure(3, "core");
+    // Their sockets are open, but nobody answers.
+    let dead = [site.backend(0xa1, "core"), site.backend(0xa2, "core")];
+    let balancer = site.balancer("one", &[]);
+    balancer.wait_ready();
+
+    let caller = Caller::new(&balancer);
+    caller.send(&balancer, SYN, 40_001, 0, 0);
+    wait_until("it arrives", || dead.iter().any(|backend| backend.has_packet()));
+    // Copies until one goes elsewhere, as callers send them.
+    wait_until("a copy goes elsewhere", || {
+        caller.send_copy(&balancer, 40_001, 1);
+        balancer.metric("valvestage_entry_events_total{event=\"moved\"}").is_some()
+    });
+
+    let story = story_of(balancer, &caller, 40_001);
+    assert!(story.contains("was placed on backend server a"), "{story}");
+    assert!(story.contains("did not answer the opening packet"), "{story}");
+}
+
+#[test]
+fn a_caller_was_refused_since_no_backend_server_takes_flows() {
+    let site = Site::new();
+    site.configure(3, "core");
+    let _leaving = site.backend(0xb1, "core");
+    let balancer = site.balancer("one", &[]);
+    balancer.wait_ready();
+    site.standin.delete_object("servers", "i-b1");
+    // It came, and it went.
+    wait_until("it is known", || {
+        balancer.metric("valvestage_entry_events_total{event=\"backend_changed\"}") == Some(2)
+    });
+
+    let caller = Caller::new(&balancer);
+    caller.send(&balancer, SYN, 40_001, 0, 0);
+    caller.receive();
+    let story = story_of(balancer, &caller, 40_001);
+    assert!(story.contains("no backend server of the service takes flows"), "{story}");
+}
+
+#[test]
+fn a_callers_backend_server_had_ended() {
+    let site = Site::new();
+    site.configure(3, "core");
+    let backend = site.backend(0xc1, "core");
+    let balancer = site.balancer("one", &[]);
+    balancer.wait_ready();
+    let caller = Caller::new(&balancer);
+    caller.send(&balancer, SYN, 40_001, 0, 0);
+    let token = crate::site::token_of(&backend.receive().1);
+    caller.send(&balancer, ACK, 40_001, token, 10);
+    backend.receive();
+
+    site.standin.delete_object("servers", "i-c1");
+    // It came, and it went.
+    wait_until("it is known", || {
+        balancer.metric("valvestage_entry_events_total{event=\"backend_changed\"}") == Some(2)
+    });
+    caller.send(&balancer, ACK, 40_001, token, 10);
+    caller.receive();
+    let story = story_of(balancer, &caller, 40_001);
+    assert!(story.contains("Backend server c1 of core is gone"), "{story}");
+    assert!(story.contains("its backend server c1 has ended"), "{story}");
+}
+
+#[test]
+fn a_route_was_not_known_yet_after_an_outage_of_the_store() {
+    let site = Site::new();
+    site.configure(3, "core");
+    let balancer = site.balancer("one", &[]);
+    balancer.wait_ready();
+    site.standin.misbehave(Faults { down: true, ..Faults::default() });
+    wait_until("what is known is old", || {
+        balancer.metric("valvestage_entry_events_total{event=\"certainty\"}") == Some(2)
+    });
+
+    // A route that came into the store meanwhile, for all that the balancer knows.
+    let caller = Caller::new(&balancer);
+    caller.send_to_port(&balancer, SYN, 40_001, SERVICE.port() + 1);
+    wait_until("it is dropped", || {
+        balancer.metric("valvestage_entry_drops_total{reason=\"no_route\"}") == Some(1)
+    });
+    let story = story_of(balancer, &caller, 40_001);
+    assert!(story.contains("The store did not answer"), "{story}");
+    assert!(story.contains("configuration 3 may be out of date"), "{story}");
+    assert!(story.contains("no route is known from its address"), "{story}");
+}
--- a/crates/valvestage-policy/src/steering/steering_policy.rs
+++ b/crates/valvestage-policy/src/steering/steering_policy.rs
@@ -151,7 +151,7 @@
             // The caller uses the port again.
             return None;
         }
-        let (instance, last_packet) = (record.instance, record.last_packet);
+        let instance = record.instance;
         let sign = self.flows.observe(packet, now);
         self.observe_sign(instance, packet.flow, sign, now);
 
@@ -161,17 +161,19 @@
         if !takes_new {
             return None;
         }
-        let had_time = now.saturating_duration_since(last_packet) >= ANSWER_TIME;
-        if !had_time || !self.is_unanswered(instance, sign) {
+        if !self.is_unanswered(instance, sign, now) {
             return Some(forward(knowledge, instance));
         }
         Some(self.place(knowledge, packet.flow, &entry.service, Some(instance), now))
     }
 
-    /// Whether an answer is missing, and nobody else got one meanwhile.
-    fn is_unanswered(&self, instance: InstanceId, sign: FlowSign) -> bool {
+    /// Whether an answer is missing that had time to come, and nobody else got one meanwhile.
+    fn is_unanswered(&self, instance: InstanceId, sign: FlowSign, now: Instant) -> bool {
         match sign {
-            FlowSign::Unanswered(since) => !self.health.shows_life_since(instance, since),
+            FlowSign::Unanswered(since) => {
+                now.saturating_duration_since(since) >= ANSWER_TIME
+                    && !self.health.shows_life_since(instance, since)
+            }
             _ => false,
         }
     }
--- /dev/null
+++ b/crates/valvestage-story/src/sentences.rs
@@ -0,0 +1,114 @@
+//! A line in plain words.
+
+use crate::log_line::LogLine;
+
+/// `sentence` says what a line says.
+#[must_use]
+pub fn sentence(line: &LogLine) -> String {
+    let text = |field| line.text(field);
+
+    match line.event.as_str() {
+        "placed" => format!(
+            "The flow from {} to {} was placed on backend server {} of {} in {} (load {}, one of {}); \
+             configuration {}, confirmed {} ms before.{}",
+            text("caller"),
+            text("address"),
+            text("backend"),
+            text("service"),
+            text("zone"),
+            text("load"),
+            text("candidates"),
+            text("version"),
+            text("knowledge_age_ms"),
+            doubt(line)
+        ),
+        "moved" => format!(
+            "Backend server {} did not answer the opening packet from {}, nor any other flow since: \
+             its copy went to {} in {}.{}",
+            text("instead_of"),
+            text("caller"),
+            text("backend"),
+            text("zone"),
+            doubt(line)
+        ),
+        "reset" => format!("The flow from {} was ended: {}", text("caller"), reset_reason(line)),
+        "dropped" => {
+            format!("A packet from {} was dropped: {}", text("caller"), drop_reason(line))
+        }
+        "suspected" => format!(
+            "Backend server {} seemed dead: {} flows missed an answer, the latest for {} ms.",
+            text("backend"),
+            text("flows"),
+            text("waited_ms")
+        ),
+        "cleared" => format!("Backend server {} answered again.", text("backend")),
+        "backend_changed" => format!(
+            "Backend server {} of {} is {} since revision {} (told by {}).",
+            text("backend"),
+            text("service"),
+            text("phase"),
+            text("revision"),
+            text("source")
+        ),
+        "backend_missing" => format!(
+            "The entry of backend server {} is missing after an outage of the store; it may return.",
+            text("backend")
+        ),
+        "routes_in_force" => format!(
+            "Configuration {} with {} addresses came into force after {} (told by {}).",
+            text("version"),
+            text("addresses"),
+            text("former_version"),
+            text("source")
+        ),
+        "certainty" if line.is_true("certain") => {
+            format!("What is known was confirmed; configuration {}.", text("version"))
+        }
+        "certainty" => format!(
+            "Nothing had confirmed what is known for 5 s: configuration {} may be out of date.",
+            text("version")
+        ),
+        "store_link" if line.is_true("answers") => {
+            format!("The store answered again ({}).", text("kind"))
+        }
+        "store_link" => format!("The store did not answer ({}).", text("kind")),
+        "paused" => format!("The process stood still for {} ms.", text("paused_ms")),
+        other => format!("{other}: {}", text("text")),
+    }
+}
+
+fn doubt(line: &LogLine) -> &'static str {
+    match line.text("doubt").as_str() {
+        "silent" => " It seemed dead, but no other was better.",
+        "missing" => " Its entry was missing, but no other was better.",
+        _ => "",
+    }
+}
+
+fn reset_reason(line: &LogLine) -> String {
+    match line.text("reason").as_str() {
+        "no_route" => "no route leads from its address.".to_owned(),
+        "no_backend" => "no backend server of the service takes flows.".to_owned(),
+        "backend_gone" => format!("its backend server {} has ended.", line.text("backend")),
+        "backend_silent" => format!(
+            "its backend server {} answered neither it nor any other flow.",
+            line.text("backend")
+        ),
+        other => format!("{other}."),
+    }
+}
+
+fn drop_reason(line: &LogLine) -> String {
+    match line.text("reason").as_str() {
+        "not_ready" => "the balancer had just started and knew nothing yet.".to_owned(),
+        "no_route" => {
+            "no route is known from its address, but the configuration may be out of date."
+                .to_owned()
+        }
+        "unknown_token" => {
+            format!("its token {} names no backend server that is known.", line.text("token"))
+        }
+        "wrong_service" => "its token names a backend server of another service.".to_owned(),
+        other => format!("{other}."),
+    }
+}
--- /dev/null
+++ b/crates/valvestage-story/src/story.rs
@@ -0,0 +1,65 @@
+//! The lines that belong to an answer, in order.
+
+use std::collections::BTreeSet;
+
+use crate::log_line::LogLine;
+use crate::story_query::StoryQuery;
+
+/// How long before a flow's first line a change of beliefs still matters, milliseconds: entries of
+/// dead backend servers last some 2.3 s, outages some seconds.
+const LOOK_BACK_MS: u64 = 10_000;
+
+/// Events about what a balancer believes of the whole deployment.
+const BELIEFS: [&str; 4] = ["certainty", "routes_in_force", "store_link", "paused"];
+
+/// `tell` gives the lines that answer a query, by time; empty if the logs have none.
+#[must_use]
+pub fn tell(lines: Vec<LogLine>, query: &StoryQuery) -> Vec<LogLine> {
+    let mut told = match query {
+        StoryQuery::Flow(caller) => tell_flow(lines, &caller.to_string()),
+        StoryQuery::Backend(id) => select(lines, |line| is_about_backend(line, id)),
+        StoryQuery::Version(version) => {
+            select(lines, |line| line.number("version") == Some(*version) && is_belief(line))
+        }
+    };
+
+    told.sort_by_key(|line| line.time_ms);
+    told
+}
+
+/// The lines of a flow, and what its balancers believed meanwhile.
+fn tell_flow(lines: Vec<LogLine>, caller: &str) -> Vec<LogLine> {
+    let own: Vec<&LogLine> = lines.iter().filter(|line| line.is("caller", caller)).collect();
+    let Some(first) = own.iter().map(|line| line.time_ms).min() else { return Vec::new() };
+    let last = own.iter().map(|line| line.time_ms).max().unwrap_or(first);
+    let vms: BTreeSet<String> = own.iter().map(|line| line.vm.clone()).collect();
+    let backends: BTreeSet<String> = own.iter().flat_map(|line| backends_of(line)).collect();
+
+    let span = first.saturating_sub(LOOK_BACK_MS)..=last;
+    select(lines, |line| {
+        let is_own = line.is("caller", caller);
+        let is_near = span.contains(&line.time_ms) && vms.contains(&line.vm);
+        let is_cause = is_belief(line)
+            || line.text("caller").is_empty()
+                && backends.iter().any(|id| is_about_backend(line, id));
+        is_own || is_near && is_cause
+    })
+}
+
+fn select(lines: Vec<LogLine>, matches: impl Fn(&LogLine) -> bool) -> Vec<LogLine> {
+    lines.into_iter().filter(|line| matches(line)).collect()
+}
+
+fn is_belief(line: &LogLine) -> bool {
+    BELIEFS.contains(&line.event.as_str())
+}
+
+fn is_about_backend(line: &LogLine, id: &str) -> bool {
+    line.is("backend", id) || line.is("instead_of", id)
+}
+
+fn backends_of(line: &LogLine) -> impl Iterator<Item = String> {
+    let named = ["backend", "instead_of"].map(|field| line.text(field));
+
+    named.into_iter().filter(|id| !id.is_empty())
+}
