Find a store that answers only some sooner; a paused balancer asks at once; an answer never asks

Cause: a test with a store that answers 5 of 30 balancers took 21 s to find one: turns of 2.4 s, and the same ones tried again. Turns end 0.4 s after a failure, three try at a time, and one that failed rests until the others had their turn. The fake store of the tests answered watches 0.5 s late; it keeps their wait now.

--- a/crates/valvestage-policy/src/steering/entry_policy.rs
+++ b/crates/valvestage-policy/src/steering/entry_policy.rs
@@ -19,6 +19,10 @@
 /// Time between two looks at what is due.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// A gap between two turns from which on the process counts as having been paused. Turns come at least
+/// each 100 ms; a VM that is slow or busy takes some more.
+const PAUSE: Duration = Duration::from_secs(1);
+
 /// `EntryOptions` is what a balancer is told at its start.
 #[derive(Debug, Clone)]
 pub struct EntryOptions {
@@ -42,6 +46,9 @@
     keeper: KnowledgeKeeper,
     next_tick: Instant,
     next_cleaning: Instant,
+    last_tick: Instant,
+    /// What was decided since it was last taken.
+    decisions: Vec<Decision>,
 }
 
 impl EntryPolicy {
@@ -54,6 +61,8 @@
             steering: SteeringPolicy::new(options.steering),
             next_tick: now,
             next_cleaning: now + CLEANING_INTERVAL,
+            last_tick: now,
+            decisions: Vec::new(),
         }
     }
 
@@ -65,8 +74,9 @@
 
     /// `take_decisions` gives what was decided and learned since the last call.
     pub fn take_decisions(&mut self) -> Vec<Decision> {
-        let mut decisions = self.keeper.take_decisions();
+        let mut decisions = std::mem::take(&mut self.decisions);
 
+        decisions.extend(self.keeper.take_decisions());
         decisions.extend(self.steering.take_decisions());
         decisions
     }
@@ -158,6 +168,7 @@
             return Vec::new();
         }
 
+        self.note_pause(now);
         self.next_tick = now + TICK_INTERVAL;
         if self.next_cleaning <= now {
             self.next_cleaning = now + CLEANING_INTERVAL;
@@ -166,6 +177,17 @@
         self.step_keeper(now)
     }
 
+    /// A process that was paused wakes with old beliefs, and asks others at once.
+    fn note_pause(&mut self, now: Instant) {
+        let time = now.saturating_duration_since(self.last_tick);
+
+        self.last_tick = now;
+        if time >= PAUSE {
+            self.decisions.push(Decision::Paused { time });
+            self.keeper.on_pause();
+        }
+    }
+
     fn step_keeper(&mut self, now: Instant) -> Vec<KeeperAction> {
         let suspects = self.steering.suspects(now);
 
--- a/crates/valvestage-policy/src/steering/knowledge_keeper.rs
+++ b/crates/valvestage-policy/src/steering/knowledge_keeper.rs
@@ -72,6 +72,8 @@
     next_heartbeat: Instant,
     /// Whether something is new that others may not know.
     has_news: bool,
+    /// Whether the next heartbeats ask those that know more to answer at once.
+    asks: bool,
     last_pull: Option<(SocketAddrV4, Instant)>,
     /// The backend servers that others were told to seem dead.
     told_suspects: Vec<InstanceId>,
@@ -106,6 +108,7 @@
             backends_parts: None,
             next_heartbeat: now,
             has_news: false,
+            asks: true,
             last_pull: None,
             told_suspects: Vec::new(),
             last_failure: None,
@@ -159,6 +162,12 @@
         actions
     }
 
+    /// `on_pause` takes in that the process stood still: others may know more by now.
+    pub fn on_pause(&mut self) {
+        self.has_news = true;
+        self.asks = true;
+    }
+
     /// `on_seeds` takes in that the settings name other balancers than before.
     pub fn on_seeds(&mut self, seeds: &[SocketAddrV4]) {
         self.peers.set_seeds(seeds);
@@ -183,8 +192,10 @@
         let was_on_duty = self.duty.is_on_duty();
         let state = DutyState {
             is_answering: self.answering_since(now).is_some(),
+            is_failing: self.is_store_failing(),
             is_complete: knowledge.is_complete() || knowledge.is_certain(now),
             has_zones: self.peers.hears_other_zones(now),
+            recent_peers: self.peers.recent_count(now),
             draw: self.draw.unit(),
         };
 
@@ -314,7 +325,9 @@
     ) -> Vec<KeeperAction> {
         self.has_news = false;
         self.next_heartbeat = now + HEARTBEAT_INTERVAL;
-        let heartbeat = self.heartbeat(knowledge, suspects, now);
+        let is_ignorant = !knowledge.is_complete() && !knowledge.is_certain(now);
+        let asks = std::mem::take(&mut self.asks) || is_ignorant;
+        let heartbeat = self.heartbeat(knowledge, suspects, asks, now);
 
         let chosen = self.peers.choose(HEARTBEAT_FANOUT, &mut self.draw).into_iter();
         chosen
@@ -326,12 +339,14 @@
         &mut self,
         knowledge: &Knowledge,
         suspects: &[InstanceId],
+        asks: bool,
         now: Instant,
     ) -> PeerHeartbeat {
         let draw = self.draw.below(1 << 16);
 
         PeerHeartbeat {
             zone: self.zone.clone(),
+            asks,
             version: knowledge.routes.version,
             complete_until: knowledge.directory.complete_until(),
             changed_at: knowledge.directory.changed_at(),
@@ -392,9 +407,11 @@
         }
 
         let mut actions = Vec::new();
-        if is_new {
-            // One that has just started learns at once whom it can ask.
-            let answer = self.heartbeat(knowledge, &[], now);
+        let knows_less = heartbeat.version < knowledge.routes.version
+            || heartbeat.complete_until < knowledge.directory.changed_at();
+        if heartbeat.asks && (is_new || knows_less) {
+            // One that has just started, or woken, learns at once whom it can ask.
+            let answer = self.heartbeat(knowledge, &[], false, now);
             actions.push(KeeperAction::Tell(sender, PeerMessage::Heartbeat(answer)));
         }
         let directory = &mut knowledge.directory;
--- a/crates/valvestage-policy/src/steering/knowledge_parts.rs
+++ b/crates/valvestage-policy/src/steering/knowledge_parts.rs
@@ -85,7 +85,7 @@
             address: entry.address,
             zone: entry.zone.clone(),
             slots: entry.slots,
-            cold_left_ms: millis_since(now, cold_until),
+            cold_for_ms: millis_since(now, cold_until),
             standing,
         },
     }
@@ -95,7 +95,7 @@
 #[must_use]
 pub fn entry_of(change: BackendChange, now: Instant) -> BackendEntry {
     let BackendChange { instance, revision, record } = change;
-    let cold_left = Duration::from_millis(record.cold_left_ms.into());
+    let cold_left = Duration::from_millis(record.cold_for_ms.into());
     let phase = match record.standing {
         BackendStanding::Ready => BackendPhase::Ready,
         BackendStanding::Draining => BackendPhase::Draining,
--- a/crates/valvestage-policy/src/steering/peer_message.rs
+++ b/crates/valvestage-policy/src/steering/peer_message.rs
@@ -37,6 +37,9 @@
 pub struct PeerHeartbeat {
     /// Availability zone of the sender.
     pub zone: ZoneName,
+    /// Whether one that knows more is to answer at once. An answer never asks, so that two balancers
+    /// that each know something the other does not are not caught in answering each other.
+    pub asks: bool,
     /// Version of its configuration.
     pub version: ConfigurationVersion,
     /// Up to which revision it knows every change of backend servers.
@@ -136,7 +139,7 @@
     /// Requests that it works on at once.
     pub slots: u32,
     /// How much longer it is slow from its start, milliseconds.
-    pub cold_left_ms: u32,
+    pub cold_for_ms: u32,
     /// Where it stands.
     pub standing: BackendStanding,
 }
--- a/crates/valvestage-policy/src/steering/peer_table.rs
+++ b/crates/valvestage-policy/src/steering/peer_table.rs
@@ -40,6 +40,12 @@
     heard_of: Instant,
 }
 
+impl PeerSighting {
+    fn is_recent(&self, now: Instant) -> bool {
+        self.heard_itself.is_some_and(|at| now.saturating_duration_since(at) < TELL_WITHIN)
+    }
+}
+
 impl PeerTable {
     /// `new` knows the balancers that the settings name.
     #[must_use]
@@ -83,6 +89,14 @@
         self.heard.insert(peer, sighting).is_none()
     }
 
+    /// `recent_count` gives how many were heard themselves lately.
+    #[must_use]
+    pub fn recent_count(&self, now: Instant) -> u32 {
+        let recent = self.heard.values().filter(|sighting| sighting.is_recent(now));
+
+        u32::try_from(recent.count()).unwrap_or(u32::MAX)
+    }
+
     /// `on_other_zone` takes in that a balancer of another availability zone has spoken.
     pub fn on_other_zone(&mut self, now: Instant) {
         self.other_zone_heard = Some(now);
@@ -149,10 +163,7 @@
 
     /// `sample` gives some balancers that were heard lately, others each time.
     pub fn sample(&self, count: usize, draw: usize, now: Instant) -> Vec<SocketAddrV4> {
-        let is_recent = |sighting: &PeerSighting| {
-            sighting.heard_itself.is_some_and(|at| now.saturating_duration_since(at) < TELL_WITHIN)
-        };
-        let recent = self.heard.iter().filter(|(_, sighting)| is_recent(sighting));
+        let recent = self.heard.iter().filter(|(_, sighting)| sighting.is_recent(now));
         let recent: Vec<SocketAddrV4> = recent.map(|(peer, _)| *peer).collect();
 
         let count = count.min(recent.len());
--- a/crates/valvestage-policy/src/steering/watch_duty.rs
+++ b/crates/valvestage-policy/src/steering/watch_duty.rs
@@ -33,7 +33,10 @@
 const MAX_TOLD: usize = 4;
 
 /// A balancer that tries without an answer counts for so long after it was heard of.
-const TRYING_LIFE: Duration = Duration::from_millis(1_200);
+const TRYING_LIFE: Duration = Duration::from_millis(800);
+
+/// Balancers that try at once, while what is known is in force everywhere.
+const WANTED_TRIERS: usize = 3;
 
 /// Balancers that try at once, of those that know nothing yet: each of them has callers waiting.
 const WANTED_BEGINNERS: usize = 4;
@@ -41,8 +44,14 @@
 /// A balancer that gets no answer lets others try after this time.
 const TRY_FOR: Duration = Duration::from_millis(1_600);
 
-/// Then it does not try again for so long.
-const REST_FOR: Duration = Duration::from_millis(1_500);
+/// One whose calls have failed lets others try after this time: a second try each.
+const TRY_FOR_AFTER_FAILURE: Duration = Duration::from_millis(400);
+
+/// Then it does not try again until about all others had their turn, but at least for so long.
+const SHORTEST_REST: Duration = Duration::from_millis(1_500);
+
+/// And at most for so long: others may be cut off without its knowing.
+const LONGEST_REST: Duration = Duration::from_secs(10);
 
 /// Longest pause before a balancer begins to follow the store. With the life of a sighting it stays
 /// below the 3 s within which a configuration has to be in force, but for the last ones to begin.
@@ -66,10 +75,14 @@
 pub struct DutyState {
     /// Whether the store answers this balancer.
     pub is_answering: bool,
+    /// Whether calls of this balancer have failed since the store last answered it.
+    pub is_failing: bool,
     /// Whether this balancer knows all that it needs, or all that there is.
     pub is_complete: bool,
     /// Whether balancers of more than one availability zone are known.
     pub has_zones: bool,
+    /// Balancers that were heard lately.
+    pub recent_peers: u32,
     /// A draw between 0 and 1.
     pub draw: f64,
 }
@@ -233,17 +246,19 @@
             return;
         }
 
-        let try_until = *self.try_until.get_or_insert(now + TRY_FOR);
+        let longest = now + if state.is_failing { TRY_FOR_AFTER_FAILURE } else { TRY_FOR };
+        let try_until = self.try_until.map_or(longest, |until| until.min(longest));
+        self.try_until = Some(try_until);
         if try_until <= now {
             self.on_duty = false;
             self.try_until = None;
-            self.rest_until = Some(now + REST_FOR);
+            self.rest_until = Some(now + rest_for(state.recent_peers));
         }
     }
 
     /// Begins, unless enough others are at it.
     fn consider(&mut self, state: DutyState, now: Instant) {
-        let wanted = if state.is_complete { WANTED_WATCHERS } else { WANTED_BEGINNERS };
+        let wanted = if state.is_complete { WANTED_TRIERS } else { WANTED_BEGINNERS };
         let trying = self.sightings.values().filter(|sighting| !sighting.is_answered).count();
         if trying >= wanted || self.rest_until.is_some_and(|until| until > now) {
             self.begin_at = None;
@@ -289,6 +304,15 @@
     }
 }
 
+/// How long one that got no answer rests, so that the others come first.
+fn rest_for(recent_peers: u32) -> Duration {
+    // Some try at a time, and each turn takes about as long as a call that gets no answer.
+    const TURN: Duration = Duration::from_millis(800);
+    let turns = recent_peers / 3;
+
+    (TURN * turns).clamp(SHORTEST_REST, LONGEST_REST)
+}
+
 /// Added to what a message says of ages, for its way. With less than the real time a piece of news
 /// that is passed on at once would stay young for ever.
 const HOP_AGE: Duration = Duration::from_millis(10);
--- a/crates/valvestage-policy/tests/steering/deployment.rs
+++ b/crates/valvestage-policy/tests/steering/deployment.rs
@@ -113,7 +113,10 @@
     kind: StoreKind,
     call: StoreCall,
     answer_at: Instant,
+    /// When a watch without changes is answered.
     ends_at: Instant,
+    /// When the balancer gives up.
+    gives_up_at: Instant,
 }
 
 /// Balancers around one store.
@@ -125,6 +128,8 @@
     pub cut_from_store: Vec<usize>,
     /// Balancers that hear nobody.
     pub cut_from_peers: Vec<usize>,
+    /// Balancers that stand still: datagrams wait for them.
+    pub paused: Vec<usize>,
     /// Whether the store refuses every call.
     pub store_down: bool,
     datagrams: VecDeque<(Instant, usize, usize, PeerMessage)>,
@@ -145,6 +150,7 @@
             nodes: (0..count).map(|_| None).collect(),
             cut_from_store: Vec::new(),
             cut_from_peers: Vec::new(),
+            paused: Vec::new(),
             store_down: false,
             datagrams: VecDeque::new(),
             calls: Vec::new(),
@@ -213,6 +219,9 @@
 
     fn tick(&mut self) {
         for node in 0..self.nodes.len() {
+            if self.paused.contains(&node) {
+                continue;
+            }
             let Some(policy) = &mut self.nodes[node] else { continue };
             let actions = policy.on_tick(self.now);
             self.act(node, actions);
@@ -223,7 +232,7 @@
         while self.datagrams.front().is_some_and(|(at, ..)| *at <= self.now) {
             let Some((_, from, to, message)) = self.datagrams.pop_front() else { return };
             let is_cut = self.cut_from_peers.contains(&from) || self.cut_from_peers.contains(&to);
-            if is_cut {
+            if is_cut || self.paused.contains(&to) {
                 continue;
             }
             if let Some(policy) = &mut self.nodes[to] {
@@ -235,13 +244,13 @@
 
     fn answer(&mut self) {
         for call in std::mem::take(&mut self.calls) {
-            if call.answer_at > self.now {
+            if call.answer_at > self.now || self.paused.contains(&call.node) {
                 self.calls.push(call);
                 continue;
             }
             let is_cut = self.cut_from_store.contains(&call.node);
             let is_over = call.ends_at <= self.now;
-            if self.store_down || is_cut && is_over {
+            if self.store_down || is_cut && call.gives_up_at <= self.now {
                 self.reply(&call, None);
             } else if is_cut || !self.answer_call(&call, is_over) {
                 self.calls.push(call);
@@ -297,12 +306,13 @@
                 }
                 KeeperAction::Call(kind, call) => {
                     let wait = match &call {
-                        StoreCall::List { .. } => millis(500),
-                        StoreCall::Watch { wait, .. } => *wait + millis(500),
+                        StoreCall::List { .. } => millis(0),
+                        StoreCall::Watch { wait, .. } => *wait,
                     };
                     let (answer_at, ends_at) = (self.now + DELAY, self.now + wait);
+                    let gives_up_at = ends_at + millis(500);
                     self.store.calls += 1;
-                    self.calls.push(OpenCall { node, kind, call, answer_at, ends_at });
+                    self.calls.push(OpenCall { node, kind, call, answer_at, ends_at, gives_up_at });
                 }
             }
         }
--- a/crates/valvestage-policy/tests/steering/keepers.rs
+++ b/crates/valvestage-policy/tests/steering/keepers.rs
@@ -1,6 +1,6 @@
 //! Balancers keep each other up to date.
 
-use valvestage_policy::steering::{BackendEntry, BackendPhase};
+use valvestage_policy::steering::{BackendEntry, BackendPhase, Decision};
 
 use crate::deployment::Deployment;
 use crate::fixtures::{HOME, backend, millis, routes};
@@ -289,3 +289,39 @@
     let took = deployment.run_until(|now| all_have_version(now, 3));
     assert!(took <= millis(1_000), "{took:?}");
 }
+
+#[test]
+fn a_balancer_that_was_paused_asks_at_once() {
+    let mut deployment = settled(30);
+    let follows = |now: &Deployment, node: usize| now.node(node).keeper().is_watching();
+    let node = (0..30).rev().find(|node| !follows(&deployment, *node)).unwrap();
+    deployment.paused = vec![node];
+    deployment.run(millis(5_000));
+    deployment.store.put_routes(routes(8, &[(443, "core")]));
+    deployment.run(millis(2_000));
+
+    deployment.paused.clear();
+    let took = deployment.run_until(|now| all_have_version(now, 8));
+    assert!(took <= millis(120), "{took:?}");
+    let decisions = deployment.nodes[node].as_mut().unwrap().take_decisions();
+    assert!(decisions.iter().any(|decision| matches!(decision, Decision::Paused { .. })));
+}
+
+#[test]
+fn messages_stay_few_while_entries_are_missing() {
+    let mut deployment = settled(30);
+    deployment.store_down = true;
+    deployment.run(millis(4_000));
+    for instance in 1..=3 {
+        deployment.store.delete_backend(instance);
+    }
+    deployment.store_down = false;
+
+    // One returns while the others are missing: each balancer knows a change, and none knows all.
+    let before = deployment.messages;
+    deployment.run(millis(1_000));
+    deployment.store.put_backend(backend(1, "core", HOME));
+    deployment.run(millis(4_000));
+    let rate = (deployment.messages - before) / 30 / 5;
+    assert!(rate <= 40, "{rate} messages a second from each balancer");
+}
--- a/crates/valvestage-policy/tests/steering/watch_duty.rs
+++ b/crates/valvestage-policy/tests/steering/watch_duty.rs
@@ -22,7 +22,14 @@
 }
 
 fn state(is_answering: bool, draw: f64) -> DutyState {
-    DutyState { is_answering, is_complete: true, has_zones: true, draw }
+    DutyState {
+        is_answering,
+        is_failing: false,
+        is_complete: true,
+        has_zones: true,
+        recent_peers: 7,
+        draw,
+    }
 }
 
 fn on_duty(last: u8, now: Instant) -> WatchDuty {
@@ -229,6 +236,7 @@
     let mut duty = starting(9, 0.0, now);
     duty.on_sighting(&trying(1), now);
     duty.on_sighting(&trying(2), now);
+    duty.on_sighting(&trying(3), now);
     duty.step(state(false, 0.0), now + millis(100));
     assert!(!duty.is_on_duty());
 
@@ -241,6 +249,18 @@
     assert!(!duty.is_on_duty(), "it lets others try");
     duty.step(state(false, 0.0), later + millis(1_800));
     assert!(!duty.is_on_duty());
-    duty.step(state(false, 0.0), later + millis(4_000));
+    duty.step(state(false, 0.0), later + millis(6_000));
     assert!(duty.is_on_duty(), "nobody else does");
 }
+
+#[test]
+fn one_whose_calls_fail_lets_others_try_soon() {
+    let now = start();
+    let failing = DutyState { is_failing: true, ..state(false, 0.5) };
+    let mut duty = on_duty(9, now);
+
+    duty.step(failing, now + millis(100));
+    assert!(duty.is_on_duty());
+    duty.step(failing, now + millis(500));
+    assert!(!duty.is_on_duty());
+}
