Split the knowledge keeper; never take what a fresh list does not tell for the whole truth

Cause, found while reading: a balancer that has just listed knows nothing of deletions before its list, yet told peers that all changes up to it were known; they kept entries that had gone, or took lapsed ones for gone at once. Tests: one_that_starts_after_an_outage_does_not_make_lapsed_entries_gone and what_went_before_the_first_list_is_not_remembered failed first.

--- a/crates/valvestage-policy/src/steering.rs
+++ b/crates/valvestage-policy/src/steering.rs
@@ -15,10 +15,10 @@
 //! | [`backend_health`] | which backend servers seem dead |
 //! | [`steering_policy`] | what is done with each packet |
 //! | [`knowledge`] | routes and backend servers together |
-//! | [`store_follower`] | keeping up with a kind of objects in the store |
+//! | [`store_follower`], [`store_link`] | keeping up with the store |
 //! | [`watch_duty`] | which balancers follow the store |
 //! | [`peer_message`], [`peer_table`] | what balancers tell each other, and whom |
-//! | [`knowledge_parts`], [`part_assembly`] | knowledge in datagrams |
+//! | [`peer_exchange`], [`knowledge_parts`], [`part_assembly`] | asking and telling, in datagrams |
 //! | [`knowledge_keeper`] | keeping knowledge up to date |
 //! | [`seeded_draw`] | draws that repeat themselves |
 //! | [`decision`] | what was decided, for logs and counters |
@@ -39,6 +39,7 @@
 pub mod knowledge_keeper;
 pub mod knowledge_parts;
 pub mod part_assembly;
+pub mod peer_exchange;
 pub mod peer_message;
 pub mod peer_table;
 pub mod route_map;
@@ -46,6 +47,7 @@
 pub mod steering_options;
 pub mod steering_policy;
 pub mod store_follower;
+pub mod store_link;
 pub mod watch_duty;
 
 pub use backend_directory::BackendDirectory;
@@ -54,9 +56,10 @@
 pub use decision::{AnswerTime, Decision, FlowPlacement, NewsSource};
 pub use entry_policy::{EntryOptions, EntryPolicy};
 pub use knowledge::Knowledge;
-pub use knowledge_keeper::{BackendNews, KeeperAction, KnowledgeKeeper};
+pub use knowledge_keeper::{KeeperAction, KnowledgeKeeper};
 pub use peer_message::PeerMessage;
 pub use route_map::{RouteMap, RouteTarget};
 pub use steering_options::SteeringOptions;
 pub use steering_policy::SteeringPolicy;
 pub use store_follower::{StoreCall, StoreFollower, StoreKind, StoreReply};
+pub use store_link::{BackendNews, StoreLink};
--- a/crates/valvestage-policy/src/steering/backend_directory.rs
+++ b/crates/valvestage-policy/src/steering/backend_directory.rs
@@ -124,8 +124,12 @@
     /// `complete` takes in that every change up to a revision was read. While entries are missing
     /// that may return, that is not the whole truth yet.
     pub fn complete(&mut self, until: StoreRevision) {
+        if self.complete_until == 0 {
+            // What went before this list was never seen here, and others may still believe in it.
+            self.remembers_from = self.remembers_from.max(until);
+            self.changed_at = self.changed_at.max(until);
+        }
         self.read_until = self.read_until.max(until);
-
         if !self.has_missing() {
             self.complete_until = self.read_until;
         }
--- a/crates/valvestage-policy/src/steering/entry_policy.rs
+++ b/crates/valvestage-policy/src/steering/entry_policy.rs
@@ -6,12 +6,13 @@
 use super::caller_packet::{CallerPacket, DropReason, PacketVerdict};
 use super::decision::{AnswerTime, Decision};
 use super::knowledge::Knowledge;
-use super::knowledge_keeper::{BackendNews, KeeperAction, KnowledgeKeeper};
+use super::knowledge_keeper::{KeeperAction, KnowledgeKeeper};
 use super::peer_message::PeerMessage;
 use super::route_map::RouteMap;
 use super::steering_options::SteeringOptions;
 use super::steering_policy::SteeringPolicy;
 use super::store_follower::StoreReply;
+use super::store_link::BackendNews;
 
 /// Time between two rounds of forgetting what is too old.
 const CLEANING_INTERVAL: Duration = Duration::from_secs(1);
--- /dev/null
+++ b/crates/valvestage-policy/src/steering/store_link.rs
@@ -0,0 +1,204 @@
+//! What this balancer asks the store, and what it makes of the answers.
+
+use std::collections::HashSet;
+use std::time::{Duration, Instant};
+
+use valvestage_core::ids::{InstanceId, StoreRevision};
+
+use super::backend_entry::BackendEntry;
+use super::knowledge::Knowledge;
+use super::route_map::RouteMap;
+use super::store_follower::{
+    Completeness, FollowerNews, StoreCall, StoreFollower, StoreKind, StoreReply,
+};
+
+/// Entries that lapsed while the store was away return within about 2 s; one that is missing after
+/// that is gone.
+pub(super) const RETURN_TIME: Duration = Duration::from_millis(2_300);
+
+/// A failed call is followed by another one within 0.8 s, so that the store has returned by then if it
+/// answers.
+const RETRY_TIME: Duration = Duration::from_millis(800);
+
+/// The store answers this balancer if it has done so within this time: one watch, and a slow answer.
+const ANSWER_LIFE: Duration = Duration::from_millis(2_500);
+
+/// Entries lapse after three heartbeats of some 0.8 s.
+const SHORTEST_LAPSE: Duration = Duration::from_secs(2);
+
+/// `BackendNews` is what the store says of one backend server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BackendNews {
+    /// The incarnation.
+    pub instance: InstanceId,
+    /// The store's revision at the change.
+    pub revision: StoreRevision,
+    /// Its entry; none if it was deleted.
+    pub entry: Option<BackendEntry>,
+}
+
+/// `StoreLink` follows both kinds of objects.
+#[derive(Debug, Default)]
+pub struct StoreLink {
+    routes: StoreFollower,
+    backends: StoreFollower,
+    /// What the list that is being read has so far.
+    listed: HashSet<InstanceId>,
+    /// When the store last failed to answer this balancer or another one.
+    last_failure: Option<Instant>,
+}
+
+impl StoreLink {
+    /// `is_failing` tells whether the store does not answer this balancer.
+    #[must_use]
+    pub fn is_failing(&self) -> bool {
+        self.routes.is_failing() || self.backends.is_failing()
+    }
+
+    /// `answered_at` gives when the store last answered for the kind that it answered longer ago.
+    #[must_use]
+    pub fn answered_at(&self) -> Option<Instant> {
+        let routes = self.routes.last_answer()?;
+        let backends = self.backends.last_answer()?;
+
+        Some(routes.min(backends))
+    }
+
+    /// `answering_since` gives the same while the store answers; none while it does not.
+    #[must_use]
+    pub fn answering_since(&self, now: Instant) -> Option<Instant> {
+        let is_recent = |at: &Instant| now.saturating_duration_since(*at) <= ANSWER_LIFE;
+
+        self.answered_at().filter(is_recent).filter(|_| !self.is_failing())
+    }
+
+    /// `last_failure` gives when the store last failed to answer this balancer or another one.
+    #[must_use]
+    pub fn last_failure(&self) -> Option<Instant> {
+        self.last_failure
+    }
+
+    /// `on_told_failure` takes in when the store last failed to answer another balancer.
+    pub fn on_told_failure(&mut self, at: Option<Instant>) {
+        self.last_failure = self.last_failure.max(at);
+    }
+
+    /// `missing_until` gives until when an entry that goes now may return: it may have lapsed in an
+    /// outage. None: it is gone.
+    #[must_use]
+    pub fn missing_until(&self, now: Instant) -> Option<Instant> {
+        let is_unsettled = self
+            .last_failure
+            .is_some_and(|at| now.saturating_duration_since(at) < RETRY_TIME + RETURN_TIME);
+
+        is_unsettled.then(|| now + RETURN_TIME)
+    }
+
+    /// `begin` prepares for following the store. Where nobody has followed it for a while, it may
+    /// have been away.
+    pub fn begin(&mut self, knowledge: &Knowledge, now: Instant) {
+        let is_old = |at: Instant| now.saturating_duration_since(at) >= SHORTEST_LAPSE;
+
+        if knowledge.confirmed_at().is_some_and(is_old) {
+            self.backends.assume_outage();
+        }
+    }
+
+    /// `calls` gives the calls that are due.
+    pub fn calls(&mut self, knowledge: &Knowledge, now: Instant) -> Vec<(StoreKind, StoreCall)> {
+        let known_until = knowledge.directory.complete_until();
+        let routes = self.routes.next_call(0, now);
+        let backends = self.backends.next_call(known_until, now);
+
+        let routes = routes.map(|call| (StoreKind::Configuration, call));
+        let backends = backends.map(|call| (StoreKind::Backends, call));
+        routes.into_iter().chain(backends).collect()
+    }
+
+    /// `is_kind_failing` tells whether the last call for a kind failed.
+    #[must_use]
+    pub fn is_kind_failing(&self, kind: StoreKind) -> bool {
+        match kind {
+            StoreKind::Configuration => self.routes.is_failing(),
+            StoreKind::Backends => self.backends.is_failing(),
+        }
+    }
+
+    /// `on_routes_reply` takes an answer about the configuration in, and gives what it brought.
+    pub fn on_routes_reply(&mut self, reply: StoreReply<RouteMap>, now: Instant) -> Vec<RouteMap> {
+        self.note_failure(&reply, now);
+
+        self.routes.on_reply(reply, now).objects
+    }
+
+    /// `on_backends_reply` takes an answer about backend servers in, and gives those of which
+    /// something else is believed now.
+    pub fn on_backends_reply(
+        &mut self,
+        knowledge: &mut Knowledge,
+        reply: StoreReply<BackendNews>,
+        now: Instant,
+    ) -> Vec<InstanceId> {
+        self.note_failure(&reply, now);
+        let FollowerNews { objects, completes } = self.backends.on_reply(reply, now);
+        let begins = matches!(
+            completes,
+            Completeness::ListBegins | Completeness::ListEnds { single_page: true, .. }
+        );
+        if begins {
+            self.listed.clear();
+        }
+
+        let mut changed = Vec::new();
+        for news in objects {
+            let instance = news.instance;
+            self.listed.insert(instance);
+            if self.take(knowledge, news, now) {
+                changed.push(instance);
+            }
+        }
+        changed.extend(self.complete(knowledge, completes, now));
+        changed
+    }
+
+    fn take(&self, knowledge: &mut Knowledge, news: BackendNews, now: Instant) -> bool {
+        let directory = &mut knowledge.directory;
+
+        match (news.entry, self.missing_until(now)) {
+            (Some(entry), _) => directory.put(entry),
+            (None, Some(until)) => directory.mark_missing(news.instance, until),
+            (None, None) => directory.mark_gone(news.instance, news.revision, now),
+        }
+    }
+
+    /// Takes in what a reply completes; gives the backend servers that it shows to be absent.
+    fn complete(
+        &self,
+        knowledge: &mut Knowledge,
+        completes: Completeness,
+        now: Instant,
+    ) -> Vec<InstanceId> {
+        let directory = &mut knowledge.directory;
+
+        match completes {
+            Completeness::Unchanged | Completeness::ListBegins => Vec::new(),
+            Completeness::Until(revision) => {
+                directory.complete(revision);
+                Vec::new()
+            }
+            Completeness::ListEnds { revision, after_outage, .. } => {
+                let after_outage = after_outage.then(|| now + RETURN_TIME);
+                let missing_until = after_outage.or(self.missing_until(now));
+                let absent = directory.retain_listed(&self.listed, revision, missing_until, now);
+                directory.complete(revision);
+                absent
+            }
+        }
+    }
+
+    fn note_failure<T>(&mut self, reply: &StoreReply<T>, now: Instant) {
+        if matches!(reply, StoreReply::Failed) {
+            self.last_failure = Some(now);
+        }
+    }
+}
--- a/crates/valvestage-policy/tests/steering/directory.rs
+++ b/crates/valvestage-policy/tests/steering/directory.rs
@@ -42,6 +42,7 @@
 #[test]
 fn what_a_peer_tells_of_an_entry_gone_long_ago_is_obsolete() {
     let (mut directory, now) = (BackendDirectory::default(), start());
+    directory.complete(1);
     directory.put(backend(5, "core", HOME));
     directory.mark_gone(5, 20, now);
     directory.complete(30);
@@ -134,3 +135,13 @@
 
     seeded().quickcheck(property as fn(u64) -> bool);
 }
+
+#[test]
+fn what_went_before_the_first_list_is_not_remembered() {
+    let mut directory = BackendDirectory::default();
+    directory.put(backend(5, "core", HOME));
+    directory.complete(40);
+
+    assert!(!directory.remembers(39), "others may know an entry that went before 40");
+    assert!(directory.remembers(40));
+}
--- a/crates/valvestage-policy/tests/steering/keepers.rs
+++ b/crates/valvestage-policy/tests/steering/keepers.rs
@@ -345,3 +345,32 @@
     let each = (deployment.messages - before) / 60;
     assert!(each <= 120, "{each} messages from each balancer");
 }
+
+#[test]
+fn one_that_starts_after_an_outage_does_not_make_lapsed_entries_gone() {
+    let mut deployment = settled(8);
+    deployment.store_down = true;
+    deployment.run(millis(4_000));
+    deployment.store.delete_backend(1);
+    deployment.store.delete_backend(2);
+    deployment.store_down = false;
+
+    // It reads the list without the lapsed entries, and others hear of a newer state from it.
+    deployment.cut_from_peers = vec![6];
+    deployment.start(6);
+    deployment.run_until(|now| now.node(6).is_ready());
+    deployment.cut_from_peers.clear();
+    for _ in 0..1_000 {
+        deployment.run(millis(1));
+        let others = deployment.nodes.iter().flatten().enumerate().filter(|(node, _)| *node != 6);
+        for (_, node) in others {
+            assert!(!node.knowledge().directory.get(1).unwrap().is_gone());
+        }
+    }
+    deployment.store.put_backend(backend(1, "core", HOME));
+    deployment.run(millis(6_000));
+    assert!(all_know_gone(&deployment, 2), "it has not returned");
+    for node in deployment.nodes.iter().flatten() {
+        assert!(!node.knowledge().directory.get(1).unwrap().is_gone());
+    }
+}
--- a/crates/valvestage-policy/tests/steering/peers.rs
+++ b/crates/valvestage-policy/tests/steering/peers.rs
@@ -104,6 +104,7 @@
 #[test]
 fn only_changes_are_told_while_they_are_remembered() {
     let (mut directory, now) = (BackendDirectory::default(), start());
+    directory.complete(1);
     for instance in 1..=9 {
         directory.put(backend(instance, "core", HOME));
     }
