--- a/crates/valvestage-entry/src/decision_lines.rs
+++ b/crates/valvestage-entry/src/decision_lines.rs
@@ -63,7 +63,7 @@
         Decision::RoutesInForce { .. } => "routes_in_force",
         Decision::BackendChanged { .. } => "backend_changed",
         Decision::BackendMissing { .. } => "backend_missing",
-        Decision::WatchDuty { .. } => "watch_duty",
+        Decision::WatchRole { .. } => "watch_role",
         Decision::StoreLink { .. } => "store_link",
         Decision::PeerFound { .. } => "peer_found",
         Decision::PeerLost { .. } => "peer_lost",
@@ -158,8 +158,8 @@
             line.put("phase", phase_name(*phase));
             line.put_source(*source);
         }
-        Decision::WatchDuty { on_duty, others } => {
-            line.put("follows_store", *on_duty);
+        Decision::WatchRole { watching, others } => {
+            line.put("follows_store", *watching);
             line.put("others", *others);
         }
         Decision::StoreLink { kind, answers } => {
--- a/crates/valvestage-policy/src/steering.rs
+++ b/crates/valvestage-policy/src/steering.rs
@@ -16,7 +16,7 @@
 //! | [`steering_policy`] | what is done with each packet |
 //! | [`knowledge`] | routes and backend servers together |
 //! | [`store_follower`], [`store_link`] | keeping up with the store |
-//! | [`watch_duty`] | which balancers follow the store |
+//! | [`watch_role`] | which balancers follow the store |
 //! | [`peer_message`], [`peer_table`] | what balancers tell each other, and whom |
 //! | [`peer_exchange`], [`knowledge_parts`], [`part_assembly`] | asking and telling, in datagrams |
 //! | [`knowledge_keeper`] | keeping knowledge up to date |
@@ -48,7 +48,7 @@
 pub mod steering_policy;
 pub mod store_follower;
 pub mod store_link;
-pub mod watch_duty;
+pub mod watch_role;
 
 pub use backend_directory::BackendDirectory;
 pub use backend_entry::{BackendEntry, BackendPhase};
--- a/crates/valvestage-policy/src/steering/backend_health.rs
+++ b/crates/valvestage-policy/src/steering/backend_health.rs
@@ -31,7 +31,7 @@
 const SUSPECT_FOR: Duration = Duration::from_millis(2_500);
 
 /// Missing answers further apart than this have nothing to do with each other.
-const STRIKE_WINDOW: Duration = Duration::from_secs(2);
+const MISS_WINDOW: Duration = Duration::from_secs(2);
 
 /// How long another balancer's word counts; it says it again with each heartbeat.
 const TOLD_FOR: Duration = Duration::from_millis(1_000);
@@ -44,7 +44,7 @@
 struct HealthRecord {
     last_life: Option<Instant>,
     /// Flows that miss an answer, with the time of the latest sign; no flow twice.
-    strikes: Vec<(FlowAddresses, Instant)>,
+    misses: Vec<(FlowAddresses, Instant)>,
     suspect_until: Option<Instant>,
     /// Until when another balancer's word for it counts.
     told_until: Option<Instant>,
@@ -68,7 +68,7 @@
         match sign {
             FlowSign::Neutral => None,
             FlowSign::Alive(_) => self.observe_life(instance, now),
-            FlowSign::Unanswered(since) => self.observe_strike(instance, flow, since, now),
+            FlowSign::Unanswered(since) => self.observe_miss(instance, flow, since, now),
         }
     }
 
@@ -77,7 +77,7 @@
         let was_suspect = record.suspect_until.is_some_and(|until| until > now);
 
         record.last_life = Some(now);
-        record.strikes.clear();
+        record.misses.clear();
         record.suspect_until = None;
         record.told_until = None;
         was_suspect.then_some(Decision::Cleared { instance })
@@ -103,7 +103,7 @@
         suspects.map(|(instance, _)| *instance).take(MAX_TOLD).collect()
     }
 
-    fn observe_strike(
+    fn observe_miss(
         &mut self,
         instance: InstanceId,
         flow: FlowAddresses,
@@ -116,9 +116,9 @@
             return None;
         }
 
-        record.strikes.retain(|(other, at)| *other != flow && now - *at <= STRIKE_WINDOW);
-        record.strikes.push((flow, now));
-        let flows = record.strikes.len();
+        record.misses.retain(|(other, at)| *other != flow && now - *at <= MISS_WINDOW);
+        record.misses.push((flow, now));
+        let flows = record.misses.len();
         let suspect = flows >= FLOWS_TO_SUSPECT;
         let is_new = suspect && record.suspect_until.is_none_or(|until| until <= now);
         if suspect {
@@ -141,8 +141,8 @@
         self.records.get(&instance).is_some_and(|record| {
             let is_told = record.told_until > Some(now);
             let needed = if is_told { FLOWS_TO_AGREE } else { FLOWS_TO_GIVE_UP };
-            let counts = |(_, at): &&(FlowAddresses, Instant)| now - *at <= STRIKE_WINDOW;
-            record.strikes.iter().filter(counts).count() >= needed
+            let counts = |(_, at): &&(FlowAddresses, Instant)| now - *at <= MISS_WINDOW;
+            record.misses.iter().filter(counts).count() >= needed
         })
     }
 
--- a/crates/valvestage-policy/src/steering/decision.rs
+++ b/crates/valvestage-policy/src/steering/decision.rs
@@ -79,9 +79,9 @@
         instance: InstanceId,
     },
     /// This balancer begins or ceases to follow the store.
-    WatchDuty {
+    WatchRole {
         /// Whether it follows the store now.
-        on_duty: bool,
+        watching: bool,
         /// How many others are known to.
         others: usize,
     },
--- a/crates/valvestage-policy/src/steering/knowledge_keeper.rs
+++ b/crates/valvestage-policy/src/steering/knowledge_keeper.rs
@@ -15,7 +15,7 @@
 use super::seeded_draw::SeededDraw;
 use super::store_follower::{StoreCall, StoreKind, StoreReply};
 use super::store_link::{BackendNews, StoreLink};
-use super::watch_duty::{DutyState, WatchDuty, millis_since, time_of_age};
+use super::watch_role::{RoleState, WatchRole, millis_since, time_of_age};
 
 /// Time between two rounds of heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
@@ -41,7 +41,7 @@
 pub struct KnowledgeKeeper {
     zone: ZoneName,
     peers: PeerTable,
-    duty: WatchDuty,
+    role: WatchRole,
     draw: SeededDraw,
     store: StoreLink,
     exchange: PeerExchange,
@@ -65,12 +65,12 @@
         let own = *own;
         let zone = options.steering.zone.clone();
         let mut draw = SeededDraw::new(*seed);
-        let duty = WatchDuty::new(own, zone.clone(), *is_first_start, draw.unit(), now);
+        let role = WatchRole::new(own, zone.clone(), *is_first_start, draw.unit(), now);
 
         Self {
             zone,
             peers: PeerTable::new(own, seeds),
-            duty,
+            role,
             draw,
             store: StoreLink::default(),
             exchange: PeerExchange::default(),
@@ -97,7 +97,7 @@
     /// `is_watching` tells whether this balancer follows the store.
     #[must_use]
     pub fn is_watching(&self) -> bool {
-        self.duty.is_on_duty()
+        self.role.is_watching()
     }
 
     /// `on_tick` gives what is due; to be called several times a second, and after each news.
@@ -109,7 +109,7 @@
     ) -> Vec<KeeperAction> {
         self.expire_missing(knowledge, now);
         self.note_suspects(suspects);
-        self.step_duty(knowledge, now);
+        self.step_role(knowledge, now);
         let mut actions = self.calls(knowledge, now);
 
         if self.has_news || self.next_heartbeat <= now {
@@ -137,7 +137,7 @@
     pub fn next_due(&self) -> Instant {
         let heartbeat = self.next_heartbeat;
 
-        self.duty.next_due().map_or(heartbeat, |due| due.min(heartbeat))
+        self.role.next_due().map_or(heartbeat, |due| due.min(heartbeat))
     }
 
     /// Others are told of a new suspect at once.
@@ -147,9 +147,9 @@
         self.told_suspects = suspects.to_vec();
     }
 
-    fn step_duty(&mut self, knowledge: &Knowledge, now: Instant) {
-        let was_on_duty = self.duty.is_on_duty();
-        let state = DutyState {
+    fn step_role(&mut self, knowledge: &Knowledge, now: Instant) {
+        let was_watching = self.role.is_watching();
+        let state = RoleState {
             is_answering: self.store.answering_since(now).is_some(),
             is_failing: self.store.is_failing(),
             is_complete: knowledge.is_complete() || knowledge.is_certain(now),
@@ -158,15 +158,15 @@
             draw: self.draw.unit(),
         };
 
-        self.duty.step(state, now);
-        let on_duty = self.duty.is_on_duty();
-        if on_duty != was_on_duty {
-            self.has_news |= on_duty;
-            if on_duty {
+        self.role.step(state, now);
+        let watching = self.role.is_watching();
+        if watching != was_watching {
+            self.has_news |= watching;
+            if watching {
                 self.store.begin(knowledge, now);
             }
-            let others = self.duty.others();
-            self.decisions.push(Decision::WatchDuty { on_duty, others });
+            let others = self.role.others();
+            self.decisions.push(Decision::WatchRole { watching, others });
         }
     }
 
@@ -219,7 +219,7 @@
     }
 
     fn calls(&mut self, knowledge: &Knowledge, now: Instant) -> Vec<KeeperAction> {
-        if !self.duty.is_on_duty() {
+        if !self.role.is_watching() {
             return Vec::new();
         }
 
@@ -263,7 +263,7 @@
             changed_at: knowledge.directory.changed_at(),
             age_ms: knowledge.confirmed_at().map_or(u32::MAX, |at| millis_since(at, now)),
             outage_age_ms: outage.map_or(u32::MAX, |at| millis_since(at, now)),
-            watchers: self.duty.sightings(self.store.answering_since(now), now),
+            watchers: self.role.sightings(self.store.answering_since(now), now),
             peers: self.peers.sample(PEERS_TOLD, draw, now),
             suspects: suspects.to_vec(),
         }
@@ -319,7 +319,7 @@
             self.peers.on_told(*peer, now);
         }
         for sighting in &heartbeat.watchers {
-            self.has_news |= self.duty.on_sighting(sighting, now);
+            self.has_news |= self.role.on_sighting(sighting, now);
         }
 
         let mut actions = Vec::new();
@@ -332,7 +332,7 @@
         }
         if self.exchange.knows_more(knowledge, heartbeat) {
             if let Some(pull) = self.exchange.pull(knowledge, now) {
-                self.duty.on_telling_peer(now);
+                self.role.on_pull_sent(now);
                 actions.push(KeeperAction::Tell(sender, PeerMessage::Pull(pull)));
             }
             return actions;
@@ -385,7 +385,7 @@
     fn confirm(&mut self, knowledge: &mut Knowledge) {
         if let Some(at) = self.store.answered_at() {
             knowledge.confirm(Some(at));
-            self.has_news |= self.duty.on_answer(at);
+            self.has_news |= self.role.on_answer(at);
         }
     }
 
--- a/crates/valvestage-policy/src/steering/knowledge_parts.rs
+++ b/crates/valvestage-policy/src/steering/knowledge_parts.rs
@@ -11,7 +11,7 @@
     PeerMessage, RoutesPart,
 };
 use super::route_map::{RouteMap, RouteTarget};
-use super::watch_duty::millis_since;
+use super::watch_role::millis_since;
 
 /// Bytes of a message besides its list.
 const FRAME_BYTES: usize = 40;
--- a/crates/valvestage-policy/src/steering/watch_duty.rs
+++ b/crates/valvestage-policy/src/steering/watch_role.rs
@@ -27,7 +27,7 @@
 
 /// A sighting that is newer by this much is passed on at once: news of a watch's end has to outrun
 /// the life of a sighting.
-const TELLING_STEP: Duration = Duration::from_millis(600);
+const NEWS_STEP: Duration = Duration::from_millis(600);
 
 /// Followers told of in one heartbeat; more of them are about to stop.
 const MAX_TOLD: usize = 4;
@@ -48,31 +48,31 @@
 const TRY_FOR_AFTER_FAILURE: Duration = Duration::from_millis(400);
 
 /// Then it does not try again until about all others had their turn, but at least for so long.
-const SHORTEST_REST: Duration = Duration::from_millis(1_500);
+const MIN_BACKOFF: Duration = Duration::from_millis(1_500);
 
 /// And at most for so long: others may be cut off without its knowing.
-const LONGEST_REST: Duration = Duration::from_secs(10);
+const MAX_BACKOFF: Duration = Duration::from_secs(10);
 
 /// Longest pause before a balancer begins to follow the store. With the life of a sighting it stays
 /// below the 3 s within which a configuration has to be in force, but for the last ones to begin.
-const LONGEST_HESITATION: Duration = Duration::from_millis(600);
+const MAX_JITTER: Duration = Duration::from_millis(600);
 
 /// Shortest pause at the start of the process, in which peers that know everything may speak first.
 /// Two datagrams to and fro take some milliseconds; a store that has to be read costs a call a page.
-const START_HESITATION: Duration = Duration::from_millis(15);
+const START_DELAY: Duration = Duration::from_millis(15);
 
 /// What is drawn on top of it: when all start at once, some read the store and tell the others.
-const START_SPREAD: Duration = Duration::from_millis(45);
+const START_JITTER: Duration = Duration::from_millis(45);
 
 /// What is drawn at the first start of a deployment, whose traffic begins seconds later.
-const FIRST_START_SPREAD: Duration = Duration::from_millis(1_000);
+const FIRST_START_JITTER: Duration = Duration::from_millis(1_000);
 
 /// Pause for a peer that knows everything to tell it.
-const TELLING_TIME: Duration = Duration::from_millis(100);
+const PULL_GRACE: Duration = Duration::from_millis(100);
 
-/// `DutyState` is what the decision goes by, besides other balancers.
+/// `RoleState` is what the decision goes by, besides other balancers.
 #[derive(Debug, Clone, Copy)]
-pub struct DutyState {
+pub struct RoleState {
     /// Whether the store answers this balancer.
     pub is_answering: bool,
     /// Whether calls of this balancer have failed since the store last answered it.
@@ -104,11 +104,11 @@
     }
 }
 
-/// `WatchDuty` decides whether this balancer follows the store.
+/// `WatchRole` decides whether this balancer follows the store.
 #[derive(Debug)]
-pub struct WatchDuty {
+pub struct WatchRole {
     own: SocketAddrV4,
-    on_duty: bool,
+    watching: bool,
     zone: ZoneName,
     /// The balancers that follow the store, this one left out.
     sightings: BTreeMap<SocketAddrV4, Sighting>,
@@ -119,10 +119,10 @@
     /// Until when to try, while the store does not answer.
     try_until: Option<Instant>,
     /// Until when not to try.
-    rest_until: Option<Instant>,
+    backoff_until: Option<Instant>,
 }
 
-impl WatchDuty {
+impl WatchRole {
     /// `new` waits for peers for a moment that is drawn between 0 and 1.
     #[must_use]
     pub fn new(
@@ -132,24 +132,24 @@
         draw: f64,
         now: Instant,
     ) -> Self {
-        let spread = if is_first_start { FIRST_START_SPREAD } else { START_SPREAD };
+        let jitter = if is_first_start { FIRST_START_JITTER } else { START_JITTER };
 
         Self {
             own,
-            on_duty: false,
+            watching: false,
             zone,
             sightings: BTreeMap::new(),
             told: None,
-            begin_at: Some(now + START_HESITATION + spread.mul_f64(draw)),
+            begin_at: Some(now + START_DELAY + jitter.mul_f64(draw)),
             try_until: None,
-            rest_until: None,
+            backoff_until: None,
         }
     }
 
-    /// `on_telling_peer` takes in that a peer was asked for what is not known here.
-    pub fn on_telling_peer(&mut self, now: Instant) {
+    /// `on_pull_sent` takes in that a peer was asked for what is not known here.
+    pub fn on_pull_sent(&mut self, now: Instant) {
         if let Some(begin_at) = &mut self.begin_at {
-            *begin_at = now + TELLING_TIME;
+            *begin_at = now + PULL_GRACE;
         }
     }
 
@@ -159,10 +159,10 @@
         self.begin_at
     }
 
-    /// `is_on_duty` tells whether this balancer follows the store.
+    /// `is_watching` tells whether this balancer follows the store.
     #[must_use]
-    pub fn is_on_duty(&self) -> bool {
-        self.on_duty
+    pub fn is_watching(&self) -> bool {
+        self.watching
     }
 
     /// `others` gives the number of others that are known to follow it.
@@ -185,7 +185,7 @@
         }
         let is_news = match known {
             Some(known) => {
-                seen_at - known.seen_at >= TELLING_STEP || known.is_answered != told.is_answered
+                seen_at - known.seen_at >= NEWS_STEP || known.is_answered != told.is_answered
             }
             // In a herd that starts at once many follow for a moment; some are enough to tell of.
             None => self.sightings.len() < MAX_TOLD,
@@ -197,7 +197,7 @@
     /// `on_answer` takes in that the store has answered this balancer; true if others should hear it
     /// now.
     pub fn on_answer(&mut self, answered_at: Instant) -> bool {
-        if !self.on_duty || self.told.is_some_and(|told| answered_at < told + TELLING_STEP) {
+        if !self.watching || self.told.is_some_and(|told| answered_at < told + NEWS_STEP) {
             return false;
         }
 
@@ -215,7 +215,7 @@
             age_ms: answered_at.map_or(0, |at| millis_since(at, now)),
             is_answered: answered_at.is_some(),
         };
-        let own = self.on_duty.then_some(own);
+        let own = self.watching.then_some(own);
         let others = self.sightings.iter().map(|(peer, sighting)| WatcherSighting {
             peer: *peer,
             zone: sighting.zone.clone(),
@@ -227,7 +227,7 @@
     }
 
     /// `step` decides anew.
-    pub fn step(&mut self, state: DutyState, now: Instant) {
+    pub fn step(&mut self, state: RoleState, now: Instant) {
         self.sightings.retain(|_, sighting| sighting.is_alive(now));
         if state.is_answering {
             self.try_until = None;
@@ -236,8 +236,8 @@
         if state.is_complete && self.has_enough(state) {
             self.begin_at = None;
             // One whom the store does not answer makes room whatever its address.
-            self.on_duty &= state.is_answering && self.is_chosen(state);
-        } else if self.on_duty {
+            self.watching &= state.is_answering && self.is_chosen(state);
+        } else if self.watching {
             self.try_on(state, now);
         } else {
             self.consider(state, now);
@@ -245,7 +245,7 @@
     }
 
     /// Goes on, or lets others try.
-    fn try_on(&mut self, state: DutyState, now: Instant) {
+    fn try_on(&mut self, state: RoleState, now: Instant) {
         if state.is_answering {
             return;
         }
@@ -254,31 +254,31 @@
         let try_until = self.try_until.map_or(longest, |until| until.min(longest));
         self.try_until = Some(try_until);
         if try_until <= now {
-            self.on_duty = false;
+            self.watching = false;
             self.try_until = None;
-            self.rest_until = Some(now + rest_for(state.recent_peers));
+            self.backoff_until = Some(now + backoff_for(state.recent_peers));
         }
     }
 
     /// Begins, unless enough others are at it.
-    fn consider(&mut self, state: DutyState, now: Instant) {
+    fn consider(&mut self, state: RoleState, now: Instant) {
         let wanted = if state.is_complete { WANTED_TRIERS } else { WANTED_BEGINNERS };
         let trying = self.sightings.values().filter(|sighting| !sighting.is_answered).count();
-        if trying >= wanted || self.rest_until.is_some_and(|until| until > now) {
+        if trying >= wanted || self.backoff_until.is_some_and(|until| until > now) {
             self.begin_at = None;
             return;
         }
 
-        let hesitation = LONGEST_HESITATION.mul_f64(state.draw);
-        let begin_at = *self.begin_at.get_or_insert(now + hesitation);
+        let jitter = MAX_JITTER.mul_f64(state.draw);
+        let begin_at = *self.begin_at.get_or_insert(now + jitter);
         if begin_at <= now {
             self.begin_at = None;
-            self.on_duty = true;
+            self.watching = true;
         }
     }
 
     /// Whether the store answers enough others: two, and not both in one zone where there are more.
-    fn has_enough(&self, state: DutyState) -> bool {
+    fn has_enough(&self, state: RoleState) -> bool {
         let answered = self.answered();
         let mut zones: Vec<&ZoneName> = answered.iter().map(|(_, zone)| *zone).collect();
         zones.sort_unstable();
@@ -296,7 +296,7 @@
     }
 
     /// Whether this balancer is one of those that stay.
-    fn is_chosen(&self, state: DutyState) -> bool {
+    fn is_chosen(&self, state: RoleState) -> bool {
         let mut all = self.answered();
         all.push((self.own, &self.zone));
         all.sort_unstable();
@@ -309,12 +309,12 @@
 }
 
 /// How long one that got no answer rests, so that the others come first.
-fn rest_for(recent_peers: u32) -> Duration {
+fn backoff_for(recent_peers: u32) -> Duration {
     // Some try at a time, and each turn takes about as long as a call that gets no answer.
     const TURN: Duration = Duration::from_millis(800);
     let turns = recent_peers / 3;
 
-    (TURN * turns).clamp(SHORTEST_REST, LONGEST_REST)
+    (TURN * turns).clamp(MIN_BACKOFF, MAX_BACKOFF)
 }
 
 /// Added to what a message says of ages, for its way. With less than the real time a piece of news
--- a/crates/valvestage-policy/tests/steering/main.rs
+++ b/crates/valvestage-policy/tests/steering/main.rs
@@ -9,4 +9,4 @@
 mod keepers;
 mod packets;
 mod peers;
-mod watch_duty;
+mod watch_role;
--- a/crates/valvestage-policy/tests/steering/packets.rs
+++ b/crates/valvestage-policy/tests/steering/packets.rs
@@ -319,3 +319,47 @@
     policy.on_tick(&mut known, now + millis(20_000));
     assert_eq!(policy.flow_count(), 0);
 }
+
+/// Opens flows on the only backend server and sends a request on each; nothing answers them.
+fn unanswered_requests(policy: &mut SteeringPolicy, known: &Knowledge, now: Instant) {
+    for port in 1..=3 {
+        open(policy, known, port, now);
+    }
+    for port in 1..=3 {
+        assert_eq!(instance(policy.on_packet(known, &request(port, 1), now + millis(10))), 1);
+    }
+}
+
+#[test]
+fn open_flows_of_a_silent_backend_server_are_ended() {
+    let now = start();
+    let known = knowledge(&[backend(1, "core", HOME)]);
+    let mut policy = policy();
+    unanswered_requests(&mut policy, &known, now);
+
+    // The callers send their requests again. The third one shows that it is not a lost datagram.
+    let again = now + millis(210);
+    for port in 1..=2 {
+        assert_eq!(instance(policy.on_packet(&known, &request(port, 1), again)), 1);
+    }
+    let third = policy.on_packet(&known, &request(3, 1), again);
+    assert_eq!(third, PacketVerdict::Reset(ResetReason::BackendSilent));
+}
+
+#[test]
+fn open_flows_of_a_slow_backend_server_stay() {
+    let now = start();
+    let known = knowledge(&[backend(1, "core", HOME)]);
+    let mut policy = policy();
+    unanswered_requests(&mut policy, &known, now);
+
+    // It answers one of them late; the others are sent again and again.
+    let answer = data(flow(1), BackendDirectory::token_of(1), 1_101, 0, 900);
+    policy.on_packet(&known, &answer, now + millis(150));
+    for wait in [210, 610, 1_400] {
+        for port in 2..=3 {
+            let again = policy.on_packet(&known, &request(port, 1), now + millis(wait));
+            assert_eq!(instance(again), 1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/valvestage-policy/tests/steering/watch_role.rs
@@ -0,0 +1,266 @@
+//! Which balancers follow the store.
+
+use std::time::Instant;
+
+use valvestage_policy::steering::peer_message::WatcherSighting;
+use valvestage_policy::steering::watch_role::{RoleState, WatchRole};
+
+use crate::fixtures::{AWAY, HOME, address, millis, start};
+
+fn sighting(last: u8, age_ms: u32) -> WatcherSighting {
+    WatcherSighting {
+        peer: address(last, 7_000),
+        zone: zone_of(last).to_owned(),
+        age_ms,
+        is_answered: true,
+    }
+}
+
+/// Odd addresses are in one zone, even ones in the other.
+fn zone_of(last: u8) -> &'static str {
+    if last % 2 == 1 { HOME } else { AWAY }
+}
+
+fn state(is_answering: bool, draw: f64) -> RoleState {
+    RoleState {
+        is_answering,
+        is_failing: false,
+        is_complete: true,
+        has_zones: true,
+        recent_peers: 7,
+        draw,
+    }
+}
+
+fn watching(last: u8, now: Instant) -> WatchRole {
+    let mut role = starting(last, 0.0, now);
+
+    role.step(state(true, 0.5), now + millis(15));
+    assert!(role.is_watching());
+    role
+}
+
+/// One that has just started.
+fn starting(last: u8, draw: f64, now: Instant) -> WatchRole {
+    WatchRole::new(address(last, 7_000), zone_of(last).to_owned(), false, draw, now)
+}
+
+/// A balancer that has stopped following because of two others.
+fn off_duty(now: Instant) -> WatchRole {
+    let mut role = watching(9, now);
+
+    role.on_sighting(&sighting(1, 0), now);
+    role.on_sighting(&sighting(2, 0), now);
+    role.step(state(true, 0.5), now);
+    assert!(!role.is_watching());
+    role
+}
+
+#[test]
+fn a_balancer_that_knows_of_no_other_follows_the_store() {
+    let now = start();
+    let mut role = watching(9, now);
+
+    role.step(state(false, 0.5), now);
+    assert!(role.is_watching());
+}
+
+#[test]
+fn of_too_many_the_lowest_addresses_stay() {
+    let now = start();
+
+    for (own, stays) in [(1, true), (2, true), (3, false), (4, false)] {
+        let mut role = watching(own, now);
+        for other in 1..=4 {
+            role.on_sighting(&sighting(other, 0), now);
+        }
+        role.step(state(true, 0.5), now);
+        assert_eq!(role.is_watching(), stays, "balancer {own}");
+    }
+}
+
+#[test]
+fn one_whom_the_store_does_not_answer_makes_room() {
+    let now = start();
+    let mut role = watching(1, now);
+    role.on_sighting(&sighting(2, 0), now);
+    role.on_sighting(&sighting(3, 0), now);
+
+    role.step(state(false, 0.5), now);
+    assert!(!role.is_watching());
+}
+
+#[test]
+fn another_takes_over_within_the_time_that_a_configuration_may_take() {
+    let now = start();
+    let mut role = off_duty(now);
+
+    // Both followers fall silent at once; the steps are heartbeats.
+    let mut at = now;
+    while !role.is_watching() {
+        at += millis(100);
+        role.step(state(false, 0.99), at);
+    }
+    assert!(at - now <= millis(3_300), "took over after {:?}", at - now);
+}
+
+#[test]
+fn the_pause_is_drawn_so_that_not_all_take_over_at_once() {
+    let now = start();
+    let begins = |draw: f64| {
+        let (mut role, mut at) = (off_duty(now), now);
+        while !role.is_watching() {
+            at += millis(10);
+            role.step(state(false, draw), at);
+        }
+        at - now
+    };
+
+    assert!(begins(0.9) > begins(0.1) + millis(300));
+}
+
+#[test]
+fn one_that_hears_of_a_successor_in_its_pause_does_not_begin() {
+    let now = start();
+    let mut role = off_duty(now);
+    let late = now + millis(2_700);
+    role.step(state(false, 0.9), late);
+
+    role.on_sighting(&sighting(3, 0), late);
+    role.on_sighting(&sighting(4, 0), late);
+    role.step(state(false, 0.9), late + millis(1_000));
+    assert!(!role.is_watching());
+}
+
+#[test]
+fn an_old_sighting_does_not_count() {
+    let now = start();
+    let mut role = watching(9, now);
+
+    role.on_sighting(&sighting(1, 5_000), now);
+    role.on_sighting(&sighting(2, 5_000), now);
+    role.step(state(true, 0.5), now);
+    assert!(role.is_watching());
+}
+
+#[test]
+fn a_balancer_that_starts_lets_its_peers_speak_first() {
+    let now = start();
+    let unknowing = RoleState { is_complete: false, ..state(false, 0.5) };
+    let mut role = starting(9, 0.0, now);
+    role.step(unknowing, now);
+    assert!(!role.is_watching());
+
+    // Nobody speaks.
+    role.step(unknowing, now + millis(15));
+    assert!(role.is_watching());
+}
+
+#[test]
+fn a_peer_that_was_asked_gets_time_to_tell() {
+    let now = start();
+    let unknowing = RoleState { is_complete: false, ..state(false, 0.5) };
+    let mut role = starting(9, 0.0, now);
+    role.on_pull_sent(now + millis(10));
+    role.step(unknowing, now + millis(20));
+    assert!(!role.is_watching());
+
+    // Its answer is lost, while others follow the store.
+    role.on_sighting(&sighting(1, 0), now);
+    role.on_sighting(&sighting(2, 0), now);
+    role.step(unknowing, now + millis(120));
+    assert!(role.is_watching());
+}
+
+#[test]
+fn two_in_one_zone_are_not_enough_where_there_are_more() {
+    let now = start();
+    let mut role = starting(8, 0.0, now);
+    role.on_sighting(&sighting(1, 0), now);
+    role.on_sighting(&sighting(3, 0), now);
+
+    role.step(state(true, 0.5), now + millis(50));
+    assert!(role.is_watching());
+    // Of the three, the second one of the same zone is the one to stop.
+    let mut second = watching(3, now);
+    second.on_sighting(&sighting(1, 0), now);
+    second.on_sighting(&sighting(8, 0), now);
+    second.step(state(true, 0.5), now);
+    assert!(!second.is_watching());
+}
+
+#[test]
+fn two_in_the_only_zone_that_is_heard_are_enough() {
+    let now = start();
+    let mut role = watching(5, now);
+    role.on_sighting(&sighting(1, 0), now);
+    role.on_sighting(&sighting(3, 0), now);
+
+    role.step(RoleState { has_zones: false, ..state(true, 0.5) }, now);
+    assert!(!role.is_watching());
+}
+
+#[test]
+fn the_end_of_a_watch_is_passed_on_at_once() {
+    let now = start();
+    let mut role = watching(9, now);
+
+    assert!(role.on_sighting(&sighting(1, 0), now));
+    assert!(!role.on_sighting(&sighting(1, 100), now + millis(400)));
+    assert!(role.on_sighting(&sighting(1, 0), now + millis(1_500)));
+}
+
+#[test]
+fn when_all_start_at_once_some_read_the_store_first() {
+    let now = start();
+    let begins = |is_first_start: bool, draw: f64| {
+        let zone = HOME.to_owned();
+        let mut role = WatchRole::new(address(9, 7_000), zone, is_first_start, draw, now);
+        let mut at = now;
+        while !role.is_watching() {
+            at += millis(1);
+            role.step(state(false, 0.5), at);
+        }
+        at - now
+    };
+
+    assert!(begins(false, 0.9) > begins(false, 0.1) + millis(30));
+    assert!(begins(false, 0.99) <= millis(60), "traffic is waiting");
+    assert!(begins(true, 0.9) > begins(true, 0.1) + millis(500));
+}
+
+#[test]
+fn a_few_try_at_a_time_while_the_store_answers_nobody() {
+    let now = start();
+    let trying = |last: u8| WatcherSighting { is_answered: false, ..sighting(last, 0) };
+    let mut role = starting(9, 0.0, now);
+    role.on_sighting(&trying(1), now);
+    role.on_sighting(&trying(2), now);
+    role.on_sighting(&trying(3), now);
+    role.step(state(false, 0.0), now + millis(100));
+    assert!(!role.is_watching());
+
+    // They have let go.
+    let later = now + millis(2_000);
+    role.step(state(false, 0.0), later);
+    assert!(role.is_watching());
+    role.step(state(false, 0.0), later + millis(10));
+    role.step(state(false, 0.0), later + millis(1_700));
+    assert!(!role.is_watching(), "it lets others try");
+    role.step(state(false, 0.0), later + millis(1_800));
+    assert!(!role.is_watching());
+    role.step(state(false, 0.0), later + millis(6_000));
+    assert!(role.is_watching(), "nobody else does");
+}
+
+#[test]
+fn one_whose_calls_fail_lets_others_try_soon() {
+    let now = start();
+    let failing = RoleState { is_failing: true, ..state(false, 0.5) };
+    let mut role = watching(9, now);
+
+    role.step(failing, now + millis(100));
+    assert!(role.is_watching());
+    role.step(failing, now + millis(500));
+    assert!(!role.is_watching());
+}
