--- /dev/null
+++ b/crates/valvestage-story/tests/story.rs
@@ -0,0 +1,58 @@
+//! What logs tell of a flow.
+
+use valvestage_story::sentences::sentence;
+use valvestage_story::{LogLine, StoryError, StoryQuery, tell};
+
+const LOG: &str = r#"
+  1.2 vm-1 {"time_ms":1000,"vm":"vm-1","event":"routes_in_force","version":3,"former_version":0,"addresses":9,"source":"store"}
+{"time_ms":90000,"vm":"vm-1","event":"placed","caller":"10.0.0.1:77","address":"198.18.0.1:443","backend":"a1","service":"core","zone":"zone-a","load":0.5,"candidates":2,"version":3,"knowledge_age_ms":12}
+{"time_ms":90100,"vm":"vm-1","event":"backend_changed","backend":"a1","service":"core","phase":"gone","revision":9,"source":"store"}
+{"time_ms":90150,"vm":"vm-2","event":"certainty","certain":false,"version":3}
+{"time_ms":90200,"vm":"vm-1","event":"reset","caller":"10.0.0.1:77","address":"198.18.0.1:443","reason":"backend_gone","backend":"a1"}
+{"time_ms":90300,"vm":"vm-1","event":"placed","caller":"10.0.0.2:78","address":"198.18.0.1:443","backend":"a2"}
+not a log line
+"#;
+
+fn lines() -> Vec<LogLine> {
+    LOG.lines().filter_map(|line| LogLine::try_from(line).ok()).collect()
+}
+
+fn events(query: &StoryQuery) -> Vec<String> {
+    tell(lines(), query).into_iter().map(|line| line.event).collect()
+}
+
+#[test]
+fn a_flow_has_its_own_lines_and_what_became_of_its_backend_server() {
+    let query = StoryQuery::Flow("10.0.0.1:77".parse().unwrap());
+
+    // Not what happened long before, at another VM, or to another caller.
+    assert_eq!(events(&query), ["placed", "backend_changed", "reset"]);
+}
+
+#[test]
+fn a_flow_that_the_logs_do_not_have_has_no_story() {
+    let query = StoryQuery::Flow("10.0.0.9:1".parse().unwrap());
+
+    assert!(events(&query).is_empty());
+}
+
+#[test]
+fn a_backend_server_and_a_version_have_theirs() {
+    let backend = StoryQuery::Backend("a1".to_owned());
+    assert_eq!(events(&backend), ["placed", "backend_changed", "reset"]);
+    assert_eq!(events(&StoryQuery::Version(3)), ["routes_in_force", "certainty"]);
+}
+
+#[test]
+fn sentences_say_the_reason() {
+    let told: Vec<_> = lines().iter().map(sentence).collect();
+
+    assert!(told[0].contains("Configuration 3 with 9 addresses came into force"), "{told:?}");
+    assert!(told[4].contains("its backend server a1 has ended"), "{told:?}");
+}
+
+#[test]
+fn what_is_no_line_says_why() {
+    assert_eq!(LogLine::try_from("nothing"), Err(StoryError::NoObject));
+    assert_eq!(LogLine::try_from("{\"event\":\"placed\"}"), Err(StoryError::NoEvent));
+}
