End the process when its data thread ends

Found while reading: an error of the data thread's poll was dropped, and the VM would have gone on answering that it is ready. A panic aborts the process already.

--- a/crates/valvestage-entry/src/control_thread.rs
+++ b/crates/valvestage-entry/src/control_thread.rs
@@ -9,6 +9,7 @@
 
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc::Receiver;
+use tokio::sync::oneshot;
 use valvestage_core::settings::EntrySettings;
 use valvestage_platform::{StoreClient, StoreOptions};
 
@@ -46,6 +47,8 @@
     pub orders: Receiver<StoreOrder>,
     /// News for the data thread.
     pub updates: UpdateSender,
+    /// Why the data thread has ended, which it never should.
+    pub data_end: oneshot::Receiver<io::Error>,
 }
 
 impl ControlThread {
@@ -80,7 +83,13 @@
             log_end("metrics", metrics_server::run(listener, self.metrics).await);
         });
 
-        terminate.recv().await;
+        tokio::select! {
+            _ = terminate.recv() => {}
+            // Without packets there is nothing left to do: the platform starts the process again.
+            end = self.data_end => {
+                return Err(end.unwrap_or_else(|_| io::Error::other("the data thread has ended")));
+            }
+        }
         log::info!("SIGTERM: no longer ready, forwarding for a while");
         self.updates.send(ControlUpdate::Stop);
         self.ready.store(false, Ordering::Relaxed);
--- a/crates/valvestage-entry/src/errors.rs
+++ b/crates/valvestage-entry/src/errors.rs
@@ -29,7 +29,4 @@
     /// Log lines cannot be written.
     #[error("{0}")]
     Log(valvestage_process::ProcessError),
-    /// A thread ended that should run as long as the process.
-    #[error("the {0} thread has ended")]
-    ThreadEnded(&'static str),
 }
--- a/crates/valvestage-entry/src/process.rs
+++ b/crates/valvestage-entry/src/process.rs
@@ -1,6 +1,7 @@
 //! Start and planned stop.
 
 use std::hash::{DefaultHasher, Hash, Hasher};
+use std::io;
 use std::net::{SocketAddr, SocketAddrV4, TcpListener};
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -10,7 +11,7 @@
 
 use mio::net::UdpSocket;
 use mio::{Poll, Waker};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use valvestage_core::settings::EntrySettings;
 use valvestage_policy::steering::{EntryOptions, EntryPolicy, SteeringOptions};
 
@@ -27,6 +28,8 @@
 /// `EntryProcess` has its sockets bound and is ready to run.
 pub struct EntryProcess {
     data: DataThread,
+    /// Tells the control thread why the data thread has ended.
+    data_end: oneshot::Sender<io::Error>,
     control: ControlThread,
 }
 
@@ -41,6 +44,7 @@
         let waker = Waker::new(poll.registry(), UPDATES).map_err(setup("make waker"))?;
         let (sender, updates) = updates::ring(Arc::new(waker));
         let (order_sender, orders) = mpsc::channel(ORDERS);
+        let (data_end, end_receiver) = oneshot::channel();
         let ready = Arc::new(AtomicBool::new(false));
         let metrics = Arc::new(EntryMetrics::default());
 
@@ -67,15 +71,22 @@
             metrics,
             orders,
             updates: sender,
+            data_end: end_receiver,
         };
-        Ok(Self { data, control })
+        Ok(Self { data, data_end, control })
     }
 
     /// `run` serves until the process is told to stop.
     pub fn run(self) -> Result<(), EntryError> {
-        let Self { data, control } = self;
-
-        let spawned = thread::Builder::new().name("data".into()).spawn(move || data.run());
+        let Self { data, data_end, control } = self;
+
+        let spawned = thread::Builder::new().name("data".into()).spawn(move || {
+            if let Err(error) = data.run() {
+                log::error!("the data thread ends: {error}");
+                // Nobody listens any more when the process is ending anyway.
+                let _ = data_end.send(error);
+            }
+        });
         spawned.map_err(setup("start data thread"))?;
         control.run().map_err(setup("run control thread"))
     }
@@ -105,10 +116,10 @@
     TcpListener::bind(address).map_err(on_address(step, address))
 }
 
-fn setup(step: &'static str) -> impl Fn(std::io::Error) -> EntryError {
+fn setup(step: &'static str) -> impl Fn(io::Error) -> EntryError {
     move |cause| EntryError::Setup { step, cause }
 }
 
-fn on_address(step: &'static str, address: SocketAddrV4) -> impl Fn(std::io::Error) -> EntryError {
+fn on_address(step: &'static str, address: SocketAddrV4) -> impl Fn(io::Error) -> EntryError {
     move |cause| EntryError::Socket { step, address, cause }
 }
