--- /dev/null
+++ b/crates/valvestage-entry/tests/peer_codec.rs
@@ -0,0 +1,104 @@
+//! Messages between balancers as datagrams: nothing that is read makes the program stumble.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Instant;
+
+use quickcheck::{Gen, QuickCheck};
+use valvestage_entry::peer_codec::{MAX_DATAGRAM_BYTES, decode, encode};
+use valvestage_policy::steering::peer_message::{
+    BackendChange, BackendRecord, BackendStanding, BackendsPart, KnowledgePull, MessagePart,
+    RoutesPart,
+};
+use valvestage_policy::steering::{EntryOptions, EntryPolicy, PeerMessage, SteeringOptions};
+
+/// The same draws on every run.
+fn seeded() -> QuickCheck {
+    QuickCheck::new().tests(3_000).rng(Gen::from_size_and_seed(300, 42))
+}
+
+fn address(last: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, last), 7_000)
+}
+
+fn policy(now: Instant) -> EntryPolicy {
+    let options = EntryOptions {
+        steering: SteeringOptions { zone: "zone-a".to_owned(), ..Default::default() },
+        peer_address: address(1),
+        seeds: vec![address(2)],
+        is_first_start: false,
+        seed: 1,
+    };
+
+    EntryPolicy::new(options, now)
+}
+
+/// Messages that are taken apart and put together wrongly below.
+fn messages() -> Vec<PeerMessage> {
+    let record = BackendRecord {
+        service: 0,
+        zone: 7,
+        address: address(9),
+        slots: 2,
+        cold_for_ms: u32::MAX,
+        standing: BackendStanding::Ready,
+    };
+    let change = BackendChange { instance: u64::MAX, revision: u64::MAX, record };
+    let part = MessagePart { index: 0, count: 1 };
+
+    vec![
+        PeerMessage::Pull(KnowledgePull { version: 3, complete_until: u64::MAX }),
+        PeerMessage::Routes(RoutesPart {
+            part,
+            version: u64::MAX,
+            idle_timeout_ms: u64::MAX,
+            routes: vec![(address(8), Vec::new())],
+        }),
+        PeerMessage::Backends(BackendsPart {
+            part,
+            after: 0,
+            until: u64::MAX,
+            names: vec!["core".to_owned()],
+            changes: vec![change],
+        }),
+    ]
+}
+
+#[test]
+fn a_message_is_read_as_it_was_written() {
+    for message in messages() {
+        let datagram = encode(&message).unwrap();
+        assert!(datagram.len() <= MAX_DATAGRAM_BYTES);
+        assert_eq!(decode(&datagram), Some(message));
+    }
+}
+
+#[test]
+fn another_version_is_not_understood() {
+    let mut datagram = encode(&messages()[0]).unwrap();
+    datagram[0] += 1;
+
+    assert_eq!(decode(&datagram), None);
+    assert_eq!(decode(&[]), None);
+}
+
+#[test]
+fn any_datagram_is_taken_without_harm() {
+    fn property(kind: usize, place: usize, byte: u8, noise: Vec<u8>) -> bool {
+        let now = Instant::now();
+        let mut policy = policy(now);
+        let messages = messages();
+        let mut damaged = encode(&messages[kind % messages.len()]).unwrap();
+        let place = place % damaged.len();
+        damaged[place] = byte;
+
+        for datagram in [damaged, noise] {
+            if let Some(message) = decode(&datagram) {
+                policy.on_message(address(3), message, now);
+                policy.on_tick(now);
+            }
+        }
+        true
+    }
+
+    seeded().quickcheck(property as fn(usize, usize, u8, Vec<u8>) -> bool);
+}
