--- a/crates/valvestage-policy/src/steering/caller_packet.rs
+++ b/crates/valvestage-policy/src/steering/caller_packet.rs
@@ -90,8 +90,6 @@
     UnknownToken,
     /// The token is that of another service.
     WrongService,
-    /// The caller ended a flow that is not known.
-    UnknownFlow,
 }
 
 impl DropReason {
@@ -103,7 +101,6 @@
             Self::NoRoute => "no_route",
             Self::UnknownToken => "unknown_token",
             Self::WrongService => "wrong_service",
-            Self::UnknownFlow => "unknown_flow",
         }
     }
 }
--- a/crates/valvestage-policy/src/steering/entry_policy.rs
+++ b/crates/valvestage-policy/src/steering/entry_policy.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
-use super::caller_packet::{CallerPacket, DropReason, PacketVerdict};
+use super::caller_packet::{CallerPacket, PacketVerdict};
 use super::decision::{AnswerTime, Decision};
 use super::knowledge::Knowledge;
 use super::knowledge_keeper::{KeeperAction, KnowledgeKeeper};
@@ -107,10 +107,6 @@
 
     /// `on_packet` decides about a packet of a caller.
     pub fn on_packet(&mut self, packet: &CallerPacket, now: Instant) -> PacketVerdict {
-        if !self.is_ready() {
-            return PacketVerdict::Drop(DropReason::NotReady);
-        }
-
         self.steering.on_packet(&self.knowledge, packet, now)
     }
 
--- a/crates/valvestage-policy/src/steering/flow_record.rs
+++ b/crates/valvestage-policy/src/steering/flow_record.rs
@@ -19,8 +19,6 @@
     pub waiting_since: Option<Instant>,
     /// When the last packet came.
     pub last_packet: Instant,
-    /// Packets that came again since the last sign of life.
-    pub resends: u32,
     /// Number after the last byte that the caller sent.
     sent_until: u32,
     /// Number of the byte that the caller expects next.
@@ -57,7 +55,6 @@
             closing: false,
             waiting_since: Some(now),
             last_packet: now,
-            resends: 0,
             sent_until: 0,
             acknowledged: 0,
         }
@@ -72,7 +69,6 @@
             closing: packet.closing,
             waiting_since: (packet.data_length > 0).then_some(now),
             last_packet: now,
-            resends: 0,
             sent_until: packet.sequence.wrapping_add(packet.data_length),
             acknowledged: packet.acknowledged,
         }
@@ -93,8 +89,6 @@
 
     /// A copy of the opening packet: nothing has answered the one before.
     fn observe_opening(&mut self) -> FlowSign {
-        self.resends += 1;
-
         match self.waiting_since {
             Some(since) if !self.open => FlowSign::Unanswered(since),
             _ => FlowSign::Neutral,
@@ -117,7 +111,6 @@
         let is_stale = !opened && self.waiting_since.is_none() && packet.data_length > 0;
         self.open = true;
         self.acknowledged = packet.acknowledged;
-        self.resends = 0;
         if is_stale {
             return FlowSign::Neutral;
         }
@@ -139,7 +132,6 @@
         if matches!(sign, FlowSign::Alive(_)) {
             return sign;
         }
-        self.resends += 1;
         self.waiting_since.map_or(FlowSign::Neutral, FlowSign::Unanswered)
     }
 
