Notice backend servers that fail part of their requests

A balancer reads no answers, but sees how many bytes callers acknowledge of each and how long they wait.

Change: answers are compared with what is usual at their address (size in logarithms, time); a request whose caller gives up, that waits six times the usual, or whose answer is far shorter counts as poor. A backend server with far more poor requests than the others of its service is avoided for 4 s and more: it counts as busier by 3 requests a slot, so that a service is never emptied. Balancers tell each other their counts of those in question, and which ones they avoid.

Tests first failed without it: flows_leave_a_backend_server_that_answers_with_errors.

--- a/crates/valvestage-entry/src/decision_lines.rs
+++ b/crates/valvestage-entry/src/decision_lines.rs
@@ -60,6 +60,8 @@
         Decision::Dropped { .. } => "dropped",
         Decision::Suspected { .. } => "suspected",
         Decision::Cleared { .. } => "cleared",
+        Decision::Avoided { .. } => "avoided",
+        Decision::AvoidedAsTold { .. } => "avoided_as_told",
         Decision::RoutesInForce { .. } => "routes_in_force",
         Decision::BackendChanged { .. } => "backend_changed",
         Decision::BackendMissing { .. } => "backend_missing",
@@ -142,6 +144,19 @@
             line.put("flows", *flows);
             line.put_time("waited_ms", *waited);
         }
+        Decision::Avoided { instance, count, others, told_by, avoided_for } => {
+            line.put_instance("backend", *instance);
+            line.put("requests", rounded(count.total()));
+            line.put("poor_share", rounded(count.poor_share()));
+            line.put("others_poor_share", rounded(others.poor_share()));
+            line.put("told_by", *told_by);
+            line.put_time("avoided_ms", *avoided_for);
+        }
+        Decision::AvoidedAsTold { instance, peer, left } => {
+            line.put_instance("backend", *instance);
+            line.put_text("source", peer);
+            line.put_time("avoided_ms", *left);
+        }
         Decision::Cleared { instance } | Decision::BackendMissing { instance } => {
             line.put_instance("backend", *instance);
         }
@@ -180,7 +195,7 @@
     line.put("service", placement.service.as_str());
     line.put_instance("backend", placement.instance);
     line.put("zone", placement.zone.as_str());
-    line.put("load", (placement.load * 100.0).round() / 100.0);
+    line.put("load", rounded(placement.load));
     line.put("candidates", placement.candidates);
     line.put("version", placement.version);
     match placement.doubt {
@@ -196,6 +211,11 @@
     }
 }
 
+/// Two digits after the point are enough for a reader.
+fn rounded(number: f64) -> f64 {
+    (number * 100.0).round() / 100.0
+}
+
 fn phase_name(phase: BackendPhase) -> &'static str {
     match phase {
         BackendPhase::Ready => "ready",
--- a/crates/valvestage-entry/src/entry_metrics.rs
+++ b/crates/valvestage-entry/src/entry_metrics.rs
@@ -88,6 +88,7 @@
     knowledge_age_ms: Gauge<u64, AtomicU64>,
     backends: Gauge<u64, AtomicU64>,
     suspects: Gauge<u64, AtomicU64>,
+    avoided: Gauge<u64, AtomicU64>,
     names: Mutex<BTreeSet<String>>,
 }
 
@@ -113,6 +114,7 @@
             knowledge_age_ms: Gauge::default(),
             backends: Gauge::default(),
             suspects: Gauge::default(),
+            avoided: Gauge::default(),
             names: Mutex::default(),
         };
 
@@ -158,6 +160,11 @@
         );
         registry.register("backends", "Backend servers that take flows", self.backends.clone());
         registry.register("suspects", "Backend servers that seem dead", self.suspects.clone());
+        registry.register(
+            "avoided",
+            "Backend servers that fail more requests than others",
+            self.avoided.clone(),
+        );
     }
 
     /// `text` gives all of them in the exposition format.
@@ -233,6 +240,7 @@
         set(&self.follows_store, usize::from(policy.keeper().is_watching()));
         set(&self.backends, ready);
         set(&self.suspects, policy.steering().suspects(now).len());
+        set(&self.avoided, policy.steering().avoided_count(now));
         self.version.set(knowledge.routes.version);
         self.knowledge_age_ms.set(age.map_or(NEVER_MS, millis));
         self.log_lines_left_out.set(lines_left_out);
--- a/crates/valvestage-policy/src/steering.rs
+++ b/crates/valvestage-policy/src/steering.rs
@@ -13,6 +13,8 @@
 //! | [`flow_record`], [`flow_tracker`] | what the packets of a flow have shown so far |
 //! | [`backend_load`], [`backend_choice`], `flow_placer` | where a new flow goes |
 //! | [`backend_health`] | which backend servers seem dead |
+//! | [`flow_request`], [`overdue_queue`], [`answer_norm`], [`request_judge`] | how requests end |
+//! | [`outcome_count`], [`outlier_detector`] | which backend servers fail more of them than others |
 //! | [`steering_policy`] | what is done with each packet |
 //! | [`knowledge`] | routes and backend servers together |
 //! | [`store_follower`], [`store_link`] | keeping up with the store |
@@ -24,6 +26,7 @@
 //! | [`decision`] | what was decided, for logs and counters |
 //! | [`entry_policy`] | the parts together |
 
+pub mod answer_norm;
 pub mod backend_choice;
 pub mod backend_directory;
 pub mod backend_entry;
@@ -34,14 +37,19 @@
 pub mod entry_policy;
 mod flow_placer;
 pub mod flow_record;
+pub mod flow_request;
 pub mod flow_tracker;
 pub mod knowledge;
 pub mod knowledge_keeper;
 pub mod knowledge_parts;
+pub mod outcome_count;
+pub mod outlier_detector;
+pub mod overdue_queue;
 pub mod part_assembly;
 pub mod peer_exchange;
 pub mod peer_message;
 pub mod peer_table;
+pub mod request_judge;
 pub mod route_map;
 pub mod seeded_draw;
 pub mod steering_options;
--- a/crates/valvestage-policy/src/steering/caller_packet.rs
+++ b/crates/valvestage-policy/src/steering/caller_packet.rs
@@ -5,7 +5,7 @@
 use valvestage_core::ids::{InstanceId, ShortToken};
 
 /// `FlowAddresses` names a flow: every packet of it carries them.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct FlowAddresses {
     /// Address and port of the caller.
     pub caller: SocketAddrV4,
--- a/crates/valvestage-policy/src/steering/decision.rs
+++ b/crates/valvestage-policy/src/steering/decision.rs
@@ -10,6 +10,7 @@
 use super::backend_choice::ChoiceDoubt;
 use super::backend_entry::BackendPhase;
 use super::caller_packet::{DropReason, FlowAddresses, ResetReason};
+use super::outcome_count::OutcomeCount;
 use super::store_follower::StoreKind;
 
 /// `Decision` is one thing that was decided about a flow, or that is believed from now on.
@@ -49,6 +50,29 @@
         /// The backend server.
         instance: InstanceId,
     },
+    /// A backend server fails more of its requests than others: it gets no new flows for a time,
+    /// unless the others are much busier.
+    Avoided {
+        /// The backend server.
+        instance: InstanceId,
+        /// Its requests, here and at the balancers that told theirs.
+        count: OutcomeCount,
+        /// The requests of the other backend servers of its service, here.
+        others: OutcomeCount,
+        /// How many balancers told theirs.
+        told_by: usize,
+        /// For how long.
+        avoided_for: Duration,
+    },
+    /// The same, on the word of another balancer.
+    AvoidedAsTold {
+        /// The backend server.
+        instance: InstanceId,
+        /// The balancer that has seen more of it.
+        peer: SocketAddrV4,
+        /// For how long.
+        left: Duration,
+    },
     /// A configuration is in force.
     RoutesInForce {
         /// Its version.
--- a/crates/valvestage-policy/src/steering/entry_policy.rs
+++ b/crates/valvestage-policy/src/steering/entry_policy.rs
@@ -7,7 +7,7 @@
 use super::decision::{AnswerTime, Decision};
 use super::knowledge::Knowledge;
 use super::knowledge_keeper::{KeeperAction, KnowledgeKeeper};
-use super::peer_message::PeerMessage;
+use super::peer_message::{HealthReport, PeerMessage};
 use super::route_map::RouteMap;
 use super::steering_options::SteeringOptions;
 use super::steering_policy::SteeringPolicy;
@@ -48,6 +48,8 @@
     next_tick: Instant,
     next_cleaning: Instant,
     last_tick: Instant,
+    /// What others are told of backend servers; as of the last tick.
+    health: HealthReport,
     /// What was decided since it was last taken.
     decisions: Vec<Decision>,
 }
@@ -59,10 +61,11 @@
         Self {
             knowledge: Knowledge::default(),
             keeper: KnowledgeKeeper::new(&options, now),
-            steering: SteeringPolicy::new(options.steering),
+            steering: SteeringPolicy::new(options.steering, options.seed),
             next_tick: now,
             next_cleaning: now + CLEANING_INTERVAL,
             last_tick: now,
+            health: HealthReport::default(),
             decisions: Vec::new(),
         }
     }
@@ -118,7 +121,7 @@
         now: Instant,
     ) -> Vec<KeeperAction> {
         if let PeerMessage::Heartbeat(heartbeat) = &message {
-            self.steering.on_peer_suspects(&heartbeat.suspects, now);
+            self.steering.on_peer_health(sender, &heartbeat.health, now);
         }
 
         let mut actions = self.keeper.on_message(&mut self.knowledge, sender, message, now);
@@ -167,6 +170,8 @@
 
         self.note_pause(now);
         self.next_tick = now + TICK_INTERVAL;
+        self.steering.judge_overdue(&self.knowledge, now);
+        self.health = self.steering.health_report(now);
         if self.next_cleaning <= now {
             self.next_cleaning = now + CLEANING_INTERVAL;
             self.steering.on_tick(&mut self.knowledge, now);
@@ -182,12 +187,11 @@
         if time >= PAUSE {
             self.decisions.push(Decision::Paused { time });
             self.keeper.on_pause();
+            self.steering.on_pause();
         }
     }
 
     fn step_keeper(&mut self, now: Instant) -> Vec<KeeperAction> {
-        let suspects = self.steering.suspects(now);
-
-        self.keeper.on_tick(&mut self.knowledge, &suspects, now)
+        self.keeper.on_tick(&mut self.knowledge, &self.health, now)
     }
 }
--- a/crates/valvestage-policy/src/steering/flow_placer.rs
+++ b/crates/valvestage-policy/src/steering/flow_placer.rs
@@ -11,6 +11,7 @@
 use super::decision::FlowPlacement;
 use super::flow_tracker::FlowTracker;
 use super::knowledge::Knowledge;
+use super::outlier_detector::OutlierDetector;
 use super::steering_options::SteeringOptions;
 
 /// `FlowPlacer` looks at everything that speaks for or against a backend server.
@@ -19,6 +20,7 @@
     pub knowledge: &'a Knowledge,
     pub flows: &'a FlowTracker,
     pub health: &'a BackendHealth,
+    pub outliers: &'a OutlierDetector,
     pub now: Instant,
 }
 
@@ -66,10 +68,12 @@
         let factor = if is_cold { self.options.cold_factor } else { 1.0 };
         let distance =
             if entry.zone == self.options.zone { 0.0 } else { self.options.zone_preference };
+        let is_avoided = self.outliers.is_avoided(entry.instance, self.now);
+        let avoidance = if is_avoided { self.options.avoidance } else { 0.0 };
 
         ChoiceCandidate {
             entry,
-            load: (requests + 1.0) * factor / f64::from(entry.slots) + distance,
+            load: (requests + 1.0) * factor / f64::from(entry.slots) + distance + avoidance,
             doubt: self.doubt(entry, instead_of),
         }
     }
--- a/crates/valvestage-policy/src/steering/flow_record.rs
+++ b/crates/valvestage-policy/src/steering/flow_record.rs
@@ -1,10 +1,14 @@
 //! What the packets of one flow have shown so far.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use valvestage_core::ids::InstanceId;
 
 use super::caller_packet::CallerPacket;
+use super::flow_request::{EndedRequest, FlowRequest};
+
+/// Time without a packet after which an answer that has begun seems whole: several round trips.
+const REST_TIME: Duration = Duration::from_millis(100);
 
 /// `FlowRecord` is what one balancer saw of a flow.
 #[derive(Debug, Clone)]
@@ -23,6 +27,8 @@
     sent_until: u32,
     /// Number of the byte that the caller expects next.
     acknowledged: u32,
+    /// The request whose outcome is still to be judged; none if it was, or none was seen to begin.
+    request: Option<FlowRequest>,
 }
 
 /// `FlowSign` is what a packet shows about the backend server of its flow.
@@ -57,6 +63,7 @@
             last_packet: now,
             sent_until: 0,
             acknowledged: 0,
+            request: None,
         }
     }
 
@@ -71,6 +78,7 @@
             last_packet: now,
             sent_until: packet.sequence.wrapping_add(packet.data_length),
             acknowledged: packet.acknowledged,
+            request: None,
         }
     }
 
@@ -123,10 +131,12 @@
             return sign;
         }
 
-        let end = packet.sequence.wrapping_add(packet.data_length);
-        if is_after(end, self.sent_until) {
-            self.sent_until = end;
-            self.waiting_since.get_or_insert(now);
+        if self.has_new_data(packet) {
+            self.sent_until = packet.sequence.wrapping_add(packet.data_length);
+            if self.waiting_since.is_none() {
+                self.waiting_since = Some(now);
+                self.request = Some(FlowRequest { started: now, answer_from: self.acknowledged });
+            }
             return sign;
         }
         if matches!(sign, FlowSign::Alive(_)) {
@@ -135,6 +145,50 @@
         self.waiting_since.map_or(FlowSign::Neutral, FlowSign::Unanswered)
     }
 
+    /// `end_request` gives the request that a packet ends: the caller goes on to another one, or ends
+    /// the flow. To be called before the packet is observed.
+    pub fn end_request(&mut self, packet: &CallerPacket) -> Option<EndedRequest> {
+        let begins_another = self.waiting_since.is_none() && self.has_new_data(packet);
+        if packet.opening || !(begins_another || packet.closing || packet.reset) {
+            return None;
+        }
+
+        let is_further = is_after(packet.acknowledged, self.acknowledged);
+        let acknowledged = if is_further { packet.acknowledged } else { self.acknowledged };
+        self.request.take().map(|request| request.end(acknowledged))
+    }
+
+    /// `end_overdue` gives the request that began at a time if it still waits for an answer, or if
+    /// its answer seems whole: long flows end a request only with their next one. None if bytes still
+    /// come, or its outcome is known.
+    pub fn end_overdue(&mut self, started: Instant, now: Instant) -> Option<EndedRequest> {
+        let request = self.request.filter(|request| request.started == started)?;
+        let rests = now.saturating_duration_since(self.last_packet) >= REST_TIME;
+        if !self.is_busy() && !rests {
+            return None;
+        }
+
+        self.request = None;
+        Some(request.end(self.acknowledged))
+    }
+
+    /// `forget_request` leaves the outcome of the request open.
+    pub fn forget_request(&mut self) {
+        self.request = None;
+    }
+
+    /// `request_started` gives when the request began whose outcome is not known.
+    #[must_use]
+    pub fn request_started(&self) -> Option<Instant> {
+        self.request.map(|request| request.started)
+    }
+
+    fn has_new_data(&self, packet: &CallerPacket) -> bool {
+        let end = packet.sequence.wrapping_add(packet.data_length);
+
+        packet.data_length > 0 && is_after(end, self.sent_until)
+    }
+
     /// `is_busy` tells whether the backend server has something to do for the flow.
     #[must_use]
     pub fn is_busy(&self) -> bool {
--- a/crates/valvestage-policy/src/steering/flow_tracker.rs
+++ b/crates/valvestage-policy/src/steering/flow_tracker.rs
@@ -8,6 +8,7 @@
 use super::backend_load::BackendLoad;
 use super::caller_packet::{CallerPacket, FlowAddresses};
 use super::flow_record::{FlowRecord, FlowSign};
+use super::flow_request::EndedRequest;
 
 /// A flow that the caller has ended is kept for packets that come late. Senders give up resending
 /// within 1.6 s.
@@ -16,6 +17,24 @@
 /// A flow that never opened is forgotten: callers give up after 1.4 s.
 const KEEP_UNOPENED: Duration = Duration::from_secs(3);
 
+/// `FlowObservation` is what a packet shows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FlowObservation {
+    /// About the backend server.
+    pub sign: FlowSign,
+    /// The request that it ends.
+    pub ended: Option<EndedRequest>,
+    /// When the request began that it begins.
+    pub began: Option<Instant>,
+}
+
+impl FlowObservation {
+    /// What a packet of a flow that is not known shows.
+    fn nothing() -> Self {
+        Self { sign: FlowSign::Neutral, ended: None, began: None }
+    }
+}
+
 /// `FlowTracker` holds records of flows and the load that they are for each backend server.
 #[derive(Debug, Default)]
 pub struct FlowTracker {
@@ -58,16 +77,38 @@
     }
 
     /// `observe` takes a packet of a known flow in.
-    pub fn observe(&mut self, packet: &CallerPacket, now: Instant) -> FlowSign {
+    pub fn observe(&mut self, packet: &CallerPacket, now: Instant) -> FlowObservation {
         let Some(record) = self.records.get_mut(&packet.flow) else {
-            return FlowSign::Neutral;
+            return FlowObservation::nothing();
         };
 
         let load = self.loads.entry(record.instance).or_default();
         load.subtract(record);
+        let before = record.request_started();
+        let ended = record.end_request(packet);
         let sign = record.observe(packet, now);
         load.add(record);
-        sign
+        let began = record.request_started().filter(|began| before != Some(*began));
+        FlowObservation { sign, ended, began }
+    }
+
+    /// `end_overdue` gives the request of a flow that began at a time, with its backend server, if
+    /// it still waits for an answer or its answer seems whole.
+    pub fn end_overdue(
+        &mut self,
+        flow: &FlowAddresses,
+        started: Instant,
+        now: Instant,
+    ) -> Option<(InstanceId, EndedRequest)> {
+        let record = self.records.get_mut(flow)?;
+        let instance = record.instance;
+
+        record.end_overdue(started, now).map(|ended| (instance, ended))
+    }
+
+    /// `forget_requests` leaves the outcome of all requests under way open.
+    pub fn forget_requests(&mut self) {
+        self.records.values_mut().for_each(FlowRecord::forget_request);
     }
 
     /// `remove` forgets a flow.
--- a/crates/valvestage-policy/src/steering/knowledge_keeper.rs
+++ b/crates/valvestage-policy/src/steering/knowledge_keeper.rs
@@ -9,7 +9,7 @@
 use super::entry_policy::EntryOptions;
 use super::knowledge::Knowledge;
 use super::peer_exchange::{PeerExchange, answer_pull};
-use super::peer_message::{BackendsPart, PeerHeartbeat, PeerMessage};
+use super::peer_message::{BackendsPart, HealthReport, PeerHeartbeat, PeerMessage};
 use super::peer_table::PeerTable;
 use super::route_map::RouteMap;
 use super::seeded_draw::SeededDraw;
@@ -104,11 +104,11 @@
     pub fn on_tick(
         &mut self,
         knowledge: &mut Knowledge,
-        suspects: &[InstanceId],
+        health: &HealthReport,
         now: Instant,
     ) -> Vec<KeeperAction> {
         self.expire_missing(knowledge, now);
-        self.note_suspects(suspects);
+        self.note_suspects(&health.suspects);
         self.step_role(knowledge, now);
         let mut actions = self.calls(knowledge, now);
 
@@ -116,7 +116,7 @@
             let lost = self.peers.forget_silent(now);
             self.decisions.extend(lost.into_iter().map(|peer| Decision::PeerLost { peer }));
             self.note_certainty(knowledge, now);
-            actions.extend(self.heartbeats(knowledge, suspects, now));
+            actions.extend(self.heartbeats(knowledge, health, now));
         }
         actions
     }
@@ -230,14 +230,14 @@
     fn heartbeats(
         &mut self,
         knowledge: &Knowledge,
-        suspects: &[InstanceId],
+        health: &HealthReport,
         now: Instant,
     ) -> Vec<KeeperAction> {
         self.has_news = false;
         self.next_heartbeat = now + HEARTBEAT_INTERVAL;
         let is_ignorant = !knowledge.is_complete() && !knowledge.is_certain(now);
         let asks = std::mem::take(&mut self.asks) || is_ignorant;
-        let heartbeat = self.heartbeat(knowledge, suspects, asks, now);
+        let heartbeat = self.heartbeat(knowledge, health, asks, now);
 
         let chosen = self.peers.choose(HEARTBEAT_FANOUT, &mut self.draw).into_iter();
         chosen
@@ -248,7 +248,7 @@
     fn heartbeat(
         &mut self,
         knowledge: &Knowledge,
-        suspects: &[InstanceId],
+        health: &HealthReport,
         asks: bool,
         now: Instant,
     ) -> PeerHeartbeat {
@@ -265,7 +265,7 @@
             outage_age_ms: outage.map_or(u32::MAX, |at| millis_since(at, now)),
             watchers: self.role.sightings(self.store.answering_since(now), now),
             peers: self.peers.sample(PEERS_TOLD, draw, now),
-            suspects: suspects.to_vec(),
+            health: health.clone(),
         }
     }
 
@@ -327,7 +327,7 @@
             || heartbeat.complete_until < knowledge.directory.changed_at();
         if heartbeat.asks && (is_new || knows_less) {
             // One that has just started, or woken, learns at once whom it can ask.
-            let answer = self.heartbeat(knowledge, &[], false, now);
+            let answer = self.heartbeat(knowledge, &HealthReport::default(), false, now);
             actions.push(KeeperAction::Tell(sender, PeerMessage::Heartbeat(answer)));
         }
         if self.exchange.knows_more(knowledge, heartbeat) {
--- /dev/null
+++ b/crates/valvestage-policy/src/steering/outlier_detector.rs
@@ -0,0 +1,323 @@
+//! Which backend servers fail more of their requests than the others of their service.
+//!
+//! A balancer reads no answers. What it sees is how many bytes callers acknowledged of each answer and
+//! how long they waited. An error is mostly much shorter than an answer; a request that hangs, or whose
+//! flow its backend server broke off, gets no answer at all. Either may also happen for good reasons,
+//! but then at every backend server alike: so what counts is a share far above that of the others.
+//! Many balancers see few requests each, and so tell each other their counts for those in question.
+
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+use std::time::{Duration, Instant};
+
+use valvestage_core::ids::{InstanceId, ServiceName};
+
+use super::decision::Decision;
+use super::outcome_count::{FadingCount, OutcomeCount};
+use super::peer_message::{AvoidanceReport, OutcomeReport};
+use super::seeded_draw::SeededDraw;
+
+/// Standard deviations by which the poor requests have to exceed what the others' share lets expect.
+/// One answer in 160 is short by itself: of 15 requests, three by chance are one case in 10,000.
+const DEVIATIONS: f64 = 2.5;
+
+/// Poor requests beyond that.
+const MARGIN: f64 = 2.0;
+
+/// The least share expected, where the others had hardly any poor request.
+const MIN_EXPECTED_SHARE: f64 = 0.02;
+
+/// Share of poor requests from which on a backend server that has failed before fails again, with
+/// [`RETURN_POOR`] of them.
+const RETURN_SHARE: f64 = 0.2;
+
+/// Poor requests that are enough after a return.
+const RETURN_POOR: f64 = 1.0;
+
+/// How long a backend server is avoided the first time; doubled each further time. Each balancer
+/// draws up to [`JITTER`] more, so that the first that tries it again can warn the others.
+const FIRST_AVOIDANCE: Duration = Duration::from_secs(4);
+
+/// Share of an avoidance that is drawn on top of it.
+const JITTER: f64 = 0.5;
+
+/// Times that the avoidance doubles at most: 32 s then.
+const MAX_DOUBLINGS: u32 = 3;
+
+/// A backend server that did not fail for so long after its return has never failed.
+const TRUST_AFTER: Duration = Duration::from_secs(20);
+
+/// Poor requests seen at one balancer from which on it asks others for their counts.
+const POOR_TO_ASK: f64 = 0.9;
+
+/// How long a count told by another balancer is used. In the largest deployment of today each one
+/// hears two thirds of the others within this time.
+const TOLD_FOR: Duration = Duration::from_secs(6);
+
+/// How long counts are told after they were asked for.
+const ASKED_FOR: Duration = Duration::from_secs(2);
+
+/// Requests answered here, with next to none poor, that outweigh what others tell: a backend server
+/// may fail for the callers of one availability zone only.
+const ANSWERED_HERE: f64 = 4.0;
+
+/// Poor requests that are next to none.
+const HARDLY_POOR: f64 = 0.5;
+
+/// Longest avoidance that another balancer's word can start.
+const LONGEST_TOLD: Duration = Duration::from_secs(48);
+
+/// Backend servers reported in one heartbeat at most: 9 bytes each.
+const MAX_REPORTS: usize = 16;
+
+/// `OutlierRecord` is what is known of one backend server.
+#[derive(Debug)]
+struct OutlierRecord {
+    service: ServiceName,
+    /// Requests seen here.
+    own: FadingCount,
+    /// Counts of other balancers, one each.
+    told: HashMap<SocketAddrV4, FadingCount>,
+    /// Until when counts are told to others.
+    in_question_until: Option<Instant>,
+    /// Until when it is, or was, avoided.
+    avoided_until: Option<Instant>,
+    /// Until when others are told that it is. What others told is not told on.
+    telling_until: Option<Instant>,
+    /// How often it has failed; 0 again after [`TRUST_AFTER`].
+    failures: u32,
+}
+
+impl OutlierRecord {
+    fn new(service: &str, now: Instant) -> Self {
+        Self {
+            service: service.to_owned(),
+            own: FadingCount::new(OutcomeCount::default(), now),
+            told: HashMap::new(),
+            in_question_until: None,
+            avoided_until: None,
+            telling_until: None,
+            failures: 0,
+        }
+    }
+
+    fn is_avoided(&self, now: Instant) -> bool {
+        self.avoided_until.is_some_and(|until| until > now)
+    }
+
+    fn with_told(&self, now: Instant) -> OutcomeCount {
+        let told = self.told.values().map(|count| count.at(now));
+
+        told.fold(self.own.at(now), |sum, count| sum.plus(&count))
+    }
+
+    /// Whether what was seen here speaks so clearly for it that others' counts are not asked.
+    fn is_fine_here(&self, now: Instant) -> bool {
+        let own = self.own.at(now);
+
+        own.answered >= ANSWERED_HERE && own.poor < HARDLY_POOR
+    }
+
+    fn has_failed_before(&self, now: Instant) -> bool {
+        self.failures > 0 && self.avoided_until.is_some_and(|until| now < until + TRUST_AFTER)
+    }
+
+    /// Starts an avoidance by what is known here, and gives for how long.
+    fn avoid(&mut self, draw: f64, now: Instant) -> Duration {
+        self.failures = if self.has_failed_before(now) { self.failures + 1 } else { 1 };
+        let time = FIRST_AVOIDANCE * (1 << (self.failures - 1).min(MAX_DOUBLINGS));
+        let time = time.mul_f64(1.0 + JITTER * draw);
+
+        self.telling_until = Some(now + ASKED_FOR);
+        self.avoid_until(now + time, now);
+        time
+    }
+
+    /// Avoids it as another balancer does, which may have seen more failures.
+    fn avoid_as_told(&mut self, left: Duration, draw: f64, now: Instant) {
+        self.failures = self.failures.max(1);
+        self.avoid_until(now + left.mul_f64(1.0 + JITTER * draw), now);
+    }
+
+    /// What was counted so far has had its effect.
+    fn avoid_until(&mut self, until: Instant, now: Instant) {
+        self.avoided_until = Some(until);
+        self.own = FadingCount::new(OutcomeCount::default(), now);
+        self.told.clear();
+    }
+}
+
+/// `OutlierDetector` compares the backend servers of each service.
+#[derive(Debug)]
+pub struct OutlierDetector {
+    records: HashMap<InstanceId, OutlierRecord>,
+    /// Requests seen here, of all backend servers of a service.
+    services: HashMap<ServiceName, FadingCount>,
+    draw: SeededDraw,
+}
+
+impl OutlierDetector {
+    /// `new` has seen nothing. The seed is for how long backend servers are avoided.
+    #[must_use]
+    pub fn new(seed: u64) -> Self {
+        Self { records: HashMap::new(), services: HashMap::new(), draw: SeededDraw::new(seed) }
+    }
+
+    /// `observe` takes in how a request ended, and gives what is believed anew.
+    pub fn observe(
+        &mut self,
+        instance: InstanceId,
+        service: &str,
+        is_poor: bool,
+        now: Instant,
+    ) -> Option<Decision> {
+        let one = if is_poor {
+            OutcomeCount { answered: 0.0, poor: 1.0 }
+        } else {
+            OutcomeCount { answered: 1.0, poor: 0.0 }
+        };
+        let record =
+            self.records.entry(instance).or_insert_with(|| OutlierRecord::new(service, now));
+        record.own.add(&one, now);
+        if record.own.at(now).poor >= POOR_TO_ASK {
+            record.in_question_until = Some(now + ASKED_FOR);
+        }
+        let none = || FadingCount::new(OutcomeCount::default(), now);
+        self.services.entry(service.to_owned()).or_insert_with(none).add(&one, now);
+
+        if is_poor { self.judge(instance, now) } else { None }
+    }
+
+    /// `on_told` takes another balancer's counts in, and gives what is believed anew.
+    pub fn on_told(
+        &mut self,
+        peer: SocketAddrV4,
+        reports: &[OutcomeReport],
+        now: Instant,
+    ) -> Vec<Decision> {
+        let mut decisions = Vec::new();
+
+        for report in reports {
+            // Of a backend server without requests from here there is nothing to decide.
+            let Some(record) = self.records.get_mut(&report.instance) else { continue };
+            let count = report.count();
+            if count.poor >= POOR_TO_ASK {
+                record.in_question_until = Some(now + ASKED_FOR);
+            }
+            if record.is_avoided(now) {
+                continue;
+            }
+            record.told.insert(peer, FadingCount::new(count, now));
+            decisions.extend(self.judge(report.instance, now));
+        }
+        decisions
+    }
+
+    /// `on_told_avoided` takes in which backend servers another balancer has begun to avoid, and gives
+    /// what is believed anew.
+    pub fn on_told_avoided(
+        &mut self,
+        peer: SocketAddrV4,
+        reports: &[AvoidanceReport],
+        now: Instant,
+    ) -> Vec<Decision> {
+        let mut decisions = Vec::new();
+
+        for AvoidanceReport { instance, left_ms } in reports {
+            let Some(record) = self.records.get_mut(instance) else { continue };
+            if record.is_avoided(now) || record.is_fine_here(now) {
+                continue;
+            }
+            let left = Duration::from_millis((*left_ms).into()).min(LONGEST_TOLD);
+            record.avoid_as_told(left, self.draw.unit(), now);
+            decisions.push(Decision::AvoidedAsTold { instance: *instance, peer, left });
+        }
+        decisions
+    }
+
+    /// `avoidances` gives the backend servers that others are to be told to avoid.
+    #[must_use]
+    pub fn avoidances(&self, now: Instant) -> Vec<AvoidanceReport> {
+        let is_told =
+            |record: &OutlierRecord| record.telling_until.is_some_and(|until| until > now);
+        let told = self.records.iter().filter(|(_, record)| is_told(record));
+        let reports = told.filter_map(|(instance, record)| {
+            let left = record.avoided_until?.saturating_duration_since(now);
+            let left_ms = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
+            Some(AvoidanceReport { instance: *instance, left_ms })
+        });
+
+        reports.take(MAX_REPORTS).collect()
+    }
+
+    /// `reports` gives the counts that other balancers are to know: the poorest first.
+    #[must_use]
+    pub fn reports(&self, now: Instant) -> Vec<OutcomeReport> {
+        let is_asked =
+            |record: &OutlierRecord| record.in_question_until.is_some_and(|until| until > now);
+        let asked = self.records.iter().filter(|(_, record)| is_asked(record));
+        let reports = asked.map(|(instance, record)| (*instance, record.own.at(now)));
+        let mut reports: Vec<_> =
+            reports.filter(|(_, count)| count.total() >= HARDLY_POOR).collect();
+
+        reports.sort_by(|(_, a), (_, b)| b.poor.total_cmp(&a.poor));
+        reports.truncate(MAX_REPORTS);
+        reports.into_iter().map(|(instance, count)| OutcomeReport::new(instance, &count)).collect()
+    }
+
+    /// `is_avoided` tells whether a backend server is to get new flows only if the others are much
+    /// busier.
+    #[must_use]
+    pub fn is_avoided(&self, instance: InstanceId, now: Instant) -> bool {
+        self.records.get(&instance).is_some_and(|record| record.is_avoided(now))
+    }
+
+    /// `avoided_count` gives how many are avoided.
+    #[must_use]
+    pub fn avoided_count(&self, now: Instant) -> usize {
+        self.records.values().filter(|record| record.is_avoided(now)).count()
+    }
+
+    /// `forget` drops what is known of backend servers, and old counts of other balancers.
+    pub fn forget(&mut self, keep: impl Fn(InstanceId) -> bool, now: Instant) {
+        self.records.retain(|instance, _| keep(*instance));
+        for record in self.records.values_mut() {
+            record.told.retain(|_, count| count.age(now) < TOLD_FOR);
+        }
+        let records = &self.records;
+        self.services.retain(|service, _| records.values().any(|r| r.service == *service));
+    }
+
+    fn judge(&mut self, instance: InstanceId, now: Instant) -> Option<Decision> {
+        let record = self.records.get_mut(&instance)?;
+        if record.is_avoided(now) {
+            return None;
+        }
+
+        let own = record.own.at(now);
+        let all = self.services.get(&record.service).map(|count| count.at(now));
+        let others = all.unwrap_or_default().minus(&own);
+        let has_failed = record.has_failed_before(now);
+        record.told.retain(|_, count| count.age(now) < TOLD_FOR);
+        let known = record.with_told(now);
+        let is_outlier = stands_out(&own, &others, has_failed)
+            || !record.is_fine_here(now) && stands_out(&known, &others, has_failed);
+        if !is_outlier {
+            return None;
+        }
+
+        let told_by = record.told.len();
+        let avoided_for = record.avoid(self.draw.unit(), now);
+        Some(Decision::Avoided { instance, count: known, others, told_by, avoided_for })
+    }
+}
+
+/// Whether requests end badly far more often than those of the other backend servers.
+fn stands_out(count: &OutcomeCount, others: &OutcomeCount, has_failed: bool) -> bool {
+    if has_failed && count.poor >= RETURN_POOR && count.poor_share() >= RETURN_SHARE {
+        return true;
+    }
+
+    let expected = count.total() * others.poor_share().max(MIN_EXPECTED_SHARE);
+    count.poor > expected + DEVIATIONS * expected.sqrt() + MARGIN
+}
--- a/crates/valvestage-policy/src/steering/peer_message.rs
+++ b/crates/valvestage-policy/src/steering/peer_message.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 use valvestage_core::ids::{ConfigurationVersion, InstanceId, StoreRevision, ZoneName};
 
+use super::outcome_count::OutcomeCount;
 use super::route_map::RouteTarget;
 
 /// Bytes of data in one datagram at most, so that none is cut into fragments on an Ethernet link.
@@ -53,8 +54,66 @@
     pub watchers: Vec<WatcherSighting>,
     /// Some balancers that it has heard.
     pub peers: Vec<SocketAddrV4>,
-    /// Backend servers that seem dead to it.
+    /// What it has seen of backend servers.
+    pub health: HealthReport,
+}
+
+/// `HealthReport` is what one balancer has seen of backend servers in trouble.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HealthReport {
+    /// Those that seem dead.
     pub suspects: Vec<InstanceId>,
+    /// How requests ended at those that seem to fail more of them than others.
+    pub outcomes: Vec<OutcomeReport>,
+    /// Those that it has begun to avoid by itself.
+    pub avoided: Vec<AvoidanceReport>,
+}
+
+/// `AvoidanceReport` tells that a balancer has begun to avoid a backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AvoidanceReport {
+    /// The backend server.
+    pub instance: InstanceId,
+    /// For how long from now, milliseconds.
+    pub left_ms: u32,
+}
+
+/// `OutcomeReport` is how requests ended at one backend server, as one balancer saw it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OutcomeReport {
+    /// The backend server.
+    pub instance: InstanceId,
+    /// Requests with an ordinary answer, in tenths: older ones count less.
+    pub answered_tenths: u16,
+    /// The others, in tenths.
+    pub poor_tenths: u16,
+}
+
+impl OutcomeReport {
+    /// `new` reports a count.
+    #[must_use]
+    pub fn new(instance: InstanceId, count: &OutcomeCount) -> Self {
+        Self { instance, answered_tenths: tenths(count.answered), poor_tenths: tenths(count.poor) }
+    }
+
+    /// `count` gives what was reported.
+    #[must_use]
+    pub fn count(&self) -> OutcomeCount {
+        OutcomeCount {
+            answered: f64::from(self.answered_tenths) / 10.0,
+            poor: f64::from(self.poor_tenths) / 10.0,
+        }
+    }
+}
+
+/// A count in tenths; one too large for the field is the largest.
+fn tenths(count: f64) -> u16 {
+    let tenths = (count * 10.0).round().clamp(0.0, f64::from(u16::MAX));
+
+    // Within the range of the type, as just made sure.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let tenths = tenths as u16;
+    tenths
 }
 
 /// `WatcherSighting` says when a balancer was last known to follow the store.
--- a/crates/valvestage-policy/src/steering/steering_options.rs
+++ b/crates/valvestage-policy/src/steering/steering_options.rs
@@ -18,6 +18,10 @@
     /// How much busier, in requests a slot, the servers of this zone may be before a flow is placed
     /// in another zone. From the trials that docs/PLATFORM.md lists.
     pub zone_preference: f64,
+    /// How much busier, in requests a slot, the others may be before a flow is placed on a backend
+    /// server that fails more requests than they do. Twice the preference for the own zone: another
+    /// zone is better than a failing backend server. When all are avoided, none is.
+    pub avoidance: f64,
     /// Load factor of a backend server that is still slow from its start.
     pub cold_factor: f64,
     /// A gone backend server is remembered for so long, so that its flows can be told. Flows are
@@ -32,6 +36,7 @@
             max_flows: 200_000,
             resting_flow_load: 0.05,
             zone_preference: 1.5,
+            avoidance: 3.0,
             cold_factor: 1.6,
             remember_gone: Duration::from_secs(60),
         }
--- a/crates/valvestage-policy/src/steering/steering_policy.rs
+++ b/crates/valvestage-policy/src/steering/steering_policy.rs
@@ -1,6 +1,7 @@
 //! The parts of steering together.
 
 use std::hash::Hasher;
+use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
 use siphasher::sip::SipHasher13;
@@ -13,8 +14,12 @@
 use super::decision::{AnswerTime, Decision};
 use super::flow_placer::{ANSWER_TIME, FlowPlacer};
 use super::flow_record::{FlowRecord, FlowSign};
-use super::flow_tracker::FlowTracker;
+use super::flow_tracker::{FlowObservation, FlowTracker};
 use super::knowledge::Knowledge;
+use super::outlier_detector::OutlierDetector;
+use super::overdue_queue::OverdueEntry;
+use super::peer_message::HealthReport;
+use super::request_judge::RequestJudge;
 use super::steering_options::SteeringOptions;
 
 /// `SteeringPolicy` decides where each packet of a caller goes.
@@ -23,6 +28,8 @@
     options: SteeringOptions,
     flows: FlowTracker,
     health: BackendHealth,
+    judge: RequestJudge,
+    outliers: OutlierDetector,
     /// What was decided since they were last taken.
     decisions: Vec<Decision>,
     /// Answers since they were last taken.
@@ -30,13 +37,15 @@
 }
 
 impl SteeringPolicy {
-    /// `new` knows nothing yet.
+    /// `new` knows nothing yet. The seed is for what is drawn.
     #[must_use]
-    pub fn new(options: SteeringOptions) -> Self {
+    pub fn new(options: SteeringOptions, seed: u64) -> Self {
         Self {
             options,
             flows: FlowTracker::default(),
             health: BackendHealth::default(),
+            judge: RequestJudge::default(),
+            outliers: OutlierDetector::new(seed),
             decisions: Vec::new(),
             answers: Vec::new(),
         }
@@ -68,13 +77,52 @@
         }
         let directory = &knowledge.directory;
         self.health.forget(|instance| directory.get(instance).is_some());
+        self.outliers.forget(|instance| directory.get(instance).is_some(), now);
+        self.judge.forget(|address| knowledge.routes.routes.contains_key(address));
     }
 
-    /// `on_peer_suspects` takes in which backend servers seem dead to another balancer.
-    pub fn on_peer_suspects(&mut self, suspects: &[InstanceId], now: Instant) {
-        for instance in suspects {
+    /// `judge_overdue` looks at requests that should have had their answer; to be called several times
+    /// a second.
+    pub fn judge_overdue(&mut self, knowledge: &Knowledge, now: Instant) {
+        while let Some(entry) = self.judge.pop_overdue(now) {
+            let OverdueEntry { started, flow, .. } = entry;
+            if let Some((instance, ended)) = self.flows.end_overdue(&flow, started, now) {
+                let is_poor = self.judge.is_poor(flow.service, ended);
+                self.note_outcome(knowledge, instance, is_poor, now);
+            }
+        }
+    }
+
+    /// `on_pause` takes in that the process stood still: packets that answer what was under way may
+    /// have been lost, so nothing is held against a backend server.
+    pub fn on_pause(&mut self) {
+        self.judge.on_pause();
+        self.flows.forget_requests();
+    }
+
+    /// `on_peer_health` takes in what another balancer has seen of backend servers.
+    pub fn on_peer_health(&mut self, peer: SocketAddrV4, report: &HealthReport, now: Instant) {
+        for instance in &report.suspects {
             self.health.on_told(*instance, now);
         }
+        self.decisions.extend(self.outliers.on_told_avoided(peer, &report.avoided, now));
+        self.decisions.extend(self.outliers.on_told(peer, &report.outcomes, now));
+    }
+
+    /// `health_report` gives what other balancers are to know of backend servers.
+    #[must_use]
+    pub fn health_report(&self, now: Instant) -> HealthReport {
+        HealthReport {
+            suspects: self.suspects(now),
+            outcomes: self.outliers.reports(now),
+            avoided: self.outliers.avoidances(now),
+        }
+    }
+
+    /// `avoided_count` gives the number of backend servers that are avoided.
+    #[must_use]
+    pub fn avoided_count(&self, now: Instant) -> usize {
+        self.outliers.avoided_count(now)
     }
 
     /// `suspects` gives the backend servers that seem dead from here.
@@ -152,8 +200,7 @@
             return None;
         }
         let instance = record.instance;
-        let sign = self.flows.observe(packet, now);
-        self.observe_sign(instance, packet.flow, sign, now);
+        let sign = self.observe_known(knowledge, instance, packet, now);
 
         let entry = knowledge.directory.get(instance)?;
         let takes_new = entry.phase == BackendPhase::Ready
@@ -192,6 +239,7 @@
             knowledge,
             flows: &self.flows,
             health: &self.health,
+            outliers: &self.outliers,
             now,
         };
         let Some(placement) = placer.place(flow, service, instead_of, draw_of(&flow)) else {
@@ -226,7 +274,7 @@
             return PacketVerdict::Drop(DropReason::WrongService);
         }
 
-        self.observe(instance, packet, now);
+        self.observe(knowledge, instance, packet, now);
         if packet.reset {
             self.flows.remove(&packet.flow);
             return forward(knowledge, instance);
@@ -254,18 +302,59 @@
         named.or(record.map(|record| record.instance))
     }
 
-    fn observe(&mut self, instance: InstanceId, packet: &CallerPacket, now: Instant) {
+    fn observe(
+        &mut self,
+        knowledge: &Knowledge,
+        instance: InstanceId,
+        packet: &CallerPacket,
+        now: Instant,
+    ) {
         let known = self.flows.get(&packet.flow).is_some_and(|flow| flow.instance == instance);
 
         if known {
-            let sign = self.flows.observe(packet, now);
-            self.observe_sign(instance, packet.flow, sign, now);
+            self.observe_known(knowledge, instance, packet, now);
         } else if self.flows.len() < self.options.max_flows {
             let record = FlowRecord::taken_over(instance, packet, now);
             self.flows.insert(packet.flow, record);
         }
     }
 
+    /// Takes in what a packet of a remembered flow shows about its backend server.
+    fn observe_known(
+        &mut self,
+        knowledge: &Knowledge,
+        instance: InstanceId,
+        packet: &CallerPacket,
+        now: Instant,
+    ) -> FlowSign {
+        let flow = packet.flow;
+        let FlowObservation { sign, ended, began } = self.flows.observe(packet, now);
+
+        if let Some(ended) = ended {
+            let is_poor = self.judge.is_poor(flow.service, ended);
+            self.note_outcome(knowledge, instance, is_poor, now);
+        }
+        if let Some(started) = began {
+            self.judge.on_began(flow, started);
+        }
+        self.observe_sign(instance, flow, sign, now);
+        sign
+    }
+
+    /// Takes in how a request ended.
+    fn note_outcome(
+        &mut self,
+        knowledge: &Knowledge,
+        instance: InstanceId,
+        is_poor: bool,
+        now: Instant,
+    ) {
+        if let Some(entry) = knowledge.directory.get(instance) {
+            let news = self.outliers.observe(instance, &entry.service, is_poor, now);
+            self.decisions.extend(news);
+        }
+    }
+
     fn observe_sign(
         &mut self,
         instance: InstanceId,
@@ -277,6 +366,9 @@
             && let Some(since) = answer.since
         {
             let time = now.saturating_duration_since(since);
+            if !answer.opening {
+                self.judge.on_answer_time(flow.service, time);
+            }
             self.answers.push(AnswerTime { instance, opening: answer.opening, time });
         }
 
--- a/crates/valvestage-policy/tests/steering/main.rs
+++ b/crates/valvestage-policy/tests/steering/main.rs
@@ -7,6 +7,8 @@
 mod flow_record;
 mod follower;
 mod keepers;
+mod outliers;
 mod packets;
 mod peers;
+mod requests;
 mod watch_role;
--- a/crates/valvestage-policy/tests/steering/packets.rs
+++ b/crates/valvestage-policy/tests/steering/packets.rs
@@ -12,7 +12,7 @@
 };
 
 fn policy() -> SteeringPolicy {
-    SteeringPolicy::new(SteeringOptions { zone: HOME.to_owned(), ..Default::default() })
+    SteeringPolicy::new(SteeringOptions { zone: HOME.to_owned(), ..Default::default() }, 1)
 }
 
 fn instance(verdict: PacketVerdict) -> u64 {
--- a/crates/valvestage-story/src/sentences.rs
+++ b/crates/valvestage-story/src/sentences.rs
@@ -42,6 +42,23 @@
             text("waited_ms")
         ),
         "cleared" => format!("Backend server {} answered again.", text("backend")),
+        "avoided" => format!(
+            "Backend server {} failed {} of its last {} requests, others of its service {}: for {} ms it \
+             gets no new flows unless the others are much busier (counts of {} balancers).",
+            text("backend"),
+            text("poor_share"),
+            text("requests"),
+            text("others_poor_share"),
+            text("avoided_ms"),
+            text("told_by")
+        ),
+        "avoided_as_told" => format!(
+            "Backend server {} gets no new flows for {} ms unless the others are much busier: {} saw it \
+             fail more requests than they do.",
+            text("backend"),
+            text("avoided_ms"),
+            text("source")
+        ),
         "backend_changed" => format!(
             "Backend server {} of {} is {} since revision {} (told by {}).",
             text("backend"),
