--- a/crates/valvestage-policy/src/steering.rs
+++ b/crates/valvestage-policy/src/steering.rs
@@ -14,7 +14,8 @@
 //! | [`backend_load`], [`backend_choice`], `flow_placer` | where a new flow goes |
 //! | [`backend_health`] | which backend servers seem dead |
 //! | [`flow_request`], [`overdue_queue`], [`answer_norm`], [`request_judge`] | how requests end |
-//! | [`outcome_count`], [`outlier_detector`] | which backend servers fail more of them than others |
+//! | [`outcome_count`], [`outlier_detector`], `outlier_record` | which backend servers fail more of them than others |
+//! | [`backend_observer`] | all that callers' packets show about backend servers |
 //! | [`steering_policy`] | what is done with each packet |
 //! | [`knowledge`] | routes and backend servers together |
 //! | [`store_follower`], [`store_link`] | keeping up with the store |
@@ -32,6 +33,7 @@
 pub mod backend_entry;
 pub mod backend_health;
 pub mod backend_load;
+pub mod backend_observer;
 pub mod caller_packet;
 pub mod decision;
 pub mod entry_policy;
@@ -44,6 +46,7 @@
 pub mod knowledge_parts;
 pub mod outcome_count;
 pub mod outlier_detector;
+mod outlier_record;
 pub mod overdue_queue;
 pub mod part_assembly;
 pub mod peer_exchange;
--- a/crates/valvestage-policy/src/steering/flow_placer.rs
+++ b/crates/valvestage-policy/src/steering/flow_placer.rs
@@ -6,12 +6,11 @@
 
 use super::backend_choice::{ChoiceCandidate, ChoiceDoubt, choose};
 use super::backend_entry::{BackendEntry, BackendPhase};
-use super::backend_health::BackendHealth;
+use super::backend_observer::BackendObserver;
 use super::caller_packet::FlowAddresses;
 use super::decision::FlowPlacement;
 use super::flow_tracker::FlowTracker;
 use super::knowledge::Knowledge;
-use super::outlier_detector::OutlierDetector;
 use super::steering_options::SteeringOptions;
 
 /// `FlowPlacer` looks at everything that speaks for or against a backend server.
@@ -19,8 +18,7 @@
     pub options: &'a SteeringOptions,
     pub knowledge: &'a Knowledge,
     pub flows: &'a FlowTracker,
-    pub health: &'a BackendHealth,
-    pub outliers: &'a OutlierDetector,
+    pub backends: &'a BackendObserver,
     pub now: Instant,
 }
 
@@ -68,7 +66,7 @@
         let factor = if is_cold { self.options.cold_factor } else { 1.0 };
         let distance =
             if entry.zone == self.options.zone { 0.0 } else { self.options.zone_preference };
-        let is_avoided = self.outliers.is_avoided(entry.instance, self.now);
+        let is_avoided = self.backends.outliers().is_avoided(entry.instance, self.now);
         let avoidance = if is_avoided { self.options.avoidance } else { 0.0 };
 
         ChoiceCandidate {
@@ -79,8 +77,8 @@
     }
 
     fn doubt(&self, entry: &BackendEntry, instead_of: Option<InstanceId>) -> ChoiceDoubt {
-        let is_silent =
-            self.health.is_suspect(entry.instance, self.now) || instead_of == Some(entry.instance);
+        let is_silent = self.backends.health().is_suspect(entry.instance, self.now)
+            || instead_of == Some(entry.instance);
 
         match (entry.missing_until, is_silent) {
             (Some(_), _) => ChoiceDoubt::Missing,
--- a/crates/valvestage-policy/src/steering/steering_policy.rs
+++ b/crates/valvestage-policy/src/steering/steering_policy.rs
@@ -9,17 +9,14 @@
 
 use super::backend_directory::BackendDirectory;
 use super::backend_entry::BackendPhase;
-use super::backend_health::BackendHealth;
+use super::backend_observer::BackendObserver;
 use super::caller_packet::{CallerPacket, DropReason, FlowAddresses, PacketVerdict, ResetReason};
 use super::decision::{AnswerTime, Decision};
 use super::flow_placer::{ANSWER_TIME, FlowPlacer};
 use super::flow_record::{FlowRecord, FlowSign};
-use super::flow_tracker::{FlowObservation, FlowTracker};
+use super::flow_tracker::FlowTracker;
 use super::knowledge::Knowledge;
-use super::outlier_detector::OutlierDetector;
-use super::overdue_queue::OverdueEntry;
 use super::peer_message::HealthReport;
-use super::request_judge::RequestJudge;
 use super::steering_options::SteeringOptions;
 
 /// `SteeringPolicy` decides where each packet of a caller goes.
@@ -27,13 +24,9 @@
 pub struct SteeringPolicy {
     options: SteeringOptions,
     flows: FlowTracker,
-    health: BackendHealth,
-    judge: RequestJudge,
-    outliers: OutlierDetector,
+    backends: BackendObserver,
     /// What was decided since they were last taken.
     decisions: Vec<Decision>,
-    /// Answers since they were last taken.
-    answers: Vec<AnswerTime>,
 }
 
 impl SteeringPolicy {
@@ -43,22 +36,22 @@
         Self {
             options,
             flows: FlowTracker::default(),
-            health: BackendHealth::default(),
-            judge: RequestJudge::default(),
-            outliers: OutlierDetector::new(seed),
+            backends: BackendObserver::new(seed),
             decisions: Vec::new(),
-            answers: Vec::new(),
         }
     }
 
     /// `take_decisions` gives what was decided since the last call.
     pub fn take_decisions(&mut self) -> Vec<Decision> {
-        std::mem::take(&mut self.decisions)
+        let mut decisions = std::mem::take(&mut self.decisions);
+
+        decisions.extend(self.backends.take_decisions());
+        decisions
     }
 
     /// `take_answers` gives the answers seen since the last call.
     pub fn take_answers(&mut self) -> Vec<AnswerTime> {
-        std::mem::take(&mut self.answers)
+        self.backends.take_answers()
     }
 
     /// `flow_count` gives the number of flows that are remembered.
@@ -75,60 +68,43 @@
         if let Some(before) = now.checked_sub(self.options.remember_gone) {
             knowledge.directory.forget_gone(before);
         }
-        let directory = &knowledge.directory;
-        self.health.forget(|instance| directory.get(instance).is_some());
-        self.outliers.forget(|instance| directory.get(instance).is_some(), now);
-        self.judge.forget(|address| knowledge.routes.routes.contains_key(address));
+        self.backends.forget(knowledge, now);
     }
 
     /// `judge_overdue` looks at requests that should have had their answer; to be called several times
     /// a second.
     pub fn judge_overdue(&mut self, knowledge: &Knowledge, now: Instant) {
-        while let Some(entry) = self.judge.pop_overdue(now) {
-            let OverdueEntry { started, flow, .. } = entry;
-            if let Some((instance, ended)) = self.flows.end_overdue(&flow, started, now) {
-                let is_poor = self.judge.is_poor(flow.service, ended);
-                self.note_outcome(knowledge, instance, is_poor, now);
-            }
-        }
+        self.backends.judge_overdue(knowledge, &mut self.flows, now);
     }
 
     /// `on_pause` takes in that the process stood still: packets that answer what was under way may
     /// have been lost, so nothing is held against a backend server.
     pub fn on_pause(&mut self) {
-        self.judge.on_pause();
+        self.backends.on_pause();
         self.flows.forget_requests();
     }
 
     /// `on_peer_health` takes in what another balancer has seen of backend servers.
     pub fn on_peer_health(&mut self, peer: SocketAddrV4, report: &HealthReport, now: Instant) {
-        for instance in &report.suspects {
-            self.health.on_told(*instance, now);
-        }
-        self.decisions.extend(self.outliers.on_told_avoided(peer, &report.avoided, now));
-        self.decisions.extend(self.outliers.on_told(peer, &report.outcomes, now));
+        self.backends.on_report(peer, report, now);
     }
 
     /// `health_report` gives what other balancers are to know of backend servers.
     #[must_use]
     pub fn health_report(&self, now: Instant) -> HealthReport {
-        HealthReport {
-            suspects: self.suspects(now),
-            outcomes: self.outliers.reports(now),
-            avoided: self.outliers.avoidances(now),
-        }
+        self.backends.report(now)
     }
 
     /// `avoided_count` gives the number of backend servers that are avoided.
     #[must_use]
     pub fn avoided_count(&self, now: Instant) -> usize {
-        self.outliers.avoided_count(now)
+        self.backends.outliers().avoided_count(now)
     }
 
     /// `suspects` gives the backend servers that seem dead from here.
     #[must_use]
     pub fn suspects(&self, now: Instant) -> Vec<InstanceId> {
-        self.health.suspects(now)
+        self.backends.health().suspects(now)
     }
 
     /// `on_packet` decides about a packet.
@@ -219,7 +195,7 @@
         match sign {
             FlowSign::Unanswered(since) => {
                 now.saturating_duration_since(since) >= ANSWER_TIME
-                    && !self.health.shows_life_since(instance, since)
+                    && !self.backends.health().shows_life_since(instance, since)
             }
             _ => false,
         }
@@ -238,8 +214,7 @@
             options: &self.options,
             knowledge,
             flows: &self.flows,
-            health: &self.health,
-            outliers: &self.outliers,
+            backends: &self.backends,
             now,
         };
         let Some(placement) = placer.place(flow, service, instead_of, draw_of(&flow)) else {
@@ -282,7 +257,7 @@
         if entry.is_gone() {
             return PacketVerdict::Reset(ResetReason::BackendGone);
         }
-        if self.health.is_given_up(instance, now) {
+        if self.backends.health().is_given_up(instance, now) {
             return PacketVerdict::Reset(ResetReason::BackendSilent);
         }
         forward(knowledge, instance)
@@ -328,51 +303,10 @@
         now: Instant,
     ) -> FlowSign {
         let flow = packet.flow;
-        let FlowObservation { sign, ended, began } = self.flows.observe(packet, now);
-
-        if let Some(ended) = ended {
-            let is_poor = self.judge.is_poor(flow.service, ended);
-            self.note_outcome(knowledge, instance, is_poor, now);
-        }
-        if let Some(started) = began {
-            self.judge.on_began(flow, started);
-        }
-        self.observe_sign(instance, flow, sign, now);
-        sign
-    }
-
-    /// Takes in how a request ended.
-    fn note_outcome(
-        &mut self,
-        knowledge: &Knowledge,
-        instance: InstanceId,
-        is_poor: bool,
-        now: Instant,
-    ) {
-        if let Some(entry) = knowledge.directory.get(instance) {
-            let news = self.outliers.observe(instance, &entry.service, is_poor, now);
-            self.decisions.extend(news);
-        }
-    }
-
-    fn observe_sign(
-        &mut self,
-        instance: InstanceId,
-        flow: FlowAddresses,
-        sign: FlowSign,
-        now: Instant,
-    ) {
-        if let FlowSign::Alive(answer) = sign
-            && let Some(since) = answer.since
-        {
-            let time = now.saturating_duration_since(since);
-            if !answer.opening {
-                self.judge.on_answer_time(flow.service, time);
-            }
-            self.answers.push(AnswerTime { instance, opening: answer.opening, time });
-        }
+        let observation = self.flows.observe(packet, now);
 
-        self.decisions.extend(self.health.observe(instance, flow, sign, now));
+        self.backends.observe(knowledge, instance, flow, observation, now);
+        observation.sign
     }
 }
 
