--- a/crates/valvestage-core/src/settings/entry.rs
+++ b/crates/valvestage-core/src/settings/entry.rs
@@ -1,6 +1,6 @@
 //! Settings of `valvestage-entry`.
 
-use std::net::SocketAddrV4;
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::Path;
 use std::time::Duration;
 
@@ -25,6 +25,8 @@
     pub control_address: SocketAddrV4,
     /// UDP port of messages between balancers, the same on every VM.
     pub peer_port: u16,
+    /// IP address by which other balancers reach this one, where it is not that of `data_address`.
+    pub advertised_ip: Option<Ipv4Addr>,
     /// Whether the whole deployment starts for the first time.
     #[serde(default)]
     pub first_start: bool,
@@ -50,8 +52,10 @@
     pub ready_address: SocketAddrV4,
     /// TCP address of metrics.
     pub control_address: SocketAddrV4,
-    /// UDP address of messages between balancers.
+    /// UDP address at which messages of other balancers arrive.
     pub peer_address: SocketAddrV4,
+    /// UDP address by which other balancers know this one; the same unless a relay stands between.
+    pub advertised_address: SocketAddrV4,
     /// Whether the whole deployment starts for the first time.
     pub is_first_start: bool,
     /// Peer addresses of some VMs that may be up, without this one.
@@ -93,7 +97,9 @@
         }
 
         let own_ip = *raw.data_address.ip();
-        let seeds = raw.seeds.iter().map(|seed| *seed.ip()).filter(|ip| *ip != own_ip);
+        let advertised_ip = raw.advertised_ip.unwrap_or(own_ip);
+        let seeds = raw.seeds.iter().map(|seed| *seed.ip());
+        let seeds = seeds.filter(|ip| *ip != own_ip && *ip != advertised_ip);
         Ok(Self {
             name: raw.name,
             zone: raw.zone,
@@ -101,6 +107,7 @@
             ready_address: raw.ready_address,
             control_address: raw.control_address,
             peer_address: SocketAddrV4::new(own_ip, raw.peer_port),
+            advertised_address: SocketAddrV4::new(advertised_ip, raw.peer_port),
             is_first_start: raw.first_start,
             seeds: seeds.map(|ip| SocketAddrV4::new(ip, raw.peer_port)).collect(),
             store_address: raw.store_address,
--- a/crates/valvestage-entry/src/process.rs
+++ b/crates/valvestage-entry/src/process.rs
@@ -101,7 +101,7 @@
 
     EntryOptions {
         steering,
-        peer_address: settings.peer_address,
+        peer_address: settings.advertised_address,
         seeds: settings.seeds.clone(),
         is_first_start: settings.is_first_start,
         seed: hasher.finish(),
--- a/crates/valvestage-entry/tests/process/main.rs
+++ b/crates/valvestage-entry/tests/process/main.rs
@@ -10,14 +10,11 @@
 
 use nix::sys::signal::Signal;
 use valvestage_platform::packet::HEAD_BYTES;
+use valvestage_standins::packets::flow_packet::flags::{ACK, RST, SYN};
 use valvestage_standins::platform::Faults;
 
 use site::{Caller, FakeBackend, Site, token_of, wait_until};
 
-const SYN: u8 = 2;
-const RST: u8 = 4;
-const ACK: u8 = 32;
-
 #[test]
 fn any_balancer_steers_a_flow_by_its_token() {
     let site = Site::new();
--- a/crates/valvestage-entry/tests/process/site.rs
+++ b/crates/valvestage-entry/tests/process/site.rs
@@ -12,7 +12,8 @@
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use serde_json::json;
-use valvestage_platform::packet::{HEAD_BYTES, PREFIX_BYTES};
+use valvestage_platform::packet::PREFIX_BYTES;
+use valvestage_standins::packets::flow_packet::{FlowPacket, flags};
 use valvestage_standins::platform::{PlatformStandin, start};
 
 /// An event that has not come by then will not come.
@@ -226,9 +227,6 @@
     }
 }
 
-/// Flag of an opening packet.
-const SYN: u8 = 2;
-
 /// A caller: it hears answers on the port that data addresses have.
 pub struct Caller {
     socket: UdpSocket,
@@ -251,38 +249,37 @@
 
     /// Sends a packet of a flow; its data is as long as said.
     pub fn send(&self, to: &Balancer, flags: u8, port: u16, token: u32, data: usize) {
-        let mut packet = self.packet(flags, port, SERVICE.port());
-        packet.resize(HEAD_BYTES + data, 0);
-        packet[6..10].copy_from_slice(&token.to_le_bytes());
-        packet[10..12].copy_from_slice(&u16::try_from(data).unwrap().to_le_bytes());
-
-        self.socket.send_to(&packet, to.data_address()).unwrap();
+        self.hand(to, &FlowPacket { flags, token, data: vec![0; data], ..self.packet(port) });
     }
 
     /// Sends a copy of an opening packet.
     pub fn send_copy(&self, to: &Balancer, port: u16, copies: u32) {
-        let mut packet = self.packet(SYN, port, SERVICE.port());
-        packet[16..20].copy_from_slice(&copies.to_le_bytes());
+        let flags = flags::SYN;
 
-        self.socket.send_to(&packet, to.data_address()).unwrap();
+        self.hand(to, &FlowPacket { flags, acknowledged: copies, ..self.packet(port) });
     }
 
     /// Sends a packet to another port of the service's address.
     pub fn send_to_port(&self, to: &Balancer, flags: u8, port: u16, service_port: u16) {
-        let packet = self.packet(flags, port, service_port);
+        let destination = SocketAddrV4::new(*SERVICE.ip(), service_port);
+
+        self.hand(to, &FlowPacket { flags, destination, ..self.packet(port) });
+    }
 
-        self.socket.send_to(&packet, to.data_address()).unwrap();
+    fn hand(&self, to: &Balancer, packet: &FlowPacket) {
+        self.socket.send_to(&packet.encode(), to.data_address()).unwrap();
     }
 
-    fn packet(&self, flags: u8, port: u16, service_port: u16) -> Vec<u8> {
-        let mut packet = vec![0; HEAD_BYTES];
-        packet[0] = flags;
-        packet[12..16].copy_from_slice(&1_000_u32.to_le_bytes());
-        packet[20..22].copy_from_slice(&port.to_le_bytes());
-        packet[22..26].copy_from_slice(&u32::from(*self.address.ip()).to_le_bytes());
-        packet[26..30].copy_from_slice(&u32::from(*SERVICE.ip()).to_le_bytes());
-        packet[30..32].copy_from_slice(&service_port.to_le_bytes());
-        packet
+    fn packet(&self, port: u16) -> FlowPacket {
+        FlowPacket {
+            flags: 0,
+            token: 0,
+            sequence: 1_000,
+            acknowledged: 0,
+            source: self.flow_address(port),
+            destination: SERVICE,
+            data: Vec::new(),
+        }
     }
 
     /// The next packet that the caller gets.
@@ -296,5 +293,5 @@
 
 /// The token in a packet.
 pub fn token_of(packet: &[u8]) -> u32 {
-    u32::from_le_bytes(packet[6..10].try_into().unwrap())
+    FlowPacket::decode(packet).unwrap().token
 }
--- /dev/null
+++ b/crates/valvestage-entry/tests/soak.rs
@@ -0,0 +1,84 @@
+//! Short runs of the fault soak on the real program.
+//!
+//! CI may run beside other work, so promises with a bound in time are not checked in the run that has to be
+//! clean. In the others one mechanism is taken away each, to show that the checks are able to fail.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use valvestage_soak::{FaultKind, Promise, Sabotage, SoakOptions, SoakReport, run};
+
+fn options(seed: u64, faults_for: Duration) -> SoakOptions {
+    let folder = format!("valvestage-soak-test-{}-{seed}", std::process::id());
+
+    SoakOptions {
+        program: PathBuf::from(env!("CARGO_BIN_EXE_valvestage-entry")),
+        folder: std::env::temp_dir().join(folder),
+        seed,
+        faults_for,
+        ..SoakOptions::default()
+    }
+}
+
+fn play(options: SoakOptions) -> SoakReport {
+    let folder = options.folder.clone();
+    let report = run(options).unwrap();
+
+    if report.is_clean() {
+        std::fs::remove_dir_all(folder).unwrap();
+    }
+    report
+}
+
+/// Plays a run without one mechanism, and gives the promises that it breaks.
+fn broken_without(sabotage: Sabotage, seed: u64, kind: FaultKind) -> Vec<Promise> {
+    let options = SoakOptions {
+        sabotage: Some(sabotage),
+        kinds: vec![kind],
+        balancers: 3,
+        ..options(seed, Duration::from_secs(14))
+    };
+    let folder = options.folder.clone();
+    let report = play(options);
+
+    std::fs::remove_dir_all(folder).unwrap();
+    report.results.broken.iter().map(|broken| broken.promise).collect()
+}
+
+#[test]
+fn a_short_run_keeps_every_promise() {
+    let options = SoakOptions { timed: false, ..options(7, Duration::from_secs(20)) };
+
+    let report = play(options);
+    assert!(report.is_clean(), "{report}");
+    assert!(report.results.requests.answered > 0, "{report}");
+}
+
+macro_rules! checks_are_able_to_fail {
+    ($($name:ident: $sabotage:ident, $seed:literal, $kind:ident => $promise:ident;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let broken = broken_without(Sabotage::$sabotage, $seed, FaultKind::$kind);
+
+                assert!(broken.contains(&Promise::$promise), "{broken:?}");
+            }
+        )*
+    };
+}
+
+checks_are_able_to_fail! {
+    drains_that_are_not_told_are_noticed: HideBackends, 1_001, BackendReplace => Drain;
+    configurations_that_are_not_told_are_noticed:
+        HideConfigurations, 1_002, Configuration => ConfigurationInForce;
+    a_lost_route_is_noticed: DropRoute, 1_003, Configuration => NoFalseRefusal;
+    older_routes_are_noticed: RollBack, 1_004, Configuration => ConfigurationNeverBack;
+    another_service_is_noticed: SwapServices, 1_005, Configuration => RightService;
+    packets_at_another_backend_server_are_noticed: Misroute, 1_006, Configuration => FlowNotMoved;
+    changed_packets_are_noticed: SpoilPackets, 1_007, Configuration => PacketUnchanged;
+    changed_answers_are_noticed: SpoilAnswers, 1_008, Configuration => WholeAnswer;
+    requests_that_run_twice_are_noticed: RunTwice, 1_009, Configuration => RunsOnce;
+    resets_of_living_flows_are_noticed: ForgeResets, 1_010, Configuration => FlowNotEnded;
+    balancers_that_stay_away_are_noticed: LeaveDead, 1_011, HerdKill => Recovery;
+    a_balancer_that_ends_by_itself_is_noticed: EndUnseen, 1_012, BalancerKill => NoOwnEnd;
+}
--- /dev/null
+++ b/crates/valvestage-soak/src/backend_servers.rs
@@ -0,0 +1,294 @@
+//! All backend servers of a site, on one thread.
+
+use std::collections::{HashMap, HashSet};
+use std::io;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use crossbeam_channel::{Receiver, Sender};
+use valvestage_core::ids::InstanceId;
+use valvestage_platform::packet::{HEAD_BYTES, PREFIX_BYTES};
+use valvestage_policy::steering::FlowAddresses;
+use valvestage_standins::draws::Draws;
+
+use crate::link_table::{LinkTable, LinkTarget};
+use crate::observation::{Observation, STALL, SeenEvent};
+use crate::site_plan::SitePlan;
+use crate::soak_options::{Sabotage, SoakOptions};
+use valvestage_standins::packets::backend_flow::BackendFlow;
+use valvestage_standins::packets::flow_packet::{FlowPacket, flags};
+use valvestage_standins::packets::socket_set::SocketSet;
+
+/// Longest wait for a packet.
+const TURN: Duration = Duration::from_millis(3);
+
+/// Shortest work on a request.
+const LEAST_WORK: Duration = Duration::from_millis(5);
+
+/// What the draw adds to it at most.
+const MORE_WORK: Duration = Duration::from_millis(25);
+
+/// `BackendCommand` changes one backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BackendCommand {
+    /// A new incarnation starts at a place. An earlier one there has ended.
+    Start(usize, InstanceId),
+    /// What is at a place ends without a word.
+    End(usize),
+    /// What is at a place takes requests and answers every second one only.
+    Fail(usize, bool),
+}
+
+/// One incarnation.
+struct RunningBackend {
+    instance: InstanceId,
+    flows: HashMap<FlowAddresses, BackendFlow>,
+    ended: HashSet<FlowAddresses>,
+    failing: bool,
+    requests: u64,
+}
+
+/// `BackendServers` answers packets as the platform's backend servers do.
+pub struct BackendServers {
+    plan: SitePlan,
+    links: LinkTable,
+    sockets: SocketSet,
+    running: HashMap<usize, RunningBackend>,
+    commands: Receiver<BackendCommand>,
+    observations: Sender<Observation>,
+    delayed: Vec<(Instant, usize, usize, Vec<u8>)>,
+    draws: Draws,
+    sabotage: Option<Sabotage>,
+}
+
+impl BackendServers {
+    /// `bind` takes the addresses of all places.
+    pub fn bind(
+        plan: SitePlan,
+        links: LinkTable,
+        commands: Receiver<BackendCommand>,
+        observations: Sender<Observation>,
+        options: &SoakOptions,
+    ) -> io::Result<Self> {
+        let places: Vec<SocketAddrV4> =
+            (0..plan.backends).map(|number| plan.backend(number)).collect();
+
+        Ok(Self {
+            sockets: SocketSet::bind(&places)?,
+            plan,
+            links,
+            running: HashMap::new(),
+            commands,
+            observations,
+            delayed: Vec::new(),
+            draws: Draws::new(options.seed),
+            sabotage: options.sabotage,
+        })
+    }
+
+    /// `run` serves until told to stop.
+    pub fn run(mut self, stop: &Arc<AtomicBool>) -> io::Result<()> {
+        let mut last_turn = Instant::now();
+
+        while !stop.load(Ordering::Relaxed) {
+            let datagrams = self.sockets.receive(TURN)?;
+            let now = Instant::now();
+            let time = now - last_turn;
+            if time >= STALL {
+                self.tell(SeenEvent::Stalled { time });
+            }
+            last_turn = now;
+            self.obey();
+            for datagram in datagrams {
+                if let Some(balancer) = self.plan.balancer_at(*datagram.sender.ip()) {
+                    self.pass(balancer, datagram.socket, datagram.bytes, now);
+                }
+            }
+            self.take_delayed(now);
+            self.send_due(now);
+        }
+        Ok(())
+    }
+
+    fn tell(&self, seen: SeenEvent) {
+        // Nobody listens any more at the end of the run.
+        let _ = self.observations.send(Observation { at: Instant::now(), seen });
+    }
+
+    fn obey(&mut self) {
+        while let Ok(command) = self.commands.try_recv() {
+            match command {
+                BackendCommand::Start(place, instance) => {
+                    let backend = RunningBackend {
+                        instance,
+                        flows: HashMap::new(),
+                        ended: HashSet::new(),
+                        failing: false,
+                        requests: 0,
+                    };
+                    self.running.insert(place, backend);
+                }
+                BackendCommand::End(place) => {
+                    self.running.remove(&place);
+                }
+                BackendCommand::Fail(place, failing) => {
+                    if let Some(backend) = self.running.get_mut(&place) {
+                        backend.failing = failing;
+                    }
+                }
+            }
+        }
+    }
+
+    fn pass(&mut self, balancer: usize, place: usize, bytes: Vec<u8>, now: Instant) {
+        let target = LinkTarget::BackendIn(SitePlan::zone_of(place));
+
+        if let Some(delay) = self.links.pass(balancer, target, &mut self.draws, now) {
+            self.delayed.push((now + delay, balancer, place, bytes));
+        }
+    }
+
+    fn take_delayed(&mut self, now: Instant) {
+        let (due, later) =
+            std::mem::take(&mut self.delayed).into_iter().partition(|(at, ..)| *at <= now);
+        self.delayed = later;
+
+        for (_, balancer, place, bytes) in due {
+            self.take(balancer, place, &bytes, now);
+        }
+    }
+
+    fn take(&mut self, balancer: usize, place: usize, bytes: &[u8], now: Instant) {
+        let place = self.place_of(place, bytes);
+        let mut bytes = bytes.to_vec();
+        if self.sabotage == Some(Sabotage::SpoilPackets)
+            && let Some(last) = bytes.last_mut()
+        {
+            *last ^= 1;
+        }
+        let Some(backend) = self.running.get_mut(&place) else { return };
+        let Some((prefix, packet)) = bytes.split_at_checked(PREFIX_BYTES) else { return };
+        // Another one than is meant says nothing.
+        let is_meant = prefix == backend.instance.to_be_bytes();
+        if !is_meant && self.sabotage != Some(Sabotage::Misroute) {
+            return;
+        }
+        let (Some(decoded), true) = (FlowPacket::decode(packet), FlowPacket::is_genuine(packet))
+        else {
+            return self.tell(SeenEvent::Forged);
+        };
+
+        let (answers, seen) = backend.take(&decoded, balancer, &mut self.draws, now);
+        let caller = SocketAddrV4::new(*decoded.source.ip(), self.plan.data_port);
+        for answer in answers {
+            self.sockets.send(place, caller, &answer.encode());
+        }
+        for event in seen {
+            let runs_again =
+                self.sabotage == Some(Sabotage::RunTwice) && matches!(event, SeenEvent::Ran { .. });
+            if runs_again {
+                self.tell(event.clone());
+            }
+            self.tell(event);
+        }
+    }
+
+    /// Where a packet goes: where its balancer sent it.
+    fn place_of(&self, place: usize, bytes: &[u8]) -> usize {
+        let has_no_data = bytes.len() == PREFIX_BYTES + HEAD_BYTES;
+        let is_later = bytes.get(PREFIX_BYTES).is_some_and(|bits| bits & flags::SYN == 0);
+
+        if self.sabotage == Some(Sabotage::Misroute) && is_later && has_no_data {
+            (place + 1) % self.plan.backends
+        } else {
+            place
+        }
+    }
+
+    fn send_due(&mut self, now: Instant) {
+        for (place, backend) in &mut self.running {
+            for flow in backend.flows.values_mut() {
+                for mut packet in flow.due_packets(now) {
+                    if self.sabotage == Some(Sabotage::SpoilAnswers) {
+                        packet.data[0] ^= 1;
+                    }
+                    let caller = SocketAddrV4::new(*packet.destination.ip(), self.plan.data_port);
+                    self.sockets.send(*place, caller, &packet.encode());
+                }
+            }
+        }
+    }
+}
+
+impl RunningBackend {
+    fn take(
+        &mut self,
+        packet: &FlowPacket,
+        balancer: usize,
+        draws: &mut Draws,
+        now: Instant,
+    ) -> (Vec<FlowPacket>, Vec<SeenEvent>) {
+        let flow = packet.flow();
+        if packet.has(flags::SYN) {
+            let sequence = u32::try_from(draws.word() >> 32).unwrap_or(0);
+            let open = || BackendFlow::new(packet.clone(), sequence, balancer, now);
+            let held = self.flows.entry(flow).or_insert_with(open);
+            return (vec![held.opening_answer()], Vec::new());
+        }
+        if packet.has(flags::RST) {
+            self.flows.remove(&flow);
+            return (Vec::new(), Vec::new());
+        }
+
+        let instance = self.instance;
+        let Some(held) = self.flows.get_mut(&flow) else {
+            if self.ended.contains(&flow) {
+                return (Vec::new(), Vec::new());
+            }
+            let strayed = SeenEvent::Strayed { flow, instance, balancer };
+            return (vec![reset_for(packet)], vec![strayed]);
+        };
+        let mut seen = Vec::new();
+        if !held.open {
+            if !held.accepts(packet) {
+                return (Vec::new(), vec![SeenEvent::Strayed { flow, instance, balancer }]);
+            }
+            held.open = true;
+            let (balancer, arrived) = (held.balancer, held.arrived);
+            seen.push(SeenEvent::Opened { flow, instance, balancer, arrived });
+        }
+        seen.push(SeenEvent::Reached { flow });
+
+        if let Some(request) = held.take(packet) {
+            seen.push(SeenEvent::Ran { request: request.id, repeatable: request.repeatable });
+            self.requests += 1;
+            if !(self.failing && self.requests.is_multiple_of(2)) {
+                held.work_until(now + LEAST_WORK + MORE_WORK.mul_f64(draws.unit()), request);
+            }
+        }
+        let mut answers = Vec::new();
+        if !packet.data.is_empty() || packet.has(flags::FIN) {
+            answers.push(held.acknowledgement());
+        }
+        if packet.has(flags::FIN) {
+            self.flows.remove(&flow);
+            self.ended.insert(flow);
+        }
+        (answers, seen)
+    }
+}
+
+/// What a backend server says to a packet of a flow that it does not hold.
+fn reset_for(packet: &FlowPacket) -> FlowPacket {
+    FlowPacket {
+        flags: flags::RST | flags::ACK,
+        token: packet.token,
+        sequence: packet.acknowledged,
+        acknowledged: packet.sequence,
+        source: packet.destination,
+        destination: packet.source,
+        data: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/valvestage-soak/src/errors.rs
@@ -0,0 +1,39 @@
+//! Why a run could not be played.
+
+use std::io;
+
+use thiserror::Error;
+
+/// `SoakError` says at which step a run could not go on. Broken promises are no errors.
+#[derive(Debug, Error)]
+pub enum SoakError {
+    /// A step of the run itself failed.
+    #[error("{step}: {cause}")]
+    Step {
+        /// The step.
+        step: &'static str,
+        /// What went wrong.
+        cause: io::Error,
+    },
+    /// The balancers did not become ready at the beginning.
+    #[error("start: {ready} of {balancers} balancers became ready")]
+    NotReady {
+        /// How many did.
+        ready: usize,
+        /// How many there are.
+        balancers: usize,
+    },
+    /// The list of seeds cannot be read.
+    #[error("read {file}: {cause}")]
+    Seeds {
+        /// The file.
+        file: String,
+        /// What is wrong with it.
+        cause: String,
+    },
+}
+
+/// `at` gives a step's name to an error.
+pub fn at(step: &'static str) -> impl Fn(io::Error) -> SoakError {
+    move |cause| SoakError::Step { step, cause }
+}
--- /dev/null
+++ b/crates/valvestage-soak/src/main.rs
@@ -0,0 +1,174 @@
+//! `valvestage-soak`: plays seeded faults on real balancers.
+
+use std::fs;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+use bpaf::Bpaf;
+use valvestage_process::command_line::{parse, usage_error};
+use valvestage_process::exit_codes;
+use valvestage_soak::{FaultKind, SoakOptions, SoakReport, seed_list};
+
+/// Name in messages.
+const PROGRAM: &str = "valvestage-soak";
+
+/// What to do.
+///
+/// Exit codes: 0 every promise was kept, 1 one was broken or a run could not be played, 2 wrong command line.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version)]
+enum Arguments {
+    /// Plays one seed after another
+    #[bpaf(command)]
+    Run {
+        /// The first seed
+        #[bpaf(long, argument("N"), fallback(1))]
+        seed: u64,
+        /// How many seeds
+        #[bpaf(long, argument("N"), fallback(1))]
+        seeds: u64,
+        /// Plays on for so long instead
+        #[bpaf(long, argument("MINUTES"))]
+        minutes: Option<u64>,
+        #[bpaf(external)]
+        shape: Shape,
+    },
+    /// Plays one seed again
+    #[bpaf(command)]
+    Replay {
+        #[bpaf(external)]
+        shape: Shape,
+        /// The seed
+        #[bpaf(positional("SEED"))]
+        seed: u64,
+    },
+    /// Plays the seeds that once failed
+    #[bpaf(command)]
+    Known {
+        #[bpaf(external)]
+        shape: Shape,
+    },
+    /// Lists the kinds of faults and the seeds that once failed
+    #[bpaf(command)]
+    List {
+        /// The list of seeds
+        #[bpaf(
+            long,
+            argument("FILE"),
+            fallback(PathBuf::from("crates/valvestage-soak/seeds.toml"))
+        )]
+        known: PathBuf,
+    },
+}
+
+/// What all runs have in common.
+#[derive(Debug, Clone, Bpaf)]
+struct Shape {
+    /// The balancer's program
+    #[bpaf(long, argument("FILE"), fallback(PathBuf::from("target/release/valvestage-entry")))]
+    program: PathBuf,
+    /// Where logs and reports go, one folder a seed
+    #[bpaf(long, argument("FOLDER"), fallback(std::env::temp_dir().join("valvestage-soak")))]
+    folder: PathBuf,
+    /// Balancers, each a process
+    #[bpaf(long, argument("N"), fallback(6))]
+    balancers: usize,
+    /// Backend servers
+    #[bpaf(long, argument("N"), fallback(12))]
+    backends: usize,
+    /// New flows a second
+    #[bpaf(long, argument("N"), fallback(60))]
+    flows: u32,
+    /// Seconds in which faults begin
+    #[bpaf(long, argument("SECONDS"), fallback(30))]
+    length: u64,
+    /// The list of seeds that once failed
+    #[bpaf(long, argument("FILE"), fallback(PathBuf::from("crates/valvestage-soak/seeds.toml")))]
+    known: PathBuf,
+}
+
+fn main() -> ExitCode {
+    let arguments = match parse(&arguments()) {
+        Ok(arguments) => arguments,
+        Err(code) => return code,
+    };
+
+    let clean = match arguments {
+        Arguments::Run { seed, seeds, minutes, shape } => play_many(seed, seeds, minutes, &shape),
+        Arguments::Replay { seed, shape } => play(seed, shape.balancers, &shape),
+        Arguments::Known { shape } => match seed_list::read(&shape.known) {
+            Ok(known) => known.iter().all(|known| play(known.seed, known.balancers, &shape)),
+            Err(error) => return usage_error(PROGRAM, &error),
+        },
+        Arguments::List { known } => match seed_list::read(&known) {
+            Ok(known) => {
+                list(&known);
+                true
+            }
+            Err(error) => return usage_error(PROGRAM, &error),
+        },
+    };
+    ExitCode::from(if clean { exit_codes::SUCCESS } else { exit_codes::FAILURE })
+}
+
+/// Plays all, also after one that failed.
+fn play_many(first: u64, seeds: u64, minutes: Option<u64>, shape: &Shape) -> bool {
+    const SECONDS_A_MINUTE: u64 = 60;
+    let give_up =
+        minutes.map(|count| Instant::now() + Duration::from_secs(count * SECONDS_A_MINUTE));
+    let mut clean = true;
+    let mut seed = first;
+
+    while give_up.map_or(seed < first + seeds, |at| Instant::now() < at) {
+        clean &= play(seed, shape.balancers, shape);
+        seed += 1;
+    }
+    clean
+}
+
+/// Plays one seed, and says what it has shown.
+fn play(seed: u64, balancers: usize, shape: &Shape) -> bool {
+    let folder = shape.folder.join(format!("seed-{seed}"));
+    let options = SoakOptions {
+        program: shape.program.clone(),
+        folder: folder.clone(),
+        seed,
+        faults_for: Duration::from_secs(shape.length),
+        balancers,
+        backends: shape.backends,
+        flows_per_second: shape.flows,
+        ..SoakOptions::default()
+    };
+
+    match valvestage_soak::run(options) {
+        Ok(report) => {
+            println!("{report}\n  logs and report.json: {}", folder.display());
+            write_report(&report, &folder);
+            report.is_clean()
+        }
+        Err(error) => {
+            eprintln!("{PROGRAM}: seed {seed}: {error}");
+            false
+        }
+    }
+}
+
+fn write_report(report: &SoakReport, folder: &std::path::Path) {
+    let written = serde_json::to_string_pretty(report)
+        .map_err(std::io::Error::other)
+        .and_then(|text| fs::write(folder.join("report.json"), text));
+
+    if let Err(error) = written {
+        eprintln!("{PROGRAM}: write the report: {error}");
+    }
+}
+
+fn list(known: &[seed_list::KnownSeed]) {
+    for kind in FaultKind::ALL {
+        println!("{kind:?}");
+    }
+    for seed in known {
+        println!("seed {} with {} balancers: {}", seed.seed, seed.balancers, seed.cause);
+    }
+}
--- /dev/null
+++ b/crates/valvestage-soak/src/observation.rs
@@ -0,0 +1,104 @@
+//! What callers and backend servers see.
+
+use std::net::SocketAddrV4;
+use std::time::{Duration, Instant};
+
+use valvestage_core::ids::InstanceId;
+use valvestage_policy::steering::FlowAddresses;
+use valvestage_standins::packets::RequestId;
+
+/// `Observation` is one thing that was seen, with when.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Observation {
+    /// When.
+    pub at: Instant,
+    /// What.
+    pub seen: SeenEvent,
+}
+
+/// `SeenEvent` is what was seen.
+#[derive(Debug, Clone, PartialEq)]
+pub enum SeenEvent {
+    /// A caller sent the first opening packet of a flow.
+    Begun {
+        /// The flow.
+        flow: FlowAddresses,
+    },
+    /// A flow opened at a backend server.
+    Opened {
+        /// The flow.
+        flow: FlowAddresses,
+        /// Where.
+        instance: InstanceId,
+        /// The balancer that sent its opening packet there.
+        balancer: usize,
+        /// When that packet came.
+        arrived: Instant,
+    },
+    /// A packet of an open flow reached its backend server.
+    Reached {
+        /// The flow.
+        flow: FlowAddresses,
+    },
+    /// A packet of a flow reached a backend server that does not hold it.
+    Strayed {
+        /// The flow.
+        flow: FlowAddresses,
+        /// The backend server.
+        instance: InstanceId,
+        /// The balancer that sent it there.
+        balancer: usize,
+    },
+    /// A backend server began to work on a request.
+    Ran {
+        /// The request.
+        request: RequestId,
+        /// Whether it may run again.
+        repeatable: bool,
+    },
+    /// A balancer ended a flow.
+    Reset {
+        /// The flow.
+        flow: FlowAddresses,
+        /// Whether it was open.
+        open: bool,
+        /// The balancer.
+        balancer: usize,
+    },
+    /// A caller has ended a flow, or given it up.
+    Closed {
+        /// The flow.
+        flow: FlowAddresses,
+    },
+    /// A caller got an answer.
+    Answered {
+        /// The request.
+        request: RequestId,
+        /// Whether every byte of it belongs to the request.
+        whole: bool,
+        /// When the request began.
+        began: Instant,
+        /// The address that it was sent to.
+        address: SocketAddrV4,
+    },
+    /// A caller gave a request up.
+    Failed {
+        /// The request.
+        request: RequestId,
+        /// When it began.
+        began: Instant,
+        /// The address that it was sent to.
+        address: SocketAddrV4,
+    },
+    /// A packet is not as its sender wrote it.
+    Forged,
+    /// A part of the soak itself stood still: what others seem to have missed may be its own doing.
+    Stalled {
+        /// For how long.
+        time: Duration,
+    },
+}
+
+/// A gap between two turns of the soak's own threads from which on they stood still. Callers send
+/// again after 200 ms.
+pub const STALL: Duration = Duration::from_millis(100);
--- /dev/null
+++ b/crates/valvestage-soak/src/peer_relay.rs
@@ -0,0 +1,80 @@
+//! Messages between balancers, through relays that lose and delay them.
+
+use std::io;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use valvestage_standins::draws::Draws;
+
+use crate::link_table::{LinkTable, LinkTarget};
+use crate::site_plan::SitePlan;
+use valvestage_standins::packets::socket_set::SocketSet;
+
+/// Longest wait for a datagram: delayed ones are looked at that often.
+const TURN: Duration = Duration::from_millis(5);
+
+/// `PeerRelay` has one socket for each balancer, by which the others know it.
+pub struct PeerRelay {
+    plan: SitePlan,
+    links: LinkTable,
+    sockets: SocketSet,
+    draws: Draws,
+    delayed: Vec<DelayedMessage>,
+}
+
+/// A message that is still on its way.
+struct DelayedMessage {
+    due: Instant,
+    from: usize,
+    to: usize,
+    bytes: Vec<u8>,
+}
+
+impl PeerRelay {
+    /// `bind` takes the relays' addresses.
+    pub fn bind(plan: SitePlan, links: LinkTable, seed: u64) -> io::Result<Self> {
+        let relays: Vec<SocketAddrV4> = (0..plan.balancers)
+            .map(|number| SocketAddrV4::new(plan.relay(number), plan.peer_port))
+            .collect();
+
+        let sockets = SocketSet::bind(&relays)?;
+        Ok(Self { plan, links, sockets, draws: Draws::new(seed), delayed: Vec::new() })
+    }
+
+    /// `run` passes messages on until told to stop.
+    pub fn run(mut self, stop: &Arc<AtomicBool>) -> io::Result<()> {
+        while !stop.load(Ordering::Relaxed) {
+            for datagram in self.sockets.receive(TURN)? {
+                // What no balancer sent goes nowhere.
+                if let Some(from) = self.plan.balancer_at(*datagram.sender.ip()) {
+                    self.pass(from, datagram.socket, datagram.bytes);
+                }
+            }
+            self.send_due();
+        }
+        Ok(())
+    }
+
+    fn pass(&mut self, from: usize, to: usize, bytes: Vec<u8>) {
+        let now = Instant::now();
+
+        let delay = self.links.pass(from, LinkTarget::Balancer(to), &mut self.draws, now);
+        if let Some(delay) = delay {
+            self.delayed.push(DelayedMessage { due: now + delay, from, to, bytes });
+        }
+    }
+
+    fn send_due(&mut self) {
+        let now = Instant::now();
+        let (due, later) =
+            std::mem::take(&mut self.delayed).into_iter().partition(|message| message.due <= now);
+        self.delayed = later;
+
+        for DelayedMessage { from, to, bytes, .. } in due {
+            let address = SocketAddrV4::new(self.plan.balancer(to), self.plan.peer_port);
+            self.sockets.send(from, address, &bytes);
+        }
+    }
+}
--- /dev/null
+++ b/crates/valvestage-soak/src/site_store.rs
@@ -0,0 +1,94 @@
+//! The store of a run: the stand-in, with what the site and its operator write.
+
+use std::io;
+use std::net::TcpListener;
+use std::thread;
+
+use serde_json::{Value, json};
+use valvestage_core::ids::{ConfigurationVersion, InstanceId};
+use valvestage_platform::catalogue::{BACKEND_KIND, CONFIGURATION_KIND};
+use valvestage_standins::platform::{Faults, PlatformStandin, start};
+
+use crate::site_plan::{Routes, SitePlan};
+
+/// Silence after which a flow may be forgotten, milliseconds.
+const IDLE_TIMEOUT_MS: u64 = 15_000;
+
+/// Requests that a backend server works on at once.
+const SLOTS: u32 = 3;
+
+/// `SiteStore` writes objects as the operator and the backend servers do.
+#[derive(Clone, Default)]
+pub struct SiteStore {
+    standin: PlatformStandin,
+}
+
+impl SiteStore {
+    /// `serve` answers calls on a listener until the process ends.
+    pub fn serve(&self, listener: TcpListener) -> io::Result<()> {
+        let standin = self.standin.clone();
+        let serve = move || {
+            let served = actix_rt::System::new().block_on(async move {
+                let (_, server) = start(listener, standin)?;
+                server.await
+            });
+            if let Err(error) = served {
+                log::error!("the store ends: {error}");
+            }
+        };
+
+        thread::Builder::new().name("store".into()).spawn(serve).map(drop)
+    }
+
+    /// `misbehave` sets how the store misbehaves.
+    pub fn misbehave(&self, faults: Faults) {
+        self.standin.misbehave(faults);
+    }
+
+    /// `forget_history` makes watches that began before fail.
+    pub fn forget_history(&self) {
+        self.standin.forget_history();
+    }
+
+    /// `put_configuration` writes a configuration.
+    pub fn put_configuration(&self, version: ConfigurationVersion, routes: &Routes) {
+        let routes: Vec<Value> = routes
+            .iter()
+            .map(|(address, service)| {
+                json!({"name": address.to_string(), "host": address.ip().to_string(),
+                    "path_prefix": format!("/{}/", address.port()), "service": service})
+            })
+            .collect();
+        let spec = json!({"version": version, "routes": routes, "services": [],
+            "limits": {"idle_timeout_ms": IDLE_TIMEOUT_MS}});
+
+        self.standin.put_object(CONFIGURATION_KIND, "main", spec);
+    }
+
+    /// `put_backend` writes the entry of a backend server.
+    pub fn put_backend(
+        &self,
+        plan: &SitePlan,
+        place: usize,
+        instance: InstanceId,
+        service: &str,
+        is_draining: bool,
+    ) {
+        let state = if is_draining { "draining" } else { "ready" };
+        let zone = SitePlan::zone_name(SitePlan::zone_of(place));
+        let spec = json!({"service": service, "address": plan.backend(place).to_string(),
+            "zone": zone, "version": "v", "slots": SLOTS, "state": state, "cold_left_ms": 0,
+            "seq": 1});
+
+        self.standin.put_object(BACKEND_KIND, &name_of(instance), spec);
+    }
+
+    /// `delete_backend` removes the entry of a backend server.
+    pub fn delete_backend(&self, instance: InstanceId) {
+        self.standin.delete_object(BACKEND_KIND, &name_of(instance));
+    }
+}
+
+fn name_of(instance: InstanceId) -> String {
+    format!("i-{instance:x}")
+}
--- /dev/null
+++ b/crates/valvestage-soak/src/soak_run.rs
@@ -0,0 +1,374 @@
+//! One run: faults by their plan, then calm, then what was shown.
+
+mod fault_effects;
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::Signal;
+use valvestage_core::ids::ConfigurationVersion;
+use valvestage_standins::draws::Draws;
+use valvestage_standins::platform::Faults;
+
+use crate::backend_places::BackendPlaces;
+use crate::backend_servers::BackendCommand;
+use crate::errors::{SoakError, at};
+use crate::fault_kind::FaultKind;
+use crate::fault_plan::{PlannedFault, plan};
+use crate::promise::{Promise, RECOVERY_WITHIN};
+use crate::promise_checker::PromiseChecker;
+use crate::site_plan::{COMING, Routes, SERVICES, STEADY, SWITCHING, other_service};
+use crate::site_truth::{BackendFact, ConfigurationFact, SiteTruth};
+use crate::soak_options::{Sabotage, SoakOptions};
+use crate::soak_report::{SoakEvent, SoakReport};
+use crate::soak_site::SoakSite;
+use crate::store_relay::StoreLinkState;
+
+/// Time between two turns of the run.
+const TURN: Duration = Duration::from_millis(10);
+
+/// Undisturbed time before the first fault: balancers have to keep promises from then on.
+const CALM_BEFORE: Duration = Duration::from_secs(5);
+
+/// Time from the start of a process to its readiness, generously.
+const START_TIME: Duration = Duration::from_secs(1);
+
+/// Pause between the end of a process and its next start.
+const RESTART_AFTER: Duration = Duration::from_millis(300);
+
+/// Requests that tell whether callers are served again.
+const RECOVERY_SAMPLE: u64 = 100;
+
+/// Share of them that has to be answered.
+const RECOVERY_SHARE: f64 = 0.9;
+
+/// Longest wait for that where bounds in time are not checked.
+const RECOVERY_GIVE_UP: Duration = Duration::from_secs(60);
+
+/// What the run is about to do with a balancer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum BalancerDuty {
+    /// It runs, and is not to end.
+    Run,
+    /// It was killed.
+    Killed,
+    /// It was told to stop.
+    Stopping,
+}
+
+/// What is to be done at a later time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LaterStep {
+    StartBalancer { number: usize, planned: bool },
+    ContinueBalancer(usize),
+    ReopenRelay(usize),
+    DeleteEntry { place: usize },
+    ListAgain { place: usize },
+    EndBackend { place: usize },
+    StartBackend { place: usize, service: &'static str },
+    StopFailing { place: usize },
+    WriteConfiguration,
+}
+
+/// `SoakRun` plays one run.
+pub struct SoakRun {
+    options: SoakOptions,
+    site: SoakSite,
+    truth: SiteTruth,
+    checker: PromiseChecker,
+    places: BackendPlaces,
+    duties: Vec<BalancerDuty>,
+    later: Vec<(Instant, LaterStep)>,
+    /// Faults of the store that last, with their ends.
+    store_faults: Vec<(Instant, FaultKind)>,
+    draws: Draws,
+    version: ConfigurationVersion,
+    configurations: u32,
+    began: Instant,
+    events: Vec<SoakEvent>,
+    counts: BTreeMap<FaultKind, u32>,
+}
+
+/// `run` plays one run.
+pub fn run(options: SoakOptions) -> Result<SoakReport, SoakError> {
+    let mut run = SoakRun::start(options)?;
+
+    let faults = plan(run.options.seed, run.options.faults_for, &run.options.kinds);
+    run.play(&faults)?;
+    run.recover()?;
+    Ok(run.report(&faults))
+}
+
+impl SoakRun {
+    fn start(options: SoakOptions) -> Result<Self, SoakError> {
+        let now = Instant::now();
+        let site = SoakSite::start(&options)?;
+        let mut run = Self {
+            truth: SiteTruth::new(options.balancers, now),
+            checker: PromiseChecker::new(options.timed, now),
+            places: BackendPlaces::new(options.backends, options.seed, now),
+            duties: vec![BalancerDuty::Run; options.balancers],
+            later: Vec::new(),
+            store_faults: Vec::new(),
+            draws: Draws::new(!options.seed),
+            version: 0,
+            configurations: 0,
+            began: now,
+            events: Vec::new(),
+            counts: BTreeMap::new(),
+            site,
+            options,
+        };
+
+        run.write_configuration();
+        for place in 0..run.options.backends {
+            run.list_backend(place);
+        }
+        run.site.start_balancers()?;
+        run.truth.disturb_balancers(Instant::now());
+        run.site.start_callers(&run.options)?;
+        Ok(run)
+    }
+
+    /// Begins each fault at its time.
+    fn play(&mut self, faults: &[PlannedFault]) -> Result<(), SoakError> {
+        self.turn_until(Instant::now() + CALM_BEFORE)?;
+        self.began = Instant::now();
+        self.checker.begin(self.began);
+
+        for fault in faults {
+            self.turn_until(self.began + fault.at)?;
+            self.begin(fault)?;
+        }
+        self.turn_until(self.began + self.options.faults_for)
+    }
+
+    /// Waits until callers are served again.
+    fn recover(&mut self) -> Result<(), SoakError> {
+        self.note("calm".to_owned());
+        while !self.later.is_empty() || !self.store_faults.is_empty() {
+            self.turn()?;
+        }
+        let limit = if self.options.timed { RECOVERY_WITHIN } else { RECOVERY_GIVE_UP };
+        let give_up = Instant::now() + limit;
+
+        let mut is_served = false;
+        while !is_served && Instant::now() < give_up {
+            self.checker.count_from(Instant::now());
+            while self.checker.recent_count() < RECOVERY_SAMPLE && Instant::now() < give_up {
+                self.turn()?;
+            }
+            is_served = self.checker.recent_share() >= RECOVERY_SHARE;
+        }
+        let tally = self.checker.recent();
+        self.checker.expect(Promise::Recovery, is_served, Instant::now(), || {
+            format!("{tally:?} of the last requests")
+        });
+        Ok(())
+    }
+
+    fn report(self, faults: &[PlannedFault]) -> SoakReport {
+        SoakReport {
+            seed: self.options.seed,
+            balancers: self.options.balancers,
+            starts: self.site.balancers.iter().map(|balancer| balancer.starts()).sum(),
+            overlap: overlap(faults),
+            faults: self.counts,
+            results: self.checker.results().clone(),
+            events: self.events,
+        }
+    }
+
+    fn turn_until(&mut self, until: Instant) -> Result<(), SoakError> {
+        while Instant::now() < until {
+            self.turn()?;
+        }
+        Ok(())
+    }
+
+    /// Takes in what was seen for a moment, and does what is due.
+    fn turn(&mut self) -> Result<(), SoakError> {
+        let until = Instant::now() + TURN;
+        while let Ok(observation) = self.site.observations.recv_deadline(until) {
+            self.checker.observe(&mut self.truth, observation);
+        }
+
+        let now = Instant::now();
+        self.step_store(now);
+        let (due, later) =
+            std::mem::take(&mut self.later).into_iter().partition(|(at, _)| *at <= now);
+        self.later = later;
+        let due: Vec<(Instant, LaterStep)> = due;
+        for (_, step) in due {
+            self.take_step(step)?;
+        }
+        self.look_at_balancers(now)
+    }
+
+    fn note(&mut self, text: String) {
+        let at_s = Instant::now().saturating_duration_since(self.began).as_secs_f64();
+
+        self.events.push(SoakEvent { at_s, text });
+    }
+
+    fn take_step(&mut self, step: LaterStep) -> Result<(), SoakError> {
+        let now = Instant::now();
+
+        match step {
+            LaterStep::StartBalancer { number, planned } => {
+                if !self.site.balancers[number].is_running() {
+                    self.site.balancers[number].start().map_err(at("start a balancer"))?;
+                    self.duties[number] = BalancerDuty::Run;
+                    self.truth.balancers[number].life += 1;
+                    self.truth.disturb_balancer(number, now + START_TIME, planned);
+                }
+            }
+            LaterStep::ContinueBalancer(number) => self.signal(number, Signal::SIGCONT)?,
+            LaterStep::ReopenRelay(number) => self.site.relays[number].set(StoreLinkState::Open),
+            LaterStep::DeleteEntry { place } => {
+                self.site.store.delete_backend(self.places.get(place).instance);
+            }
+            LaterStep::ListAgain { place } => self.write_entry(place, false),
+            LaterStep::EndBackend { place } => {
+                let instance = self.places.get(place).instance;
+                self.command(BackendCommand::End(place));
+                if let Some(fact) = self.truth.backends.get_mut(&instance) {
+                    fact.ended_at = Some(now);
+                }
+                if self.options.sabotage != Some(Sabotage::HideBackends) {
+                    self.site.store.delete_backend(instance);
+                }
+            }
+            LaterStep::StartBackend { place, service } => {
+                self.places.replace(place, service);
+                self.list_backend(place);
+            }
+            LaterStep::StopFailing { place } => self.command(BackendCommand::Fail(place, false)),
+            LaterStep::WriteConfiguration => self.write_configuration(),
+        }
+        Ok(())
+    }
+
+    fn look_at_balancers(&mut self, now: Instant) -> Result<(), SoakError> {
+        for number in 0..self.site.balancers.len() {
+            let end = self.site.balancers[number].take_end().map_err(at("look at a balancer"))?;
+            let Some(status) = end else { continue };
+            let planned = self.duties[number] == BalancerDuty::Stopping;
+            let is_right = match self.duties[number] {
+                BalancerDuty::Run => false,
+                BalancerDuty::Killed => true,
+                BalancerDuty::Stopping => status.success(),
+            };
+
+            self.checker.expect(Promise::NoOwnEnd, is_right, now, || {
+                format!("balancer {number} ended: {status}")
+            });
+            if self.duties[number] != BalancerDuty::Killed {
+                let step = LaterStep::StartBalancer { number, planned };
+                self.later.push((now + RESTART_AFTER, step));
+            }
+        }
+        Ok(())
+    }
+
+    fn signal(&self, number: usize, signal: Signal) -> Result<(), SoakError> {
+        self.site.balancers[number].signal(signal).map_err(at("signal a balancer"))
+    }
+
+    /// A command to a thread that has ended would come too late anyway.
+    fn command(&self, command: BackendCommand) {
+        if self.site.commands.send(command).is_err() {
+            log::error!("the backend servers have ended");
+        }
+    }
+
+    /// The store misbehaves by all faults that last.
+    fn step_store(&mut self, now: Instant) {
+        const SLOW_MS: u64 = 300;
+        const LAG: u64 = 3;
+        self.store_faults.retain(|(until, _)| *until > now);
+        let lasts = |kind| self.store_faults.iter().any(|(_, other)| *other == kind);
+
+        self.site.store.misbehave(Faults {
+            down: lasts(FaultKind::StoreDown),
+            delay_ms: if lasts(FaultKind::StoreSlow) { SLOW_MS } else { 0 },
+            watch_lag: if lasts(FaultKind::StoreLag) { LAG } else { 0 },
+            ..Faults::default()
+        });
+    }
+
+    /// A backend server starts at a place and writes its entry.
+    fn list_backend(&mut self, place: usize) {
+        let entry = self.places.get(place);
+        let now = Instant::now();
+        let fact = BackendFact {
+            service: entry.service,
+            draining_at: None,
+            ended_at: None,
+            listed_at: now,
+            disturbed_until: now,
+        };
+
+        self.truth.backends.insert(entry.instance, fact);
+        self.command(BackendCommand::Start(place, entry.instance));
+        self.write_entry(place, false);
+    }
+
+    fn write_entry(&self, place: usize, is_draining: bool) {
+        let entry = self.places.get(place);
+        let service = match self.options.sabotage {
+            Some(Sabotage::SwapServices) => other_service(entry.service),
+            _ => entry.service,
+        };
+
+        self.site.store.put_backend(&self.site.plan, place, entry.instance, service, is_draining);
+    }
+
+    /// Each configuration changes where one address leads, and every second one whether another one
+    /// leads anywhere. Versions rise in uneven steps.
+    fn write_configuration(&mut self) {
+        let number = self.configurations as usize;
+        self.configurations += 1;
+        self.version += 1 + self.draws.below(4) as ConfigurationVersion;
+        let mut routes = Routes::new();
+        routes.insert(STEADY, SERVICES[0]);
+        routes.insert(SWITCHING, SERVICES[number % 2]);
+        if (number / 2).is_multiple_of(2) {
+            routes.insert(COMING, SERVICES[0]);
+        }
+
+        let told = told_routes(self.options.sabotage, number, &mut routes);
+        if let Some(told) = told {
+            self.site.store.put_configuration(self.version, &told);
+        }
+        let fact = ConfigurationFact { version: self.version, at: Instant::now(), routes };
+        self.truth.configurations.push(fact);
+    }
+}
+
+/// What the store is told of a configuration, where that is spoiled on purpose.
+fn told_routes(sabotage: Option<Sabotage>, number: usize, routes: &mut Routes) -> Option<Routes> {
+    let mut told = routes.clone();
+
+    match sabotage {
+        Some(Sabotage::HideConfigurations) if number > 0 => return None,
+        Some(Sabotage::DropRoute) if number > 0 => {
+            told.remove(&STEADY);
+        }
+        // What is true stays as the second one made it.
+        Some(Sabotage::RollBack) if number > 0 => {
+            routes.insert(SWITCHING, SERVICES[1]);
+        }
+        _ => {}
+    }
+    Some(told)
+}
+
+/// How many faults last at the same time, at most.
+fn overlap(faults: &[PlannedFault]) -> usize {
+    let lasting = |at: Duration| {
+        faults.iter().filter(|fault| fault.at <= at && at < fault.at + fault.lasts).count()
+    };
+
+    faults.iter().map(|fault| lasting(fault.at)).max().unwrap_or(0)
+}
--- /dev/null
+++ b/crates/valvestage-soak/src/soak_run/fault_effects.rs
@@ -0,0 +1,230 @@
+//! What each fault does to the site.
+
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::Signal;
+
+use super::{BalancerDuty, LaterStep, SoakRun, TURN};
+use crate::backend_servers::BackendCommand;
+use crate::errors::{SoakError, at};
+use crate::fault_kind::FaultKind;
+use crate::fault_plan::PlannedFault;
+use crate::link_table::{LinkEffect, LinkEnds, LinkFault};
+use crate::site_plan::{SitePlan, ZONES};
+use crate::soak_options::Sabotage;
+use crate::store_relay::StoreLinkState;
+
+/// Silence after which the entry of a backend server goes.
+const LAPSE_AFTER: Duration = Duration::from_millis(2_300);
+
+/// Time for which a draining backend server serves on.
+const DRAIN_TIME: Duration = Duration::from_secs(4);
+
+/// Time after which an address may go to another backend server.
+const REUSE_AFTER: Duration = Duration::from_secs(2);
+
+/// Configurations of a storm, and the time between two.
+const STORM: (u32, Duration) = (6, Duration::from_millis(330));
+
+impl SoakRun {
+    pub(super) fn begin(&mut self, fault: &PlannedFault) -> Result<(), SoakError> {
+        let now = Instant::now();
+        let until = now + fault.lasts;
+        let number = fault.target % self.site.plan.balancers;
+        let zone = fault.target % ZONES;
+        *self.counts.entry(fault.kind).or_default() += 1;
+        self.note(format!(
+            "{:?} for {} ms, target {}",
+            fault.kind,
+            fault.lasts.as_millis(),
+            fault.target % 1_000
+        ));
+
+        match fault.kind {
+            FaultKind::BalancerKill => self.kill(number, until)?,
+            FaultKind::HerdKill => {
+                for number in (0..self.site.plan.balancers).filter(|n| n % ZONES != zone) {
+                    self.kill(number, until)?;
+                }
+            }
+            FaultKind::BalancerStop => self.stop(number, until)?,
+            FaultKind::BalancerPause => {
+                self.truth.disturb_balancer(number, until, false);
+                self.signal(number, Signal::SIGSTOP)?;
+                self.later.push((until, LaterStep::ContinueBalancer(number)));
+            }
+            FaultKind::BalancerReload => self.reload(number, fault.target)?,
+            FaultKind::ZoneCut => self.cut_zone(LinkEnds::ZoneBorder(zone), zone, until),
+            FaultKind::ZoneOneWay => self.cut_zone(LinkEnds::OutOfZone(zone), zone, until),
+            FaultKind::BalancerCut => {
+                self.truth.disturb_balancer(number, until, false);
+                self.add_link_fault(LinkEnds::Balancer(number), LinkEffect::Cut, until);
+            }
+            FaultKind::Loss => self.harm_links(LinkEffect::Loss(0.1), until),
+            FaultKind::Delay => {
+                self.harm_links(LinkEffect::Delay(Duration::from_millis(60)), until);
+            }
+            FaultKind::StoreDown => self.store_down(fault, until),
+            FaultKind::StoreSlow | FaultKind::StoreLag => {
+                self.truth.disturb_store(until);
+                self.store_faults.push((until, fault.kind));
+            }
+            FaultKind::StoreForgets => {
+                self.truth.disturb_store(now);
+                self.site.store.forget_history();
+            }
+            FaultKind::StoreLinkSilent => self.break_relay(number, StoreLinkState::Silent, until),
+            FaultKind::StoreLinkReset => {
+                self.break_relay(number, StoreLinkState::Resetting, until);
+            }
+            FaultKind::StoreLinkOneWay => {
+                self.break_relay(number, StoreLinkState::AnswersLost, until);
+            }
+            FaultKind::StoreLinksSilent => {
+                for number in 0..self.site.plan.balancers {
+                    self.break_relay(number, StoreLinkState::Silent, until);
+                }
+            }
+            FaultKind::BackendCrash => self.crash_backend(fault.target, until),
+            FaultKind::BackendReplace => self.replace_backend(fault.target, now),
+            FaultKind::BackendFails => self.fail_backend(fault.target, until),
+            FaultKind::Configuration => self.write_configuration(),
+            FaultKind::ConfigurationStorm => {
+                let (count, gap) = STORM;
+                for step in 0..count {
+                    self.later.push((now + gap * step, LaterStep::WriteConfiguration));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn kill(&mut self, number: usize, until: Instant) -> Result<(), SoakError> {
+        if !self.site.balancers[number].is_running() {
+            return Ok(());
+        }
+
+        self.truth.disturb_balancer(number, until, false);
+        self.signal(number, Signal::SIGKILL)?;
+        if self.options.sabotage != Some(Sabotage::EndUnseen) {
+            self.duties[number] = BalancerDuty::Killed;
+        }
+        if self.options.sabotage != Some(Sabotage::LeaveDead) {
+            let step = LaterStep::StartBalancer { number, planned: false };
+            self.later.push((until, step));
+        }
+        Ok(())
+    }
+
+    fn stop(&mut self, number: usize, until: Instant) -> Result<(), SoakError> {
+        if self.duties[number] != BalancerDuty::Run {
+            return Ok(());
+        }
+
+        self.truth.disturb_balancer(number, until, true);
+        self.duties[number] = BalancerDuty::Stopping;
+        self.signal(number, Signal::SIGTERM)
+    }
+
+    fn reload(&mut self, number: usize, turn: usize) -> Result<(), SoakError> {
+        let store = self.site.relays[number].address();
+        let settings = self.site.settings(number, turn % self.site.plan.balancers, store);
+
+        self.site.balancers[number].replace_settings(&settings).map_err(at("write settings"))?;
+        self.signal(number, Signal::SIGHUP)
+    }
+
+    fn add_link_fault(&self, ends: LinkEnds, effect: LinkEffect, until: Instant) {
+        self.site.links.add(LinkFault { ends, effect, until });
+    }
+
+    fn cut_zone(&mut self, ends: LinkEnds, zone: usize, until: Instant) {
+        self.add_link_fault(ends, LinkEffect::Cut, until);
+
+        for number in (0..self.site.plan.balancers).filter(|n| SitePlan::zone_of(*n) == zone) {
+            self.truth.disturb_balancer(number, until, false);
+        }
+        for place in (0..self.options.backends).filter(|place| SitePlan::zone_of(*place) == zone) {
+            self.truth.disturb_backend(self.places.get(place).instance, until);
+        }
+    }
+
+    fn harm_links(&mut self, effect: LinkEffect, until: Instant) {
+        self.add_link_fault(LinkEnds::Everywhere, effect, until);
+
+        self.truth.disturb_balancers(until);
+    }
+
+    fn break_relay(&mut self, number: usize, state: StoreLinkState, until: Instant) {
+        self.site.relays[number].set(state);
+
+        self.truth.disturb_balancer(number, until, false);
+        self.later.push((until, LaterStep::ReopenRelay(number)));
+    }
+
+    /// Entries of some backend servers lapse in a long outage. They are back within two seconds of
+    /// its end, and the backend servers have lived all the time.
+    fn store_down(&mut self, fault: &PlannedFault, until: Instant) {
+        const BACK_AFTER: Duration = Duration::from_millis(1_200);
+        let now = Instant::now();
+        self.truth.disturb_store(until);
+        self.store_faults.push((until, fault.kind));
+        if fault.lasts <= LAPSE_AFTER {
+            return;
+        }
+
+        for step in 0..self.options.backends / 3 {
+            let Some(place) = self.places.idle_place(fault.target.wrapping_add(step), now) else {
+                return;
+            };
+            self.places.occupy(place, until + BACK_AFTER);
+            self.later.push((now + LAPSE_AFTER, LaterStep::DeleteEntry { place }));
+            self.later.push((until + BACK_AFTER, LaterStep::ListAgain { place }));
+        }
+    }
+
+    fn crash_backend(&mut self, target: usize, until: Instant) {
+        let now = Instant::now();
+        let Some(place) = self.places.idle_place(target, now) else { return };
+        let back_at = until.max(now + LAPSE_AFTER);
+        let entry = self.places.get(place);
+        self.places.occupy(place, back_at);
+
+        self.command(BackendCommand::End(place));
+        if let Some(fact) = self.truth.backends.get_mut(&entry.instance) {
+            fact.ended_at = Some(now);
+        }
+        // Nothing but its silence tells of it until its entry goes.
+        let after = back_at.min(now + LAPSE_AFTER);
+        self.later.push((after, LaterStep::EndBackend { place }));
+        let service = entry.service;
+        self.later.push((back_at + REUSE_AFTER, LaterStep::StartBackend { place, service }));
+        self.places.occupy(place, back_at + REUSE_AFTER + TURN);
+    }
+
+    fn replace_backend(&mut self, target: usize, now: Instant) {
+        let Some(place) = self.places.idle_place(target, now) else { return };
+        let ends_at = now + DRAIN_TIME;
+        let starts_at = ends_at + REUSE_AFTER;
+        let service = self.places.service_after(place);
+        self.places.occupy(place, starts_at + TURN);
+
+        if self.options.sabotage != Some(Sabotage::HideBackends) {
+            self.write_entry(place, true);
+        }
+        if let Some(fact) = self.truth.backends.get_mut(&self.places.get(place).instance) {
+            fact.draining_at = Some(Instant::now());
+        }
+        self.later.push((ends_at, LaterStep::EndBackend { place }));
+        self.later.push((starts_at, LaterStep::StartBackend { place, service }));
+    }
+
+    fn fail_backend(&mut self, target: usize, until: Instant) {
+        let Some(place) = self.places.idle_place(target, Instant::now()) else { return };
+        self.places.occupy(place, until);
+
+        self.truth.disturb_backend(self.places.get(place).instance, until);
+        self.command(BackendCommand::Fail(place, true));
+        self.later.push((until, LaterStep::StopFailing { place }));
+    }
+}
--- /dev/null
+++ b/crates/valvestage-soak/src/soak_site.rs
@@ -0,0 +1,207 @@
+//! A site on one machine: real balancers, and threads that play everything around them.
+
+use std::fs;
+use std::io;
+use std::net::{SocketAddrV4, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use crossbeam_channel::{Receiver, Sender, unbounded};
+
+use crate::backend_servers::{BackendCommand, BackendServers};
+use crate::balancer_process::BalancerProcess;
+use crate::caller_load::CallerLoad;
+use crate::errors::{SoakError, at};
+use crate::link_table::LinkTable;
+use crate::observation::Observation;
+use crate::peer_relay::PeerRelay;
+use crate::router_table::{ASK_INTERVAL, RouterTable};
+use crate::site_plan::{SitePlan, listen};
+use crate::site_store::SiteStore;
+use crate::soak_options::SoakOptions;
+use crate::store_relay::StoreRelay;
+
+/// Balancers named in the settings of each.
+const SEEDS: usize = 3;
+
+/// Longest wait for all balancers to become ready at the beginning.
+const READY_WITHIN: Duration = Duration::from_secs(60);
+
+/// Time between two looks at what is awaited.
+const LOOK_AGAIN: Duration = Duration::from_millis(20);
+
+/// `SoakSite` holds what the run acts on. Threads end with it.
+pub struct SoakSite {
+    /// All addresses.
+    pub plan: SitePlan,
+    /// The store.
+    pub store: SiteStore,
+    /// The store's relay of each balancer.
+    pub relays: Vec<StoreRelay>,
+    /// What happens to datagrams.
+    pub links: LinkTable,
+    /// Which balancers get flows.
+    pub router: RouterTable,
+    /// The processes.
+    pub balancers: Vec<BalancerProcess>,
+    /// Changes backend servers.
+    pub commands: Sender<BackendCommand>,
+    /// What is seen.
+    pub observations: Receiver<Observation>,
+    observe: Sender<Observation>,
+    stop: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+    /// Runs the store's relays.
+    _runtime: tokio::runtime::Runtime,
+}
+
+impl SoakSite {
+    /// `start` starts everything but balancers and callers.
+    pub fn start(options: &SoakOptions) -> Result<Self, SoakError> {
+        fs::create_dir_all(&options.folder).map_err(at("make the folder"))?;
+        let plan = SitePlan::new(options.balancers, options.backends).map_err(at("draw ports"))?;
+        let store = SiteStore::default();
+        let (listener, store_address) = listen().map_err(at("listen for the store"))?;
+        store.serve(listener).map_err(at("start the store"))?;
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .map_err(at("start the relays"))?;
+
+        let (commands, command_receiver) = unbounded();
+        let (observe, observations) = unbounded();
+        let mut site = Self {
+            router: RouterTable::new(&plan),
+            relays: vec![],
+            links: LinkTable::default(),
+            balancers: vec![],
+            commands,
+            observations,
+            observe: observe.clone(),
+            stop: Arc::new(AtomicBool::new(false)),
+            threads: vec![],
+            _runtime: runtime,
+            store,
+            plan: plan.clone(),
+        };
+        for number in 0..plan.balancers {
+            site.add_balancer(options, number, store_address).map_err(at("set a balancer up"))?;
+        }
+        let links = || site.links.clone();
+        let relay = PeerRelay::bind(plan.clone(), links(), options.seed);
+        let relay = relay.map_err(at("bind relays"))?;
+        let backends = BackendServers::bind(plan, links(), command_receiver, observe, options)
+            .map_err(at("bind backend servers"))?;
+        site.spawn("relay", |stop| relay.run(&stop))?;
+        site.spawn("backends", |stop| backends.run(&stop))?;
+        Ok(site)
+    }
+
+    /// `start_balancers` starts all balancers and waits until they are ready.
+    pub fn start_balancers(&mut self) -> Result<(), SoakError> {
+        for balancer in &mut self.balancers {
+            balancer.start().map_err(at("start a balancer"))?;
+        }
+        for number in 0..self.plan.balancers {
+            let (router, plan) = (self.router.clone(), self.plan.clone());
+            let address = SocketAddrV4::new(plan.balancer(number), plan.ready_port);
+            self.spawn("router", move |stop| {
+                while !stop.load(Ordering::Relaxed) {
+                    router.ask(number, address);
+                    thread::sleep(ASK_INTERVAL);
+                }
+                Ok(())
+            })?;
+        }
+
+        let give_up = Instant::now() + READY_WITHIN;
+        while self.router.count_in() < self.plan.balancers {
+            if Instant::now() >= give_up {
+                let (ready, balancers) = (self.router.count_in(), self.plan.balancers);
+                return Err(SoakError::NotReady { ready, balancers });
+            }
+            thread::sleep(LOOK_AGAIN);
+        }
+        Ok(())
+    }
+
+    /// `start_callers` lets callers begin.
+    pub fn start_callers(&mut self, options: &SoakOptions) -> Result<(), SoakError> {
+        let callers =
+            CallerLoad::bind(self.plan.clone(), self.router.clone(), self.observe.clone(), options)
+                .map_err(at("bind callers"))?;
+
+        self.spawn("callers", |stop| callers.run(&stop))
+    }
+
+    /// `settings` gives the settings of a balancer; the turn shifts which others it names.
+    #[must_use]
+    pub fn settings(&self, number: usize, turn: usize, store: SocketAddrV4) -> String {
+        let plan = &self.plan;
+        let others = (1..=SEEDS).map(|step| plan.relay((number + turn + step) % plan.balancers));
+        let seeds: Vec<String> = others.map(|ip| format!("\"{ip}:1\"")).collect();
+        let (ip, zone) = (plan.balancer(number), SitePlan::zone_name(SitePlan::zone_of(number)));
+
+        format!(
+            "name = \"balancer-{number}\"\nzone = \"{zone}\"\ndata_address = \"{ip}:{}\"\n\
+             ready_address = \"{ip}:{}\"\ncontrol_address = \"{ip}:{}\"\npeer_port = {}\n\
+             advertised_ip = \"{}\"\nseeds = [{}]\nstore_address = \"{store}\"\n\
+             stop_within_s = 6\n",
+            plan.data_port,
+            plan.ready_port,
+            plan.control_port,
+            plan.peer_port,
+            plan.relay(number),
+            seeds.join(", "),
+        )
+    }
+
+    fn add_balancer(
+        &mut self,
+        options: &SoakOptions,
+        number: usize,
+        store: SocketAddrV4,
+    ) -> io::Result<()> {
+        let (listener, address): (TcpListener, _) = listen()?;
+        let relay = StoreRelay::new(address);
+        self._runtime.spawn(relay.clone().serve(listener, store));
+        self.relays.push(relay);
+
+        let settings = self.settings(number, 0, address);
+        let balancer = BalancerProcess::new(&options.program, &options.folder, number, &settings)?;
+        self.balancers.push(balancer);
+        Ok(())
+    }
+
+    fn spawn(
+        &mut self,
+        name: &'static str,
+        work: impl FnOnce(Arc<AtomicBool>) -> io::Result<()> + Send + 'static,
+    ) -> Result<(), SoakError> {
+        let stop = self.stop.clone();
+        let work = move || {
+            if let Err(error) = work(stop) {
+                log::error!("the thread {name} ends: {error}");
+            }
+        };
+
+        let thread = thread::Builder::new().name(name.into()).spawn(work);
+        self.threads.push(thread.map_err(at("start a thread"))?);
+        Ok(())
+    }
+}
+
+impl Drop for SoakSite {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+
+        for thread in self.threads.drain(..) {
+            if thread.join().is_err() {
+                log::error!("a thread of the soak panicked");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/valvestage-soak/tests/seeds.rs
@@ -0,0 +1,13 @@
+//! The list of seeds that once failed.
+
+use std::path::Path;
+
+use valvestage_soak::seed_list::read;
+
+#[test]
+fn the_list_can_be_read() {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("seeds.toml");
+
+    let known = read(&file).unwrap();
+    assert!(known.iter().all(|known| !known.cause.is_empty()));
+}
--- /dev/null
+++ b/crates/valvestage-standins/tests/packets.rs
@@ -0,0 +1,59 @@
+//! Packets and answers of the stand-ins.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use valvestage_platform::packet;
+use valvestage_standins::packets::flow_packet::{FlowPacket, flags};
+use valvestage_standins::packets::packet_request::PacketRequest;
+
+fn sample() -> FlowPacket {
+    FlowPacket {
+        flags: flags::ACK,
+        token: 7,
+        sequence: 1_001,
+        acknowledged: 501,
+        source: SocketAddrV4::new(Ipv4Addr::new(127, 1, 2, 3), 40_001),
+        destination: SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443),
+        data: vec![1, 2, 3],
+    }
+}
+
+#[test]
+fn a_packet_reads_as_it_was_written() {
+    let bytes = sample().encode();
+
+    assert_eq!(FlowPacket::decode(&bytes), Some(sample()));
+    assert!(FlowPacket::is_genuine(&bytes));
+}
+
+#[test]
+fn a_balancer_reads_the_same_and_changes_the_token_only() {
+    let bytes = sample().encode();
+    let read = packet::decode(&bytes).unwrap();
+    assert_eq!((read.sequence, read.acknowledged, read.token), (1_001, 501, 7));
+
+    let mut forwarded = Vec::new();
+    packet::encode_forward(&bytes, 9, 8, &mut forwarded);
+    assert!(FlowPacket::is_genuine(&forwarded[packet::PREFIX_BYTES..]));
+    let reset = packet::encode_reset(&read);
+    assert!(FlowPacket::is_from_balancer(&reset));
+}
+
+#[test]
+fn any_other_change_shows() {
+    let bytes = sample().encode();
+
+    for at in (0..bytes.len()).filter(|at| !(1..10).contains(at)) {
+        let mut changed = bytes.clone();
+        changed[at] ^= 1;
+        assert!(!FlowPacket::is_genuine(&changed), "byte {at}");
+    }
+}
+
+#[test]
+fn answers_of_two_requests_differ() {
+    let request = |id| PacketRequest { id, repeatable: true, answer_bytes: 600 };
+
+    assert_eq!(PacketRequest::decode(&request(5).encode()), Some(request(5)));
+    assert_ne!(request(5).answer(), request(6).answer());
+}
