--- /dev/null
+++ b/crates/valvestage-experiment/src/placement.rs
@@ -0,0 +1,71 @@
+//! Ways to place flows where every balancer sees only its own.
+
+mod model;
+mod placement_way;
+
+use crate::table::Table;
+
+use model::{PlacementLoad, PlacementMeasures, ideal, run};
+use placement_way::PlacementWay;
+
+/// Balancers, availability zones, backend servers, slots: a small site of today, two steps, and a grown one.
+const SIZES: [PlacementSize; 4] = [
+    PlacementSize { balancers: 8, zones: 4, backends: 16, slots: 2 },
+    PlacementSize { balancers: 30, zones: 3, backends: 45, slots: 2 },
+    PlacementSize { balancers: 90, zones: 3, backends: 120, slots: 2 },
+    PlacementSize { balancers: 90, zones: 5, backends: 120, slots: 2 },
+];
+
+/// Shares of all slots that are busy on average.
+const SHARES: [f64; 3] = [0.3, 0.5, 0.8];
+
+/// `PlacementSize` is a deployment; balancers and backend servers are spread evenly over its zones.
+#[derive(Debug, Clone, Copy)]
+pub struct PlacementSize {
+    /// Balancers.
+    pub balancers: usize,
+    /// Availability zones.
+    pub zones: usize,
+    /// Backend servers of the service.
+    pub backends: usize,
+    /// Requests that each works on at once.
+    pub slots: usize,
+}
+
+/// Prints all tables.
+pub fn print_tables() {
+    for size in SIZES {
+        let mut table = Table::new(&[
+            "way",
+            "p99 30%",
+            "p99 50%",
+            "p99 80%",
+            "waited 50%",
+            "waited 80%",
+            "imbalance 1 s at 50%",
+        ]);
+        for way in PlacementWay::ALL {
+            table.row(&row(&size, way));
+        }
+        table.print(&format!(
+            "{} balancers in {} availability zones, {} backend servers with {} slots",
+            size.balancers, size.zones, size.backends, size.slots
+        ));
+    }
+}
+
+fn row(size: &PlacementSize, way: PlacementWay) -> Vec<String> {
+    let runs: Vec<(PlacementMeasures, f64)> = SHARES
+        .iter()
+        .map(|share| {
+            let load = PlacementLoad { share: *share, seed: 42 };
+            (run(size, way, load), ideal(size, load))
+        })
+        .collect();
+
+    let mut cells = vec![way.name().to_owned()];
+    cells.extend(runs.iter().map(|(measures, ideal)| format!("{:.2}", measures.p99 / ideal)));
+    cells.extend(runs[1..].iter().map(|(measures, _)| format!("{:.3}", measures.waited)));
+    cells.push(format!("{:.2}", runs[1].0.imbalance));
+    cells
+}
