Take no missing entry for gone before the store has answered after its time

A balancer that is cut off could do the same.

Ruled out: the peers' word (it was right by what the teller believed); the store's history (never forgotten there).

Change: an entry is gone when the store's last confirmation, here or at a peer, is later than its time; each failure of the store, here or told, moves that time on (RETRY_TIME + RETURN_TIME after it).

Tests that failed first: an_entry_that_is_missing_when_the_store_goes_away_again_may_return, a_balancer_that_is_cut_off_takes_no_missing_entry_for_gone.

Also: the soak ends its balancers when it is told to stop.

--- a/crates/valvestage-policy/src/steering/backend_directory.rs
+++ b/crates/valvestage-policy/src/steering/backend_directory.rs
@@ -165,14 +165,23 @@
         self.entries.values().any(|entry| entry.missing_until.is_some())
     }
 
-    /// `expire_missing` turns the entries gone that have not returned in time, and gives them.
-    pub fn expire_missing(&mut self, now: Instant) -> Vec<InstanceId> {
-        let is_over = |entry: &&BackendEntry| entry.missing_until.is_some_and(|until| until <= now);
+    /// `postpone_missing` gives the entries that are missing time until then, where they have less.
+    pub fn postpone_missing(&mut self, until: Instant) {
+        for missing_until in self.entries.values_mut().filter_map(|e| e.missing_until.as_mut()) {
+            *missing_until = until.max(*missing_until);
+        }
+    }
+
+    /// `expire_missing` turns the entries gone that had not returned in time when the store last
+    /// confirmed everything, and gives them.
+    pub fn expire_missing(&mut self, confirmed_at: Instant) -> Vec<InstanceId> {
+        let is_over =
+            |entry: &&BackendEntry| entry.missing_until.is_some_and(|until| until <= confirmed_at);
         let over: Vec<_> =
             self.entries.values().filter(is_over).map(|entry| entry.instance).collect();
 
         for instance in &over {
-            self.mark_gone(*instance, self.read_until, now);
+            self.mark_gone(*instance, self.read_until, confirmed_at);
         }
         self.complete(self.read_until);
         over
--- a/crates/valvestage-policy/src/steering/store_link.rs
+++ b/crates/valvestage-policy/src/steering/store_link.rs
@@ -83,13 +83,18 @@
         self.last_failure = self.last_failure.max(at);
     }
 
+    /// `settles_at` gives when entries have returned that lapsed before the store last failed; none if
+    /// it never did.
+    #[must_use]
+    pub fn settles_at(&self) -> Option<Instant> {
+        self.last_failure.map(|at| at + RETRY_TIME + RETURN_TIME)
+    }
+
     /// `missing_until` gives until when an entry that goes now may return: it may have lapsed in an
     /// outage. None: it is gone.
     #[must_use]
     pub fn missing_until(&self, now: Instant) -> Option<Instant> {
-        let is_unsettled = self
-            .last_failure
-            .is_some_and(|at| now.saturating_duration_since(at) < RETRY_TIME + RETURN_TIME);
+        let is_unsettled = self.settles_at().is_some_and(|at| at > now);
 
         is_unsettled.then(|| now + RETURN_TIME)
     }
--- a/crates/valvestage-policy/tests/steering/keepers.rs
+++ b/crates/valvestage-policy/tests/steering/keepers.rs
@@ -172,6 +172,64 @@
     }
 }
 
+#[test]
+fn an_entry_that_is_missing_when_the_store_goes_away_again_may_return() {
+    let mut deployment = settled(8);
+    deployment.store_down = true;
+    deployment.run(millis(4_000));
+    deployment.store.delete_backend(1);
+    deployment.store_down = false;
+    deployment.run(millis(500));
+
+    // Its backend server could not write it in that moment, and the next outage is longer than the
+    // time in which it returns.
+    deployment.store_down = true;
+    for _ in 0..5_000 {
+        deployment.run(millis(1));
+        assert_not_gone(&deployment, 1);
+    }
+    deployment.store_down = false;
+    for _ in 0..1_500 {
+        deployment.run(millis(1));
+        assert_not_gone(&deployment, 1);
+    }
+    deployment.store.put_backend(backend(1, "core", HOME));
+    for _ in 0..4_000 {
+        deployment.run(millis(1));
+        assert_not_gone(&deployment, 1);
+    }
+}
+
+#[test]
+fn a_balancer_that_is_cut_off_takes_no_missing_entry_for_gone() {
+    let mut deployment = settled(8);
+    deployment.store_down = true;
+    deployment.run(millis(4_000));
+    deployment.store.delete_backend(1);
+    deployment.store_down = false;
+    deployment.run(millis(1_500));
+
+    // They all know that it is missing. One hears nothing more while it returns.
+    let cut = 5;
+    deployment.cut_from_store = vec![cut];
+    deployment.cut_from_peers = vec![cut];
+    deployment.store.put_backend(backend(1, "core", HOME));
+    for _ in 0..6_000 {
+        deployment.run(millis(1));
+        assert_not_gone(&deployment, 1);
+    }
+    deployment.cut_from_store.clear();
+    deployment.cut_from_peers.clear();
+    deployment.run(millis(4_000));
+    assert_not_gone(&deployment, 1);
+}
+
+fn assert_not_gone(deployment: &Deployment, instance: u64) {
+    for node in deployment.nodes.iter().flatten() {
+        assert!(!node.knowledge().directory.get(instance).unwrap().is_gone());
+    }
+}
+
 #[test]
 fn history_that_the_store_forgets_is_read_anew() {
     let mut deployment = settled(8);
--- a/crates/valvestage-soak/src/errors.rs
+++ b/crates/valvestage-soak/src/errors.rs
@@ -23,6 +23,9 @@
         /// How many there are.
         balancers: usize,
     },
+    /// The soak was told to stop; its balancers have ended with it.
+    #[error("play: stopped by a signal")]
+    Stopped,
     /// The list of seeds cannot be read.
     #[error("read {file}: {cause}")]
     Seeds {
--- a/crates/valvestage-soak/src/main.rs
+++ b/crates/valvestage-soak/src/main.rs
@@ -3,12 +3,15 @@
 use std::fs;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use bpaf::Bpaf;
 use valvestage_process::command_line::{parse, usage_error};
 use valvestage_process::exit_codes;
 use valvestage_soak::{FaultKind, SoakOptions, SoakReport, seed_list};
+use valvestage_standins::signals::stop_flag;
 
 /// Name in messages.
 const PROGRAM: &str = "valvestage-soak";
@@ -94,11 +97,17 @@
         Err(code) => return code,
     };
 
+    let stop = match stop_flag() {
+        Ok(stop) => stop,
+        Err(error) => return usage_error(PROGRAM, &error),
+    };
     let clean = match arguments {
-        Arguments::Run { seed, seeds, minutes, shape } => play_many(seed, seeds, minutes, &shape),
-        Arguments::Replay { seed, shape } => play(seed, shape.balancers, &shape),
+        Arguments::Run { seed, seeds, minutes, shape } => {
+            play_many(seed, seeds, minutes, &shape, &stop)
+        }
+        Arguments::Replay { seed, shape } => play(seed, shape.balancers, &shape, &stop),
         Arguments::Known { shape } => match seed_list::read(&shape.known) {
-            Ok(known) => known.iter().all(|known| play(known.seed, known.balancers, &shape)),
+            Ok(known) => known.iter().all(|known| play(known.seed, known.balancers, &shape, &stop)),
             Err(error) => return usage_error(PROGRAM, &error),
         },
         Arguments::List { known } => match seed_list::read(&known) {
@@ -113,22 +122,32 @@
 }
 
 /// Plays all, also after one that failed.
-fn play_many(first: u64, seeds: u64, minutes: Option<u64>, shape: &Shape) -> bool {
+fn play_many(
+    first: u64,
+    seeds: u64,
+    minutes: Option<u64>,
+    shape: &Shape,
+    stop: &Arc<AtomicBool>,
+) -> bool {
     const SECONDS_A_MINUTE: u64 = 60;
     let give_up =
         minutes.map(|count| Instant::now() + Duration::from_secs(count * SECONDS_A_MINUTE));
     let mut clean = true;
     let mut seed = first;
 
-    while give_up.map_or(seed < first + seeds, |at| Instant::now() < at) {
-        clean &= play(seed, shape.balancers, shape);
+    let goes_on = |seed: u64| match give_up {
+        Some(at) => Instant::now() < at,
+        None => seed < first + seeds,
+    };
+    while goes_on(seed) && !stop.load(Ordering::Relaxed) {
+        clean &= play(seed, shape.balancers, shape, stop);
         seed += 1;
     }
     clean
 }
 
 /// Plays one seed, and says what it has shown.
-fn play(seed: u64, balancers: usize, shape: &Shape) -> bool {
+fn play(seed: u64, balancers: usize, shape: &Shape, stop: &Arc<AtomicBool>) -> bool {
     let folder = shape.folder.join(format!("seed-{seed}"));
     let options = SoakOptions {
         program: shape.program.clone(),
@@ -138,6 +157,7 @@
         balancers,
         backends: shape.backends,
         flows_per_second: shape.flows,
+        stop: stop.clone(),
         ..SoakOptions::default()
     };
 
--- a/crates/valvestage-soak/src/soak_options.rs
+++ b/crates/valvestage-soak/src/soak_options.rs
@@ -1,6 +1,8 @@
 //! What a run is like.
 
 use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use crate::fault_kind::FaultKind;
@@ -27,6 +29,8 @@
     /// Whether promises with a bound in time are checked. On a machine whose other work is not known
     /// they cannot be.
     pub timed: bool,
+    /// Ends the run early when it is set; balancers are ended with it.
+    pub stop: Arc<AtomicBool>,
     /// What is spoiled on purpose, so that a test can show that a check is able to fail.
     pub sabotage: Option<Sabotage>,
 }
@@ -43,6 +47,7 @@
             flows_per_second: 60,
             kinds: FaultKind::ALL.to_vec(),
             timed: true,
+            stop: Arc::default(),
             sabotage: None,
         }
     }
--- a/crates/valvestage-soak/src/soak_run.rs
+++ b/crates/valvestage-soak/src/soak_run.rs
@@ -3,6 +3,7 @@
 mod fault_effects;
 
 use std::collections::BTreeMap;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use nix::sys::signal::Signal;
@@ -188,6 +189,9 @@
 
     /// Takes in what was seen for a moment, and does what is due.
     fn turn(&mut self) -> Result<(), SoakError> {
+        if self.options.stop.load(Ordering::Relaxed) {
+            return Err(SoakError::Stopped);
+        }
         let until = Instant::now() + TURN;
         while let Ok(observation) = self.site.observations.recv_deadline(until) {
             self.checker.observe(&mut self.truth, observation);
