Judge answers by the median and the spread above it; tell the story of a failing backend server

Change: the last 32 sizes of an address, their median, and the spread of those above it, which errors do not move until they are half; 16 answers before anything is judged; never short above a third of the median. Ruled out: a lower weight of short answers (does not help where they are many from the beginning).

A little later, but no longer blind above a fifth.

Also: stories of a flow tell what was found out of its backend server within 10 s; a fourth walk with the real program.

--- a/crates/valvestage-entry/tests/process/site.rs
+++ b/crates/valvestage-entry/tests/process/site.rs
@@ -266,11 +266,13 @@
         self.hand(to, &FlowPacket { flags, destination, ..self.packet(port) });
     }
 
-    fn hand(&self, to: &Balancer, packet: &FlowPacket) {
+    /// Sends a packet.
+    pub fn hand(&self, to: &Balancer, packet: &FlowPacket) {
         self.socket.send_to(&packet.encode(), to.data_address()).unwrap();
     }
 
-    fn packet(&self, port: u16) -> FlowPacket {
+    /// A packet of a flow, without flags and data.
+    pub fn packet(&self, port: u16) -> FlowPacket {
         FlowPacket {
             flags: 0,
             token: 0,
--- a/crates/valvestage-entry/tests/process/walks.rs
+++ b/crates/valvestage-entry/tests/process/walks.rs
@@ -1,11 +1,13 @@
 //! From a caller's complaint to its cause, as docs/OPERATIONS.md says, with the real program's logs.
 
 use nix::sys::signal::Signal;
+use valvestage_standins::packets::flow_packet::FlowPacket;
+use valvestage_standins::packets::flow_packet::flags::FIN;
 use valvestage_standins::platform::Faults;
 use valvestage_story::sentences::sentence;
 use valvestage_story::{LogLine, StoryQuery, tell};
 
-use crate::site::{Balancer, Caller, SERVICE, Site, wait_until};
+use crate::site::{Balancer, Caller, FakeBackend, SERVICE, Site, token_of, wait_until};
 use crate::{ACK, SYN};
 
 /// The story of a caller's flow, from the log of a balancer that is stopped for it.
@@ -108,3 +110,61 @@
     assert!(story.contains("configuration 3 may be out of date"), "{story}");
     assert!(story.contains("no route is known from its address"), "{story}");
 }
+
+#[test]
+fn a_callers_backend_server_answered_with_errors() {
+    let site = Site::new();
+    site.configure(3, "core");
+    let backends = [0xd1, 0xd2, 0xd3].map(|instance| site.backend(instance, "core"));
+    let balancer = site.balancer("one", &[]);
+    balancer.wait_ready();
+
+    // One of three answers shortly, until that is noticed.
+    let caller = Caller::new(&balancer);
+    let mut ports = 40_001..;
+    let mut failed_port = None;
+    wait_until("it is noticed", || {
+        let port = ports.next().unwrap();
+        let instance = ask_once(&balancer, &caller, &backends, port);
+        if instance == 0xd1 {
+            failed_port.get_or_insert(port);
+        }
+        balancer.metric("valvestage_entry_events_total{event=\"avoided\"}").is_some()
+    });
+
+    let story = story_of(balancer, &caller, failed_port.unwrap());
+    assert!(story.contains("was placed on backend server d1"), "{story}");
+    assert!(story.contains("Backend server d1 failed"), "{story}");
+}
+
+/// One request on a flow of its own, whose answer is short at one backend server. Gives that of the flow.
+fn ask_once(balancer: &Balancer, caller: &Caller, backends: &[FakeBackend], port: u16) -> u64 {
+    const USUAL: u32 = 775;
+    const SHORT: u32 = 152;
+    caller.send(balancer, SYN, port, 0, 0);
+    wait_until("it arrives", || backends.iter().any(FakeBackend::has_packet));
+    let backend = backends.iter().find(|backend| backend.has_packet()).unwrap();
+    let token = token_of(&backend.receive().1);
+
+    let request = FlowPacket {
+        flags: ACK,
+        token,
+        sequence: 1_001,
+        acknowledged: 501,
+        data: vec![0; 100],
+        ..caller.packet(port)
+    };
+    caller.hand(balancer, &request);
+    backend.receive();
+    let bytes = if backend.instance == 0xd1 { SHORT } else { USUAL };
+    let last = FlowPacket {
+        flags: ACK | FIN,
+        sequence: 1_101,
+        acknowledged: 501 + bytes,
+        data: Vec::new(),
+        ..request
+    };
+    caller.hand(balancer, &last);
+    backend.receive();
+    backend.instance
+}
--- a/crates/valvestage-policy/src/steering/answer_norm.rs
+++ b/crates/valvestage-policy/src/steering/answer_norm.rs
@@ -1,23 +1,24 @@
 //! What answers at one address of a service are usually like.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Weight of one more answer once enough were seen: the norm follows the last some 30 answers.
+/// Answers by which a size is judged. Some seconds of a busy address; 128 bytes an address.
+const WINDOW: usize = 32;
+
+/// Weight of one more answer time once enough were seen: the mean follows the last some 30.
 const WEIGHT: f64 = 1.0 / 32.0;
 
 /// Answers before a norm says anything.
-const MIN_SAMPLES: u32 = 8;
-
-/// How many standard deviations below the mean, in logarithms, an answer counts as short. One answer
-/// in 160 of a log-normal size lies there, at every backend server alike.
-const SHORT_DEVIATIONS: f64 = 2.5;
+const MIN_SAMPLES: usize = 16;
 
-/// How much less a short answer changes the norm: errors of a few backend servers are not to become
-/// usual, but answers that are shorter for good are.
-const SHORT_WEIGHT: f64 = 1.0 / 8.0;
+/// How many standard deviations below the median, in logarithms, an answer counts as short. Hardly any
+/// answer of a log-normal or an even size lies there.
+const SHORT_DEVIATIONS: f64 = 3.5;
 
-/// An answer of more than half the usual size is never short, however alike the others are.
-const SHORT_AT_LEAST: f64 = std::f64::consts::LN_2;
+/// An answer of more than a third of the usual size is never short, however alike the others are: the
+/// logarithm of 3. An error has some 150 bytes.
+const SHORT_AT_LEAST: f64 = 1.098_6;
 
 /// A request is overdue when it has waited for so many times the usual.
 const OVERDUE_FACTOR: u32 = 6;
@@ -28,12 +29,9 @@
 /// `AnswerNorm` follows the size of answers and the time that they take.
 #[derive(Debug, Clone, Default)]
 pub struct AnswerNorm {
-    sizes: u32,
-    /// Mean of the logarithm of the size in bytes.
-    log_size: f64,
-    /// Variance of that logarithm; never negative.
-    log_variance: f64,
-    times: u32,
+    /// Logarithms of the last sizes in bytes, the oldest first; [`WINDOW`] at most.
+    log_sizes: VecDeque<f64>,
+    times: usize,
     /// Mean time, seconds.
     seconds: f64,
 }
@@ -41,14 +39,11 @@
 impl AnswerNorm {
     /// `on_size` takes in how many bytes an answer had.
     pub fn on_size(&mut self, bytes: u32) {
-        let log = log_of(bytes);
-        let factor = if self.is_short(bytes) { SHORT_WEIGHT } else { 1.0 };
-        self.sizes = self.sizes.saturating_add(1);
-        let weight = factor * weight_after(self.sizes);
-
-        let difference = log - self.log_size;
-        self.log_size += weight * difference;
-        self.log_variance = (1.0 - weight) * (self.log_variance + weight * difference * difference);
+        if self.log_sizes.len() == WINDOW {
+            self.log_sizes.pop_front();
+        }
+
+        self.log_sizes.push_back(log_of(bytes));
     }
 
     /// `on_time` takes in how long an answer took.
@@ -59,14 +54,24 @@
     }
 
     /// `is_short` tells whether an answer is much shorter than usual.
+    ///
+    /// Usual is the median, and the spread is that of the answers above it: errors are short, so that
+    /// they move neither unless they are half of all answers.
     #[must_use]
     pub fn is_short(&self, bytes: u32) -> bool {
-        if self.sizes < MIN_SAMPLES {
+        if self.log_sizes.len() < MIN_SAMPLES {
             return false;
         }
 
-        let margin = (SHORT_DEVIATIONS * self.log_variance.sqrt()).max(SHORT_AT_LEAST);
-        log_of(bytes) < self.log_size - margin
+        let mut sorted: Vec<f64> = self.log_sizes.iter().copied().collect();
+        sorted.sort_by(f64::total_cmp);
+        let middle = sorted.len() / 2;
+        let (median, upper) = (sorted[middle], &sorted[middle..]);
+        let squares = upper.iter().map(|log| (log - median).powi(2)).sum::<f64>();
+        let deviation = (squares / as_f64(upper.len())).sqrt();
+
+        let margin = (SHORT_DEVIATIONS * deviation).max(SHORT_AT_LEAST);
+        log_of(bytes) < median - margin
     }
 
     /// `patience` gives how long a request may wait before it is overdue; none while nothing is usual.
@@ -82,10 +87,17 @@
 }
 
 /// The first samples weigh more, so that the mean does not start at zero.
-fn weight_after(samples: u32) -> f64 {
-    (1.0 / f64::from(samples)).max(WEIGHT)
+fn weight_after(samples: usize) -> f64 {
+    (1.0 / as_f64(samples)).max(WEIGHT)
 }
 
 fn log_of(bytes: u32) -> f64 {
     f64::from(bytes.max(1)).ln()
 }
+
+fn as_f64(count: usize) -> f64 {
+    #[allow(clippy::cast_precision_loss)]
+    let value = count as f64;
+
+    value
+}
--- a/crates/valvestage-policy/src/steering/outlier_detector.rs
+++ b/crates/valvestage-policy/src/steering/outlier_detector.rs
@@ -19,7 +19,8 @@
 use super::seeded_draw::SeededDraw;
 
 /// Standard deviations by which the poor requests have to exceed what the others' share lets expect.
-/// One answer in 160 is short by itself: of 15 requests, three by chance are one case in 10,000.
+/// Few answers are short by themselves: of 15 requests, three by chance at [`MIN_EXPECTED_SHARE`] are one
+/// case in 300, and are not enough.
 const DEVIATIONS: f64 = 2.5;
 
 /// Poor requests beyond that.
--- a/crates/valvestage-policy/tests/steering/outliers.rs
+++ b/crates/valvestage-policy/tests/steering/outliers.rs
@@ -171,9 +171,9 @@
 fn an_answer_of_a_fifth_is_short_where_all_are_alike() {
     let mut norm = AnswerNorm::default();
 
-    // One in ten is an error already.
+    // Two in five are errors already.
     for step in 0..100 {
-        norm.on_size(if step % 10 == 0 { 152 } else { 775 });
+        norm.on_size(if step % 5 < 2 { 152 } else { 775 });
     }
     assert!(norm.is_short(152));
     assert!(!norm.is_short(760));
--- a/crates/valvestage-story/src/story.rs
+++ b/crates/valvestage-story/src/story.rs
@@ -12,6 +12,12 @@
 /// Events about what a balancer believes of the whole deployment.
 const BELIEFS: [&str; 4] = ["certainty", "routes_in_force", "store_link", "paused"];
 
+/// What is found out of a backend server after it has failed some flows.
+const VERDICTS: [&str; 3] = ["suspected", "avoided", "avoided_as_told"];
+
+/// A verdict that comes later than this has other flows as its cause.
+const LOOK_AHEAD_MS: u64 = 10_000;
+
 /// `tell` gives the lines that answer a query, by time; empty if the logs have none.
 #[must_use]
 pub fn tell(lines: Vec<LogLine>, query: &StoryQuery) -> Vec<LogLine> {
@@ -36,13 +42,17 @@
     let backends: BTreeSet<String> = own.iter().flat_map(|line| backends_of(line)).collect();
 
     let span = first.saturating_sub(LOOK_BACK_MS)..=last;
+    let after = last..=last.saturating_add(LOOK_AHEAD_MS);
     select(lines, |line| {
         let is_own = line.is("caller", caller);
         let is_near = span.contains(&line.time_ms) && vms.contains(&line.vm);
         let is_cause = is_belief(line)
             || line.text("caller").is_empty()
                 && backends.iter().any(|id| is_about_backend(line, id));
-        is_own || is_near && is_cause
+        let is_verdict = VERDICTS.contains(&line.event.as_str())
+            && after.contains(&line.time_ms)
+            && backends.iter().any(|id| line.is("backend", id));
+        is_own || is_near && is_cause || is_verdict
     })
 }
 
