Take a missing entry for gone by a list only

Ruled out: the time given (2.3 s and 0.8 s were over); peers' word.

Change: when the time of a missing entry is over, a follower lists once more; only a list that began after that time and does not have the entry makes it gone. Everyone else hears it from a follower. A list that is under way is not begun again (a_list_that_is_asked_for_again_is_read_to_its_end).

Test that failed first: an_entry_whose_return_watches_do_not_show_yet_is_not_gone (with a bound on calls).

--- a/crates/valvestage-policy/src/steering/backend_directory.rs
+++ b/crates/valvestage-policy/src/steering/backend_directory.rs
@@ -172,16 +172,22 @@
         }
     }
 
-    /// `expire_missing` turns the entries gone that had not returned in time when the store last
-    /// confirmed everything, and gives them.
-    pub fn expire_missing(&mut self, confirmed_at: Instant) -> Vec<InstanceId> {
+    /// `has_overdue` tells whether entries are missing whose time is over.
+    #[must_use]
+    pub fn has_overdue(&self, now: Instant) -> bool {
+        self.entries.values().any(|entry| entry.missing_until.is_some_and(|until| until <= now))
+    }
+
+    /// `expire_missing` turns the entries gone that a list does not have which began after their time,
+    /// and gives them.
+    pub fn expire_missing(&mut self, list_began: Instant) -> Vec<InstanceId> {
         let is_over =
-            |entry: &&BackendEntry| entry.missing_until.is_some_and(|until| until <= confirmed_at);
+            |entry: &&BackendEntry| entry.missing_until.is_some_and(|until| until <= list_began);
         let over: Vec<_> =
             self.entries.values().filter(is_over).map(|entry| entry.instance).collect();
 
         for instance in &over {
-            self.mark_gone(*instance, self.read_until, confirmed_at);
+            self.mark_gone(*instance, self.read_until, list_began);
         }
         self.complete(self.read_until);
         over
--- a/crates/valvestage-policy/src/steering/knowledge_keeper.rs
+++ b/crates/valvestage-policy/src/steering/knowledge_keeper.rs
@@ -107,7 +107,7 @@
         health: &HealthReport,
         now: Instant,
     ) -> Vec<KeeperAction> {
-        self.expire_missing(knowledge);
+        self.postpone_missing(knowledge);
         self.note_suspects(&health.suspects);
         self.step_role(knowledge, now);
         let mut actions = self.calls(knowledge, now);
@@ -212,18 +212,12 @@
         }
     }
 
-    /// Entries that are still missing in an answer of the store after their time are gone. The store
-    /// may have gone away again before it could take them back, or this balancer may have heard
-    /// nothing since: then there is no such answer yet.
-    fn expire_missing(&mut self, knowledge: &mut Knowledge) {
+    /// Entries that are missing have time to return from the store's last failure on: it may have gone
+    /// away again before it could take them back.
+    fn postpone_missing(&self, knowledge: &mut Knowledge) {
         if let Some(until) = self.store.settles_at() {
             knowledge.directory.postpone_missing(until);
         }
-        let Some(confirmed_at) = knowledge.confirmed_at() else { return };
-
-        for instance in knowledge.directory.expire_missing(confirmed_at) {
-            self.note_backend(knowledge, instance, NewsSource::Expiry);
-        }
     }
 
     fn calls(&mut self, knowledge: &Knowledge, now: Instant) -> Vec<KeeperAction> {
--- a/crates/valvestage-policy/src/steering/store_follower.rs
+++ b/crates/valvestage-policy/src/steering/store_follower.rs
@@ -165,6 +165,13 @@
         })
     }
 
+    /// `list_again` begins anew with a list, once no watch is under way. A list that has begun goes on.
+    pub fn list_again(&mut self) {
+        if !self.calling && matches!(self.phase, Phase::Watching { .. }) {
+            self.restart_list();
+        }
+    }
+
     /// `assume_outage` begins anew with a list, as after failures: nobody has followed the store for a
     /// while, so entries may have lapsed unseen.
     pub fn assume_outage(&mut self) {
--- a/crates/valvestage-policy/src/steering/store_link.rs
+++ b/crates/valvestage-policy/src/steering/store_link.rs
@@ -44,6 +44,8 @@
     backends: StoreFollower,
     /// What the list that is being read has so far.
     listed: HashSet<InstanceId>,
+    /// When that list was begun.
+    list_began: Option<Instant>,
     /// When the store last failed to answer this balancer or another one.
     last_failure: Option<Instant>,
 }
@@ -112,8 +114,15 @@
     /// `calls` gives the calls that are due.
     pub fn calls(&mut self, knowledge: &Knowledge, now: Instant) -> Vec<(StoreKind, StoreCall)> {
         let known_until = knowledge.directory.complete_until();
+        // A watch may tell of a return late; a list does not.
+        if knowledge.directory.has_overdue(now) {
+            self.backends.list_again();
+        }
         let routes = self.routes.next_call(0, now);
         let backends = self.backends.next_call(known_until, now);
+        if backends == Some(StoreCall::List { after: None }) {
+            self.list_began = Some(now);
+        }
 
         let routes = routes.map(|call| (StoreKind::Configuration, call));
         let backends = backends.map(|call| (StoreKind::Backends, call));
@@ -194,8 +203,12 @@
             Completeness::ListEnds { revision, after_outage, .. } => {
                 let after_outage = after_outage.then(|| now + RETURN_TIME);
                 let missing_until = after_outage.or(self.missing_until(now));
-                let absent = directory.retain_listed(&self.listed, revision, missing_until, now);
+                let mut absent =
+                    directory.retain_listed(&self.listed, revision, missing_until, now);
                 directory.complete(revision);
+                if let Some(began) = self.list_began {
+                    absent.extend(directory.expire_missing(began));
+                }
                 absent
             }
         }
--- a/crates/valvestage-policy/tests/steering/deployment.rs
+++ b/crates/valvestage-policy/tests/steering/deployment.rs
@@ -24,6 +24,8 @@
     /// Changes up to this revision are forgotten.
     pub forgotten: u64,
     pub calls: usize,
+    /// Watches show nothing after this revision; lists do.
+    pub watched_until: Option<u64>,
 }
 
 impl FakeStore {
@@ -65,7 +67,8 @@
                 if objects.is_empty() {
                     return None;
                 }
-                StoreReply::Changes { objects, revision: self.revision }
+                let until = self.watched_until.unwrap_or(u64::MAX);
+                StoreReply::Changes { objects, revision: self.revision.min(until) }
             }
         })
     }
@@ -93,7 +96,8 @@
                 if objects.is_empty() {
                     return None;
                 }
-                StoreReply::Changes { objects, revision: self.revision }
+                let until = self.watched_until.unwrap_or(u64::MAX);
+                StoreReply::Changes { objects, revision: self.revision.min(until) }
             }
         })
     }
@@ -103,7 +107,11 @@
         after: u64,
         kind: StoreKind,
     ) -> impl Iterator<Item = &(u64, StoreKind, Option<RouteMap>, Option<BackendNews>)> {
-        self.history.iter().filter(move |(at, other, _, _)| *at > after && *other == kind)
+        let until = self.watched_until.unwrap_or(u64::MAX);
+
+        self.history
+            .iter()
+            .filter(move |(at, other, _, _)| *at > after && *at <= until && *other == kind)
     }
 }
 
@@ -260,7 +268,7 @@
 
     /// Answers a call if there is something to say; true if it was answered.
     fn answer_call(&mut self, call: &OpenCall, is_over: bool) -> bool {
-        let revision = self.store.revision;
+        let revision = self.store.revision.min(self.store.watched_until.unwrap_or(u64::MAX));
         let has_answer = match call.kind {
             StoreKind::Configuration => self.store.answer_routes(&call.call).is_some(),
             StoreKind::Backends => self.store.answer_backends(&call.call).is_some(),
--- a/crates/valvestage-policy/tests/steering/follower.rs
+++ b/crates/valvestage-policy/tests/steering/follower.rs
@@ -117,3 +117,21 @@
     let ends = Completeness::ListEnds { revision: 10, after_outage: true, single_page: true };
     assert_eq!(news.completes, ends);
 }
+
+#[test]
+fn a_list_that_is_asked_for_again_is_read_to_its_end() {
+    let (mut follower, now) = (StoreFollower::default(), start());
+    follower.next_call(0, now);
+    follower.on_reply(page(&[1], None, 10), now);
+    follower.next_call(0, now);
+    follower.list_again();
+    assert!(follower.next_call(0, now).is_none(), "the watch goes on");
+    follower.on_reply(changes(&[], 10), now);
+
+    follower.list_again();
+    assert_eq!(follower.next_call(0, now), Some(StoreCall::List { after: None }));
+    follower.on_reply(page(&[1], Some("b"), 11), now);
+    follower.list_again();
+    let second = Some(StoreCall::List { after: Some("b".to_owned()) });
+    assert_eq!(follower.next_call(0, now), second);
+}
--- a/crates/valvestage-policy/tests/steering/keepers.rs
+++ b/crates/valvestage-policy/tests/steering/keepers.rs
@@ -224,6 +224,27 @@
     assert_not_gone(&deployment, 1);
 }
 
+#[test]
+fn an_entry_whose_return_watches_do_not_show_yet_is_not_gone() {
+    let mut deployment = settled(8);
+    deployment.store_down = true;
+    deployment.run(millis(4_000));
+    deployment.store.delete_backend(1);
+    deployment.store.watched_until = Some(deployment.store.revision);
+    deployment.store_down = false;
+    deployment.run(millis(1_500));
+
+    // It returns in time, and watches tell of it much later.
+    deployment.store.put_backend(backend(1, "core", HOME));
+    for _ in 0..6_000 {
+        deployment.run(millis(1));
+        assert_not_gone(&deployment, 1);
+    }
+    let calls = deployment.store.calls;
+    deployment.run(millis(10_000));
+    assert!(deployment.store.calls - calls <= 2 * 2 * 8, "nobody lists it again and again");
+}
+
 fn assert_not_gone(deployment: &Deployment, instance: u64) {
     for node in deployment.nodes.iter().flatten() {
         assert!(!node.knowledge().directory.get(instance).unwrap().is_gone());
