Compare each balancer's counts with what it expects itself

Cause (soak logs, calm seconds): backend servers that were well were avoided where answers at an address have two sizes. Balancers see other shares of short answers for a while, and the counts of all were compared with the share seen at one. A backend server that had failed before was avoided again at the usual share.

Change: each request adds the share of the others at that time, at the balancer that saw it, to what is expected; reports carry it; after a return, three times what is expected is needed. Test that failed first: balancers_that_see_more_poor_requests_everywhere_do_not_make_one_stand_out.

--- a/crates/valvestage-entry/src/decision_lines.rs
+++ b/crates/valvestage-entry/src/decision_lines.rs
@@ -118,7 +118,6 @@
     fn put_source(&mut self, source: NewsSource) {
         match source {
             NewsSource::Store => self.put("source", "store"),
-            NewsSource::Expiry => self.put("source", "not returned in time"),
             NewsSource::Peer(peer) => self.put_text("source", peer),
         }
     }
@@ -144,11 +143,11 @@
             line.put("flows", *flows);
             line.put_time("waited_ms", *waited);
         }
-        Decision::Avoided { instance, count, others, told_by, avoided_for } => {
+        Decision::Avoided { instance, count, told_by, avoided_for } => {
             line.put_instance("backend", *instance);
             line.put("requests", rounded(count.total()));
-            line.put("poor_share", rounded(count.poor_share()));
-            line.put("others_poor_share", rounded(others.poor_share()));
+            line.put("poor", rounded(count.poor));
+            line.put("expected", rounded(count.expected));
             line.put("told_by", *told_by);
             line.put_time("avoided_ms", *avoided_for);
         }
--- a/crates/valvestage-policy/src/steering/decision.rs
+++ b/crates/valvestage-policy/src/steering/decision.rs
@@ -57,8 +57,6 @@
         instance: InstanceId,
         /// Its requests, here and at the balancers that told theirs.
         count: OutcomeCount,
-        /// The requests of the other backend servers of its service, here.
-        others: OutcomeCount,
         /// How many balancers told theirs.
         told_by: usize,
         /// For how long.
@@ -172,8 +170,6 @@
     Store,
     /// Another balancer.
     Peer(SocketAddrV4),
-    /// The time: it has not returned.
-    Expiry,
 }
 
 /// `AnswerTime` is how long a backend server took to answer, as a caller saw it.
--- a/crates/valvestage-policy/src/steering/outcome_count.rs
+++ b/crates/valvestage-policy/src/steering/outcome_count.rs
@@ -13,6 +13,9 @@
     pub answered: f64,
     /// Requests that got a much shorter answer than usual, or none in time.
     pub poor: f64,
+    /// How many of them were expected: each counts the share of poor ones that the others of its
+    /// service had then, at the balancer that saw it.
+    pub expected: f64,
 }
 
 impl OutcomeCount {
@@ -31,7 +34,11 @@
     /// `plus` gives the sum of two.
     #[must_use]
     pub fn plus(&self, other: &Self) -> Self {
-        Self { answered: self.answered + other.answered, poor: self.poor + other.poor }
+        Self {
+            answered: self.answered + other.answered,
+            poor: self.poor + other.poor,
+            expected: self.expected + other.expected,
+        }
     }
 
     /// `minus` gives what is left without a part of it.
@@ -40,6 +47,7 @@
         Self {
             answered: (self.answered - part.answered).max(0.0),
             poor: (self.poor - part.poor).max(0.0),
+            expected: (self.expected - part.expected).max(0.0),
         }
     }
 }
@@ -75,6 +83,10 @@
     pub fn at(&self, now: Instant) -> OutcomeCount {
         let left = (-self.age(now).as_secs_f64() / HALF_LIFE.as_secs_f64()).exp2();
 
-        OutcomeCount { answered: self.count.answered * left, poor: self.count.poor * left }
+        OutcomeCount {
+            answered: self.count.answered * left,
+            poor: self.count.poor * left,
+            expected: self.count.expected * left,
+        }
     }
 }
--- a/crates/valvestage-policy/src/steering/outlier_detector.rs
+++ b/crates/valvestage-policy/src/steering/outlier_detector.rs
@@ -36,6 +36,9 @@
 /// Poor requests that are enough after a return.
 const RETURN_POOR: f64 = 1.0;
 
+/// How many times what is expected they have to be then.
+const RETURN_FACTOR: f64 = 3.0;
+
 /// Poor requests seen at one balancer from which on it asks others for their counts.
 const POOR_TO_ASK: f64 = 0.9;
 
@@ -79,13 +82,13 @@
         is_poor: bool,
         now: Instant,
     ) -> Option<Decision> {
-        let one = if is_poor {
-            OutcomeCount { answered: 0.0, poor: 1.0 }
-        } else {
-            OutcomeCount { answered: 1.0, poor: 0.0 }
-        };
         let record =
             self.records.entry(instance).or_insert_with(|| OutlierRecord::new(service, now));
+        let all = self.services.get(service).map(|count| count.at(now));
+        let others = all.unwrap_or_default().minus(&record.own.at(now));
+        let expected = others.poor_share().max(MIN_EXPECTED_SHARE);
+        let poor = if is_poor { 1.0 } else { 0.0 };
+        let one = OutcomeCount { answered: 1.0 - poor, poor, expected };
         record.own.add(&one, now);
         if record.own.at(now).poor >= POOR_TO_ASK {
             record.in_question_until = Some(now + ASKED_FOR);
@@ -203,29 +206,27 @@
         }
 
         let own = record.own.at(now);
-        let all = self.services.get(&record.service).map(|count| count.at(now));
-        let others = all.unwrap_or_default().minus(&own);
         let has_failed = record.has_failed_before(now);
         record.told.retain(|_, count| count.age(now) < TOLD_FOR);
         let known = record.with_told(now);
-        let is_outlier = stands_out(&own, &others, has_failed)
-            || !record.is_fine_here(now) && stands_out(&known, &others, has_failed);
+        let is_outlier = stands_out(&own, has_failed)
+            || !record.is_fine_here(now) && stands_out(&known, has_failed);
         if !is_outlier {
             return None;
         }
 
         let told_by = record.told.len();
         let avoided_for = record.avoid(self.draw.unit(), now);
-        Some(Decision::Avoided { instance, count: known, others, told_by, avoided_for })
+        Some(Decision::Avoided { instance, count: known, told_by, avoided_for })
     }
 }
 
-/// Whether requests end badly far more often than those of the other backend servers.
-fn stands_out(count: &OutcomeCount, others: &OutcomeCount, has_failed: bool) -> bool {
-    if has_failed && count.poor >= RETURN_POOR && count.poor_share() >= RETURN_SHARE {
-        return true;
-    }
+/// Whether requests ended badly far more often than those of the other backend servers did meanwhile.
+fn stands_out(count: &OutcomeCount, has_failed: bool) -> bool {
+    let OutcomeCount { poor, expected, .. } = *count;
+    let is_back = poor >= RETURN_POOR
+        && poor >= RETURN_FACTOR * expected
+        && count.poor_share() >= RETURN_SHARE;
 
-    let expected = count.total() * others.poor_share().max(MIN_EXPECTED_SHARE);
-    count.poor > expected + DEVIATIONS * expected.sqrt() + MARGIN
+    has_failed && is_back || poor > expected + DEVIATIONS * expected.sqrt() + MARGIN
 }
--- a/crates/valvestage-policy/src/steering/peer_message.rs
+++ b/crates/valvestage-policy/src/steering/peer_message.rs
@@ -87,13 +87,20 @@
     pub answered_tenths: u16,
     /// The others, in tenths.
     pub poor_tenths: u16,
+    /// How many of them were expected by the other backend servers of the service, in tenths.
+    pub expected_tenths: u16,
 }
 
 impl OutcomeReport {
     /// `new` reports a count.
     #[must_use]
     pub fn new(instance: InstanceId, count: &OutcomeCount) -> Self {
-        Self { instance, answered_tenths: tenths(count.answered), poor_tenths: tenths(count.poor) }
+        Self {
+            instance,
+            answered_tenths: tenths(count.answered),
+            poor_tenths: tenths(count.poor),
+            expected_tenths: tenths(count.expected),
+        }
     }
 
     /// `count` gives what was reported.
@@ -102,6 +109,7 @@
         OutcomeCount {
             answered: f64::from(self.answered_tenths) / 10.0,
             poor: f64::from(self.poor_tenths) / 10.0,
+            expected: f64::from(self.expected_tenths) / 10.0,
         }
     }
 }
--- a/crates/valvestage-policy/tests/steering/outliers.rs
+++ b/crates/valvestage-policy/tests/steering/outliers.rs
@@ -77,6 +77,23 @@
     assert_eq!(avoided.count(), 0);
 }
 
+#[test]
+fn balancers_that_see_more_poor_requests_everywhere_do_not_make_one_stand_out() {
+    let (mut here, now) = (OutlierDetector::new(1), start());
+    let mut there = OutlierDetector::new(2);
+
+    // Here, one request at each ends badly. There, half of them do wherever they go.
+    for request in 0..200_u64 {
+        let at = now + millis(request);
+        for instance in OTHERS {
+            here.observe(instance, "core", request == 190, at);
+            there.observe(instance, "core", request % 2 == 0, at);
+        }
+    }
+    let at = now + millis(200);
+    assert!(here.on_told(address(1, 7_400), &there.reports(at), at).is_empty());
+}
+
 #[test]
 fn a_few_requests_of_each_balancer_are_enough_together() {
     let (mut detectors, now) = ([OutlierDetector::new(1), OutlierDetector::new(1)], start());
@@ -98,7 +115,12 @@
 #[test]
 fn the_same_word_told_again_counts_once() {
     let (mut detector, now) = (OutlierDetector::new(1), start());
-    let report = OutcomeReport { instance: SERVER, answered_tenths: 10, poor_tenths: 15 };
+    let report = OutcomeReport {
+        instance: SERVER,
+        answered_tenths: 10,
+        poor_tenths: 15,
+        expected_tenths: 1,
+    };
     detector.observe(SERVER, "core", false, now);
 
     for time in 0..50 {
@@ -115,7 +137,8 @@
     }
     assert!(detector.reports(now).is_empty());
 
-    let report = OutcomeReport { instance: SERVER, answered_tenths: 0, poor_tenths: 20 };
+    let report =
+        OutcomeReport { instance: SERVER, answered_tenths: 0, poor_tenths: 20, expected_tenths: 1 };
     detector.on_told(address(1, 7_400), &[report], now + millis(10));
     let reports = detector.reports(now + millis(20));
     assert_eq!(reports.len(), 1);
@@ -130,7 +153,12 @@
         detector.observe(SERVER, "core", false, now);
     }
 
-    let report = OutcomeReport { instance: SERVER, answered_tenths: 0, poor_tenths: 300 };
+    let report = OutcomeReport {
+        instance: SERVER,
+        answered_tenths: 0,
+        poor_tenths: 300,
+        expected_tenths: 6,
+    };
     assert!(detector.on_told(address(1, 7_400), &[report], now + millis(10)).is_empty());
     assert!(!detector.is_avoided(SERVER, now + millis(20)));
 }
--- a/crates/valvestage-story/src/sentences.rs
+++ b/crates/valvestage-story/src/sentences.rs
@@ -43,12 +43,13 @@
         ),
         "cleared" => format!("Backend server {} answered again.", text("backend")),
         "avoided" => format!(
-            "Backend server {} failed {} of its last {} requests, others of its service {}: for {} ms it \
-             gets no new flows unless the others are much busier (counts of {} balancers).",
+            "Backend server {} failed {} of its last {} requests, where {} were expected by the others of \
+             its service: for {} ms it gets no new flows unless they are much busier (with counts of {} \
+             other balancers).",
             text("backend"),
-            text("poor_share"),
+            text("poor"),
             text("requests"),
-            text("others_poor_share"),
+            text("expected"),
             text("avoided_ms"),
             text("told_by")
         ),
--- a/crates/valvestage-story/tests/story.rs
+++ b/crates/valvestage-story/tests/story.rs
@@ -9,8 +9,8 @@
 {"time_ms":90100,"vm":"vm-1","event":"backend_changed","backend":"a1","service":"core","phase":"gone","revision":9,"source":"store"}
 {"time_ms":90150,"vm":"vm-2","event":"certainty","certain":false,"version":3}
 {"time_ms":90200,"vm":"vm-1","event":"reset","caller":"10.0.0.1:77","address":"198.18.0.1:443","reason":"backend_gone","backend":"a1"}
-{"time_ms":90250,"vm":"vm-3","event":"avoided","backend":"a1","requests":9.5,"poor_share":0.4,"others_poor_share":0.02,"told_by":2,"avoided_ms":4000}
-{"time_ms":190250,"vm":"vm-3","event":"avoided","backend":"a1","requests":9.5,"poor_share":0.4,"others_poor_share":0.02,"told_by":2,"avoided_ms":4000}
+{"time_ms":90250,"vm":"vm-3","event":"avoided","backend":"a1","requests":9.5,"poor":4.1,"expected":0.2,"told_by":2,"avoided_ms":4000}
+{"time_ms":190250,"vm":"vm-3","event":"avoided","backend":"a1","requests":9.5,"poor":4.1,"expected":0.2,"told_by":2,"avoided_ms":4000}
 {"time_ms":90300,"vm":"vm-1","event":"placed","caller":"10.0.0.2:78","address":"198.18.0.1:443","backend":"a2"}
 not a log line
 "#;
