--- a/crates/valvestage-entry/tests/peer_codec.rs
+++ b/crates/valvestage-entry/tests/peer_codec.rs
@@ -5,9 +5,11 @@
 
 use quickcheck::{Gen, QuickCheck};
 use valvestage_entry::peer_codec::{MAX_DATAGRAM_BYTES, decode, encode};
+use valvestage_policy::steering::outcome_count::OutcomeCount;
 use valvestage_policy::steering::peer_message::{
-    BackendChange, BackendRecord, BackendStanding, BackendsPart, KnowledgePull, MessagePart,
-    RoutesPart,
+    AvoidanceReport, BackendChange, BackendRecord, BackendStanding, BackendsPart, HealthReport,
+    KnowledgePull, MAX_MESSAGE_BYTES, MessagePart, OutcomeReport, PeerHeartbeat, RoutesPart,
+    WatcherSighting,
 };
 use valvestage_policy::steering::{EntryOptions, EntryPolicy, PeerMessage, SteeringOptions};
 
@@ -72,6 +74,41 @@
     }
 }
 
+/// A policy to which many backend servers seem dead, or fail, tells no more than fits.
+#[test]
+fn a_heartbeat_about_much_trouble_fits_into_one_datagram() {
+    let count = OutcomeCount { answered: 6_000.0, poor: 6_000.0, expected: 6_000.0 };
+    let instance = |number: u64| u64::MAX - number;
+    let health = HealthReport {
+        suspects: (0..16).map(instance).collect(),
+        outcomes: (0..16).map(|number| OutcomeReport::new(instance(number), &count)).collect(),
+        avoided: (0..16)
+            .map(|number| AvoidanceReport { instance: instance(number), left_ms: u32::MAX })
+            .collect(),
+    };
+    let watcher = WatcherSighting {
+        peer: address(4),
+        zone: "a-zone-with-a-long-name".to_owned(),
+        age_ms: u32::MAX,
+        is_answered: true,
+    };
+    let heartbeat = PeerHeartbeat {
+        zone: watcher.zone.clone(),
+        asks: true,
+        version: u64::MAX,
+        complete_until: u64::MAX,
+        changed_at: u64::MAX,
+        age_ms: u32::MAX,
+        outage_age_ms: u32::MAX,
+        watchers: vec![watcher; 4],
+        peers: vec![address(5); 4],
+        health,
+    };
+
+    let datagram = encode(&PeerMessage::Heartbeat(heartbeat)).unwrap();
+    assert!(datagram.len() <= MAX_MESSAGE_BYTES, "{} bytes", datagram.len());
+}
+
 #[test]
 fn another_version_is_not_understood() {
     let mut datagram = encode(&messages()[0]).unwrap();
--- a/crates/valvestage-policy/src/steering.rs
+++ b/crates/valvestage-policy/src/steering.rs
@@ -22,7 +22,7 @@
 //! | [`watch_role`] | which balancers follow the store |
 //! | [`peer_message`], [`peer_table`] | what balancers tell each other, and whom |
 //! | [`peer_exchange`], [`knowledge_parts`], [`part_assembly`] | asking and telling, in datagrams |
-//! | [`knowledge_keeper`] | keeping knowledge up to date |
+//! | [`knowledge_keeper`], `keeper_news` | keeping knowledge up to date |
 //! | [`seeded_draw`] | draws that repeat themselves |
 //! | [`decision`] | what was decided, for logs and counters |
 //! | [`entry_policy`] | the parts together |
@@ -41,6 +41,7 @@
 pub mod flow_record;
 pub mod flow_request;
 pub mod flow_tracker;
+mod keeper_news;
 pub mod knowledge;
 pub mod knowledge_keeper;
 pub mod knowledge_parts;
--- /dev/null
+++ b/crates/valvestage-policy/src/steering/keeper_news.rs
@@ -0,0 +1,105 @@
+//! What a balancer has learned, for its log and for other balancers.
+
+use valvestage_core::ids::InstanceId;
+
+use super::decision::{Decision, NewsSource};
+use super::knowledge::Knowledge;
+use super::route_map::RouteMap;
+
+/// `KeeperNews` collects what was learned.
+#[derive(Debug, Default)]
+pub(super) struct KeeperNews {
+    /// Whether something is new that others may not know.
+    is_to_tell: bool,
+    /// The backend servers that others were told to seem dead.
+    told_suspects: Vec<InstanceId>,
+    /// What was learned since it was last taken.
+    decisions: Vec<Decision>,
+    was_certain: bool,
+}
+
+impl KeeperNews {
+    /// `take_decisions` gives what was learned since the last call.
+    pub(super) fn take_decisions(&mut self) -> Vec<Decision> {
+        std::mem::take(&mut self.decisions)
+    }
+
+    /// `note` keeps something learned that others need not be told of.
+    pub(super) fn note(&mut self, decision: Decision) {
+        self.decisions.push(decision);
+    }
+
+    /// `tell_if` lets others be told at once if something holds.
+    pub(super) fn tell_if(&mut self, is_new: bool) {
+        self.is_to_tell |= is_new;
+    }
+
+    /// `is_to_tell` tells whether others are to be told at once.
+    pub(super) fn is_to_tell(&self) -> bool {
+        self.is_to_tell
+    }
+
+    /// `on_told` takes in that others are being told.
+    pub(super) fn on_told(&mut self) {
+        self.is_to_tell = false;
+    }
+
+    /// `note_suspects` lets others be told of a new suspect at once.
+    pub(super) fn note_suspects(&mut self, suspects: &[InstanceId]) {
+        self.is_to_tell |= suspects.iter().any(|suspect| !self.told_suspects.contains(suspect));
+
+        self.told_suspects = suspects.to_vec();
+    }
+
+    /// `note_certainty` keeps whether what is known is confirmed, where that has changed.
+    pub(super) fn note_certainty(&mut self, knowledge: &Knowledge, is_certain: bool) {
+        if is_certain != self.was_certain {
+            self.was_certain = is_certain;
+            let version = knowledge.routes.version;
+            self.note(Decision::Certainty { is_certain, version });
+        }
+    }
+
+    /// `note_backend` keeps that something else is believed of a backend server, and lets others be
+    /// told.
+    pub(super) fn note_backend(
+        &mut self,
+        knowledge: &Knowledge,
+        instance: InstanceId,
+        source: NewsSource,
+    ) {
+        self.is_to_tell = true;
+        let Some(entry) = knowledge.directory.get(instance) else { return };
+
+        self.note(match entry.missing_until {
+            Some(_) => Decision::BackendMissing { instance },
+            None => Decision::BackendChanged {
+                instance,
+                revision: entry.revision,
+                service: entry.service.clone(),
+                phase: entry.phase,
+                source,
+            },
+        });
+    }
+
+    /// `take_routes` puts a configuration in force if it is newer, and lets others be told.
+    pub(super) fn take_routes(
+        &mut self,
+        knowledge: &mut Knowledge,
+        routes: RouteMap,
+        source: NewsSource,
+    ) {
+        let former = knowledge.routes.version;
+
+        if knowledge.replace_routes(routes) {
+            self.is_to_tell = true;
+            self.note(Decision::RoutesInForce {
+                version: knowledge.routes.version,
+                former,
+                addresses: knowledge.routes.routes.len(),
+                source,
+            });
+        }
+    }
+}
--- a/crates/valvestage-policy/src/steering/knowledge_keeper.rs
+++ b/crates/valvestage-policy/src/steering/knowledge_keeper.rs
@@ -3,10 +3,11 @@
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
-use valvestage_core::ids::{InstanceId, ZoneName};
+use valvestage_core::ids::ZoneName;
 
 use super::decision::{Decision, NewsSource};
 use super::entry_policy::EntryOptions;
+use super::keeper_news::KeeperNews;
 use super::knowledge::Knowledge;
 use super::peer_exchange::{PeerExchange, answer_pull};
 use super::peer_message::{BackendsPart, HealthReport, PeerHeartbeat, PeerMessage};
@@ -46,15 +47,9 @@
     store: StoreLink,
     exchange: PeerExchange,
     next_heartbeat: Instant,
-    /// Whether something is new that others may not know.
-    has_news: bool,
     /// Whether the next heartbeats ask those that know more to answer at once.
     asks: bool,
-    /// The backend servers that others were told to seem dead.
-    told_suspects: Vec<InstanceId>,
-    /// What was learned since it was last taken.
-    decisions: Vec<Decision>,
-    was_certain: bool,
+    news: KeeperNews,
 }
 
 impl KnowledgeKeeper {
@@ -75,17 +70,14 @@
             store: StoreLink::default(),
             exchange: PeerExchange::default(),
             next_heartbeat: now,
-            has_news: false,
             asks: true,
-            told_suspects: Vec::new(),
-            decisions: Vec::new(),
-            was_certain: false,
+            news: KeeperNews::default(),
         }
     }
 
     /// `take_decisions` gives what was learned since the last call.
     pub fn take_decisions(&mut self) -> Vec<Decision> {
-        std::mem::take(&mut self.decisions)
+        self.news.take_decisions()
     }
 
     /// `peer_count` gives the number of balancers that were heard of.
@@ -108,14 +100,15 @@
         now: Instant,
     ) -> Vec<KeeperAction> {
         self.postpone_missing(knowledge);
-        self.note_suspects(&health.suspects);
+        self.news.note_suspects(&health.suspects);
         self.step_role(knowledge, now);
         let mut actions = self.calls(knowledge, now);
 
-        if self.has_news || self.next_heartbeat <= now {
-            let lost = self.peers.forget_silent(now);
-            self.decisions.extend(lost.into_iter().map(|peer| Decision::PeerLost { peer }));
-            self.note_certainty(knowledge, now);
+        if self.news.is_to_tell() || self.next_heartbeat <= now {
+            for peer in self.peers.forget_silent(now) {
+                self.news.note(Decision::PeerLost { peer });
+            }
+            self.news.note_certainty(knowledge, knowledge.is_certain(now));
             actions.extend(self.heartbeats(knowledge, health, now));
         }
         actions
@@ -123,7 +116,7 @@
 
     /// `on_pause` takes in that the process stood still: others may know more by now.
     pub fn on_pause(&mut self) {
-        self.has_news = true;
+        self.news.tell_if(true);
         self.asks = true;
     }
 
@@ -140,13 +133,6 @@
         self.role.next_due().map_or(heartbeat, |due| due.min(heartbeat))
     }
 
-    /// Others are told of a new suspect at once.
-    fn note_suspects(&mut self, suspects: &[InstanceId]) {
-        self.has_news |= suspects.iter().any(|suspect| !self.told_suspects.contains(suspect));
-
-        self.told_suspects = suspects.to_vec();
-    }
-
     fn step_role(&mut self, knowledge: &Knowledge, now: Instant) {
         let was_watching = self.role.is_watching();
         let state = RoleState {
@@ -161,54 +147,12 @@
         self.role.step(state, now);
         let watching = self.role.is_watching();
         if watching != was_watching {
-            self.has_news |= watching;
+            self.news.tell_if(watching);
             if watching {
                 self.store.begin(knowledge, now);
             }
             let others = self.role.others();
-            self.decisions.push(Decision::WatchRole { watching, others });
-        }
-    }
-
-    fn note_certainty(&mut self, knowledge: &Knowledge, now: Instant) {
-        let is_certain = knowledge.is_certain(now);
-
-        if is_certain != self.was_certain {
-            self.was_certain = is_certain;
-            let version = knowledge.routes.version;
-            self.decisions.push(Decision::Certainty { is_certain, version });
-        }
-    }
-
-    /// Keeps that something else is believed of a backend server, and tells others.
-    fn note_backend(&mut self, knowledge: &Knowledge, instance: InstanceId, source: NewsSource) {
-        self.has_news = true;
-        let Some(entry) = knowledge.directory.get(instance) else { return };
-
-        self.decisions.push(match entry.missing_until {
-            Some(_) => Decision::BackendMissing { instance },
-            None => Decision::BackendChanged {
-                instance,
-                revision: entry.revision,
-                service: entry.service.clone(),
-                phase: entry.phase,
-                source,
-            },
-        });
-    }
-
-    /// Puts a configuration in force if it is newer, and tells others.
-    fn take_routes(&mut self, knowledge: &mut Knowledge, routes: RouteMap, source: NewsSource) {
-        let former = knowledge.routes.version;
-
-        if knowledge.replace_routes(routes) {
-            self.has_news = true;
-            self.decisions.push(Decision::RoutesInForce {
-                version: knowledge.routes.version,
-                former,
-                addresses: knowledge.routes.routes.len(),
-                source,
-            });
+            self.news.note(Decision::WatchRole { watching, others });
         }
     }
 
@@ -235,7 +179,7 @@
         health: &HealthReport,
         now: Instant,
     ) -> Vec<KeeperAction> {
-        self.has_news = false;
+        self.news.on_told();
         self.next_heartbeat = now + HEARTBEAT_INTERVAL;
         let is_ignorant = !knowledge.is_complete() && !knowledge.is_certain(now);
         let asks = std::mem::take(&mut self.asks) || is_ignorant;
@@ -281,7 +225,7 @@
     ) -> Vec<KeeperAction> {
         let is_new = self.peers.on_heard(sender, now);
         if is_new {
-            self.decisions.push(Decision::PeerFound { peer: sender });
+            self.news.note(Decision::PeerFound { peer: sender });
         }
 
         match message {
@@ -294,7 +238,7 @@
             }
             PeerMessage::Routes(part) => {
                 if let Some(routes) = self.exchange.on_routes_part(knowledge, sender, part) {
-                    self.take_routes(knowledge, routes, NewsSource::Peer(sender));
+                    self.news.take_routes(knowledge, routes, NewsSource::Peer(sender));
                 }
                 Vec::new()
             }
@@ -321,7 +265,7 @@
             self.peers.on_told(*peer, now);
         }
         for sighting in &heartbeat.watchers {
-            self.has_news |= self.role.on_sighting(sighting, now);
+            self.news.tell_if(self.role.on_sighting(sighting, now));
         }
 
         let mut actions = Vec::new();
@@ -362,7 +306,7 @@
         let changed = self.exchange.on_backends_part(knowledge, sender, part, missing_until, now);
 
         for instance in changed {
-            self.note_backend(knowledge, instance, NewsSource::Peer(sender));
+            self.news.note_backend(knowledge, instance, NewsSource::Peer(sender));
         }
     }
 
@@ -378,7 +322,7 @@
 
         self.note_link(StoreKind::Configuration, was_failing);
         for routes in news {
-            self.take_routes(knowledge, routes, NewsSource::Store);
+            self.news.take_routes(knowledge, routes, NewsSource::Store);
         }
         self.confirm(knowledge);
     }
@@ -387,7 +331,7 @@
     fn confirm(&mut self, knowledge: &mut Knowledge) {
         if let Some(at) = self.store.answered_at() {
             knowledge.confirm(Some(at));
-            self.has_news |= self.role.on_answer(at);
+            self.news.tell_if(self.role.on_answer(at));
         }
     }
 
@@ -395,7 +339,7 @@
         let is_failing = self.store.is_kind_failing(kind);
 
         if was_failing != is_failing {
-            self.decisions.push(Decision::StoreLink { kind, answers: !is_failing });
+            self.news.note(Decision::StoreLink { kind, answers: !is_failing });
         }
     }
 
@@ -411,9 +355,9 @@
         let changed = self.store.on_backends_reply(knowledge, reply, now);
 
         self.note_link(StoreKind::Backends, was_failing);
-        self.has_news |= knowledge.directory.is_complete() != was_complete;
+        self.news.tell_if(knowledge.directory.is_complete() != was_complete);
         for instance in changed {
-            self.note_backend(knowledge, instance, NewsSource::Store);
+            self.news.note_backend(knowledge, instance, NewsSource::Store);
         }
         self.confirm(knowledge);
     }
