--- a/crates/valvestage-policy/tests/steering/keepers.rs
+++ b/crates/valvestage-policy/tests/steering/keepers.rs
@@ -172,13 +172,18 @@
     }
 }
 
-#[test]
-fn an_entry_that_is_missing_when_the_store_goes_away_again_may_return() {
-    let mut deployment = settled(8);
+/// The entry of a backend server that lives lapses; the store is back.
+fn lapse_in_an_outage(deployment: &mut Deployment) {
     deployment.store_down = true;
     deployment.run(millis(4_000));
     deployment.store.delete_backend(1);
     deployment.store_down = false;
+}
+
+#[test]
+fn an_entry_that_is_missing_when_the_store_goes_away_again_may_return() {
+    let mut deployment = settled(8);
+    lapse_in_an_outage(&mut deployment);
     deployment.run(millis(500));
 
     // Its backend server could not write it in that moment, and the next outage is longer than the
@@ -203,10 +208,7 @@
 #[test]
 fn a_balancer_that_is_cut_off_takes_no_missing_entry_for_gone() {
     let mut deployment = settled(8);
-    deployment.store_down = true;
-    deployment.run(millis(4_000));
-    deployment.store.delete_backend(1);
-    deployment.store_down = false;
+    lapse_in_an_outage(&mut deployment);
     deployment.run(millis(1_500));
 
     // They all know that it is missing. One hears nothing more while it returns.
@@ -227,11 +229,8 @@
 #[test]
 fn an_entry_whose_return_watches_do_not_show_yet_is_not_gone() {
     let mut deployment = settled(8);
-    deployment.store_down = true;
-    deployment.run(millis(4_000));
-    deployment.store.delete_backend(1);
+    lapse_in_an_outage(&mut deployment);
     deployment.store.watched_until = Some(deployment.store.revision);
-    deployment.store_down = false;
     deployment.run(millis(1_500));
 
     // It returns in time, and watches tell of it much later.
--- a/crates/valvestage-soak/src/backend_servers.rs
+++ b/crates/valvestage-soak/src/backend_servers.rs
@@ -14,7 +14,7 @@
 use valvestage_standins::draws::Draws;
 
 use crate::link_table::{LinkTable, LinkTarget};
-use crate::observation::{Observation, STALL, SeenEvent};
+use crate::observation::{Observation, SeenEvent, StallWatch};
 use crate::site_plan::SitePlan;
 use crate::soak_options::{Sabotage, SoakOptions};
 use valvestage_standins::packets::backend_flow::BackendFlow;
@@ -90,16 +90,11 @@
 
     /// `run` serves until told to stop.
     pub fn run(mut self, stop: &Arc<AtomicBool>) -> io::Result<()> {
-        let mut last_turn = Instant::now();
+        let mut stalls = StallWatch::new(self.observations.clone());
 
         while !stop.load(Ordering::Relaxed) {
             let datagrams = self.sockets.receive(TURN)?;
-            let now = Instant::now();
-            let time = now - last_turn;
-            if time >= STALL {
-                self.tell(SeenEvent::Stalled { time });
-            }
-            last_turn = now;
+            let now = stalls.turn();
             self.obey();
             for datagram in datagrams {
                 if let Some(balancer) = self.plan.balancer_at(*datagram.sender.ip()) {
--- a/crates/valvestage-soak/src/caller_load.rs
+++ b/crates/valvestage-soak/src/caller_load.rs
@@ -12,7 +12,7 @@
 use valvestage_standins::draws::Draws;
 use valvestage_standins::packets::RequestId;
 
-use crate::observation::{Observation, STALL, SeenEvent};
+use crate::observation::{Observation, SeenEvent, StallWatch};
 use crate::router_table::RouterTable;
 use crate::site_plan::{COMING, STEADY, SWITCHING, SitePlan, ZONES};
 use crate::soak_options::{Sabotage, SoakOptions};
@@ -104,16 +104,11 @@
 
     /// `run` asks until told to stop.
     pub fn run(mut self, stop: &Arc<AtomicBool>) -> io::Result<()> {
-        let mut last_turn = Instant::now();
+        let mut stalls = StallWatch::new(self.observations.clone());
 
         while !stop.load(Ordering::Relaxed) {
             let datagrams = self.sockets.receive(TURN)?;
-            let now = Instant::now();
-            let time = now - last_turn;
-            if time >= STALL {
-                self.tell(SeenEvent::Stalled { time });
-            }
-            last_turn = now;
+            let now = stalls.turn();
             for datagram in datagrams {
                 self.take(datagram.sender, &datagram.bytes, now);
             }
--- a/crates/valvestage-soak/src/observation.rs
+++ b/crates/valvestage-soak/src/observation.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
+use crossbeam_channel::Sender;
 use valvestage_core::ids::InstanceId;
 use valvestage_policy::steering::FlowAddresses;
 use valvestage_standins::packets::RequestId;
@@ -101,4 +102,31 @@
 
 /// A gap between two turns of the soak's own threads from which on they stood still. Callers send
 /// again after 200 ms.
-pub const STALL: Duration = Duration::from_millis(100);
+const STALL: Duration = Duration::from_millis(100);
+
+/// `StallWatch` notices that a thread of the soak stood still.
+pub struct StallWatch {
+    last_turn: Instant,
+    observations: Sender<Observation>,
+}
+
+impl StallWatch {
+    /// `new` begins now.
+    #[must_use]
+    pub fn new(observations: Sender<Observation>) -> Self {
+        Self { last_turn: Instant::now(), observations }
+    }
+
+    /// `turn` is called at each turn of the thread, and gives the time.
+    pub fn turn(&mut self) -> Instant {
+        let now = Instant::now();
+        let time = now - std::mem::replace(&mut self.last_turn, now);
+
+        if time >= STALL {
+            // Nobody listens any more at the end of the run.
+            let _ =
+                self.observations.send(Observation { at: now, seen: SeenEvent::Stalled { time } });
+        }
+        now
+    }
+}
