--- a/crates/valvestage-soak/src/balancer_process.rs
+++ b/crates/valvestage-soak/src/balancer_process.rs
@@ -61,6 +61,12 @@
         self.child.is_some()
     }
 
+    /// `id` gives its process id, while it runs.
+    #[must_use]
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// `starts` gives how often it was started.
     #[must_use]
     pub fn starts(&self) -> u32 {
--- /dev/null
+++ b/crates/valvestage-soak/src/control_cost.rs
@@ -0,0 +1,139 @@
+//! What control costs a balancer that no caller asks anything of.
+
+use std::fmt;
+use std::fs;
+use std::io;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::backend_places::BackendPlaces;
+use crate::errors::{SoakError, at};
+use crate::site_plan::{Routes, SERVICES, STEADY};
+use crate::soak_options::SoakOptions;
+use crate::soak_site::SoakSite;
+
+/// Time in which all learn what there is, before anything is measured.
+const SETTLE: Duration = Duration::from_secs(5);
+
+/// Ticks of processor time a second, as Linux counts them for other programs.
+const TICKS_PER_SECOND: f64 = 100.0;
+
+/// Bytes of a page of memory, on the machines that this is played on.
+const PAGE_BYTES: u64 = 4_096;
+
+/// `ControlCost` is the cost of each balancer, sorted from the least.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ControlCost {
+    /// Bytes of messages sent a second.
+    bytes_per_second: Vec<f64>,
+    /// Share of a core, percent.
+    core_percent: Vec<f64>,
+    /// Resident memory, megabytes.
+    memory_mb: Vec<f64>,
+}
+
+impl fmt::Display for ControlCost {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let both = |values: &[f64]| match (values.get(values.len() / 2), values.last()) {
+            (Some(middle), Some(most)) => format!("{middle:.2} / {most:.2}"),
+            _ => "-".to_owned(),
+        };
+
+        write!(
+            out,
+            "{} balancers, middle / most: {} bytes sent a second, {} % of a core, {} MB",
+            self.core_percent.len(),
+            both(&self.bytes_per_second),
+            both(&self.core_percent),
+            both(&self.memory_mb)
+        )
+    }
+}
+
+/// What a process had used at a time.
+struct UsedSoFar {
+    processor_seconds: f64,
+    memory_bytes: u64,
+}
+
+/// `measure` runs a site without callers for a time. A configuration changes each ten seconds.
+pub fn measure(options: &SoakOptions, time: Duration) -> Result<ControlCost, SoakError> {
+    const CHANGE_INTERVAL: Duration = Duration::from_secs(10);
+    let mut site = SoakSite::start(options)?;
+    let places = BackendPlaces::new(options.backends, options.seed, Instant::now());
+    for place in 0..options.backends {
+        let entry = places.get(place);
+        site.store.put_backend(&site.plan, place, entry.instance, entry.service, false);
+    }
+    let routes = Routes::from([(STEADY, SERVICES[0])]);
+    site.store.put_configuration(1, &routes);
+    site.start_balancers()?;
+    thread::sleep(SETTLE);
+
+    let (began, before) = (Instant::now(), used_by_all(&site)?);
+    let bytes_before = sent_by_all(&site);
+    let mut version = 1;
+    while began.elapsed() < time {
+        thread::sleep(CHANGE_INTERVAL.min(time));
+        version += 1;
+        site.store.put_configuration(version, &routes);
+    }
+    let (seconds, after) = (began.elapsed().as_secs_f64(), used_by_all(&site)?);
+    let bytes_after = sent_by_all(&site);
+
+    let bytes = bytes_before.iter().zip(&bytes_after);
+    let cores = before.iter().zip(&after);
+    Ok(ControlCost {
+        bytes_per_second: sorted(bytes.map(|(before, after)| (after - before) / seconds)),
+        core_percent: sorted(cores.map(|(before, after)| {
+            100.0 * (after.processor_seconds - before.processor_seconds) / seconds
+        })),
+        memory_mb: sorted(after.iter().map(|used| as_f64(used.memory_bytes) / 1e6)),
+    })
+}
+
+fn sent_by_all(site: &SoakSite) -> Vec<f64> {
+    site.sent_bytes.iter().map(|count| as_f64(count.load(Ordering::Relaxed))).collect()
+}
+
+fn used_by_all(site: &SoakSite) -> Result<Vec<UsedSoFar>, SoakError> {
+    let ids = site.balancers.iter().filter_map(|balancer| balancer.id());
+
+    ids.map(|id| used_by(id).map_err(at("read a balancer's use"))).collect()
+}
+
+/// Reads a child's own lines under `/proc`.
+fn used_by(id: u32) -> io::Result<UsedSoFar> {
+    /// Places after the name in brackets: processor time of the program, and of the kernel for it.
+    const TIMES: [usize; 2] = [11, 12];
+    let missing = || io::Error::other("a field is missing");
+    let stat = fs::read_to_string(format!("/proc/{id}/stat"))?;
+    let fields: Vec<&str> =
+        stat.rsplit(')').next().ok_or_else(missing)?.split_whitespace().collect();
+    let ticks = |place: usize| fields.get(place).and_then(|text| text.parse::<u64>().ok());
+    let [program, kernel] = TIMES.map(ticks);
+    let ticks =
+        program.zip(kernel).map(|(program, kernel)| program + kernel).ok_or_else(missing)?;
+
+    let statm = fs::read_to_string(format!("/proc/{id}/statm"))?;
+    let resident = statm.split_whitespace().nth(1).and_then(|text| text.parse::<u64>().ok());
+    Ok(UsedSoFar {
+        processor_seconds: as_f64(ticks) / TICKS_PER_SECOND,
+        memory_bytes: resident.ok_or_else(missing)? * PAGE_BYTES,
+    })
+}
+
+fn sorted(values: impl Iterator<Item = f64>) -> Vec<f64> {
+    let mut values: Vec<f64> = values.collect();
+
+    values.sort_by(f64::total_cmp);
+    values
+}
+
+fn as_f64(count: u64) -> f64 {
+    #[allow(clippy::cast_precision_loss)]
+    let value = count as f64;
+
+    value
+}
--- a/crates/valvestage-soak/src/lib.rs
+++ b/crates/valvestage-soak/src/lib.rs
@@ -19,12 +19,14 @@
 //! | [`caller_load`] | callers |
 //! | [`backend_servers`], [`backend_places`] | backend servers |
 //! | [`seed_list`] | seeds that once failed |
+//! | [`control_cost`] | what control costs without callers |
 //! | [`errors`] | why a run could not be played |
 
 pub mod backend_places;
 pub mod backend_servers;
 pub mod balancer_process;
 pub mod caller_load;
+pub mod control_cost;
 pub mod errors;
 pub mod fault_kind;
 pub mod fault_plan;
--- a/crates/valvestage-soak/src/main.rs
+++ b/crates/valvestage-soak/src/main.rs
@@ -10,7 +10,7 @@
 use bpaf::Bpaf;
 use valvestage_process::command_line::{parse, usage_error};
 use valvestage_process::exit_codes;
-use valvestage_soak::{FaultKind, SoakOptions, SoakReport, seed_list};
+use valvestage_soak::{FaultKind, SoakOptions, SoakReport, control_cost, seed_list};
 use valvestage_standins::signals::stop_flag;
 
 /// Name in messages.
@@ -46,6 +46,12 @@
         #[bpaf(positional("SEED"))]
         seed: u64,
     },
+    /// Measures what control costs each balancer, without callers and faults
+    #[bpaf(command)]
+    Cost {
+        #[bpaf(external)]
+        shape: Shape,
+    },
     /// Plays the seeds that once failed
     #[bpaf(command)]
     Known {
@@ -106,6 +112,7 @@
             play_many(seed, seeds, minutes, &shape, &stop)
         }
         Arguments::Replay { seed, shape } => play(seed, shape.balancers, &shape, &stop),
+        Arguments::Cost { shape } => measure(&shape),
         Arguments::Known { shape } => match seed_list::read(&shape.known) {
             Ok(known) => known.iter().all(|known| play(known.seed, known.balancers, &shape, &stop)),
             Err(error) => return usage_error(PROGRAM, &error),
@@ -148,18 +155,8 @@
 
 /// Plays one seed, and says what it has shown.
 fn play(seed: u64, balancers: usize, shape: &Shape, stop: &Arc<AtomicBool>) -> bool {
-    let folder = shape.folder.join(format!("seed-{seed}"));
-    let options = SoakOptions {
-        program: shape.program.clone(),
-        folder: folder.clone(),
-        seed,
-        faults_for: Duration::from_secs(shape.length),
-        balancers,
-        backends: shape.backends,
-        flows_per_second: shape.flows,
-        stop: stop.clone(),
-        ..SoakOptions::default()
-    };
+    let options = SoakOptions { stop: stop.clone(), ..options(seed, balancers, shape) };
+    let folder = options.folder.clone();
 
     match valvestage_soak::run(options) {
         Ok(report) => {
@@ -174,6 +171,33 @@
     }
 }
 
+fn measure(shape: &Shape) -> bool {
+    let options = options(0, shape.balancers, shape);
+    match control_cost::measure(&options, Duration::from_secs(shape.length)) {
+        Ok(cost) => {
+            println!("{cost}, {} backend servers", shape.backends);
+            true
+        }
+        Err(error) => {
+            eprintln!("{PROGRAM}: {error}");
+            false
+        }
+    }
+}
+
+fn options(seed: u64, balancers: usize, shape: &Shape) -> SoakOptions {
+    SoakOptions {
+        program: shape.program.clone(),
+        folder: shape.folder.join(format!("seed-{seed}")),
+        seed,
+        faults_for: Duration::from_secs(shape.length),
+        balancers,
+        backends: shape.backends,
+        flows_per_second: shape.flows,
+        ..SoakOptions::default()
+    }
+}
+
 fn write_report(report: &SoakReport, folder: &std::path::Path) {
     let written = serde_json::to_string_pretty(report)
         .map_err(std::io::Error::other)
--- a/crates/valvestage-soak/src/peer_relay.rs
+++ b/crates/valvestage-soak/src/peer_relay.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use valvestage_standins::draws::Draws;
@@ -22,8 +22,12 @@
     sockets: SocketSet,
     draws: Draws,
     delayed: Vec<DelayedMessage>,
+    sent_bytes: SentBytes,
 }
 
+/// `SentBytes` counts the bytes of messages that each balancer has sent.
+pub type SentBytes = Arc<Vec<AtomicU64>>;
+
 /// A message that is still on its way.
 struct DelayedMessage {
     due: Instant,
@@ -34,13 +38,18 @@
 
 impl PeerRelay {
     /// `bind` takes the relays' addresses.
-    pub fn bind(plan: SitePlan, links: LinkTable, seed: u64) -> io::Result<Self> {
+    pub fn bind(
+        plan: SitePlan,
+        links: LinkTable,
+        sent_bytes: SentBytes,
+        seed: u64,
+    ) -> io::Result<Self> {
         let relays: Vec<SocketAddrV4> = (0..plan.balancers)
             .map(|number| SocketAddrV4::new(plan.relay(number), plan.peer_port))
             .collect();
 
         let sockets = SocketSet::bind(&relays)?;
-        Ok(Self { plan, links, sockets, draws: Draws::new(seed), delayed: Vec::new() })
+        Ok(Self { plan, links, sockets, draws: Draws::new(seed), delayed: Vec::new(), sent_bytes })
     }
 
     /// `run` passes messages on until told to stop.
@@ -59,6 +68,7 @@
 
     fn pass(&mut self, from: usize, to: usize, bytes: Vec<u8>) {
         let now = Instant::now();
+        self.sent_bytes[from].fetch_add(bytes.len() as u64, Ordering::Relaxed);
 
         let delay = self.links.pass(from, LinkTarget::Balancer(to), &mut self.draws, now);
         if let Some(delay) = delay {
--- a/crates/valvestage-soak/src/soak_site.rs
+++ b/crates/valvestage-soak/src/soak_site.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::net::{SocketAddrV4, TcpListener};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
@@ -16,7 +16,7 @@
 use crate::errors::{SoakError, at};
 use crate::link_table::LinkTable;
 use crate::observation::Observation;
-use crate::peer_relay::PeerRelay;
+use crate::peer_relay::{PeerRelay, SentBytes};
 use crate::router_table::{ASK_INTERVAL, RouterTable};
 use crate::site_plan::{SitePlan, listen};
 use crate::site_store::SiteStore;
@@ -50,6 +50,8 @@
     pub commands: Sender<BackendCommand>,
     /// What is seen.
     pub observations: Receiver<Observation>,
+    /// What balancers have sent each other.
+    pub sent_bytes: SentBytes,
     observe: Sender<Observation>,
     stop: Arc<AtomicBool>,
     threads: Vec<JoinHandle<()>>,
@@ -80,6 +82,7 @@
             balancers: vec![],
             commands,
             observations,
+            sent_bytes: Arc::new((0..plan.balancers).map(|_| AtomicU64::new(0)).collect()),
             observe: observe.clone(),
             stop: Arc::new(AtomicBool::new(false)),
             threads: vec![],
@@ -91,7 +94,7 @@
             site.add_balancer(options, number, store_address).map_err(at("set a balancer up"))?;
         }
         let links = || site.links.clone();
-        let relay = PeerRelay::bind(plan.clone(), links(), options.seed);
+        let relay = PeerRelay::bind(plan.clone(), links(), site.sent_bytes.clone(), options.seed);
         let relay = relay.map_err(at("bind relays"))?;
         let backends = BackendServers::bind(plan, links(), command_receiver, observe, options)
             .map_err(at("bind backend servers"))?;
