Heed a SIGTERM that comes before the control thread watches for it

Nothing was served yet, so no flow was lost; a VM of 0.055 core takes some 400 ms to get there. Ruled out: an end of its own (its log has no line of that life).

Change: a flag is registered first thing in main, as for SIGHUP, and the control thread looks at it once it watches.

--- a/crates/valvestage-entry/src/control_thread.rs
+++ b/crates/valvestage-entry/src/control_thread.rs
@@ -49,6 +49,8 @@
     pub updates: UpdateSender,
     /// Why the data thread has ended, which it never should.
     pub data_end: oneshot::Receiver<io::Error>,
+    /// Whether SIGTERM came before it was watched here.
+    pub told_to_stop: Arc<AtomicBool>,
 }
 
 impl ControlThread {
@@ -59,6 +61,8 @@
 
     async fn serve(self) -> io::Result<()> {
         let mut terminate = signal(SignalKind::terminate())?;
+        // Watched from now on, so that none falls between.
+        let was_told = self.told_to_stop.load(Ordering::Relaxed);
         let client = StoreClient::new(StoreOptions {
             address: self.settings.store_address.into(),
             token: None,
@@ -84,7 +88,8 @@
         });
 
         tokio::select! {
-            _ = terminate.recv() => {}
+            _ = terminate.recv(), if !was_told => {}
+            () = std::future::ready(()), if was_told => {}
             // Without packets there is nothing left to do: the platform starts the process again.
             end = self.data_end => {
                 return Err(end.unwrap_or_else(|_| io::Error::other("the data thread has ended")));
--- a/crates/valvestage-entry/src/main.rs
+++ b/crates/valvestage-entry/src/main.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bpaf::Bpaf;
-use signal_hook::consts::SIGHUP;
+use signal_hook::consts::{SIGHUP, SIGTERM};
 use valvestage_core::settings::EntrySettings;
 use valvestage_entry::decision_lines::DecisionLog;
 use valvestage_entry::{EntryError, EntryProcess};
@@ -36,7 +36,7 @@
 }
 
 fn main() -> ExitCode {
-    ignore_early_hangup();
+    let told_to_stop = watch_early_signals();
     let arguments = match parse(&arguments()) {
         Ok(arguments) => arguments,
         Err(code) => return code,
@@ -49,7 +49,7 @@
         return settings_are_right(&arguments.settings);
     }
 
-    match serve(arguments.settings, settings) {
+    match serve(arguments.settings, settings, told_to_stop) {
         Ok(()) => ExitCode::from(exit_codes::SUCCESS),
         Err(error) => {
             log::error!("{error}");
@@ -59,22 +59,31 @@
     }
 }
 
-/// SIGHUP ends a process that does not handle it, and it may come before the settings are watched.
-fn ignore_early_hangup() {
+/// Signals end a process that does not handle them, and may come before the control thread does.
+/// SIGHUP asks for what is done at a start anyway; that SIGTERM came is kept in the flag.
+fn watch_early_signals() -> Arc<AtomicBool> {
     let ignored = Arc::new(AtomicBool::new(false));
+    let told_to_stop = Arc::new(AtomicBool::new(false));
 
-    if let Err(error) = signal_hook::flag::register(SIGHUP, ignored) {
-        eprintln!("{PROGRAM}: SIGHUP cannot be handled: {error}");
+    for (signal, flag) in [(SIGHUP, ignored), (SIGTERM, told_to_stop.clone())] {
+        if let Err(error) = signal_hook::flag::register(signal, flag) {
+            eprintln!("{PROGRAM}: signal {signal} cannot be handled: {error}");
+        }
     }
+    told_to_stop
 }
 
-fn serve(file: PathBuf, settings: EntrySettings) -> Result<(), EntryError> {
+fn serve(
+    file: PathBuf,
+    settings: EntrySettings,
+    told_to_stop: Arc<AtomicBool>,
+) -> Result<(), EntryError> {
     let ring = LogRing::start(std::io::stdout()).map_err(EntryError::Log)?;
     let _logger = structured_log::start(ring.clone()).map_err(EntryError::Log)?;
 
     log::info!(vm = settings.name.as_str(), zone = settings.zone.as_str(); "starting");
     let log = DecisionLog::new(Some(ring.clone()), settings.name.clone());
-    let result = EntryProcess::bind(file, settings, log).and_then(EntryProcess::run);
+    let result = EntryProcess::bind(file, settings, log, told_to_stop).and_then(EntryProcess::run);
     ring.flush(LAST_LINES);
     result
 }
--- a/crates/valvestage-entry/src/process.rs
+++ b/crates/valvestage-entry/src/process.rs
@@ -34,11 +34,13 @@
 }
 
 impl EntryProcess {
-    /// `bind` takes the addresses of the settings, which are read again when the file changes.
+    /// `bind` takes the addresses of the settings, which are read again when the file changes. The flag
+    /// says whether SIGTERM has come already.
     pub fn bind(
         settings_file: PathBuf,
         settings: EntrySettings,
         log: DecisionLog,
+        told_to_stop: Arc<AtomicBool>,
     ) -> Result<Self, EntryError> {
         let poll = Poll::new().map_err(setup("make poll"))?;
         let waker = Waker::new(poll.registry(), UPDATES).map_err(setup("make waker"))?;
@@ -72,6 +74,7 @@
             orders,
             updates: sender,
             data_end: end_receiver,
+            told_to_stop,
         };
         Ok(Self { data, data_end, control })
     }
--- a/crates/valvestage-soak/src/balancer_process.rs
+++ b/crates/valvestage-soak/src/balancer_process.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::Instant;
 
 use nix::errno::Errno;
 use nix::sys::signal::{Signal, kill};
@@ -15,6 +16,7 @@
     settings: PathBuf,
     log: PathBuf,
     starts: u32,
+    started: Instant,
     child: Option<Child>,
 }
 
@@ -29,6 +31,7 @@
             settings: file,
             log: folder.join(format!("balancer-{number}.log")),
             starts: 0,
+            started: Instant::now(),
             child: None,
         })
     }
@@ -46,6 +49,7 @@
             .spawn()?;
 
         self.starts += 1;
+        self.started = Instant::now();
         self.child = Some(child);
         Ok(())
     }
@@ -67,6 +71,12 @@
         self.child.as_ref().map(Child::id)
     }
 
+    /// `started` gives when it was started last.
+    #[must_use]
+    pub fn started(&self) -> Instant {
+        self.started
+    }
+
     /// `starts` gives how often it was started.
     #[must_use]
     pub fn starts(&self) -> u32 {
--- a/crates/valvestage-soak/src/soak_run.rs
+++ b/crates/valvestage-soak/src/soak_run.rs
@@ -261,7 +261,10 @@
             let is_right = match self.duties[number] {
                 BalancerDuty::Run => false,
                 BalancerDuty::Killed => true,
-                BalancerDuty::Stopping => status.success(),
+                // Before its program runs, nothing in a process can handle the signal.
+                BalancerDuty::Stopping => {
+                    status.success() || now < self.site.balancers[number].started() + START_TIME
+                }
             };
 
             self.checker.expect(Promise::NoOwnEnd, is_right, now, || {
