Write the platform's objects in one place of the stand-ins

The soak and the process tests each spelled them; the platform's words are now in platform/ and the stand-ins alone. No behaviour changed; the 16 process tests pass.

--- a/crates/valvestage-entry/tests/process/site.rs
+++ b/crates/valvestage-entry/tests/process/site.rs
@@ -2,7 +2,7 @@
 
 use std::fs;
 use std::io::Read;
-use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, TcpStream, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
@@ -11,9 +11,9 @@
 
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
-use serde_json::json;
 use valvestage_platform::packet::PREFIX_BYTES;
 use valvestage_standins::packets::flow_packet::{FlowPacket, flags};
+use valvestage_standins::platform::site_objects::{BackendObject, configuration_object};
 use valvestage_standins::platform::{PlatformStandin, start};
 
 /// An event that has not come by then will not come.
@@ -88,8 +88,8 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let served = standin.clone();
         let store = match listener.local_addr().unwrap() {
-            std::net::SocketAddr::V4(address) => address,
-            std::net::SocketAddr::V6(_) => unreachable!("it is bound to an IPv4 address"),
+            SocketAddr::V4(address) => address,
+            SocketAddr::V6(_) => unreachable!("it is bound to an IPv4 address"),
         };
         thread::spawn(move || {
             actix_rt::System::new().block_on(async move {
@@ -108,10 +108,7 @@
 
     /// Writes a configuration that sends callers to a service.
     pub fn configure(&self, version: u64, service: &str) {
-        let routes = json!([{"name": "r", "host": SERVICE.ip().to_string(),
-            "path_prefix": format!("/{}/", SERVICE.port()), "service": service}]);
-        let spec = json!({"version": version, "routes": routes, "services": [],
-            "limits": {"idle_timeout_ms": 15_000}});
+        let spec = configuration_object(version, [(SERVICE, service)], 15_000);
 
         self.standin.put_object("config", "main", spec);
     }
@@ -120,11 +117,13 @@
     pub fn backend(&self, instance: u64, service: &str) -> FakeBackend {
         let socket = UdpSocket::bind((fresh_ip(), 0)).unwrap();
         socket.set_read_timeout(Some(LONGEST_WAIT)).unwrap();
-        let address = socket.local_addr().unwrap().to_string();
-        let spec = json!({"service": service, "address": address, "zone": "zone-a", "version": "v",
-            "slots": 2, "state": "ready", "cold_left_ms": 0, "seq": 1});
+        let SocketAddr::V4(address) = socket.local_addr().unwrap() else {
+            unreachable!("it is bound to an IPv4 address")
+        };
+        let object =
+            BackendObject { service, address, zone: "zone-a", slots: 2, is_draining: false };
 
-        self.standin.put_object("servers", &format!("i-{instance:x}"), spec);
+        self.standin.put_object("servers", &format!("i-{instance:x}"), object.value());
         FakeBackend { instance, socket }
     }
 
--- a/crates/valvestage-soak/src/site_store.rs
+++ b/crates/valvestage-soak/src/site_store.rs
@@ -4,9 +4,9 @@
 use std::net::TcpListener;
 use std::thread;
 
-use serde_json::{Value, json};
 use valvestage_core::ids::{ConfigurationVersion, InstanceId};
 use valvestage_platform::catalogue::{BACKEND_KIND, CONFIGURATION_KIND};
+use valvestage_standins::platform::site_objects::{BackendObject, configuration_object};
 use valvestage_standins::platform::{Faults, PlatformStandin, start};
 
 use crate::site_plan::{Routes, SitePlan};
@@ -52,15 +52,8 @@
 
     /// `put_configuration` writes a configuration.
     pub fn put_configuration(&self, version: ConfigurationVersion, routes: &Routes) {
-        let routes: Vec<Value> = routes
-            .iter()
-            .map(|(address, service)| {
-                json!({"name": address.to_string(), "host": address.ip().to_string(),
-                    "path_prefix": format!("/{}/", address.port()), "service": service})
-            })
-            .collect();
-        let spec = json!({"version": version, "routes": routes, "services": [],
-            "limits": {"idle_timeout_ms": IDLE_TIMEOUT_MS}});
+        let routes = routes.iter().map(|(address, service)| (*address, *service));
+        let spec = configuration_object(version, routes, IDLE_TIMEOUT_MS);
 
         self.standin.put_object(CONFIGURATION_KIND, "main", spec);
     }
@@ -74,13 +67,11 @@
         service: &str,
         is_draining: bool,
     ) {
-        let state = if is_draining { "draining" } else { "ready" };
         let zone = SitePlan::zone_name(SitePlan::zone_of(place));
-        let spec = json!({"service": service, "address": plan.backend(place).to_string(),
-            "zone": zone, "version": "v", "slots": SLOTS, "state": state, "cold_left_ms": 0,
-            "seq": 1});
+        let address = plan.backend(place);
+        let object = BackendObject { service, address, zone: &zone, slots: SLOTS, is_draining };
 
-        self.standin.put_object(BACKEND_KIND, &name_of(instance), spec);
+        self.standin.put_object(BACKEND_KIND, &name_of(instance), object.value());
     }
 
     /// `delete_backend` removes the entry of a backend server.
--- a/crates/valvestage-standins/src/platform.rs
+++ b/crates/valvestage-standins/src/platform.rs
@@ -2,6 +2,7 @@
 
 mod faults;
 mod server;
+pub mod site_objects;
 mod store;
 
 pub use faults::Faults;
