--- a/crates/valvestage-policy/src/steering/outlier_detector.rs
+++ b/crates/valvestage-policy/src/steering/outlier_detector.rs
@@ -55,7 +55,8 @@
 /// Longest avoidance that another balancer's word can start.
 const LONGEST_TOLD: Duration = Duration::from_secs(48);
 
-/// Backend servers reported in one heartbeat at most: 9 bytes each.
+/// Backend servers reported in one heartbeat at most: some 11 bytes each for counts, 8 for those that are
+/// avoided.
 const MAX_REPORTS: usize = 16;
 
 /// `OutlierDetector` compares the backend servers of each service.
--- a/crates/valvestage-soak/src/soak_run.rs
+++ b/crates/valvestage-soak/src/soak_run.rs
@@ -161,6 +161,7 @@
             }
             is_served = self.checker.recent_share() >= RECOVERY_SHARE;
         }
+        self.expect_all_back(give_up)?;
         let tally = self.checker.recent();
         self.checker.expect(Promise::Recovery, is_served, Instant::now(), || {
             format!("{tally:?} of the last requests")
@@ -168,6 +169,21 @@
         Ok(())
     }
 
+    /// Whatever was killed or told to stop has ended and runs again.
+    fn expect_all_back(&mut self, give_up: Instant) -> Result<(), SoakError> {
+        let is_back = |run: &Self| run.duties.iter().all(|duty| *duty == BalancerDuty::Run);
+        while !is_back(self) && Instant::now() < give_up {
+            self.turn()?;
+        }
+
+        let is_kept = is_back(self);
+        let duties = self.duties.clone();
+        self.checker.expect(Promise::NoOwnEnd, is_kept, Instant::now(), || {
+            format!("not all balancers are back: {duties:?}")
+        });
+        Ok(())
+    }
+
     fn report(self, faults: &[PlannedFault]) -> SoakReport {
         SoakReport {
             seed: self.options.seed,
