--- a/crates/valvestage-soak/src/backend_servers.rs
+++ b/crates/valvestage-soak/src/backend_servers.rs
@@ -41,6 +41,21 @@
     Fail(usize, bool),
 }
 
+/// A packet that is still on its way.
+struct DelayedPacket {
+    due: Instant,
+    balancer: usize,
+    place: usize,
+    bytes: Vec<u8>,
+}
+
+/// What a backend server does with a packet.
+#[derive(Default)]
+struct PacketOutcome {
+    answers: Vec<FlowPacket>,
+    seen: Vec<SeenEvent>,
+}
+
 /// One incarnation.
 struct RunningBackend {
     instance: InstanceId,
@@ -58,7 +73,7 @@
     running: HashMap<usize, RunningBackend>,
     commands: Receiver<BackendCommand>,
     observations: Sender<Observation>,
-    delayed: Vec<(Instant, usize, usize, Vec<u8>)>,
+    delayed: Vec<DelayedPacket>,
     draws: Draws,
     sabotage: Option<Sabotage>,
 }
@@ -141,16 +156,16 @@
         let target = LinkTarget::BackendIn(SitePlan::zone_of(place));
 
         if let Some(delay) = self.links.pass(balancer, target, &mut self.draws, now) {
-            self.delayed.push((now + delay, balancer, place, bytes));
+            self.delayed.push(DelayedPacket { due: now + delay, balancer, place, bytes });
         }
     }
 
     fn take_delayed(&mut self, now: Instant) {
         let (due, later) =
-            std::mem::take(&mut self.delayed).into_iter().partition(|(at, ..)| *at <= now);
+            std::mem::take(&mut self.delayed).into_iter().partition(|packet| packet.due <= now);
         self.delayed = later;
 
-        for (_, balancer, place, bytes) in due {
+        for DelayedPacket { balancer, place, bytes, .. } in due {
             self.take(balancer, place, &bytes, now);
         }
     }
@@ -175,7 +190,8 @@
             return self.tell(SeenEvent::Forged);
         };
 
-        let (answers, seen) = backend.take(&decoded, balancer, &mut self.draws, now);
+        let PacketOutcome { answers, seen } =
+            backend.take(&decoded, balancer, &mut self.draws, now);
         let caller = SocketAddrV4::new(*decoded.source.ip(), self.plan.data_port);
         for answer in answers {
             self.sockets.send(place, caller, &answer.encode());
@@ -224,31 +240,32 @@
         balancer: usize,
         draws: &mut Draws,
         now: Instant,
-    ) -> (Vec<FlowPacket>, Vec<SeenEvent>) {
+    ) -> PacketOutcome {
         let flow = packet.flow();
         if packet.has(flags::SYN) {
             let sequence = u32::try_from(draws.word() >> 32).unwrap_or(0);
             let open = || BackendFlow::new(packet.clone(), sequence, balancer, now);
             let held = self.flows.entry(flow).or_insert_with(open);
-            return (vec![held.opening_answer()], Vec::new());
+            return PacketOutcome { answers: vec![held.opening_answer()], seen: Vec::new() };
         }
         if packet.has(flags::RST) {
             self.flows.remove(&flow);
-            return (Vec::new(), Vec::new());
+            return PacketOutcome::default();
         }
 
         let instance = self.instance;
         let Some(held) = self.flows.get_mut(&flow) else {
             if self.ended.contains(&flow) {
-                return (Vec::new(), Vec::new());
+                return PacketOutcome::default();
             }
             let strayed = SeenEvent::Strayed { flow, instance, balancer };
-            return (vec![reset_for(packet)], vec![strayed]);
+            return PacketOutcome { answers: vec![reset_for(packet)], seen: vec![strayed] };
         };
         let mut seen = Vec::new();
         if !held.open {
             if !held.accepts(packet) {
-                return (Vec::new(), vec![SeenEvent::Strayed { flow, instance, balancer }]);
+                let strayed = SeenEvent::Strayed { flow, instance, balancer };
+                return PacketOutcome { answers: Vec::new(), seen: vec![strayed] };
             }
             held.open = true;
             let (balancer, arrived) = (held.balancer, held.arrived);
@@ -271,7 +288,7 @@
             self.flows.remove(&flow);
             self.ended.insert(flow);
         }
-        (answers, seen)
+        PacketOutcome { answers, seen }
     }
 }
 
--- a/crates/valvestage-soak/src/caller_load.rs
+++ b/crates/valvestage-soak/src/caller_load.rs
@@ -16,7 +16,7 @@
 use crate::router_table::RouterTable;
 use crate::site_plan::{COMING, STEADY, SWITCHING, SitePlan, ZONES};
 use crate::soak_options::{Sabotage, SoakOptions};
-use valvestage_standins::packets::caller_flow::{CallerFlow, FlowProgress};
+use valvestage_standins::packets::caller_flow::{CallerFlow, FlowProgress, FlowStep};
 use valvestage_standins::packets::flow_packet::{FlowPacket, flags};
 use valvestage_standins::packets::packet_request::PacketRequest;
 use valvestage_standins::packets::socket_set::SocketSet;
@@ -239,11 +239,11 @@
         &mut self,
         flow: FlowAddresses,
         now: Instant,
-        act: impl FnOnce(&mut CallerFlow) -> (Vec<FlowPacket>, FlowProgress),
+        act: impl FnOnce(&mut CallerFlow) -> FlowStep,
     ) {
         let Some(session) = self.sessions.get_mut(&flow) else { return };
         let zone = session.zone;
-        let (packets, progress) = act(&mut session.flow);
+        let FlowStep { packets, progress } = act(&mut session.flow);
         for packet in packets {
             self.send(zone, &packet);
         }
--- a/crates/valvestage-soak/src/soak_run/fault_effects.rs
+++ b/crates/valvestage-soak/src/soak_run/fault_effects.rs
@@ -23,8 +23,11 @@
 /// Time after which an address may go to another backend server.
 const REUSE_AFTER: Duration = Duration::from_secs(2);
 
-/// Configurations of a storm, and the time between two.
-const STORM: (u32, Duration) = (6, Duration::from_millis(330));
+/// Configurations of a storm.
+const STORM_LENGTH: u32 = 6;
+
+/// Time between two of them.
+const STORM_GAP: Duration = Duration::from_millis(330);
 
 impl SoakRun {
     pub(super) fn begin(&mut self, fault: &PlannedFault) -> Result<(), SoakError> {
@@ -90,9 +93,8 @@
             FaultKind::BackendFails => self.fail_backend(fault.target, until),
             FaultKind::Configuration => self.write_configuration(),
             FaultKind::ConfigurationStorm => {
-                let (count, gap) = STORM;
-                for step in 0..count {
-                    self.later.push((now + gap * step, LaterStep::WriteConfiguration));
+                for step in 0..STORM_LENGTH {
+                    self.later.push((now + STORM_GAP * step, LaterStep::WriteConfiguration));
                 }
             }
         }
--- a/crates/valvestage-standins/src/packets/caller_flow.rs
+++ b/crates/valvestage-standins/src/packets/caller_flow.rs
@@ -44,6 +44,25 @@
     Unopened,
 }
 
+/// `FlowStep` is what a flow does next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FlowStep {
+    /// Packets to send.
+    pub packets: Vec<FlowPacket>,
+    /// What has come of it.
+    pub progress: FlowProgress,
+}
+
+impl FlowStep {
+    fn nothing() -> Self {
+        Self::send(Vec::new())
+    }
+
+    fn send(packets: Vec<FlowPacket>) -> Self {
+        Self { packets, progress: FlowProgress::None }
+    }
+}
+
 /// `CallerFlow` is a flow with the request that is under way on it.
 #[derive(Debug)]
 pub struct CallerFlow {
@@ -99,12 +118,12 @@
     }
 
     /// `take` takes a packet of the backend server in, and gives what is to be sent.
-    pub fn take(&mut self, packet: &FlowPacket, now: Instant) -> (Vec<FlowPacket>, FlowProgress) {
+    pub fn take(&mut self, packet: &FlowPacket, now: Instant) -> FlowStep {
         if packet.has(flags::SYN) {
-            return (self.take_opening_answer(packet, now), FlowProgress::None);
+            return FlowStep::send(self.take_opening_answer(packet, now));
         }
         if !self.is_open() || packet.data.is_empty() {
-            return (Vec::new(), FlowProgress::None);
+            return FlowStep::nothing();
         }
 
         self.token = packet.token;
@@ -113,29 +132,29 @@
             self.received.extend_from_slice(&packet.data);
         }
         let progress = self.check_answer();
-        (vec![self.packet(flags::ACK, Vec::new())], progress)
+        FlowStep { packets: vec![self.packet(flags::ACK, Vec::new())], progress }
     }
 
     /// `on_time` gives what is to be sent again.
-    pub fn on_time(&mut self, now: Instant) -> (Vec<FlowPacket>, FlowProgress) {
+    pub fn on_time(&mut self, now: Instant) -> FlowStep {
         match self.stage {
             FlowStage::Opening { sent_at, .. } if now >= sent_at + OPEN_WITHIN => {
-                (Vec::new(), FlowProgress::Unopened)
+                FlowStep { packets: Vec::new(), progress: FlowProgress::Unopened }
             }
             FlowStage::Opening { sent_at, copies } => {
                 let due = COPIES_AFTER.get(copies as usize).map(|after| sent_at + *after);
                 if due.is_none_or(|due| due > now) {
-                    return (Vec::new(), FlowProgress::None);
+                    return FlowStep::nothing();
                 }
                 self.stage = FlowStage::Opening { sent_at, copies: copies + 1 };
-                (vec![self.opening_packet(copies + 1)], FlowProgress::None)
+                FlowStep::send(vec![self.opening_packet(copies + 1)])
             }
             FlowStage::Asking { resend_at, resends } if resend_at <= now => {
                 let wait = FIRST_RESEND.saturating_mul(2 << resends.min(8)).min(LONGEST_RESEND);
                 self.stage = FlowStage::Asking { resend_at: now + wait, resends: resends + 1 };
-                (vec![self.packet(flags::ACK, self.request.encode())], FlowProgress::None)
+                FlowStep::send(vec![self.packet(flags::ACK, self.request.encode())])
             }
-            _ => (Vec::new(), FlowProgress::None),
+            _ => FlowStep::nothing(),
         }
     }
 
