--- a/crates/valvestage-soak/src/backend_places.rs
+++ b/crates/valvestage-soak/src/backend_places.rs
@@ -6,6 +6,9 @@
 
 use crate::site_plan::{SERVICES, other_service};
 
+/// Places from which on each zone has both services: every fourth place of a zone has the second one.
+pub const LEAST_BACKENDS: usize = 12;
+
 /// Backend servers that a service keeps when others of it are replaced.
 const LEAST: usize = 3;
 
--- a/crates/valvestage-soak/src/main.rs
+++ b/crates/valvestage-soak/src/main.rs
@@ -10,13 +10,15 @@
 use bpaf::Bpaf;
 use valvestage_process::command_line::{parse, usage_error};
 use valvestage_process::exit_codes;
+use valvestage_soak::backend_places::LEAST_BACKENDS;
+use valvestage_soak::site_plan::ZONES;
 use valvestage_soak::{FaultKind, SoakOptions, SoakReport, control_cost, seed_list};
 use valvestage_standins::signals::stop_flag;
 
 /// Name in messages.
 const PROGRAM: &str = "valvestage-soak";
 
-/// What to do.
+/// Plays seeded faults on real balancers, and checks what callers were promised
 ///
 /// Exit codes: 0 every promise was kept, 1 one was broken or a run could not be played, 2 wrong command line.
 #[derive(Debug, Clone, Bpaf)]
@@ -80,11 +82,11 @@
     /// Where logs and reports go, one folder a seed
     #[bpaf(long, argument("FOLDER"), fallback(std::env::temp_dir().join("valvestage-soak")))]
     folder: PathBuf,
-    /// Balancers, each a process
-    #[bpaf(long, argument("N"), fallback(6))]
+    /// Balancers, each a process; one in each of the three zones at least
+    #[bpaf(long, argument("N"), guard(fill_zones, FILL_ZONES), fallback(6))]
     balancers: usize,
-    /// Backend servers
-    #[bpaf(long, argument("N"), fallback(12))]
+    /// Backend servers; 12 at least, so that each zone has both services
+    #[bpaf(long, argument("N"), guard(have_both_services, HAVE_BOTH_SERVICES), fallback(12))]
     backends: usize,
     /// New flows a second
     #[bpaf(long, argument("N"), fallback(60))]
@@ -97,6 +99,18 @@
     known: PathBuf,
 }
 
+const FILL_ZONES: &str = "there have to be 3 balancers at least";
+
+const HAVE_BOTH_SERVICES: &str = "there have to be 12 backend servers at least";
+
+fn fill_zones(balancers: &usize) -> bool {
+    *balancers >= ZONES
+}
+
+fn have_both_services(backends: &usize) -> bool {
+    *backends >= LEAST_BACKENDS
+}
+
 fn main() -> ExitCode {
     let arguments = match parse(&arguments()) {
         Ok(arguments) => arguments,
