Write the last log lines at once when the process ends

On a calm VM 'stopped' is the only line in that batch. Ruled out: the new SIGTERM flag (the process forwarded for its 2 s and ended with 0).

Change: flushes have a channel of their own, which the pause waits on; lines still gather without a wake-up. A flush says whether it was in time, and the process tells on standard error if not. Tests: a_flush_ends_the_pause_in_which_lines_gather (an hour's pause; cannot pass with a sleep), lines_are_written_when_nobody_is_left_to_write_more.

--- a/crates/valvestage-entry/src/main.rs
+++ b/crates/valvestage-entry/src/main.rs
@@ -84,6 +84,8 @@
     log::info!(vm = settings.name.as_str(), zone = settings.zone.as_str(); "starting");
     let log = DecisionLog::new(Some(ring.clone()), settings.name.clone());
     let result = EntryProcess::bind(file, settings, log, told_to_stop).and_then(EntryProcess::run);
-    ring.flush(LAST_LINES);
+    if !ring.flush(LAST_LINES) {
+        eprintln!("{PROGRAM}: the last log lines are not written");
+    }
     result
 }
--- a/crates/valvestage-process/src/log_ring.rs
+++ b/crates/valvestage-process/src/log_ring.rs
@@ -10,66 +10,88 @@
 use std::thread;
 use std::time::Duration;
 
-use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
+use crossbeam_channel::{Receiver, Sender, TrySendError, bounded, select};
 
 use crate::errors::ProcessError;
 
 /// Lines in the ring: some seconds of a busy balancer's.
 const RING_LENGTH: usize = 4_096;
 
-/// Pause between the first line of a batch and its writing: a few wake-ups a second, and what a kill may lose.
-const BATCH_PAUSE: Duration = Duration::from_millis(500);
-
 /// Bytes of a batch after which no more lines are added.
 const BATCH_BYTES: usize = 64 * 1024;
 
-/// What goes through the ring.
-#[derive(Debug)]
-enum RingItem {
-    /// A line.
-    Line(Vec<u8>),
-    /// Asks to be told when all lines before it are written.
-    Flush(Sender<()>),
+/// Flushes under way at most; there is one, at the end of a process.
+const MAX_FLUSHES: usize = 4;
+
+/// Tells whoever asked that all lines before are written.
+type FlushAnswer = Sender<()>;
+
+/// `RingOptions` says how lines are written.
+#[derive(Debug, Clone, Copy)]
+pub struct RingOptions {
+    /// Pause between the first line of a batch and its writing; a flush ends it.
+    pub pause: Duration,
+}
+
+impl Default for RingOptions {
+    /// A few wake-ups a second, and what a kill may lose.
+    fn default() -> Self {
+        Self { pause: Duration::from_millis(500) }
+    }
 }
 
 /// `LogRing` takes lines; clones share one ring.
 #[derive(Debug, Clone)]
 pub struct LogRing {
-    items: Sender<RingItem>,
+    lines: Sender<Vec<u8>>,
+    flushes: Sender<FlushAnswer>,
     left_out: Arc<AtomicU64>,
 }
 
 impl LogRing {
     /// `start` starts the thread that writes to an output.
     pub fn start(output: impl Write + Send + 'static) -> Result<Self, ProcessError> {
-        let (items, receiver) = bounded(RING_LENGTH);
+        Self::start_with(output, RingOptions::default())
+    }
+
+    /// `start_with` does so with other options.
+    pub fn start_with(
+        output: impl Write + Send + 'static,
+        options: RingOptions,
+    ) -> Result<Self, ProcessError> {
+        let (lines, line_receiver) = bounded(RING_LENGTH);
+        let (flushes, flush_receiver) = bounded(MAX_FLUSHES);
         let left_out = Arc::new(AtomicU64::new(0));
-        let counter = left_out.clone();
+        let mut writer = LineWriter {
+            output,
+            options,
+            lines: line_receiver,
+            flushes: flush_receiver,
+            left_out: left_out.clone(),
+        };
 
         thread::Builder::new()
             .name("log".into())
-            .spawn(move || write_lines(output, &receiver, &counter))
+            .spawn(move || writer.run())
             .map_err(ProcessError::LogThread)?;
-        Ok(Self { items, left_out })
+        Ok(Self { lines, flushes, left_out })
     }
 
     /// `write` hands a line over, without its line end.
     pub fn write(&self, line: Vec<u8>) {
         if let Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) =
-            self.items.try_send(RingItem::Line(line))
+            self.lines.try_send(line)
         {
             self.left_out.fetch_add(1, Ordering::Relaxed);
         }
     }
 
-    /// `flush` waits until the lines so far are written, at most for the time given.
-    pub fn flush(&self, longest: Duration) {
+    /// `flush` waits until the lines so far are written, at most for the time given; false if they are
+    /// not. A reader that stalls is no reason to stay.
+    pub fn flush(&self, longest: Duration) -> bool {
         let (done, is_done) = bounded(1);
 
-        if self.items.send_timeout(RingItem::Flush(done), longest).is_ok() {
-            // A reader that stalls is no reason to stay.
-            let _ = is_done.recv_timeout(longest);
-        }
+        self.flushes.send_timeout(done, longest).is_ok() && is_done.recv_timeout(longest).is_ok()
     }
 
     /// `left_out` gives the number of lines left out that no line has told of yet.
@@ -79,53 +101,77 @@
     }
 }
 
-fn write_lines(mut output: impl Write, items: &Receiver<RingItem>, left_out: &AtomicU64) {
-    while let Ok(first) = items.recv() {
-        let mut batch = LineBatch::default();
-        batch.add(first);
-        if batch.waiting.is_empty() {
-            thread::sleep(BATCH_PAUSE);
-        }
-        while batch.bytes.len() < BATCH_BYTES
-            && let Ok(item) = items.try_recv()
-        {
-            batch.add(item);
-        }
-        batch.tell_left_out(left_out.swap(0, Ordering::Relaxed));
+/// Writes lines in batches.
+struct LineWriter<W> {
+    output: W,
+    options: RingOptions,
+    lines: Receiver<Vec<u8>>,
+    flushes: Receiver<FlushAnswer>,
+    left_out: Arc<AtomicU64>,
+}
 
-        // Nobody can be told that the log cannot be written; what follows may be writable again.
-        if output.write_all(&batch.bytes).and_then(|()| output.flush()).is_err() {
-            left_out.fetch_add(1, Ordering::Relaxed);
-        }
-        for done in batch.waiting {
-            // Whoever asked may have given up.
-            let _ = done.send(());
+impl<W: Write> LineWriter<W> {
+    /// Writes until nobody can hand over lines any more.
+    fn run(&mut self) {
+        while let Some((mut batch, mut answers)) = self.wait() {
+            answers.extend(self.flushes.try_iter());
+            // Whoever flushes waits for all lines that are there.
+            loop {
+                self.fill(&mut batch);
+                self.write(&batch);
+                if answers.is_empty() || self.lines.is_empty() {
+                    break;
+                }
+                batch.clear();
+            }
+            for answer in answers {
+                // Whoever asked may have given up.
+                let _ = answer.send(());
+            }
         }
     }
-}
-
-/// Lines to be written at once, and who waits for them.
-#[derive(Default)]
-struct LineBatch {
-    bytes: Vec<u8>,
-    waiting: Vec<Sender<()>>,
-}
 
-impl LineBatch {
-    fn add(&mut self, item: RingItem) {
-        match item {
-            RingItem::Line(line) => {
-                self.bytes.extend_from_slice(&line);
-                self.bytes.push(b'\n');
-            }
-            RingItem::Flush(done) => self.waiting.push(done),
+    /// Waits for a first line, and for others to gather; a flush ends either wait. None: all who could
+    /// hand over lines are gone.
+    fn wait(&self) -> Option<(Vec<u8>, Vec<FlushAnswer>)> {
+        let mut batch = Vec::new();
+        select! {
+            recv(self.lines) -> line => add_line(&mut batch, &line.ok()?),
+            recv(self.flushes) -> answer => return match answer {
+                Ok(answer) => Some((batch, vec![answer])),
+                Err(_) if self.lines.is_empty() => None,
+                Err(_) => Some((batch, Vec::new())),
+            },
         }
+
+        let answer = self.flushes.recv_timeout(self.options.pause);
+        Some((batch, answer.into_iter().collect()))
     }
 
-    fn tell_left_out(&mut self, count: u64) {
+    /// Adds what has gathered, and how many lines were left out.
+    fn fill(&self, batch: &mut Vec<u8>) {
+        while batch.len() < BATCH_BYTES
+            && let Ok(line) = self.lines.try_recv()
+        {
+            add_line(batch, &line);
+        }
+
+        let count = self.left_out.swap(0, Ordering::Relaxed);
         if count > 0 {
             let line = format!("{{\"event\":\"lines_left_out\",\"count\":{count}}}");
-            self.add(RingItem::Line(line.into_bytes()));
+            add_line(batch, line.as_bytes());
         }
     }
+
+    /// Nobody can be told that the log cannot be written; what follows may be writable again.
+    fn write(&mut self, batch: &[u8]) {
+        if self.output.write_all(batch).and_then(|()| self.output.flush()).is_err() {
+            self.left_out.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+fn add_line(batch: &mut Vec<u8>, line: &[u8]) {
+    batch.extend_from_slice(line);
+    batch.push(b'\n');
 }
--- a/crates/valvestage-process/tests/log_ring.rs
+++ b/crates/valvestage-process/tests/log_ring.rs
@@ -4,7 +4,7 @@
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::{Duration, Instant};
 
-use valvestage_process::log_ring::LogRing;
+use valvestage_process::log_ring::{LogRing, RingOptions};
 
 /// An output whose every write waits for a permit, and which tells what it wrote.
 struct StalledOutput {
@@ -65,3 +65,34 @@
     let expected: Vec<String> = (0..100).map(|number| format!("line {number}")).collect();
     assert_eq!(text.lines().collect::<Vec<_>>(), expected);
 }
+
+#[test]
+fn a_flush_ends_the_pause_in_which_lines_gather() {
+    /// Far longer than the flush waits.
+    const PAUSE: Duration = Duration::from_secs(3_600);
+    let (permit, permits) = channel();
+    let (written, lines) = channel();
+    let output = StalledOutput { permits, written };
+    let ring = LogRing::start_with(output, RingOptions { pause: PAUSE }).unwrap();
+    drop(permit);
+
+    for number in 0..3 {
+        ring.write(format!("line {number}").into_bytes());
+        assert!(ring.flush(Duration::from_secs(60)), "line {number} is not written");
+        assert_eq!(lines.recv().unwrap(), format!("line {number}\n"));
+    }
+}
+
+#[test]
+fn lines_are_written_when_nobody_is_left_to_write_more() {
+    for _ in 0..100 {
+        let (permit, permits) = channel();
+        let (written, lines) = channel();
+        let ring = LogRing::start(StalledOutput { permits, written }).unwrap();
+        drop(permit);
+
+        ring.write(b"last line".to_vec());
+        drop(ring);
+        assert_eq!(lines.recv().unwrap(), "last line\n");
+    }
+}
