Drop what nothing calls, end a backend server in one place of the soak, set process tests up once

OverdueQueue::len and is_empty had no caller. The soak ended a crashed backend server twice and occupied its place twice; end_backend and delete_entry serve crash, drain and lapse. The process tests share Site::configured and Site::ready_balancer.

--- a/crates/valvestage-entry/tests/process/main.rs
+++ b/crates/valvestage-entry/tests/process/main.rs
@@ -17,8 +17,7 @@
 
 #[test]
 fn any_balancer_steers_a_flow_by_its_token() {
-    let site = Site::new();
-    site.configure(3, "core");
+    let site = Site::configured();
     let backends = [site.backend(1, "core"), site.backend(2, "core")];
     let one = site.balancer("one", &[]);
     let two = site.balancer("two", &[&one]);
@@ -43,10 +42,8 @@
 
 #[test]
 fn callers_without_a_route_are_refused_at_once() {
-    let site = Site::new();
-    site.configure(3, "core");
-    let balancer = site.balancer("one", &[]);
-    balancer.wait_ready();
+    let site = Site::configured();
+    let balancer = site.ready_balancer("one", &[]);
 
     // The route is there, but nobody runs its service.
     let caller = Caller::new(&balancer);
@@ -60,11 +57,9 @@
 
 #[test]
 fn a_balancer_that_starts_while_the_store_is_away_serves_from_its_peers_knowledge() {
-    let site = Site::new();
-    site.configure(3, "core");
+    let site = Site::configured();
     let backend = site.backend(1, "core");
-    let one = site.balancer("one", &[]);
-    one.wait_ready();
+    let one = site.ready_balancer("one", &[]);
 
     site.standin.misbehave(Faults { down: true, ..Faults::default() });
     let two = site.balancer("two", &[&one]);
@@ -79,10 +74,8 @@
 
 #[test]
 fn a_change_reaches_a_balancer_that_does_not_follow_the_store() {
-    let site = Site::new();
-    site.configure(3, "core");
-    let one = site.balancer("one", &[]);
-    one.wait_ready();
+    let site = Site::configured();
+    let one = site.ready_balancer("one", &[]);
     let two = site.balancer("two", &[&one]);
     let three = site.balancer("three", &[&one]);
     two.wait_ready();
@@ -111,11 +104,9 @@
 
 #[test]
 fn sigterm_ends_readiness_first_and_packets_last() {
-    let site = Site::new();
-    site.configure(3, "core");
+    let site = Site::configured();
     let backend = site.backend(1, "core");
-    let balancer = site.balancer("one", &[]);
-    balancer.wait_ready();
+    let balancer = site.ready_balancer("one", &[]);
 
     let caller = Caller::new(&balancer);
     balancer.signal(Signal::SIGTERM);
@@ -130,10 +121,8 @@
 
 #[test]
 fn settings_are_read_again_and_bad_ones_change_nothing() {
-    let site = Site::new();
-    site.configure(3, "core");
-    let balancer = site.balancer("one", &[]);
-    balancer.wait_ready();
+    let site = Site::configured();
+    let balancer = site.ready_balancer("one", &[]);
 
     let good = fs::read_to_string(&balancer.file).unwrap();
     fs::write(&balancer.file, "zone = 3\n").unwrap();
@@ -151,12 +140,10 @@
 
 #[test]
 fn a_reader_that_stalls_costs_no_packet() {
-    let site = Site::new();
-    site.configure(3, "core");
+    let site = Site::configured();
     let backend = site.backend(1, "core");
     // Nobody reads its standard output.
-    let balancer = site.balancer("one", &[]);
-    balancer.wait_ready();
+    let balancer = site.ready_balancer("one", &[]);
 
     let caller = Caller::new(&balancer);
     for port in 1..=3_000 {
@@ -170,10 +157,8 @@
 
 #[test]
 fn datagrams_that_are_no_packets_are_counted_and_ignored() {
-    let site = Site::new();
-    site.configure(3, "core");
-    let balancer = site.balancer("one", &[]);
-    balancer.wait_ready();
+    let site = Site::configured();
+    let balancer = site.ready_balancer("one", &[]);
 
     let sender = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
     for datagram in [&[][..], &[1], &[255; 35], &[2; 36], &[255; 1_500]] {
@@ -216,10 +201,8 @@
 
 #[test]
 fn a_flood_of_packets_does_not_keep_news_out() {
-    let site = Site::new();
-    site.configure(3, "core");
-    let balancer = site.balancer("one", &[]);
-    balancer.wait_ready();
+    let site = Site::configured();
+    let balancer = site.ready_balancer("one", &[]);
 
     // More than one thread can read.
     let is_over = Arc::new(AtomicBool::new(false));
--- a/crates/valvestage-entry/tests/process/site.rs
+++ b/crates/valvestage-entry/tests/process/site.rs
@@ -106,6 +106,14 @@
         Self { standin, store, folder, ports: ports.try_into().unwrap() }
     }
 
+    /// A site whose callers are sent to the service `core` by configuration 3.
+    pub fn configured() -> Self {
+        let site = Self::new();
+
+        site.configure(3, "core");
+        site
+    }
+
     /// Writes a configuration that sends callers to a service.
     pub fn configure(&self, version: u64, service: &str) {
         let spec = configuration_object(version, [(SERVICE, service)], 15_000);
@@ -144,6 +152,14 @@
         Balancer { ip, ports: self.ports, file, child }
     }
 
+    /// Starts a balancer and waits until it is ready.
+    pub fn ready_balancer(&self, name: &str, seeds: &[&Balancer]) -> Balancer {
+        let balancer = self.balancer(name, seeds);
+
+        balancer.wait_ready();
+        balancer
+    }
+
     pub fn settings(&self, name: &str, ip: Ipv4Addr, seeds: &[String]) -> String {
         let [data, ready, control, peer] = self.ports;
 
--- a/crates/valvestage-entry/tests/process/walks.rs
+++ b/crates/valvestage-entry/tests/process/walks.rs
@@ -22,12 +22,10 @@
 
 #[test]
 fn a_caller_was_sent_to_a_backend_server_that_had_died() {
-    let site = Site::new();
-    site.configure(3, "core");
+    let site = Site::configured();
     // Their sockets are open, but nobody answers.
     let dead = [site.backend(0xa1, "core"), site.backend(0xa2, "core")];
-    let balancer = site.balancer("one", &[]);
-    balancer.wait_ready();
+    let balancer = site.ready_balancer("one", &[]);
 
     let caller = Caller::new(&balancer);
     caller.send(&balancer, SYN, 40_001, 0, 0);
@@ -45,11 +43,9 @@
 
 #[test]
 fn a_caller_was_refused_since_no_backend_server_takes_flows() {
-    let site = Site::new();
-    site.configure(3, "core");
+    let site = Site::configured();
     let _leaving = site.backend(0xb1, "core");
-    let balancer = site.balancer("one", &[]);
-    balancer.wait_ready();
+    let balancer = site.ready_balancer("one", &[]);
     site.standin.delete_object("servers", "i-b1");
     // It came, and it went.
     wait_until("it is known", || {
@@ -65,11 +61,9 @@
 
 #[test]
 fn a_callers_backend_server_had_ended() {
-    let site = Site::new();
-    site.configure(3, "core");
+    let site = Site::configured();
     let backend = site.backend(0xc1, "core");
-    let balancer = site.balancer("one", &[]);
-    balancer.wait_ready();
+    let balancer = site.ready_balancer("one", &[]);
     let caller = Caller::new(&balancer);
     caller.send(&balancer, SYN, 40_001, 0, 0);
     let token = crate::site::token_of(&backend.receive().1);
@@ -90,10 +84,8 @@
 
 #[test]
 fn a_route_was_not_known_yet_after_an_outage_of_the_store() {
-    let site = Site::new();
-    site.configure(3, "core");
-    let balancer = site.balancer("one", &[]);
-    balancer.wait_ready();
+    let site = Site::configured();
+    let balancer = site.ready_balancer("one", &[]);
     site.standin.misbehave(Faults { down: true, ..Faults::default() });
     wait_until("what is known is old", || {
         balancer.metric("valvestage_entry_events_total{event=\"certainty\"}") == Some(2)
@@ -113,11 +105,9 @@
 
 #[test]
 fn a_callers_backend_server_answered_with_errors() {
-    let site = Site::new();
-    site.configure(3, "core");
+    let site = Site::configured();
     let backends = [0xd1, 0xd2, 0xd3].map(|instance| site.backend(instance, "core"));
-    let balancer = site.balancer("one", &[]);
-    balancer.wait_ready();
+    let balancer = site.ready_balancer("one", &[]);
 
     // One of three answers shortly, until that is noticed.
     let caller = Caller::new(&balancer);
--- a/crates/valvestage-policy/src/steering/overdue_queue.rs
+++ b/crates/valvestage-policy/src/steering/overdue_queue.rs
@@ -36,18 +36,6 @@
         self.entries.pop().map(|Reverse(entry)| entry)
     }
 
-    /// `len` gives the number of requests.
-    #[must_use]
-    pub fn len(&self) -> usize {
-        self.entries.len()
-    }
-
-    /// `is_empty` tells whether there is none.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.entries.is_empty()
-    }
-
     /// `clear` forgets all.
     pub fn clear(&mut self) {
         self.entries.clear();
--- a/crates/valvestage-soak/src/soak_run.rs
+++ b/crates/valvestage-soak/src/soak_run.rs
@@ -245,19 +245,11 @@
             }
             LaterStep::ContinueBalancer(number) => self.signal(number, Signal::SIGCONT)?,
             LaterStep::ReopenRelay(number) => self.site.relays[number].set(StoreLinkState::Open),
-            LaterStep::DeleteEntry { place } => {
-                self.site.store.delete_backend(self.places.get(place).instance);
-            }
+            LaterStep::DeleteEntry { place } => self.delete_entry(place),
             LaterStep::ListAgain { place } => self.write_entry(place, false),
             LaterStep::EndBackend { place } => {
-                let instance = self.places.get(place).instance;
-                self.command(BackendCommand::End(place));
-                if let Some(fact) = self.truth.backends.get_mut(&instance) {
-                    fact.ended_at = Some(now);
-                }
-                if self.options.sabotage != Some(Sabotage::HideBackends) {
-                    self.site.store.delete_backend(instance);
-                }
+                self.end_backend(place, now);
+                self.delete_entry(place);
             }
             LaterStep::StartBackend { place, service } => {
                 self.places.replace(place, service);
@@ -337,6 +329,21 @@
         self.write_entry(place, false);
     }
 
+    /// A backend server ends without a word; its entry is still there.
+    fn end_backend(&mut self, place: usize, now: Instant) {
+        self.command(BackendCommand::End(place));
+
+        if let Some(fact) = self.truth.backends.get_mut(&self.places.get(place).instance) {
+            fact.ended_at = Some(now);
+        }
+    }
+
+    fn delete_entry(&self, place: usize) {
+        if self.options.sabotage != Some(Sabotage::HideBackends) {
+            self.site.store.delete_backend(self.places.get(place).instance);
+        }
+    }
+
     fn write_entry(&self, place: usize, is_draining: bool) {
         let entry = self.places.get(place);
         let service = match self.options.sabotage {
--- a/crates/valvestage-soak/src/soak_run/fault_effects.rs
+++ b/crates/valvestage-soak/src/soak_run/fault_effects.rs
@@ -188,20 +188,15 @@
     fn crash_backend(&mut self, target: usize, until: Instant) {
         let now = Instant::now();
         let Some(place) = self.places.idle_place(target, now) else { return };
-        let back_at = until.max(now + LAPSE_AFTER);
-        let entry = self.places.get(place);
-        self.places.occupy(place, back_at);
+        let deleted_at = now + LAPSE_AFTER;
+        let starts_at = until.max(deleted_at) + REUSE_AFTER;
+        let service = self.places.get(place).service;
+        self.places.occupy(place, starts_at + TURN);
 
-        self.command(BackendCommand::End(place));
-        if let Some(fact) = self.truth.backends.get_mut(&entry.instance) {
-            fact.ended_at = Some(now);
-        }
         // Nothing but its silence tells of it until its entry goes.
-        let after = back_at.min(now + LAPSE_AFTER);
-        self.later.push((after, LaterStep::EndBackend { place }));
-        let service = entry.service;
-        self.later.push((back_at + REUSE_AFTER, LaterStep::StartBackend { place, service }));
-        self.places.occupy(place, back_at + REUSE_AFTER + TURN);
+        self.end_backend(place, now);
+        self.later.push((deleted_at, LaterStep::DeleteEntry { place }));
+        self.later.push((starts_at, LaterStep::StartBackend { place, service }));
     }
 
     fn replace_backend(&mut self, target: usize, now: Instant) {
