Place new flows by the pace of backend servers, too

Placement counted requests under way only; with few of them, a backend server that is five times as slow gets as many new flows as the others. Ruled out: outlier detection (a slow answer is whole and comes before 400 ms), health reports, load told. Change: the time of each answer over the usual at its address, faded with a half-life of 4 s, compared with the median of the service; the load of a request is multiplied by it, in steps of a quarter. Log lines slowed and recovered, pace in placed, sentences in valvectl why log. Tests: a_slow_backend_server_gets_few_new_flows_and_its_share_again_later fails without it (35 of 200 in place of 12 at most).

Conclusion: what is left of slow backend servers is long flows that stay there.

--- a/crates/valvestage-entry/src/decision_lines.rs
+++ b/crates/valvestage-entry/src/decision_lines.rs
@@ -62,6 +62,8 @@
         Decision::Cleared { .. } => "cleared",
         Decision::Avoided { .. } => "avoided",
         Decision::AvoidedAsTold { .. } => "avoided_as_told",
+        Decision::Slowed { .. } => "slowed",
+        Decision::Recovered { .. } => "recovered",
         Decision::RoutesInForce { .. } => "routes_in_force",
         Decision::BackendChanged { .. } => "backend_changed",
         Decision::BackendMissing { .. } => "backend_missing",
@@ -156,6 +158,15 @@
             line.put_text("source", peer);
             line.put_time("avoided_ms", *left);
         }
+        Decision::Slowed { instance, factor, answers } => {
+            line.put_instance("backend", *instance);
+            line.put("pace", rounded(*factor));
+            line.put("answers", rounded(*answers));
+        }
+        Decision::Recovered { instance, factor } => {
+            line.put_instance("backend", *instance);
+            line.put("pace", rounded(*factor));
+        }
         Decision::Cleared { instance } | Decision::BackendMissing { instance } => {
             line.put_instance("backend", *instance);
         }
@@ -195,6 +206,9 @@
     line.put_instance("backend", placement.instance);
     line.put("zone", placement.zone.as_str());
     line.put("load", rounded(placement.load));
+    if placement.pace > 1.0 {
+        line.put("pace", rounded(placement.pace));
+    }
     line.put("candidates", placement.candidates);
     line.put("version", placement.version);
     match placement.doubt {
--- a/crates/valvestage-policy/src/steering.rs
+++ b/crates/valvestage-policy/src/steering.rs
@@ -13,6 +13,7 @@
 //! | [`flow_record`], [`flow_tracker`] | what the packets of a flow have shown so far |
 //! | [`backend_load`], [`backend_choice`], `flow_placer` | where a new flow goes |
 //! | [`backend_health`] | which backend servers seem dead |
+//! | [`backend_pace`] | which backend servers take longer than usual |
 //! | [`flow_request`], [`overdue_queue`], [`answer_norm`], [`request_judge`] | how requests end |
 //! | [`outcome_count`], [`outlier_detector`], `outlier_record` | which backend servers fail more of them than others |
 //! | [`backend_observer`] | all that callers' packets show about backend servers |
@@ -34,6 +35,7 @@
 pub mod backend_health;
 pub mod backend_load;
 pub mod backend_observer;
+pub mod backend_pace;
 pub mod caller_packet;
 pub mod decision;
 pub mod entry_policy;
--- a/crates/valvestage-policy/src/steering/answer_norm.rs
+++ b/crates/valvestage-policy/src/steering/answer_norm.rs
@@ -26,6 +26,9 @@
 /// No request is overdue earlier: a lost packet is sent again after 200 ms.
 const OVERDUE_AT_LEAST: Duration = Duration::from_millis(400);
 
+/// Times below this one are alike: that of a datagram to and fro within an availability zone.
+const SHORTEST_TIME: Duration = Duration::from_micros(500);
+
 /// `AnswerNorm` follows the size of answers and the time that they take.
 #[derive(Debug, Clone, Default)]
 pub struct AnswerNorm {
@@ -34,6 +37,8 @@
     times: usize,
     /// Mean time, seconds.
     seconds: f64,
+    /// Mean of the logarithms of times in seconds: single long waits hardly move it.
+    log_seconds: f64,
 }
 
 impl AnswerNorm {
@@ -50,7 +55,16 @@
     pub fn on_time(&mut self, time: Duration) {
         self.times = self.times.saturating_add(1);
 
-        self.seconds += weight_after(self.times) * (time.as_secs_f64() - self.seconds);
+        let weight = weight_after(self.times);
+        self.seconds += weight * (time.as_secs_f64() - self.seconds);
+        self.log_seconds += weight * (log_of_time(time) - self.log_seconds);
+    }
+
+    /// `log_ratio` gives the logarithm of how many times the usual an answer took; none while nothing
+    /// is usual.
+    #[must_use]
+    pub fn log_ratio(&self, time: Duration) -> Option<f64> {
+        (self.times >= MIN_SAMPLES).then(|| log_of_time(time) - self.log_seconds)
     }
 
     /// `is_short` tells whether an answer is much shorter than usual.
@@ -95,6 +109,10 @@
     f64::from(bytes.max(1)).ln()
 }
 
+fn log_of_time(time: Duration) -> f64 {
+    time.max(SHORTEST_TIME).as_secs_f64().ln()
+}
+
 fn as_f64(count: usize) -> f64 {
     #[allow(clippy::cast_precision_loss)]
     let value = count as f64;
--- a/crates/valvestage-policy/src/steering/backend_choice.rs
+++ b/crates/valvestage-policy/src/steering/backend_choice.rs
@@ -9,6 +9,8 @@
     pub entry: &'a BackendEntry,
     /// Its load in requests a slot, with everything that counts against it.
     pub load: f64,
+    /// How many times as long as those of the others its answers take; part of the load.
+    pub pace: f64,
     /// What speaks against it.
     pub doubt: ChoiceDoubt,
 }
--- a/crates/valvestage-policy/src/steering/backend_observer.rs
+++ b/crates/valvestage-policy/src/steering/backend_observer.rs
@@ -1,11 +1,12 @@
 //! What callers' packets show about backend servers.
 
 use std::net::SocketAddrV4;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use valvestage_core::ids::InstanceId;
 
 use super::backend_health::BackendHealth;
+use super::backend_pace::BackendPace;
 use super::caller_packet::FlowAddresses;
 use super::decision::{AnswerTime, Decision};
 use super::flow_record::FlowSign;
@@ -17,12 +18,13 @@
 use super::peer_message::HealthReport;
 use super::request_judge::RequestJudge;
 
-/// `BackendObserver` finds out which backend servers seem dead, and which fail too much.
+/// `BackendObserver` finds out which backend servers seem dead, which fail too much, and which are slow.
 #[derive(Debug)]
 pub struct BackendObserver {
     health: BackendHealth,
     judge: RequestJudge,
     outliers: OutlierDetector,
+    pace: BackendPace,
     /// What is believed anew since it was last taken.
     decisions: Vec<Decision>,
     /// Answers since they were last taken.
@@ -37,6 +39,7 @@
             health: BackendHealth::default(),
             judge: RequestJudge::default(),
             outliers: OutlierDetector::new(seed),
+            pace: BackendPace::default(),
             decisions: Vec::new(),
             answers: Vec::new(),
         }
@@ -54,6 +57,12 @@
         &self.outliers
     }
 
+    /// `pace` gives which backend servers take longer than usual.
+    #[must_use]
+    pub fn pace(&self) -> &BackendPace {
+        &self.pace
+    }
+
     /// `take_decisions` gives what is believed anew since the last call.
     pub fn take_decisions(&mut self) -> Vec<Decision> {
         std::mem::take(&mut self.decisions)
@@ -106,7 +115,7 @@
         {
             let time = now.saturating_duration_since(since);
             if !answer.opening {
-                self.judge.on_answer_time(flow.service, time);
+                self.on_answer_time(knowledge, instance, flow, time, now);
             }
             self.answers.push(AnswerTime { instance, opening: answer.opening, time });
         }
@@ -136,9 +145,26 @@
 
         self.health.forget(is_known);
         self.outliers.forget(is_known, now);
+        self.pace.forget(is_known);
         self.judge.forget(|address| knowledge.routes.routes.contains_key(address));
     }
 
+    fn on_answer_time(
+        &mut self,
+        knowledge: &Knowledge,
+        instance: InstanceId,
+        flow: FlowAddresses,
+        time: Duration,
+        now: Instant,
+    ) {
+        let log_ratio = self.judge.on_answer_time(flow.service, time);
+
+        if let (Some(log_ratio), Some(entry)) = (log_ratio, knowledge.directory.get(instance)) {
+            let news = self.pace.on_answer(instance, &entry.service, log_ratio, now);
+            self.decisions.extend(news);
+        }
+    }
+
     fn on_ended(
         &mut self,
         knowledge: &Knowledge,
--- a/crates/valvestage-policy/src/steering/decision.rs
+++ b/crates/valvestage-policy/src/steering/decision.rs
@@ -71,6 +71,23 @@
         /// For how long.
         left: Duration,
     },
+    /// A backend server takes much longer than the others of its service: its requests weigh that much
+    /// more.
+    Slowed {
+        /// The backend server.
+        instance: InstanceId,
+        /// How many times as long as the median of them its answers take.
+        factor: f64,
+        /// By how many answers, old ones counting less.
+        answers: f64,
+    },
+    /// A backend server that was slow takes about as long as the others again.
+    Recovered {
+        /// The backend server.
+        instance: InstanceId,
+        /// How many times as long as the median of them its answers take.
+        factor: f64,
+    },
     /// A configuration is in force.
     RoutesInForce {
         /// Its version.
@@ -149,8 +166,10 @@
     pub instance: InstanceId,
     /// Its availability zone.
     pub zone: ZoneName,
-    /// Its load in requests a slot, with what its zone and a cold start add.
+    /// Its load in requests a slot, with what its pace, its zone and a cold start add.
     pub load: f64,
+    /// How many times as long as those of the others its answers take; 1 at least.
+    pub pace: f64,
     /// What speaks against it.
     pub doubt: ChoiceDoubt,
     /// How many could have been chosen.
--- a/crates/valvestage-policy/src/steering/flow_placer.rs
+++ b/crates/valvestage-policy/src/steering/flow_placer.rs
@@ -38,7 +38,9 @@
                 && self.knowledge.directory.owns_token(entry.instance)
         };
         let all = self.knowledge.directory.iter().filter(takes_new);
-        let candidates: Vec<_> = all.map(|entry| self.candidate(entry, instead_of)).collect();
+        let median = self.backends.pace().median(service, self.now);
+        let candidates: Vec<_> =
+            all.map(|entry| self.candidate(entry, instead_of, median)).collect();
 
         let chosen = choose(&candidates, draw)?;
         let confirmed_at = self.knowledge.confirmed_at();
@@ -48,6 +50,7 @@
             instance: chosen.entry.instance,
             zone: chosen.entry.zone.clone(),
             load: chosen.load,
+            pace: chosen.pace,
             doubt: chosen.doubt,
             candidates: candidates.len(),
             instead_of,
@@ -60,10 +63,14 @@
         &self,
         entry: &'a BackendEntry,
         instead_of: Option<InstanceId>,
+        median_pace: Option<f64>,
     ) -> ChoiceCandidate<'a> {
         let requests = self.flows.load(entry.instance).in_requests(self.options.resting_flow_load);
         let is_cold = entry.cold_until.is_some_and(|until| until > self.now);
-        let factor = if is_cold { self.options.cold_factor } else { 1.0 };
+        let cold_factor = if is_cold { self.options.cold_factor } else { 1.0 };
+        // Its pace may show the same cold start, which counts once.
+        let pace = self.backends.pace().factor(entry.instance, median_pace, self.now);
+        let factor = pace.max(cold_factor);
         let distance =
             if entry.zone == self.options.zone { 0.0 } else { self.options.zone_preference };
         let is_avoided = self.backends.outliers().is_avoided(entry.instance, self.now);
@@ -72,6 +79,7 @@
         ChoiceCandidate {
             entry,
             load: (requests + 1.0) * factor / f64::from(entry.slots) + distance + avoidance,
+            pace,
             doubt: self.doubt(entry, instead_of),
         }
     }
--- a/crates/valvestage-policy/src/steering/request_judge.rs
+++ b/crates/valvestage-policy/src/steering/request_judge.rs
@@ -28,9 +28,14 @@
         }
     }
 
-    /// `on_answer_time` takes in how long an answer took.
-    pub fn on_answer_time(&mut self, service: SocketAddrV4, time: Duration) {
-        self.norms.entry(service).or_default().on_time(time);
+    /// `on_answer_time` takes in how long an answer took, and gives the logarithm of how many times
+    /// the usual that is; none while nothing is usual.
+    pub fn on_answer_time(&mut self, service: SocketAddrV4, time: Duration) -> Option<f64> {
+        let norm = self.norms.entry(service).or_default();
+        let log_ratio = norm.log_ratio(time);
+
+        norm.on_time(time);
+        log_ratio
     }
 
     /// `is_poor` tells whether a request ended badly, and takes its answer in.
--- a/crates/valvestage-policy/tests/steering/main.rs
+++ b/crates/valvestage-policy/tests/steering/main.rs
@@ -8,6 +8,7 @@
 mod follower;
 mod keepers;
 mod outliers;
+mod pace;
 mod packets;
 mod pauses;
 mod peers;
--- a/crates/valvestage-story/src/log_line.rs
+++ b/crates/valvestage-story/src/log_line.rs
@@ -52,6 +52,12 @@
         self.fields.get(field).and_then(Value::as_u64)
     }
 
+    /// `has` tells whether there is a field.
+    #[must_use]
+    pub fn has(&self, field: &str) -> bool {
+        self.fields.contains_key(field)
+    }
+
     /// `is` tells whether a field has a text.
     #[must_use]
     pub fn is(&self, field: &str, text: &str) -> bool {
--- a/crates/valvestage-story/src/sentences.rs
+++ b/crates/valvestage-story/src/sentences.rs
@@ -10,7 +10,7 @@
     match line.event.as_str() {
         "placed" => format!(
             "The flow from {} to {} was placed on backend server {} of {} in {} (load {}, one of {}); \
-             configuration {}, confirmed {} ms before.{}",
+             configuration {}, confirmed {} ms before.{}{}",
             text("caller"),
             text("address"),
             text("backend"),
@@ -20,6 +20,7 @@
             text("candidates"),
             text("version"),
             text("knowledge_age_ms"),
+            pace(line),
             doubt(line)
         ),
         "moved" => format!(
@@ -60,6 +61,18 @@
             text("avoided_ms"),
             text("source")
         ),
+        "slowed" => format!(
+            "Backend server {} took {} times as long for its answers as the others of its service (by {} \
+             answers): each of its requests weighs that much more.",
+            text("backend"),
+            text("pace"),
+            text("answers")
+        ),
+        "recovered" => format!(
+            "Backend server {} answered about as soon as the others again ({} times as long).",
+            text("backend"),
+            text("pace")
+        ),
         "backend_changed" => format!(
             "Backend server {} of {} is {} since revision {} (told by {}).",
             text("backend"),
@@ -95,6 +108,15 @@
     }
 }
 
+/// Nothing where it was not slower than usual: then the line has no pace.
+fn pace(line: &LogLine) -> String {
+    if !line.has("pace") {
+        return String::new();
+    }
+
+    format!(" Its answers took {} times as long as those of the others.", line.text("pace"))
+}
+
 fn doubt(line: &LogLine) -> &'static str {
     match line.text("doubt").as_str() {
         "silent" => " It seemed dead, but no other was better.",
--- a/crates/valvestage-story/src/story.rs
+++ b/crates/valvestage-story/src/story.rs
@@ -13,7 +13,7 @@
 const BELIEFS: [&str; 4] = ["certainty", "routes_in_force", "store_link", "paused"];
 
 /// What is found out of a backend server after it has failed some flows.
-const VERDICTS: [&str; 3] = ["suspected", "avoided", "avoided_as_told"];
+const VERDICTS: [&str; 4] = ["suspected", "avoided", "avoided_as_told", "slowed"];
 
 /// A verdict that comes later than this has other flows as its cause.
 const LOOK_AHEAD_MS: u64 = 10_000;
--- a/crates/valvestage-story/tests/story.rs
+++ b/crates/valvestage-story/tests/story.rs
@@ -10,6 +10,7 @@
 {"time_ms":90150,"vm":"vm-2","event":"certainty","certain":false,"version":3}
 {"time_ms":90200,"vm":"vm-1","event":"reset","caller":"10.0.0.1:77","address":"198.18.0.1:443","reason":"backend_gone","backend":"a1"}
 {"time_ms":90250,"vm":"vm-3","event":"avoided","backend":"a1","requests":9.5,"poor":4.1,"expected":0.2,"told_by":2,"avoided_ms":4000}
+{"time_ms":90260,"vm":"vm-3","event":"slowed","backend":"a1","pace":4.2,"answers":3.0}
 {"time_ms":190250,"vm":"vm-3","event":"avoided","backend":"a1","requests":9.5,"poor":4.1,"expected":0.2,"told_by":2,"avoided_ms":4000}
 {"time_ms":90300,"vm":"vm-1","event":"placed","caller":"10.0.0.2:78","address":"198.18.0.1:443","backend":"a2"}
 not a log line
@@ -28,7 +29,7 @@
     let query = StoryQuery::Flow("10.0.0.1:77".parse().unwrap());
 
     // Not what happened long before, at another VM, or to another caller.
-    assert_eq!(events(&query), ["placed", "backend_changed", "reset", "avoided"]);
+    assert_eq!(events(&query), ["placed", "backend_changed", "reset", "avoided", "slowed"]);
 }
 
 #[test]
@@ -41,7 +42,10 @@
 #[test]
 fn a_backend_server_and_a_version_have_theirs() {
     let backend = StoryQuery::Backend("a1".to_owned());
-    assert_eq!(events(&backend), ["placed", "backend_changed", "reset", "avoided", "avoided"]);
+    assert_eq!(
+        events(&backend),
+        ["placed", "backend_changed", "reset", "avoided", "slowed", "avoided"]
+    );
     assert_eq!(events(&StoryQuery::Version(3)), ["routes_in_force", "certainty"]);
 }
 
@@ -51,6 +55,11 @@
 
     assert!(told[0].contains("Configuration 3 with 9 addresses came into force"), "{told:?}");
     assert!(told[4].contains("its backend server a1 has ended"), "{told:?}");
+    assert!(
+        told[6].contains("a1 took 4.2 times as long for its answers as the others"),
+        "{told:?}"
+    );
+    assert!(!told[1].contains("times as long"), "{told:?}");
 }
 
 #[test]
