Name the latest eight backend servers in trouble in a heartbeat, in an order that is the same everywhere

Which 16 was left to the order of a hash table, and the metric suspects stopped at 16. Ruled out: heartbeats less often; they also carry versions and followers. Change: eight of each; suspects and avoidances by when they began, counts by poor requests; the metric counts all suspects. Tests: much_trouble_leaves_control_within_its_bytes fails with 16 (337 + 140 > 400); the_latest_suspects_come_first_also_when_older_ones_miss_more_answers.

--- a/crates/valvestage-entry/tests/peer_codec.rs
+++ b/crates/valvestage-entry/tests/peer_codec.rs
@@ -1,17 +1,24 @@
 //! Messages between balancers as datagrams: nothing that is read makes the program stumble.
 
 use std::net::{Ipv4Addr, SocketAddrV4};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use quickcheck::{Gen, QuickCheck};
 use valvestage_entry::peer_codec::{MAX_DATAGRAM_BYTES, decode, encode};
+use valvestage_policy::steering::backend_observer::BackendObserver;
+use valvestage_policy::steering::flow_record::FlowSign;
+use valvestage_policy::steering::flow_request::EndedRequest;
+use valvestage_policy::steering::flow_tracker::FlowObservation;
 use valvestage_policy::steering::outcome_count::OutcomeCount;
 use valvestage_policy::steering::peer_message::{
     AvoidanceReport, BackendChange, BackendRecord, BackendStanding, BackendsPart, HealthReport,
     KnowledgePull, MAX_MESSAGE_BYTES, MessagePart, OutcomeReport, PeerHeartbeat, RoutesPart,
     WatcherSighting,
 };
-use valvestage_policy::steering::{EntryOptions, EntryPolicy, PeerMessage, SteeringOptions};
+use valvestage_policy::steering::{
+    BackendEntry, BackendPhase, EntryOptions, EntryPolicy, FlowAddresses, Knowledge, PeerMessage,
+    SteeringOptions,
+};
 
 /// The same draws on every run.
 fn seeded() -> QuickCheck {
@@ -74,6 +81,61 @@
     }
 }
 
+/// Bytes of control that a VM may send a second, over the ten heartbeats of a second with news.
+const HEARTBEAT_SHARE: usize = 4_000 / 10;
+
+/// What a heartbeat without trouble has, with the heads of its datagram: 1.4 KB a second in some ten.
+const HEARTBEAT_ELSE: usize = 140;
+
+/// What a balancer tells when forty backend servers seem dead and fail all their requests, and forty others
+/// of the service answer.
+fn report_of_much_trouble(now: Instant) -> HealthReport {
+    // The numbers of backend servers have ten hex digits.
+    const FIRST: u64 = 0xff_0000_0000;
+    let mut knowledge = Knowledge::default();
+    let mut observer = BackendObserver::new(1);
+    let later = now + Duration::from_millis(200);
+
+    for number in 0..80 {
+        let instance = FIRST + number;
+        let is_bad = number >= 40;
+        knowledge.directory.put(entry(instance));
+        for last in 0..20 {
+            let flow = FlowAddresses { caller: address(last), service: address(9) };
+            let sign = if is_bad { FlowSign::Unanswered(now) } else { FlowSign::Neutral };
+            let answer_bytes = if is_bad { 0 } else { 775 };
+            let ended = Some(EndedRequest { answer_bytes });
+            let observation = FlowObservation { sign, ended, began: None };
+            observer.observe(&knowledge, instance, flow, observation, later);
+        }
+    }
+    observer.report(later)
+}
+
+fn entry(instance: u64) -> BackendEntry {
+    BackendEntry {
+        instance,
+        revision: instance,
+        service: "core".to_owned(),
+        address: address(9),
+        zone: "zone-a".to_owned(),
+        slots: 2,
+        cold_until: None,
+        phase: BackendPhase::Ready,
+        missing_until: None,
+    }
+}
+
+#[test]
+fn much_trouble_leaves_control_within_its_bytes() {
+    let report = report_of_much_trouble(Instant::now());
+
+    assert!(!report.suspects.is_empty() && !report.outcomes.is_empty());
+    assert!(!report.avoided.is_empty());
+    let bytes = postcard::to_stdvec(&report).unwrap().len();
+    assert!(bytes + HEARTBEAT_ELSE <= HEARTBEAT_SHARE, "{bytes} bytes");
+}
+
 /// A policy to which many backend servers seem dead, or fail, tells no more than fits.
 #[test]
 fn a_heartbeat_about_much_trouble_fits_into_one_datagram() {
--- a/crates/valvestage-policy/src/steering/backend_health.rs
+++ b/crates/valvestage-policy/src/steering/backend_health.rs
@@ -5,6 +5,7 @@
 //! be a lost datagram, so a backend server is suspected only when several flows miss answers and none
 //! got one meanwhile.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
@@ -36,8 +37,9 @@
 /// How long another balancer's word counts; it says it again with each heartbeat.
 const TOLD_FOR: Duration = Duration::from_millis(1_000);
 
-/// Suspects named in one heartbeat; more of them mean that the fault is elsewhere.
-const MAX_TOLD: usize = 16;
+/// Suspects named in one heartbeat, the latest: more of them mean that the fault is elsewhere, and with
+/// counts and avoidances these keep control within 4 KB a second.
+pub(super) const MAX_TOLD: usize = 8;
 
 /// `HealthRecord` is what is known about one backend server.
 #[derive(Debug, Default)]
@@ -46,6 +48,8 @@
     /// Flows that miss an answer, with the time of the latest sign; no flow twice.
     misses: Vec<(FlowAddresses, Instant)>,
     suspect_until: Option<Instant>,
+    /// Since when it has seemed dead without a break; kept after its end.
+    suspect_since: Option<Instant>,
     /// Until when another balancer's word for it counts.
     told_until: Option<Instant>,
 }
@@ -94,13 +98,16 @@
         }
     }
 
-    /// `suspects` gives the backend servers that seem dead from here.
+    /// `suspects` gives the backend servers that seem dead from here, those first that began last.
     #[must_use]
     pub fn suspects(&self, now: Instant) -> Vec<InstanceId> {
         let is_suspect = |record: &HealthRecord| record.suspect_until.is_some_and(|at| at > now);
         let suspects = self.records.iter().filter(|(_, record)| is_suspect(record));
+        let mut suspects: Vec<_> =
+            suspects.map(|(instance, record)| (Reverse(record.suspect_since), *instance)).collect();
 
-        suspects.map(|(instance, _)| *instance).take(MAX_TOLD).collect()
+        suspects.sort_unstable();
+        suspects.into_iter().map(|(_, instance)| instance).collect()
     }
 
     fn observe_miss(
@@ -121,6 +128,9 @@
         let flows = record.misses.len();
         let suspect = flows >= FLOWS_TO_SUSPECT;
         let is_new = suspect && record.suspect_until.is_none_or(|until| until <= now);
+        if is_new {
+            record.suspect_since = Some(now);
+        }
         if suspect {
             record.suspect_until = Some(now + SUSPECT_FOR);
         }
--- a/crates/valvestage-policy/src/steering/backend_observer.rs
+++ b/crates/valvestage-policy/src/steering/backend_observer.rs
@@ -5,7 +5,7 @@
 
 use valvestage_core::ids::InstanceId;
 
-use super::backend_health::BackendHealth;
+use super::backend_health::{BackendHealth, MAX_TOLD};
 use super::backend_pace::BackendPace;
 use super::caller_packet::FlowAddresses;
 use super::decision::{AnswerTime, Decision};
@@ -76,8 +76,11 @@
     /// `report` gives what other balancers are to know.
     #[must_use]
     pub fn report(&self, now: Instant) -> HealthReport {
+        let mut suspects = self.health.suspects(now);
+
+        suspects.truncate(MAX_TOLD);
         HealthReport {
-            suspects: self.health.suspects(now),
+            suspects,
             outcomes: self.outliers.reports(now),
             avoided: self.outliers.avoidances(now),
         }
--- a/crates/valvestage-policy/src/steering/outlier_detector.rs
+++ b/crates/valvestage-policy/src/steering/outlier_detector.rs
@@ -6,6 +6,7 @@
 //! but then at every backend server alike: so what counts is a share far above that of the others.
 //! Many balancers see few requests each, and so tell each other their counts for those in question.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
@@ -56,8 +57,9 @@
 const LONGEST_TOLD: Duration = Duration::from_secs(48);
 
 /// Backend servers reported in one heartbeat at most: some 11 bytes each for counts, 8 for those that are
-/// avoided.
-const MAX_REPORTS: usize = 16;
+/// avoided. With 16 of each, control took up to 5 KB a second while many fail; with 8, days on which a
+/// quarter of all backend servers fail are served no worse (docs/PLATFORM.md).
+const MAX_REPORTS: usize = 8;
 
 /// `OutlierDetector` compares the backend servers of each service.
 #[derive(Debug)]
@@ -147,13 +149,16 @@
         decisions
     }
 
-    /// `avoidances` gives the backend servers that others are to be told to avoid.
+    /// `avoidances` gives the backend servers that others are to be told to avoid, those first that began
+    /// last.
     #[must_use]
     pub fn avoidances(&self, now: Instant) -> Vec<AvoidanceReport> {
         let is_told =
             |record: &OutlierRecord| record.telling_until.is_some_and(|until| until > now);
         let told = self.records.iter().filter(|(_, record)| is_told(record));
-        let reports = told.filter_map(|(instance, record)| {
+        let mut told: Vec<_> = told.collect();
+        told.sort_unstable_by_key(|(instance, record)| (Reverse(record.telling_until), **instance));
+        let reports = told.into_iter().filter_map(|(instance, record)| {
             let left = record.avoided_until?.saturating_duration_since(now);
             let left_ms = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
             Some(AvoidanceReport { instance: *instance, left_ms })
@@ -172,7 +177,9 @@
         let mut reports: Vec<_> =
             reports.filter(|(_, count)| count.total() >= HARDLY_POOR).collect();
 
-        reports.sort_by(|(_, a), (_, b)| b.poor.total_cmp(&a.poor));
+        reports.sort_by(|(a, first), (b, second)| {
+            second.poor.total_cmp(&first.poor).then_with(|| a.cmp(b))
+        });
         reports.truncate(MAX_REPORTS);
         reports.into_iter().map(|(instance, count)| OutcomeReport::new(instance, &count)).collect()
     }
--- a/crates/valvestage-policy/tests/steering/backend_health.rs
+++ b/crates/valvestage-policy/tests/steering/backend_health.rs
@@ -43,6 +43,22 @@
     assert!(!health.is_suspect(SERVER, now + millis(220)));
 }
 
+#[test]
+fn the_latest_suspects_come_first_also_when_older_ones_miss_more_answers() {
+    let (mut health, now) = (BackendHealth::default(), start());
+    for instance in 1..=20 {
+        for port in [1, 2] {
+            let at = now + millis(200 + 10 * instance);
+            health.observe(instance, flow(port), FlowSign::Unanswered(now), at);
+        }
+    }
+    let latest: Vec<_> = (1..=20).rev().collect();
+    assert_eq!(health.suspects(now + millis(500)), latest);
+
+    health.observe(1, flow(3), FlowSign::Unanswered(now), now + millis(600));
+    assert_eq!(health.suspects(now + millis(700)), latest);
+}
+
 #[test]
 fn an_answer_ends_the_suspicion() {
     let (mut health, now) = (BackendHealth::default(), start());
