Take no answer that waited to be read for a slow one

Cause: after a balancer stood still, the requests that were under way then seem to have taken as long as it did. Change: what began before the end of a gap of 300 ms or more between two ticks is not timed; the gap is noted with the first packet after it, since what came meanwhile is read before the next tick. Test: answers_that_waited_to_be_read_make_no_backend_server_slow fails without it.

--- a/crates/valvestage-policy/src/steering/backend_observer.rs
+++ b/crates/valvestage-policy/src/steering/backend_observer.rs
@@ -29,6 +29,8 @@
     decisions: Vec<Decision>,
     /// Answers since they were last taken.
     answers: Vec<AnswerTime>,
+    /// Requests that began earlier seem to have taken longer than they did; none if there are none.
+    timed_from: Option<Instant>,
 }
 
 impl BackendObserver {
@@ -42,6 +44,7 @@
             pace: BackendPace::default(),
             decisions: Vec::new(),
             answers: Vec::new(),
+            timed_from: None,
         }
     }
 
@@ -117,7 +120,8 @@
             && let Some(since) = answer.since
         {
             let time = now.saturating_duration_since(since);
-            if !answer.opening {
+            let is_timed = self.timed_from.is_none_or(|from| since >= from);
+            if !answer.opening && is_timed {
                 self.on_answer_time(knowledge, instance, flow, time, now);
             }
             self.answers.push(AnswerTime { instance, opening: answer.opening, time });
@@ -136,7 +140,13 @@
         }
     }
 
-    /// `on_pause` takes in that the process stood still: packets that answer what was under way may
+    /// `on_standstill` takes in that the process stood still until now: what answers were awaited then
+    /// may have come at any time since.
+    pub fn on_standstill(&mut self, now: Instant) {
+        self.timed_from = Some(now);
+    }
+
+    /// `on_pause` takes in that it did so for long: packets that answer what was under way may
     /// have been lost, so nothing is held against a backend server.
     pub fn on_pause(&mut self) {
         self.judge.on_pause();
--- a/crates/valvestage-policy/src/steering/entry_policy.rs
+++ b/crates/valvestage-policy/src/steering/entry_policy.rs
@@ -52,6 +52,8 @@
     next_tick: Instant,
     next_cleaning: Instant,
     last_tick: Instant,
+    /// Whether it was noted that the process stood still since the last tick.
+    is_gap_noted: bool,
     /// What others are told of backend servers; as of the last tick.
     health: HealthReport,
     /// What was decided since it was last taken.
@@ -69,6 +71,7 @@
             next_tick: now,
             next_cleaning: now + CLEANING_INTERVAL,
             last_tick: now,
+            is_gap_noted: false,
             health: HealthReport::default(),
             decisions: Vec::new(),
         }
@@ -114,6 +117,8 @@
 
     /// `on_packet` decides about a packet of a caller.
     pub fn on_packet(&mut self, packet: &CallerPacket, now: Instant) -> PacketVerdict {
+        self.note_gap(now);
+
         self.steering.on_packet(&self.knowledge, packet, now)
     }
 
@@ -172,16 +177,13 @@
             return Vec::new();
         }
 
-        let gap = now.saturating_duration_since(self.last_tick);
-        self.last_tick = now;
-        self.next_tick = now + TICK_INTERVAL;
-        if gap >= PAUSE {
-            self.note_pause(gap);
-        }
+        self.note_gap(now);
         // What is not read yet may be the acknowledgement that a request seems to miss.
-        if gap < STANDSTILL {
+        if !std::mem::take(&mut self.is_gap_noted) {
             self.steering.judge_overdue(&self.knowledge, now);
         }
+        self.last_tick = now;
+        self.next_tick = now + TICK_INTERVAL;
         self.health = self.steering.health_report(now);
         if self.next_cleaning <= now {
             self.next_cleaning = now + CLEANING_INTERVAL;
@@ -190,11 +192,22 @@
         self.step_keeper(now)
     }
 
-    /// A process that was paused wakes with old beliefs, and asks others at once.
-    fn note_pause(&mut self, time: Duration) {
-        self.decisions.push(Decision::Paused { time });
-        self.keeper.on_pause();
-        self.steering.on_pause();
+    /// Notes whether the process stood still since the last tick. Packets that came meanwhile are read
+    /// before the next one.
+    fn note_gap(&mut self, now: Instant) {
+        let gap = now.saturating_duration_since(self.last_tick);
+        if self.is_gap_noted || gap < STANDSTILL {
+            return;
+        }
+
+        self.is_gap_noted = true;
+        self.steering.on_standstill(now);
+        // After a longer one beliefs are old: others are asked at once.
+        if gap >= PAUSE {
+            self.decisions.push(Decision::Paused { time: gap });
+            self.keeper.on_pause();
+            self.steering.on_pause();
+        }
     }
 
     fn step_keeper(&mut self, now: Instant) -> Vec<KeeperAction> {
--- a/crates/valvestage-policy/src/steering/steering_policy.rs
+++ b/crates/valvestage-policy/src/steering/steering_policy.rs
@@ -77,7 +77,13 @@
         self.backends.judge_overdue(knowledge, &mut self.flows, now);
     }
 
-    /// `on_pause` takes in that the process stood still: packets that answer what was under way may
+    /// `on_standstill` takes in that the process stood still until now: when packets that came meanwhile
+    /// were sent is not known.
+    pub fn on_standstill(&mut self, now: Instant) {
+        self.backends.on_standstill(now);
+    }
+
+    /// `on_pause` takes in that it did so for long: packets that answer what was under way may
     /// have been lost, so nothing is held against a backend server.
     pub fn on_pause(&mut self) {
         self.backends.on_pause();
--- a/crates/valvestage-policy/tests/steering/pauses.rs
+++ b/crates/valvestage-policy/tests/steering/pauses.rs
@@ -1,16 +1,20 @@
 //! Balancers that stand still for less time than counts as a pause.
 
+use std::ops::RangeInclusive;
 use std::time::{Duration, Instant};
 
 use valvestage_policy::steering::{
-    BackendDirectory, BackendNews, EntryOptions, EntryPolicy, SteeringOptions, StoreReply,
+    BackendDirectory, BackendNews, Decision, EntryOptions, EntryPolicy, SteeringOptions, StoreReply,
 };
 
 use crate::fixtures::{HOME, address, backend, data, flow, millis, opening, routes, start};
 
-/// The one backend server.
+/// The backend server with requests under way.
 const SERVER: u64 = 1;
 
+/// Others of its service, with which its pace is compared.
+const OTHERS: [u64; 3] = [2, 3, 4];
+
 /// Requests that are answered first, so that the usual time is known.
 const ANSWERED: u16 = 20;
 
@@ -26,7 +30,7 @@
 impl Balancer {
     /// One that knows its backend server, and has requests under way there.
     fn with_requests_under_way() -> Self {
-        let mut balancer = Self::ready();
+        let mut balancer = Self::ready(&[SERVER]);
 
         for port in 1..=ANSWERED {
             balancer.send_request(port);
@@ -40,7 +44,7 @@
         balancer
     }
 
-    fn ready() -> Self {
+    fn ready(servers: &[u64]) -> Self {
         let now = start();
         let options = EntryOptions {
             steering: SteeringOptions { zone: HOME.to_owned(), ..Default::default() },
@@ -50,14 +54,17 @@
             seed: 1,
         };
         let mut policy = EntryPolicy::new(options, now);
-        let entry = backend(SERVER, "core", HOME);
-        let news = BackendNews { instance: SERVER, revision: SERVER, entry: Some(entry) };
+        let news = servers.iter().map(|instance| BackendNews {
+            instance: *instance,
+            revision: *instance,
+            entry: Some(backend(*instance, "core", HOME)),
+        });
 
         // The balancer begins to follow the store within its first tenths of a second.
         policy.on_tick(now + millis(100));
         policy.on_tick(now + millis(200));
-        policy.on_routes_reply(page(routes(1, &[(443, "core")])), now + millis(200));
-        policy.on_backends_reply(page(news), now + millis(200));
+        policy.on_routes_reply(page(vec![routes(1, &[(443, "core")])]), now + millis(200));
+        policy.on_backends_reply(page(news.collect()), now + millis(200));
         assert!(policy.is_ready());
         Self { policy, now: now + millis(200) }
     }
@@ -75,18 +82,44 @@
     }
 
     fn acknowledge(&mut self, port: u16, after: Duration) {
-        let token = BackendDirectory::token_of(SERVER);
+        self.acknowledge_at(SERVER, port, after);
+    }
+
+    /// Requests on flows that were opened through another balancer, and their answers after a time.
+    fn answer_at(&mut self, instance: u64, ports: RangeInclusive<u16>, after: Duration) {
+        for port in ports.clone() {
+            self.send_on_open_flow(instance, port);
+        }
+        for port in ports {
+            self.acknowledge_at(instance, port, after);
+        }
+    }
+
+    fn send_on_open_flow(&mut self, instance: u64, port: u16) {
+        let token = BackendDirectory::token_of(instance);
+
+        self.policy.on_packet(&data(flow(port), token, 1_001, 100, 500), self.now);
+    }
+
+    fn acknowledge_at(&mut self, instance: u64, port: u16, after: Duration) {
+        let token = BackendDirectory::token_of(instance);
 
         self.policy.on_packet(&data(flow(port), token, 1_101, 0, 1_275), self.now + after);
     }
 
+    fn has_said_slow(&mut self) -> bool {
+        let decisions = self.policy.take_decisions();
+
+        decisions.iter().any(|told| matches!(told, Decision::Slowed { .. }))
+    }
+
     fn avoided_count(&self) -> usize {
         self.policy.steering().avoided_count(self.now)
     }
 }
 
-fn page<T>(object: T) -> StoreReply<T> {
-    StoreReply::Page { objects: vec![object], next_after: None, revision: 10 }
+fn page<T>(objects: Vec<T>) -> StoreReply<T> {
+    StoreReply::Page { objects, next_after: None, revision: 10 }
 }
 
 #[test]
@@ -110,3 +143,31 @@
     balancer.turn_after(millis(100));
     assert_eq!(balancer.avoided_count(), 1);
 }
+
+#[test]
+fn answers_that_waited_to_be_read_make_no_backend_server_slow() {
+    const USUAL: Duration = Duration::from_millis(40);
+    let mut balancer = Balancer::ready(&[SERVER, OTHERS[0], OTHERS[1], OTHERS[2]]);
+    balancer.answer_at(SERVER, 1..=20, USUAL);
+    for other in OTHERS {
+        let first = u16::try_from(other).unwrap() * 100;
+        balancer.answer_at(other, first..=first + 20, USUAL);
+    }
+    balancer.turn_after(millis(100));
+    for port in 31..=40 {
+        balancer.send_on_open_flow(SERVER, port);
+    }
+    assert!(!balancer.has_said_slow());
+
+    // Only the requests that were under way seem to take that long.
+    balancer.turn_after(millis(700));
+    for port in 31..=40 {
+        balancer.acknowledge(port, millis(1));
+    }
+    assert!(!balancer.has_said_slow());
+
+    // Later ones count.
+    balancer.turn_after(millis(100));
+    balancer.answer_at(SERVER, 51..=80, 5 * USUAL);
+    assert!(balancer.has_said_slow());
+}
