Split what decides on new requests, and what a balancer does for all, into files of their own

Admission and the roles of a balancer (watcher, lease holder, looking after owners) move to service_admission.rs and control_roles.rs as they were.

--- a/crates/valvestage-policy/src/control.rs
+++ b/crates/valvestage-policy/src/control.rs
@@ -6,6 +6,7 @@
 mod control_action;
 mod control_options;
 mod control_policy;
+mod control_roles;
 mod first_read;
 mod lease_keeper;
 mod lease_record;
--- a/crates/valvestage-policy/src/control/control_policy.rs
+++ b/crates/valvestage-policy/src/control/control_policy.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, SystemTime};
 
 use valvestage_core::Configuration;
-use valvestage_core::ids::{BalancerId, ObjectVersion, ServiceId};
+use valvestage_core::ids::ObjectVersion;
 use valvestage_core::time::{from_unix_millis, to_unix_millis};
 
 use super::control_action::{ControlAction, Installation, Machine};
@@ -14,23 +14,12 @@
 use super::lease_keeper::{LeaseGrant, LeaseKeeper};
 use super::object_cache::ObjectCache;
 use super::object_key::{ObjectKey, ObjectValue};
-use super::owner_coordinator::{CoordinatorInputs, OwnerCandidate, OwnerCoordinator};
+use super::owner_coordinator::OwnerCoordinator;
 use super::owner_map::OwnerMap;
-use super::planned_stop::PlannedStop;
 use super::platform_call::PlatformReply;
 use crate::errors::PolicyError;
 use crate::flows::TokenKeys;
 use crate::membership::{HeartbeatMessage, HeartbeatTable, LiveView, PeerRecord, PeerState};
-use crate::rendezvous::mix;
-
-/// The balancer that is home of this key looks after owners; two that do it at once do no harm.
-const COORDINATOR_KEY: u64 = 0x6f77_6e65;
-
-/// Separates the choice of watchers from that of lease holders.
-const WATCHER_SEED: u64 = 0x7761_7463;
-
-/// Separates the choice of lease holders from that of watchers.
-const HOLDER_SEED: u64 = 0x686f_6c64;
 
 /// A fetch without an answer is asked again after this.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
@@ -48,15 +37,15 @@
 /// force. It has no part in the decision for a packet.
 #[derive(Debug)]
 pub struct ControlPolicy {
-    options: ControlOptions,
-    table: HeartbeatTable,
+    pub(super) options: ControlOptions,
+    pub(super) table: HeartbeatTable,
     objects: ObjectCache,
-    configuration: Option<Arc<Configuration>>,
-    owner_map: Arc<OwnerMap>,
-    view: LiveView,
-    keeper: LeaseKeeper,
-    grant: Option<LeaseGrant>,
-    coordinator: OwnerCoordinator,
+    pub(super) configuration: Option<Arc<Configuration>>,
+    pub(super) owner_map: Arc<OwnerMap>,
+    pub(super) view: LiveView,
+    pub(super) keeper: LeaseKeeper,
+    pub(super) grant: Option<LeaseGrant>,
+    pub(super) coordinator: OwnerCoordinator,
     first_read: FirstRead,
     next_beat: SystemTime,
     /// Whether there is something that peers should hear of at once.
@@ -162,45 +151,6 @@
         }
     }
 
-    fn step_lease(&mut self, now: SystemTime, out: &mut Vec<ControlAction>) {
-        if self.may_hold_lease(now)
-            && let Some(call) = self.keeper.next_call(now)
-        {
-            out.push(ControlAction::Call { machine: Machine::Lease, call });
-        }
-
-        let grant = self.keeper.grant(now);
-        if grant != self.grant {
-            self.grant = grant;
-            self.table.set_lease_epoch(grant.map_or(0, |grant| grant.epoch));
-            out.push(ControlAction::Install(Installation::Grant(grant)));
-        }
-    }
-
-    /// The balancers chosen in this zone, whoever owns a service, and whoever gives a lease back.
-    fn may_hold_lease(&self, now: SystemTime) -> bool {
-        self.keeper.gives_back()
-            || self.is_chosen(now, HOLDER_SEED, self.options.owners_per_zone)
-            || !self.owned_services().is_empty()
-    }
-
-    fn step_owners(&mut self, now: SystemTime, out: &mut Vec<ControlAction>) {
-        if self.view.home(COORDINATOR_KEY) != Some(self.own().id) {
-            return;
-        }
-
-        self.coordinator.on_map(&self.owner_map);
-        let services = self.configuration.iter().flat_map(|known| known.services());
-        let inputs = CoordinatorInputs {
-            services: services.map(|service| service.id).collect(),
-            candidates: self.candidates(now),
-            live: self.view.members().count(),
-        };
-        if let Some(call) = self.coordinator.next_call(now, &inputs) {
-            out.push(ControlAction::Call { machine: Machine::Owners, call });
-        }
-    }
-
     /// `on_reply` takes the reply to a platform call.
     pub fn on_reply(
         &mut self,
@@ -288,29 +238,6 @@
         Ok(true)
     }
 
-    /// `should_watch` tells whether this balancer is to watch the platform now.
-    #[must_use]
-    pub fn should_watch(&self, now: SystemTime) -> bool {
-        let is_stale = self.platform_heard().is_none_or(|heard| {
-            now.duration_since(heard).unwrap_or_default() > self.options.stale_after
-        });
-
-        is_stale || self.is_chosen(now, WATCHER_SEED, self.options.watchers_per_zone)
-    }
-
-    /// Whether this balancer is among the first of its zone, in an order that all agree on.
-    fn is_chosen(&self, now: SystemTime, seed: u64, count: usize) -> bool {
-        let own = self.own();
-        let mates = self
-            .table
-            .alive(now)
-            .filter(|record| record.zone == own.zone && record.state == PeerState::Serving);
-        let rank = |id: BalancerId| mix(u64::from(id), seed);
-        let before = mates.filter(|record| rank(record.id) < rank(own.id)).count();
-
-        before < count
-    }
-
     /// `on_platform_heard` notes an answer of the platform.
     pub fn on_platform_heard(&mut self, now: SystemTime) {
         self.table.on_platform_heard(to_unix_millis(now));
@@ -347,38 +274,6 @@
         self.keeper.is_given_back()
     }
 
-    /// `candidates` lists live, staying balancers that hold a lease, this one included.
-    #[must_use]
-    pub fn candidates(&self, now: SystemTime) -> Vec<OwnerCandidate> {
-        let records = self.table.alive(now).chain([self.own()]);
-
-        records
-            .filter(|record| record.state == PeerState::Serving && record.lease_epoch > 0)
-            .map(|record| OwnerCandidate { id: record.id, lease: record.lease_epoch })
-            .collect()
-    }
-
-    /// `planned_stop` prepares the handover of all services that this balancer owns.
-    #[must_use]
-    pub fn planned_stop(&self, now: SystemTime) -> PlannedStop {
-        let lease = self.grant.map_or(0, |grant| grant.epoch);
-        let from = OwnerCandidate { id: self.own().id, lease };
-
-        PlannedStop::new(from, self.owned_services(), now)
-    }
-
-    /// `owned_services` lists the services that this balancer owns under its present lease.
-    #[must_use]
-    pub fn owned_services(&self) -> Vec<ServiceId> {
-        let lease = self.grant.map(|grant| grant.epoch);
-        let entries = self.owner_map.raw.entries.iter();
-
-        entries
-            .filter(|(_, entry)| entry.owner == self.own().id && Some(entry.lease) == lease)
-            .map(|(service, _)| *service)
-            .collect()
-    }
-
     /// `object` gives the latest known version of an object.
     #[must_use]
     pub fn object(&self, key: ObjectKey) -> Option<&(ObjectVersion, ObjectValue)> {
--- /dev/null
+++ b/crates/valvestage-policy/src/control/control_roles.rs
@@ -0,0 +1,117 @@
+//! What a balancer does for all of them: it may watch the platform, hold a lease, look after owners.
+
+use std::time::SystemTime;
+
+use valvestage_core::ids::{BalancerId, ServiceId};
+
+use super::control_action::{ControlAction, Installation, Machine};
+use super::control_policy::ControlPolicy;
+use super::owner_coordinator::{CoordinatorInputs, OwnerCandidate};
+use super::planned_stop::PlannedStop;
+use crate::membership::PeerState;
+use crate::rendezvous::mix;
+
+/// The balancer that is home of this key looks after owners; two that do it at once do no harm.
+const COORDINATOR_KEY: u64 = 0x6f77_6e65;
+
+/// Separates the choice of watchers from that of lease holders.
+const WATCHER_SEED: u64 = 0x7761_7463;
+
+/// Separates the choice of lease holders from that of watchers.
+const HOLDER_SEED: u64 = 0x686f_6c64;
+
+impl ControlPolicy {
+    pub(super) fn step_lease(&mut self, now: SystemTime, out: &mut Vec<ControlAction>) {
+        if self.may_hold_lease(now)
+            && let Some(call) = self.keeper.next_call(now)
+        {
+            out.push(ControlAction::Call { machine: Machine::Lease, call });
+        }
+
+        let grant = self.keeper.grant(now);
+        if grant != self.grant {
+            self.grant = grant;
+            self.table.set_lease_epoch(grant.map_or(0, |grant| grant.epoch));
+            out.push(ControlAction::Install(Installation::Grant(grant)));
+        }
+    }
+
+    /// The balancers chosen in this zone, whoever owns a service, and whoever gives a lease back.
+    fn may_hold_lease(&self, now: SystemTime) -> bool {
+        self.keeper.gives_back()
+            || self.is_chosen(now, HOLDER_SEED, self.options.owners_per_zone)
+            || !self.owned_services().is_empty()
+    }
+
+    pub(super) fn step_owners(&mut self, now: SystemTime, out: &mut Vec<ControlAction>) {
+        if self.view.home(COORDINATOR_KEY) != Some(self.own().id) {
+            return;
+        }
+
+        self.coordinator.on_map(&self.owner_map);
+        let services = self.configuration.iter().flat_map(|known| known.services());
+        let inputs = CoordinatorInputs {
+            services: services.map(|service| service.id).collect(),
+            candidates: self.candidates(now),
+            live: self.view.members().count(),
+        };
+        if let Some(call) = self.coordinator.next_call(now, &inputs) {
+            out.push(ControlAction::Call { machine: Machine::Owners, call });
+        }
+    }
+
+    /// `should_watch` tells whether this balancer is to watch the platform now.
+    #[must_use]
+    pub fn should_watch(&self, now: SystemTime) -> bool {
+        let is_stale = self.platform_heard().is_none_or(|heard| {
+            now.duration_since(heard).unwrap_or_default() > self.options.stale_after
+        });
+
+        is_stale || self.is_chosen(now, WATCHER_SEED, self.options.watchers_per_zone)
+    }
+
+    /// Whether this balancer is among the first of its zone, in an order that all agree on.
+    fn is_chosen(&self, now: SystemTime, seed: u64, count: usize) -> bool {
+        let own = self.own();
+        let mates = self
+            .table
+            .alive(now)
+            .filter(|record| record.zone == own.zone && record.state == PeerState::Serving);
+        let rank = |id: BalancerId| mix(u64::from(id), seed);
+        let before = mates.filter(|record| rank(record.id) < rank(own.id)).count();
+
+        before < count
+    }
+
+    /// `candidates` lists live, staying balancers that hold a lease, this one included.
+    #[must_use]
+    pub fn candidates(&self, now: SystemTime) -> Vec<OwnerCandidate> {
+        let records = self.table.alive(now).chain([self.own()]);
+
+        records
+            .filter(|record| record.state == PeerState::Serving && record.lease_epoch > 0)
+            .map(|record| OwnerCandidate { id: record.id, lease: record.lease_epoch })
+            .collect()
+    }
+
+    /// `planned_stop` prepares the handover of all services that this balancer owns.
+    #[must_use]
+    pub fn planned_stop(&self, now: SystemTime) -> PlannedStop {
+        let lease = self.grant.map_or(0, |grant| grant.epoch);
+        let from = OwnerCandidate { id: self.own().id, lease };
+
+        PlannedStop::new(from, self.owned_services(), now)
+    }
+
+    /// `owned_services` lists the services that this balancer owns under its present lease.
+    #[must_use]
+    pub fn owned_services(&self) -> Vec<ServiceId> {
+        let lease = self.grant.map(|grant| grant.epoch);
+        let entries = self.owner_map.raw.entries.iter();
+
+        entries
+            .filter(|(_, entry)| entry.owner == self.own().id && Some(entry.lease) == lease)
+            .map(|(service, _)| *service)
+            .collect()
+    }
+}
--- a/crates/valvestage-policy/src/requests.rs
+++ b/crates/valvestage-policy/src/requests.rs
@@ -13,6 +13,7 @@
 mod request_action;
 mod request_options;
 mod retry_budget;
+mod service_admission;
 mod service_dispatcher;
 mod service_handover;
 mod service_replies;
--- /dev/null
+++ b/crates/valvestage-policy/src/requests/service_admission.rs
@@ -0,0 +1,127 @@
+//! Whether a request that is not known yet is taken, or refused at once.
+
+use std::time::{Duration, SystemTime};
+
+use valvestage_core::time::remaining;
+use valvestage_core::{Outcome, RefusalReason};
+
+use super::authority::Authority;
+use super::claim::ClaimState;
+use super::request::{Refusal, Request};
+use super::request_action::RequestAction;
+use super::service_dispatcher::ServiceDispatcher;
+
+/// Assumed run time before the first answer.
+const FIRST_RUN_TIME: Duration = Duration::from_millis(50);
+
+/// Bounds of the time after which a refused caller may come back.
+const RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(5));
+
+impl<P: Clone> ServiceDispatcher<P> {
+    pub(super) fn is_covered(&self, request: &Request<P>, authority: Option<Authority>) -> bool {
+        if !self.options.window {
+            return true;
+        }
+        // Work that may be repeated is also run by balancers that cannot reach the owner.
+        if request.repeatable {
+            return false;
+        }
+
+        let limit = self.options.max_deadline;
+        authority.is_some_and(|authority| authority.covers(request.deadline, limit))
+    }
+
+    pub(super) fn admission_problem(
+        &self,
+        now: SystemTime,
+        request: &Request<P>,
+        authority: Option<Authority>,
+        covered: bool,
+    ) -> Option<RefusalReason> {
+        let left = remaining(request.deadline, now);
+
+        if self.claims.len() >= self.options.max_claims {
+            return Some(RefusalReason::ClaimsFull);
+        }
+        if left > self.options.max_deadline {
+            return Some(RefusalReason::DeadlineTooFar);
+        }
+        if !request.repeatable && self.options.window {
+            if authority.is_none() {
+                return Some(RefusalReason::NoLease);
+            }
+            if !covered {
+                return Some(RefusalReason::WindowNotCovered);
+            }
+        }
+        if left < self.options.min_remaining {
+            return Some(RefusalReason::DeadlineTooShort);
+        }
+
+        self.load_problem(now, request, left)
+    }
+
+    fn load_problem(
+        &self,
+        now: SystemTime,
+        request: &Request<P>,
+        left: Duration,
+    ) -> Option<RefusalReason> {
+        let usable = self.pool.usable_slots(now);
+        if usable == 0 {
+            return Some(RefusalReason::NoBackend);
+        }
+
+        let ahead = self.queue.ahead_of(request.class);
+        if ahead == 0 && self.pool.busy_slots() < usable {
+            return None;
+        }
+        if ahead >= self.options.waiting_per_slot * usable as usize {
+            return Some(RefusalReason::QueueFull);
+        }
+
+        let wait = self.expected_wait(usable, ahead);
+        (wait + self.run_time() > left).then_some(RefusalReason::WaitTooLong)
+    }
+
+    pub(super) fn run_time(&self) -> Duration {
+        self.pool.usual_run_time().unwrap_or(FIRST_RUN_TIME)
+    }
+
+    /// The time until the slots have worked off what goes before.
+    fn expected_wait(&self, usable_slots: u32, ahead: usize) -> Duration {
+        let turns = u32::try_from(ahead + 1).unwrap_or(u32::MAX);
+
+        self.run_time().saturating_mul(turns) / usable_slots.max(1)
+    }
+
+    pub(super) fn retry_after(&self, now: SystemTime) -> Duration {
+        let wait = self.expected_wait(self.pool.usable_slots(now), self.queue.len());
+
+        wait.clamp(RETRY_AFTER.0, RETRY_AFTER.1)
+    }
+
+    pub(super) fn refuse_new(
+        &mut self,
+        now: SystemTime,
+        request: Request<P>,
+        reason: RefusalReason,
+        covered: bool,
+        out: &mut Vec<RequestAction<P>>,
+    ) {
+        // "Not run" binds the future too: it is said only if a claim keeps later copies from
+        // running. A deadline that is too far comes into range later, maybe at another owner.
+        let can_keep = !matches!(reason, RefusalReason::ClaimsFull | RefusalReason::DeadlineTooFar);
+        let outcome = if covered && can_keep { Outcome::NotRun } else { Outcome::InDoubt };
+        let refusal = Refusal { outcome, reason, retry_after: self.retry_after(now) };
+        let (id, service, caller) = (request.id, self.service, request.caller);
+
+        let keeps = can_keep && reason != RefusalReason::NoLease;
+        if keeps && request.deadline > now {
+            let deadline = request.deadline;
+            let claim = self.new_claim(request, ClaimState::Refused(refusal), covered);
+            self.claims.insert(claim, deadline);
+        }
+        out.push(RequestAction::Refuse { id, service, caller, refusal });
+    }
+}
