--- a/crates/valvestage-soak/src/backend_servers.rs
+++ b/crates/valvestage-soak/src/backend_servers.rs
@@ -13,6 +13,7 @@
 use valvestage_policy::steering::FlowAddresses;
 use valvestage_standins::draws::Draws;
 
+use crate::backend_manner::BackendManner;
 use crate::link_table::{LinkTable, LinkTarget};
 use crate::observation::{Observation, SeenEvent, StallWatch};
 use crate::site_plan::SitePlan;
@@ -30,6 +31,9 @@
 /// What the draw adds to it at most.
 const MORE_WORK: Duration = Duration::from_millis(25);
 
+/// How many times as long a slow one works.
+const SLOWNESS: u32 = 5;
+
 /// `BackendCommand` changes one backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BackendCommand {
@@ -37,8 +41,8 @@
     Start(usize, InstanceId),
     /// What is at a place ends without a word.
     End(usize),
-    /// What is at a place takes requests and answers every second one only.
-    Fail(usize, bool),
+    /// What is at a place treats requests in another manner.
+    Behave(usize, BackendManner),
 }
 
 /// A packet that is still on its way.
@@ -61,7 +65,7 @@
     instance: InstanceId,
     flows: HashMap<FlowAddresses, BackendFlow>,
     ended: HashSet<FlowAddresses>,
-    failing: bool,
+    manner: BackendManner,
     requests: u64,
 }
 
@@ -135,7 +139,7 @@
                         instance,
                         flows: HashMap::new(),
                         ended: HashSet::new(),
-                        failing: false,
+                        manner: BackendManner::default(),
                         requests: 0,
                     };
                     self.running.insert(place, backend);
@@ -143,9 +147,9 @@
                 BackendCommand::End(place) => {
                     self.running.remove(&place);
                 }
-                BackendCommand::Fail(place, failing) => {
+                BackendCommand::Behave(place, manner) => {
                     if let Some(backend) = self.running.get_mut(&place) {
-                        backend.failing = failing;
+                        backend.manner = manner;
                     }
                 }
             }
@@ -276,8 +280,12 @@
         if let Some(request) = held.take(packet) {
             seen.push(SeenEvent::Ran { request: request.id, repeatable: request.repeatable });
             self.requests += 1;
-            if !(self.failing && self.requests.is_multiple_of(2)) {
-                held.work_until(now + LEAST_WORK + MORE_WORK.mul_f64(draws.unit()), request);
+            let work = LEAST_WORK + MORE_WORK.mul_f64(draws.unit());
+            match self.manner {
+                BackendManner::Usual => held.work_until(now + work, request),
+                BackendManner::Slow => held.work_until(now + work * SLOWNESS, request),
+                BackendManner::Failing if self.requests.is_multiple_of(2) => {}
+                BackendManner::Failing => held.work_until(now + work, request),
             }
         }
         let mut answers = Vec::new();
--- a/crates/valvestage-soak/src/fault_kind.rs
+++ b/crates/valvestage-soak/src/fault_kind.rs
@@ -52,11 +52,17 @@
     Configuration,
     /// Configurations in quick succession.
     ConfigurationStorm,
+    /// A backend server takes five times as long for its requests.
+    BackendSlow,
+    /// The entry of a backend server goes and comes back, while it lives and the store answers.
+    BackendUnlisted,
+    /// The store refuses all calls of a balancer, and answers the others.
+    StoreRefusesOne,
 }
 
 impl FaultKind {
-    /// All kinds.
-    pub const ALL: [Self; 23] = [
+    /// All kinds. New ones come last: seeds that once failed draw from as many as there were then.
+    pub const ALL: [Self; 26] = [
         Self::BalancerKill,
         Self::HerdKill,
         Self::BalancerStop,
@@ -80,5 +86,8 @@
         Self::BackendFails,
         Self::Configuration,
         Self::ConfigurationStorm,
+        Self::BackendSlow,
+        Self::BackendUnlisted,
+        Self::StoreRefusesOne,
     ];
 }
--- a/crates/valvestage-soak/src/lib.rs
+++ b/crates/valvestage-soak/src/lib.rs
@@ -17,11 +17,12 @@
 //! | [`peer_relay`], [`link_table`] | messages between balancers, and what happens to datagrams |
 //! | [`router_table`] | which balancer gets a packet |
 //! | [`caller_load`] | callers |
-//! | [`backend_servers`], [`backend_places`] | backend servers |
+//! | [`backend_servers`], [`backend_manner`], [`backend_places`] | backend servers |
 //! | [`seed_list`] | seeds that once failed |
 //! | [`control_cost`] | what control costs without callers |
 //! | [`errors`] | why a run could not be played |
 
+pub mod backend_manner;
 pub mod backend_places;
 pub mod backend_servers;
 pub mod balancer_process;
--- a/crates/valvestage-soak/src/main.rs
+++ b/crates/valvestage-soak/src/main.rs
@@ -91,6 +91,10 @@
     /// New flows a second
     #[bpaf(long, argument("N"), fallback(60))]
     flows: u32,
+    /// Kinds of faults to draw from, the first ones of the list; seeds from before a kind was added
+    /// need it
+    #[bpaf(long, argument("N"), guard(are_kinds, ARE_KINDS), fallback(FaultKind::ALL.len()))]
+    kinds: usize,
     /// Seconds in which faults begin
     #[bpaf(long, argument("SECONDS"), fallback(30))]
     length: u64,
@@ -103,6 +107,12 @@
 
 const HAVE_BOTH_SERVICES: &str = "there have to be 12 backend servers at least";
 
+const ARE_KINDS: &str = "there is not that number of kinds";
+
+fn are_kinds(kinds: &usize) -> bool {
+    (1..=FaultKind::ALL.len()).contains(kinds)
+}
+
 fn fill_zones(balancers: &usize) -> bool {
     *balancers >= ZONES
 }
@@ -125,10 +135,10 @@
         Arguments::Run { seed, seeds, minutes, shape } => {
             play_many(seed, seeds, minutes, &shape, &stop)
         }
-        Arguments::Replay { seed, shape } => play(seed, shape.balancers, &shape, &stop),
+        Arguments::Replay { seed, shape } => play(seed, &shape, &stop),
         Arguments::Cost { shape } => measure(&shape),
         Arguments::Known { shape } => match seed_list::read(&shape.known) {
-            Ok(known) => known.iter().all(|known| play(known.seed, known.balancers, &shape, &stop)),
+            Ok(known) => play_known(&known, &shape, &stop),
             Err(error) => return usage_error(PROGRAM, &error),
         },
         Arguments::List { known } => match seed_list::read(&known) {
@@ -161,15 +171,26 @@
         None => seed < first + seeds,
     };
     while goes_on(seed) && !stop.load(Ordering::Relaxed) {
-        clean &= play(seed, shape.balancers, shape, stop);
+        clean &= play(seed, shape, stop);
         seed += 1;
     }
     clean
 }
 
+/// Plays all, also after one that failed, each as it was played then.
+fn play_known(known: &[seed_list::KnownSeed], shape: &Shape, stop: &Arc<AtomicBool>) -> bool {
+    let mut clean = true;
+
+    for seed in known {
+        let shape = Shape { balancers: seed.balancers, kinds: seed.kinds, ..shape.clone() };
+        clean &= play(seed.seed, &shape, stop);
+    }
+    clean
+}
+
 /// Plays one seed, and says what it has shown.
-fn play(seed: u64, balancers: usize, shape: &Shape, stop: &Arc<AtomicBool>) -> bool {
-    let options = SoakOptions { stop: stop.clone(), ..options(seed, balancers, shape) };
+fn play(seed: u64, shape: &Shape, stop: &Arc<AtomicBool>) -> bool {
+    let options = SoakOptions { stop: stop.clone(), ..options(seed, shape) };
     let folder = options.folder.clone();
 
     match valvestage_soak::run(options) {
@@ -186,7 +207,7 @@
 }
 
 fn measure(shape: &Shape) -> bool {
-    let options = options(0, shape.balancers, shape);
+    let options = options(0, shape);
     match control_cost::measure(&options, Duration::from_secs(shape.length)) {
         Ok(cost) => {
             println!("{cost}, {} backend servers", shape.backends);
@@ -199,13 +220,14 @@
     }
 }
 
-fn options(seed: u64, balancers: usize, shape: &Shape) -> SoakOptions {
+fn options(seed: u64, shape: &Shape) -> SoakOptions {
     SoakOptions {
         program: shape.program.clone(),
         folder: shape.folder.join(format!("seed-{seed}")),
         seed,
         faults_for: Duration::from_secs(shape.length),
-        balancers,
+        balancers: shape.balancers,
+        kinds: FaultKind::ALL[..shape.kinds].to_vec(),
         backends: shape.backends,
         flows_per_second: shape.flows,
         ..SoakOptions::default()
--- a/crates/valvestage-soak/src/seed_list.rs
+++ b/crates/valvestage-soak/src/seed_list.rs
@@ -14,6 +14,8 @@
     pub seed: u64,
     /// Balancers of the run that failed.
     pub balancers: usize,
+    /// Kinds of faults that it drew from: the first ones of [`crate::FaultKind::ALL`].
+    pub kinds: usize,
     /// What made it fail, in a line.
     pub cause: String,
 }
--- a/crates/valvestage-soak/src/soak_run/fault_effects.rs
+++ b/crates/valvestage-soak/src/soak_run/fault_effects.rs
@@ -5,6 +5,7 @@
 use nix::sys::signal::Signal;
 
 use super::{BalancerDuty, LaterStep, SoakRun, TURN};
+use crate::backend_manner::BackendManner;
 use crate::backend_servers::BackendCommand;
 use crate::errors::{SoakError, at};
 use crate::fault_kind::FaultKind;
@@ -80,6 +81,9 @@
             FaultKind::StoreLinkReset => {
                 self.break_relay(number, StoreLinkState::Resetting, until);
             }
+            FaultKind::StoreRefusesOne => {
+                self.break_relay(number, StoreLinkState::Refusing, until);
+            }
             FaultKind::StoreLinkOneWay => {
                 self.break_relay(number, StoreLinkState::AnswersLost, until);
             }
@@ -90,7 +94,13 @@
             }
             FaultKind::BackendCrash => self.crash_backend(fault.target, until),
             FaultKind::BackendReplace => self.replace_backend(fault.target, now),
-            FaultKind::BackendFails => self.fail_backend(fault.target, until),
+            FaultKind::BackendFails => {
+                self.change_manner(fault.target, BackendManner::Failing, until);
+            }
+            FaultKind::BackendSlow => {
+                self.change_manner(fault.target, BackendManner::Slow, until);
+            }
+            FaultKind::BackendUnlisted => self.unlist_backend(fault.target, until),
             FaultKind::Configuration => self.write_configuration(),
             FaultKind::ConfigurationStorm => {
                 for step in 0..STORM_LENGTH {
@@ -216,12 +226,28 @@
         self.later.push((starts_at, LaterStep::StartBackend { place, service }));
     }
 
-    fn fail_backend(&mut self, target: usize, until: Instant) {
-        let Some(place) = self.places.idle_place(target, Instant::now()) else { return };
-        self.places.occupy(place, until);
+    fn change_manner(&mut self, target: usize, manner: BackendManner, until: Instant) {
+        let Some(place) = self.disturb_backend(target, until) else { return };
+
+        self.command(BackendCommand::Behave(place, manner));
+        self.later.push((until, LaterStep::BehaveAgain { place }));
+    }
+
+    /// A backend server that loses the store is taken for gone, and its flows may be ended.
+    fn unlist_backend(&mut self, target: usize, until: Instant) {
+        let Some(place) = self.disturb_backend(target, until) else { return };
+
+        self.delete_entry(place);
+        self.later.push((until, LaterStep::ListAgain { place }));
+    }
+
+    /// A backend server that nothing else happens to until then, and its place; none if there is no
+    /// such one.
+    fn disturb_backend(&mut self, target: usize, until: Instant) -> Option<usize> {
+        let place = self.places.idle_place(target, Instant::now())?;
 
+        self.places.occupy(place, until + TURN);
         self.truth.disturb_backend(self.places.get(place).instance, until);
-        self.command(BackendCommand::Fail(place, true));
-        self.later.push((until, LaterStep::StopFailing { place }));
+        Some(place)
     }
 }
--- a/crates/valvestage-soak/src/store_relay.rs
+++ b/crates/valvestage-soak/src/store_relay.rs
@@ -9,6 +9,15 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 
+/// Bytes passed on at once.
+const CHUNK: usize = 16 * 1024;
+
+/// What a balancer hears that the store turns away. Calls have no body and come in one piece.
+const REFUSAL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n";
+
+/// The balancer's end, written to by the store's answers and by refusals.
+type SharedWriteHalf = Arc<tokio::sync::Mutex<OwnedWriteHalf>>;
+
 /// `StoreLinkState` is what the relay does with connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum StoreLinkState {
@@ -19,6 +28,8 @@
     Slow(Duration),
     /// Ends connections, and new ones at once.
     Resetting,
+    /// Answers each call itself: too busy.
+    Refusing,
     /// Passes calls on, but no answers.
     AnswersLost,
     /// Passes nothing on. Connections that had something to pass then stay silent for good.
@@ -67,36 +78,60 @@
             let far = TcpStream::connect(store).await?;
             let (near_read, near_write) = near.into_split();
             let (far_read, far_write) = far.into_split();
-            tokio::spawn(self.clone().pass(near_read, far_write, Direction::Call));
-            tokio::spawn(self.clone().pass(far_read, near_write, Direction::Answer));
+            let near_write = Arc::new(tokio::sync::Mutex::new(near_write));
+            tokio::spawn(self.clone().pass_calls(near_read, far_write, near_write.clone()));
+            tokio::spawn(self.clone().pass_answers(far_read, near_write));
         }
     }
 
-    /// Passes one direction on until its connection ends. An error means that one end has gone.
-    async fn pass(self, mut from: OwnedReadHalf, mut to: OwnedWriteHalf, direction: Direction) {
-        const CHUNK: usize = 16 * 1024;
+    /// Passes calls on until their connection ends. An error means that one end has gone.
+    async fn pass_calls(
+        self,
+        mut from: OwnedReadHalf,
+        mut to: OwnedWriteHalf,
+        answers: SharedWriteHalf,
+    ) {
         let mut chunk = vec![0; CHUNK];
 
         while let Ok(length @ 1..) = from.read(&mut chunk).await {
-            match self.state() {
-                StoreLinkState::Open => {}
-                StoreLinkState::Slow(time) => tokio::time::sleep(time).await,
+            let written = match self.hold().await {
                 StoreLinkState::Resetting => return,
-                StoreLinkState::AnswersLost if direction == Direction::Call => {}
                 // Both ends stay open and hear nothing more.
+                StoreLinkState::Silent => return std::future::pending().await,
+                StoreLinkState::Refusing => answers.lock().await.write_all(REFUSAL).await,
+                _ => to.write_all(&chunk[..length]).await,
+            };
+            if written.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Passes answers on in the same way.
+    async fn pass_answers(self, mut from: OwnedReadHalf, to: SharedWriteHalf) {
+        let mut chunk = vec![0; CHUNK];
+
+        while let Ok(length @ 1..) = from.read(&mut chunk).await {
+            match self.hold().await {
+                StoreLinkState::Resetting => return,
                 StoreLinkState::AnswersLost | StoreLinkState::Silent => {
                     return std::future::pending().await;
                 }
+                _ => {}
             }
-            if to.write_all(&chunk[..length]).await.is_err() {
+            if to.lock().await.write_all(&chunk[..length]).await.is_err() {
                 return;
             }
         }
     }
-}
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Direction {
-    Call,
-    Answer,
+    /// Waits as long as what passes is late, and gives the state that it meets.
+    async fn hold(&self) -> StoreLinkState {
+        let state = self.state();
+
+        if let StoreLinkState::Slow(time) = state {
+            tokio::time::sleep(time).await;
+        }
+        state
+    }
 }
--- a/crates/valvestage-soak/tests/seeds.rs
+++ b/crates/valvestage-soak/tests/seeds.rs
@@ -2,6 +2,7 @@
 
 use std::path::Path;
 
+use valvestage_soak::FaultKind;
 use valvestage_soak::seed_list::read;
 
 #[test]
@@ -10,4 +11,5 @@
 
     let known = read(&file).unwrap();
     assert!(known.iter().all(|known| !known.cause.is_empty()));
+    assert!(known.iter().all(|known| (1..=FaultKind::ALL.len()).contains(&known.kinds)));
 }
