Place flows in the own region before another one

Cause: deployments of two regions are in the size to design for, and all zones but the own one counted alike. A flow placed in another region takes 40 ms more for each exchange. Ruled out: zones alone (the own one comes first already; what overflows went anywhere). Change: the platform's settings name each zone's region (zone_regions in our settings, from the template); backend servers of another region count 3 requests a slot busier, those of another zone 1.5 as before. Deployments of one region: nothing changes. Tests: zones_of_the_own_region_come_before_those_of_another, zones_of_another_region_are_far.

--- a/crates/valvestage-core/src/settings/entry.rs
+++ b/crates/valvestage-core/src/settings/entry.rs
@@ -1,5 +1,6 @@
 //! Settings of `valvestage-entry`.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::Path;
 use std::time::Duration;
@@ -17,6 +18,9 @@
     pub name: String,
     /// Availability zone of this VM.
     pub zone: ZoneName,
+    /// Region of each availability zone; zones that are not named are in no other region.
+    #[serde(default)]
+    pub zone_regions: BTreeMap<ZoneName, String>,
     /// UDP address at which callers' packets arrive.
     pub data_address: SocketAddrV4,
     /// TCP address at which the routers ask for readiness.
@@ -46,6 +50,8 @@
     pub name: String,
     /// Availability zone of this VM; not empty.
     pub zone: ZoneName,
+    /// Availability zones of other regions; never the own one.
+    pub far_zones: BTreeSet<ZoneName>,
     /// UDP address at which callers' packets arrive.
     pub data_address: SocketAddrV4,
     /// TCP address at which the routers ask for readiness.
@@ -102,6 +108,7 @@
         let seeds = seeds.filter(|ip| *ip != own_ip && *ip != advertised_ip);
         Ok(Self {
             name: raw.name,
+            far_zones: far_zones(&raw.zone, raw.zone_regions),
             zone: raw.zone,
             data_address: raw.data_address,
             ready_address: raw.ready_address,
@@ -115,3 +122,10 @@
         })
     }
 }
+
+/// The zones whose region is known to be another one than that of a zone.
+fn far_zones(zone: &ZoneName, regions: BTreeMap<ZoneName, String>) -> BTreeSet<ZoneName> {
+    let Some(own) = regions.get(zone).cloned() else { return BTreeSet::new() };
+
+    regions.into_iter().filter(|(_, region)| *region != own).map(|(zone, _)| zone).collect()
+}
--- /dev/null
+++ b/crates/valvestage-core/tests/entry_settings.rs
@@ -0,0 +1,45 @@
+//! Settings of an entry VM, as the platform fills them in.
+
+use std::path::Path;
+
+use valvestage_core::settings::{EntrySettings, RawEntrySettings};
+
+const COMMON: &str = r#"
+name = "front-1"
+zone = "zone-a"
+data_address = "10.0.0.1:8172"
+ready_address = "10.0.0.1:8167"
+control_address = "10.0.0.1:8166"
+peer_port = 7720
+seeds = ["10.0.0.1:8166", "10.0.0.2:8166"]
+store_address = "10.0.9.1:8169"
+stop_within_s = 6
+"#;
+
+fn read(further: &str) -> EntrySettings {
+    let raw: RawEntrySettings = toml::from_str(&format!("{COMMON}{further}")).unwrap();
+
+    EntrySettings::try_from((Path::new("entry.toml"), raw)).unwrap()
+}
+
+#[test]
+fn zones_of_another_region_are_far() {
+    let settings = read(
+        "[zone_regions]\n\"zone-a\" = \"west\"\n\"zone-b\" = \"west\"\n\"zone-c\" = \"east\"\n",
+    );
+
+    assert_eq!(settings.far_zones, ["zone-c".to_owned()].into());
+}
+
+#[test]
+fn without_regions_no_zone_is_far() {
+    assert!(read("").far_zones.is_empty());
+    assert!(read("[zone_regions]\n").far_zones.is_empty());
+    // The own zone is not named: which region it is in is not known.
+    assert!(read("[zone_regions]\nzone-b = \"west\"\n").far_zones.is_empty());
+}
+
+#[test]
+fn the_own_address_is_no_peer() {
+    assert_eq!(read("").seeds, ["10.0.0.2:7720".parse().unwrap()]);
+}
--- a/crates/valvestage-entry/src/process.rs
+++ b/crates/valvestage-entry/src/process.rs
@@ -96,7 +96,11 @@
 }
 
 fn options(settings: &EntrySettings) -> EntryOptions {
-    let steering = SteeringOptions { zone: settings.zone.clone(), ..Default::default() };
+    let steering = SteeringOptions {
+        zone: settings.zone.clone(),
+        far_zones: settings.far_zones.clone(),
+        ..Default::default()
+    };
     // Differs between VMs, and between two starts of one.
     let mut hasher = DefaultHasher::new();
     settings.name.hash(&mut hasher);
--- a/crates/valvestage-policy/src/steering/flow_placer.rs
+++ b/crates/valvestage-policy/src/steering/flow_placer.rs
@@ -71,19 +71,30 @@
         // Its pace may show the same cold start, which counts once.
         let pace = self.backends.pace().factor(entry.instance, median_pace, self.now);
         let factor = pace.max(cold_factor);
-        let distance =
-            if entry.zone == self.options.zone { 0.0 } else { self.options.zone_preference };
         let is_avoided = self.backends.outliers().is_avoided(entry.instance, self.now);
         let avoidance = if is_avoided { self.options.avoidance } else { 0.0 };
 
         ChoiceCandidate {
             entry,
-            load: (requests + 1.0) * factor / f64::from(entry.slots) + distance + avoidance,
+            load: (requests + 1.0) * factor / f64::from(entry.slots)
+                + self.distance(entry)
+                + avoidance,
             pace,
             doubt: self.doubt(entry, instead_of),
         }
     }
 
+    /// What the way to a backend server adds to its load.
+    fn distance(&self, entry: &BackendEntry) -> f64 {
+        if entry.zone == self.options.zone {
+            0.0
+        } else if self.options.far_zones.contains(&entry.zone) {
+            self.options.region_preference
+        } else {
+            self.options.zone_preference
+        }
+    }
+
     fn doubt(&self, entry: &BackendEntry, instead_of: Option<InstanceId>) -> ChoiceDoubt {
         let is_silent = self.backends.health().is_suspect(entry.instance, self.now)
             || instead_of == Some(entry.instance);
--- a/crates/valvestage-policy/src/steering/steering_options.rs
+++ b/crates/valvestage-policy/src/steering/steering_options.rs
@@ -1,5 +1,6 @@
 //! Limits and weights of steering.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use valvestage_core::ids::ZoneName;
@@ -9,6 +10,8 @@
 pub struct SteeringOptions {
     /// Availability zone of this VM.
     pub zone: ZoneName,
+    /// Availability zones of other regions.
+    pub far_zones: BTreeSet<ZoneName>,
     /// Flows remembered at most. A record has some 100 bytes; the size to design for has 6,200 flows
     /// a balancer.
     pub max_flows: usize,
@@ -18,6 +21,9 @@
     /// How much busier, in requests a slot, the servers of this zone may be before a flow is placed
     /// in another zone. From the trials that docs/PLATFORM.md lists.
     pub zone_preference: f64,
+    /// How much busier the servers of all zones of this region may be before a flow is placed in another
+    /// region: there each packet of a request takes tens of milliseconds more. docs/PLATFORM.md.
+    pub region_preference: f64,
     /// How much busier, in requests a slot, the others may be before a flow is placed on a backend
     /// server that fails more requests than they do. Twice the preference for the own zone: another
     /// zone is better than a failing backend server. When all are avoided, none is.
@@ -33,9 +39,11 @@
     fn default() -> Self {
         Self {
             zone: ZoneName::new(),
+            far_zones: BTreeSet::new(),
             max_flows: 200_000,
             resting_flow_load: 0.05,
             zone_preference: 1.5,
+            region_preference: 3.0,
             avoidance: 3.0,
             cold_factor: 1.6,
             remember_gone: Duration::from_secs(60),
--- a/crates/valvestage-policy/tests/steering/packets.rs
+++ b/crates/valvestage-policy/tests/steering/packets.rs
@@ -192,6 +192,26 @@
     assert!(rest.map(instance).any(|server| server == 2));
 }
 
+#[test]
+fn zones_of_the_own_region_come_before_those_of_another() {
+    const FAR: &str = "zone-c";
+    let now = start();
+    let known = knowledge(&[backend(1, "core", AWAY), backend(2, "core", FAR)]);
+    let mut policy = SteeringPolicy::new(
+        SteeringOptions {
+            zone: HOME.to_owned(),
+            far_zones: [FAR.to_owned()].into(),
+            ..Default::default()
+        },
+        1,
+    );
+
+    let first = (0..3).map(|port| policy.on_packet(&known, &opening(flow(port), 0), now));
+    assert!(first.map(instance).all(|server| server == 1));
+    let rest = (3..20).map(|port| policy.on_packet(&known, &opening(flow(port), 0), now));
+    assert!(rest.map(instance).any(|server| server == 2));
+}
+
 #[test]
 fn a_missing_route_is_refused_at_once() {
     let now = start();
