Soak: end each turn in its time, and notice a main thread that stands still

Entries that the run was to list again at 23.2 s were listed at 29.9 s, and a fault planned for 24.9 s began at 29.9 s: the main thread took observations in as long as there were any, and on a busy machine there always are. No thread watched it for stalls. Balancers were right to take the entries for gone. Ruled out: the balancers (each log shows lists of the store without the entries); a stall of the whole process (the other threads noticed none); slow checks (180 us at most, measured); the new refusing relay. Change: a turn takes in what waits when its time is over and no more; a stall of the main thread counts as one. Test: what_comes_meanwhile_is_left_for_the_next_call fails without it (1,009 taken in place of 10).

--- a/crates/valvestage-soak/src/observation.rs
+++ b/crates/valvestage-soak/src/observation.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
-use crossbeam_channel::Sender;
+use crossbeam_channel::{Receiver, Sender};
 use valvestage_core::ids::InstanceId;
 use valvestage_policy::steering::FlowAddresses;
 use valvestage_standins::packets::RequestId;
@@ -100,6 +100,26 @@
     },
 }
 
+/// `receive_until` takes in what is seen until a time, and what waits then.
+///
+/// What comes while it takes in the rest is left for the next call. On a busy machine there is always
+/// something, and the run has other things to do.
+pub fn receive_until(
+    observations: &Receiver<Observation>,
+    until: Instant,
+    mut take: impl FnMut(Observation),
+) {
+    while Instant::now() < until
+        && let Ok(observation) = observations.recv_deadline(until)
+    {
+        take(observation);
+    }
+
+    for observation in observations.try_iter().take(observations.len()) {
+        take(observation);
+    }
+}
+
 /// A gap between two turns of the soak's own threads from which on they stood still. Callers send
 /// again after 200 ms.
 const STALL: Duration = Duration::from_millis(100);
--- a/crates/valvestage-soak/src/soak_run.rs
+++ b/crates/valvestage-soak/src/soak_run.rs
@@ -18,6 +18,7 @@
 use crate::errors::{SoakError, at};
 use crate::fault_kind::FaultKind;
 use crate::fault_plan::{PlannedFault, plan};
+use crate::observation::{StallWatch, receive_until};
 use crate::promise::{Promise, RECOVERY_WITHIN};
 use crate::promise_checker::PromiseChecker;
 use crate::site_truth::SiteTruth;
@@ -76,6 +77,8 @@
 pub struct SoakRun {
     options: SoakOptions,
     site: SoakSite,
+    /// Whether this thread stood still: what it was to do was done late.
+    stalls: StallWatch,
     truth: SiteTruth,
     checker: PromiseChecker,
     places: BackendPlaces,
@@ -115,6 +118,7 @@
             draws: Draws::new(!options.seed),
             version: 0,
             configurations: 0,
+            stalls: site.stall_watch(),
             began: now,
             events: Vec::new(),
             counts: BTreeMap::new(),
@@ -129,6 +133,8 @@
         run.site.start_balancers()?;
         run.truth.disturb_balancers(Instant::now());
         run.site.start_callers(&run.options)?;
+        // The start of processes takes its time.
+        run.stalls = run.site.stall_watch();
         Ok(run)
     }
 
@@ -210,11 +216,11 @@
             return Err(SoakError::Stopped);
         }
         let until = Instant::now() + TURN;
-        while let Ok(observation) = self.site.observations.recv_deadline(until) {
+        receive_until(&self.site.observations, until, |observation| {
             self.checker.observe(&mut self.truth, observation);
-        }
+        });
 
-        let now = Instant::now();
+        let now = self.stalls.turn();
         self.step_store(now);
         let (due, later) =
             std::mem::take(&mut self.later).into_iter().partition(|(at, _)| *at <= now);
--- a/crates/valvestage-soak/src/soak_site.rs
+++ b/crates/valvestage-soak/src/soak_site.rs
@@ -15,7 +15,7 @@
 use crate::caller_load::CallerLoad;
 use crate::errors::{SoakError, at};
 use crate::link_table::LinkTable;
-use crate::observation::Observation;
+use crate::observation::{Observation, StallWatch};
 use crate::peer_relay::{PeerRelay, SentBytes};
 use crate::router_table::{ASK_INTERVAL, RouterTable};
 use crate::site_plan::{SitePlan, listen};
@@ -103,6 +103,12 @@
         Ok(site)
     }
 
+    /// `stall_watch` notices whether a thread stands still from now on.
+    #[must_use]
+    pub fn stall_watch(&self) -> StallWatch {
+        StallWatch::new(self.observe.clone())
+    }
+
     /// `start_balancers` starts all balancers and waits until they are ready.
     pub fn start_balancers(&mut self) -> Result<(), SoakError> {
         for balancer in &mut self.balancers {
--- /dev/null
+++ b/crates/valvestage-soak/tests/observation.rs
@@ -0,0 +1,41 @@
+//! Taking in what is seen.
+
+use std::time::{Duration, Instant};
+
+use crossbeam_channel::unbounded;
+use valvestage_soak::observation::{Observation, SeenEvent, receive_until};
+
+fn observation() -> Observation {
+    Observation { at: Instant::now(), seen: SeenEvent::Forged }
+}
+
+#[test]
+fn what_comes_meanwhile_is_left_for_the_next_call() {
+    const WAITING: usize = 10;
+    // What the endless loop of a run that never ends would see.
+    const GIVE_UP: usize = 1_000;
+    let (sender, receiver) = unbounded();
+    for _ in 0..WAITING {
+        sender.send(observation()).unwrap();
+    }
+
+    let mut taken = 0;
+    receive_until(&receiver, Instant::now(), |_| {
+        taken += 1;
+        if taken < GIVE_UP {
+            sender.send(observation()).unwrap();
+        }
+    });
+    assert_eq!(taken, WAITING);
+    assert_eq!(receiver.len(), WAITING);
+}
+
+#[test]
+fn what_comes_before_the_time_is_taken_in() {
+    let (sender, receiver) = unbounded();
+    sender.send(observation()).unwrap();
+
+    let mut taken = 0;
+    receive_until(&receiver, Instant::now() + Duration::from_millis(5), |_| taken += 1);
+    assert_eq!(taken, 1);
+}
