--- a/crates/valvestage-experiment/src/requests.rs
+++ b/crates/valvestage-experiment/src/requests.rs
@@ -4,7 +4,10 @@
 mod ideal;
 mod measures;
 mod model;
+mod model_event;
 mod model_faults;
+mod model_occupancy;
+mod model_server;
 mod scenario;
 mod way;
 
--- a/crates/valvestage-experiment/src/requests/model.rs
+++ b/crates/valvestage-experiment/src/requests/model.rs
@@ -4,15 +4,18 @@
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime};
 
-use valvestage_core::ids::{Attempt, BackendId, RequestId};
+use valvestage_core::ids::{BackendId, RequestId};
 use valvestage_core::{Backend, RefusalReason, RequestClass, Segment};
 use valvestage_policy::requests::{
-    Authority, BackendReply, PoolOptions, Request, RequestAction, RequestOptions, ServiceDispatcher,
+    Authority, PoolOptions, Request, RequestAction, RequestOptions, ServiceDispatcher,
 };
 
 use super::event_queue::EventQueue;
 use super::ideal::{capacity, ideal, mean_way};
 use super::measures::{Measures, Sample};
+use super::model_event::Event;
+use super::model_occupancy::SAMPLE;
+use super::model_server::Server;
 use super::scenario::Scenario;
 use super::way::Way;
 use crate::deployment::{BALANCERS, Size, backend, configuration, start, zone_name};
@@ -24,12 +27,6 @@
 /// Pause between two ticks of a dispatcher.
 const TICK: Duration = Duration::from_millis(5);
 
-/// Length of one sample of the occupancy.
-const SAMPLE: Duration = Duration::from_millis(100);
-
-/// Samples in a window of a second.
-const SAMPLES_PER_SECOND: u32 = 10;
-
 /// A caller that was told nothing sends its request again.
 const RESEND: Duration = Duration::from_millis(500);
 
@@ -56,40 +53,13 @@
     pub seed: u64,
 }
 
-#[derive(Debug)]
-pub(super) enum Event {
-    NewRequest(usize),
-    Resend(RequestId),
-    AtDispatcher(usize, RequestId),
-    AtBackend { dispatcher: usize, backend: BackendId, id: RequestId, attempt: Attempt },
-    Cancelled { dispatcher: usize, backend: BackendId, id: RequestId, attempt: Attempt },
-    Done { dispatcher: usize, backend: BackendId, id: RequestId, attempt: Attempt },
-    Answer { dispatcher: usize, reply: BackendReply },
-    Refusal { dispatcher: usize, reply: BackendReply, reason: RefusalReason },
-    AtCaller(RequestId, Option<RefusalReason>),
-    Tick(usize),
-    Sample,
-    Fault,
-    TakeOver,
-}
-
-pub(super) struct Server {
-    pub(super) record: Backend,
-    pub(super) running: BTreeMap<(RequestId, Attempt), ()>,
-    pub(super) slow_factor: u32,
-    pub(super) is_shedding: bool,
-    pub(super) is_cut: bool,
-    /// Busy slots summed over the samples of the present second.
-    pub(super) busy_sum: u32,
-}
-
 pub(super) struct Pending {
     sent: SystemTime,
     deadline: SystemTime,
     is_bulk: bool,
     is_told: bool,
     /// The same under every way.
-    run_time: Duration,
+    pub(super) run_time: Duration,
 }
 
 pub(super) struct Model<'a> {
@@ -340,7 +310,7 @@
     }
 
     /// Between a dispatcher's balancer and a backend server.
-    fn to_backend(&self, dispatcher: usize, backend: BackendId) -> Duration {
+    pub(super) fn to_backend(&self, dispatcher: usize, backend: BackendId) -> Duration {
         self.between(dispatcher % self.size.zones, backend as usize % self.size.zones)
     }
 
@@ -390,62 +360,6 @@
         }
     }
 
-    fn at_backend(
-        &mut self,
-        dispatcher: usize,
-        backend: BackendId,
-        id: RequestId,
-        attempt: Attempt,
-    ) {
-        let after = self.to_backend(dispatcher, backend);
-        let reply = BackendReply { backend, id, attempt };
-        let Some(server) = self.servers.get_mut(&backend).filter(|server| !server.is_cut) else {
-            return;
-        };
-
-        if server.is_shedding || server.running.len() >= usize::from(server.record.slots) {
-            self.measures.shed += 1;
-            let reason = RefusalReason::BackendShedding;
-            self.schedule(after, Event::Refusal { dispatcher, reply, reason });
-            return;
-        }
-        server.running.insert((id, attempt), ());
-        let run_time = self.pending[&id].run_time * server.slow_factor;
-        self.schedule(run_time, Event::Done { dispatcher, backend, id, attempt });
-    }
-
-    fn done(&mut self, dispatcher: usize, backend: BackendId, id: RequestId, attempt: Attempt) {
-        let after = self.to_backend(dispatcher, backend);
-        let Some(server) = self.servers.get_mut(&backend) else {
-            return;
-        };
-
-        if server.running.remove(&(id, attempt)).is_some() && !server.is_cut {
-            let reply = BackendReply { backend, id, attempt };
-            self.schedule(after, Event::Answer { dispatcher, reply });
-        }
-    }
-
-    /// The backend server stops the run and says so: its slot is free.
-    fn cancelled(
-        &mut self,
-        dispatcher: usize,
-        backend: BackendId,
-        id: RequestId,
-        attempt: Attempt,
-    ) {
-        let after = self.to_backend(dispatcher, backend);
-        let Some(server) = self.servers.get_mut(&backend).filter(|server| !server.is_cut) else {
-            return;
-        };
-
-        if server.running.remove(&(id, attempt)).is_some() {
-            let reply = BackendReply { backend, id, attempt };
-            let reason = RefusalReason::Cancelled;
-            self.schedule(after, Event::Refusal { dispatcher, reply, reason });
-        }
-    }
-
     fn at_caller(&mut self, id: RequestId, refusal: Option<RefusalReason>) {
         let now = self.now;
         let Some(pending) = self.pending.get_mut(&id).filter(|pending| !pending.is_told) else {
@@ -474,37 +388,8 @@
         self.schedule(TICK, Event::Tick(index));
     }
 
-    fn sample(&mut self) {
-        let busy: Vec<u32> = self.servers.values().map(|s| s.running.len() as u32).collect();
-        add_imbalance(&mut self.measures.imbalance, &busy);
-
-        for (server, busy) in self.servers.values_mut().zip(&busy) {
-            server.busy_sum += busy;
-        }
-        self.samples += 1;
-        if self.samples.is_multiple_of(SAMPLES_PER_SECOND) {
-            let sums: Vec<u32> =
-                self.servers.values_mut().map(|s| std::mem::take(&mut s.busy_sum)).collect();
-            add_imbalance(&mut self.measures.imbalance_second, &sums);
-        }
-        self.schedule(SAMPLE, Event::Sample);
-    }
-
     fn finish(mut self) -> Measures {
         self.measures.untold = self.pending.values().filter(|p| !p.is_told).count() as u64;
         self.measures
     }
 }
-
-/// (max - mean) / mean.
-fn add_imbalance(sum: &mut (f64, u64), busy: &[u32]) {
-    let total: u32 = busy.iter().sum();
-    if total == 0 {
-        return;
-    }
-
-    let mean = f64::from(total) / f64::from(busy.len() as u32);
-    let max = f64::from(busy.iter().copied().max().unwrap_or(0));
-    sum.0 += (max - mean) / mean;
-    sum.1 += 1;
-}
--- a/crates/valvestage-experiment/src/requests/model_faults.rs
+++ b/crates/valvestage-experiment/src/requests/model_faults.rs
@@ -2,7 +2,9 @@
 
 use valvestage_core::BackendState;
 
-use super::model::{Event, Model, NOTICED_AFTER, Server};
+use super::model::{Model, NOTICED_AFTER};
+use super::model_event::Event;
+use super::model_server::Server;
 use super::scenario::Scenario;
 use crate::deployment::{configuration, zone_name};
 
--- /dev/null
+++ b/crates/valvestage-experiment/src/requests/model_occupancy.rs
@@ -0,0 +1,43 @@
+//! How evenly the slots of the model's backend servers are used.
+
+use std::time::Duration;
+
+use super::model::Model;
+use super::model_event::Event;
+
+/// Length of one sample of the occupancy.
+pub(super) const SAMPLE: Duration = Duration::from_millis(100);
+
+/// Samples in a window of a second.
+const SAMPLES_PER_SECOND: u32 = 10;
+
+impl Model<'_> {
+    pub(super) fn sample(&mut self) {
+        let busy: Vec<u32> = self.servers.values().map(|s| s.running.len() as u32).collect();
+        add_imbalance(&mut self.measures.imbalance, &busy);
+
+        for (server, busy) in self.servers.values_mut().zip(&busy) {
+            server.busy_sum += busy;
+        }
+        self.samples += 1;
+        if self.samples.is_multiple_of(SAMPLES_PER_SECOND) {
+            let sums: Vec<u32> =
+                self.servers.values_mut().map(|s| std::mem::take(&mut s.busy_sum)).collect();
+            add_imbalance(&mut self.measures.imbalance_second, &sums);
+        }
+        self.schedule(SAMPLE, Event::Sample);
+    }
+}
+
+/// (max - mean) / mean.
+fn add_imbalance(sum: &mut (f64, u64), busy: &[u32]) {
+    let total: u32 = busy.iter().sum();
+    if total == 0 {
+        return;
+    }
+
+    let mean = f64::from(total) / f64::from(busy.len() as u32);
+    let max = f64::from(busy.iter().copied().max().unwrap_or(0));
+    sum.0 += (max - mean) / mean;
+    sum.1 += 1;
+}
--- /dev/null
+++ b/crates/valvestage-experiment/src/requests/model_server.rs
@@ -0,0 +1,85 @@
+//! The backend servers of the model.
+
+use std::collections::BTreeMap;
+
+use valvestage_core::ids::{Attempt, BackendId, RequestId};
+use valvestage_core::{Backend, RefusalReason};
+use valvestage_policy::requests::BackendReply;
+
+use super::model::Model;
+use super::model_event::Event;
+
+/// `Server` is one backend server and what runs there.
+pub(super) struct Server {
+    pub(super) record: Backend,
+    pub(super) running: BTreeMap<(RequestId, Attempt), ()>,
+    pub(super) slow_factor: u32,
+    pub(super) is_shedding: bool,
+    pub(super) is_cut: bool,
+    /// Busy slots summed over the samples of the present second.
+    pub(super) busy_sum: u32,
+}
+
+impl Model<'_> {
+    pub(super) fn at_backend(
+        &mut self,
+        dispatcher: usize,
+        backend: BackendId,
+        id: RequestId,
+        attempt: Attempt,
+    ) {
+        let after = self.to_backend(dispatcher, backend);
+        let reply = BackendReply { backend, id, attempt };
+        let Some(server) = self.servers.get_mut(&backend).filter(|server| !server.is_cut) else {
+            return;
+        };
+
+        if server.is_shedding || server.running.len() >= usize::from(server.record.slots) {
+            self.measures.shed += 1;
+            let reason = RefusalReason::BackendShedding;
+            self.schedule(after, Event::Refusal { dispatcher, reply, reason });
+            return;
+        }
+        server.running.insert((id, attempt), ());
+        let run_time = self.pending[&id].run_time * server.slow_factor;
+        self.schedule(run_time, Event::Done { dispatcher, backend, id, attempt });
+    }
+
+    pub(super) fn done(
+        &mut self,
+        dispatcher: usize,
+        backend: BackendId,
+        id: RequestId,
+        attempt: Attempt,
+    ) {
+        let after = self.to_backend(dispatcher, backend);
+        let Some(server) = self.servers.get_mut(&backend) else {
+            return;
+        };
+
+        if server.running.remove(&(id, attempt)).is_some() && !server.is_cut {
+            let reply = BackendReply { backend, id, attempt };
+            self.schedule(after, Event::Answer { dispatcher, reply });
+        }
+    }
+
+    /// The backend server stops the run and says so: its slot is free.
+    pub(super) fn cancelled(
+        &mut self,
+        dispatcher: usize,
+        backend: BackendId,
+        id: RequestId,
+        attempt: Attempt,
+    ) {
+        let after = self.to_backend(dispatcher, backend);
+        let Some(server) = self.servers.get_mut(&backend).filter(|server| !server.is_cut) else {
+            return;
+        };
+
+        if server.running.remove(&(id, attempt)).is_some() {
+            let reply = BackendReply { backend, id, attempt };
+            let reason = RefusalReason::Cancelled;
+            self.schedule(after, Event::Refusal { dispatcher, reply, reason });
+        }
+    }
+}
