--- a/crates/valvestage-policy/tests/steering/packets.rs
+++ b/crates/valvestage-policy/tests/steering/packets.rs
@@ -15,6 +15,22 @@
     SteeringPolicy::new(SteeringOptions { zone: HOME.to_owned(), ..Default::default() }, 1)
 }
 
+/// A balancer that knows some backend servers, and the time.
+fn site(servers: &[BackendEntry]) -> (SteeringPolicy, Knowledge, Instant) {
+    (policy(), knowledge(servers), start())
+}
+
+/// A backend server of `core` is leaving.
+fn drain(known: &mut Knowledge, server: u64) {
+    let leaving = BackendEntry {
+        revision: 2_000,
+        phase: BackendPhase::Draining,
+        ..backend(server, "core", HOME)
+    };
+
+    known.directory.put(leaving);
+}
+
 fn instance(verdict: PacketVerdict) -> u64 {
     match verdict {
         PacketVerdict::Forward { instance, token, .. } => {
@@ -56,9 +72,7 @@
 
 #[test]
 fn a_packet_never_goes_to_another_service() {
-    let now = start();
-    let known = knowledge(&[backend(1, "core", HOME), backend(2, "photos", HOME)]);
-    let mut policy = policy();
+    let (mut policy, known, now) = site(&[backend(1, "core", HOME), backend(2, "photos", HOME)]);
 
     // The caller's token is that of a backend server of another service.
     let verdict = policy.on_packet(&known, &request(1, 2), now);
@@ -67,17 +81,10 @@
 
 #[test]
 fn a_draining_backend_server_keeps_its_flows_and_gets_no_new_ones() {
-    let now = start();
-    let mut known = knowledge(&[backend(1, "core", HOME), backend(2, "core", HOME)]);
-    let mut policy = policy();
+    let (mut policy, mut known, now) = site(&[backend(1, "core", HOME), backend(2, "core", HOME)]);
     let server = open(&mut policy, &known, 1, now);
 
-    let leaving = BackendEntry {
-        revision: 2_000,
-        phase: BackendPhase::Draining,
-        ..backend(server, "core", HOME)
-    };
-    known.directory.put(leaving);
+    drain(&mut known, server);
     assert_eq!(instance(policy.on_packet(&known, &request(1, server), now)), server);
     for port in 2..40 {
         assert_ne!(instance(policy.on_packet(&known, &opening(flow(port), 0), now)), server);
@@ -86,26 +93,17 @@
 
 #[test]
 fn a_copy_of_an_opening_packet_leaves_a_backend_server_that_is_draining_by_now() {
-    let now = start();
-    let mut known = knowledge(&[backend(1, "core", HOME), backend(2, "core", HOME)]);
-    let mut policy = policy();
+    let (mut policy, mut known, now) = site(&[backend(1, "core", HOME), backend(2, "core", HOME)]);
     let server = instance(policy.on_packet(&known, &opening(flow(1), 0), now));
 
-    let leaving = BackendEntry {
-        revision: 2_000,
-        phase: BackendPhase::Draining,
-        ..backend(server, "core", HOME)
-    };
-    known.directory.put(leaving);
+    drain(&mut known, server);
     let copy = policy.on_packet(&known, &opening(flow(1), 1), now + millis(200));
     assert_ne!(instance(copy), server);
 }
 
 #[test]
 fn copies_read_together_go_to_one_backend_server() {
-    let now = start();
-    let known = knowledge(&[backend(1, "core", HOME), backend(2, "core", HOME)]);
-    let mut policy = policy();
+    let (mut policy, known, now) = site(&[backend(1, "core", HOME), backend(2, "core", HOME)]);
 
     // This VM was slow: the packet and its copy were both waiting to be read.
     let first = instance(policy.on_packet(&known, &opening(flow(1), 0), now));
@@ -115,9 +113,7 @@
 
 #[test]
 fn a_copy_leaves_a_backend_server_that_shows_no_life() {
-    let now = start();
-    let known = knowledge(&[backend(1, "core", HOME), backend(2, "core", HOME)]);
-    let mut policy = policy();
+    let (mut policy, known, now) = site(&[backend(1, "core", HOME), backend(2, "core", HOME)]);
 
     let first = instance(policy.on_packet(&known, &opening(flow(1), 0), now));
     let copy = policy.on_packet(&known, &opening(flow(1), 1), now + millis(200));
@@ -126,9 +122,7 @@
 
 #[test]
 fn a_copy_stays_with_a_backend_server_that_answers_others() {
-    let now = start();
-    let known = knowledge(&[backend(1, "core", HOME)]);
-    let mut policy = policy();
+    let (mut policy, known, now) = site(&[backend(1, "core", HOME)]);
     let first = instance(policy.on_packet(&known, &opening(flow(1), 0), now));
 
     open(&mut policy, &known, 2, now + millis(50));
@@ -138,9 +132,7 @@
 
 #[test]
 fn the_token_decides_which_of_two_backend_servers_has_the_flow() {
-    let now = start();
-    let known = knowledge(&[backend(1, "core", HOME), backend(2, "core", HOME)]);
-    let mut policy = policy();
+    let (mut policy, known, now) = site(&[backend(1, "core", HOME), backend(2, "core", HOME)]);
     let first = instance(policy.on_packet(&known, &opening(flow(1), 0), now));
     let second = instance(policy.on_packet(&known, &opening(flow(1), 1), now + millis(200)));
     assert_ne!(first, second);
@@ -182,9 +174,7 @@
 
 #[test]
 fn the_own_zone_comes_first_and_overflows() {
-    let now = start();
-    let known = knowledge(&[backend(1, "core", HOME), backend(2, "core", AWAY)]);
-    let mut policy = policy();
+    let (mut policy, known, now) = site(&[backend(1, "core", HOME), backend(2, "core", AWAY)]);
 
     let first = (0..3).map(|port| policy.on_packet(&known, &opening(flow(port), 0), now));
     assert!(first.map(instance).all(|server| server == 1));
@@ -237,17 +227,10 @@
 
 #[test]
 fn a_port_that_a_caller_uses_again_is_a_new_flow() {
-    let now = start();
-    let mut known = knowledge(&[backend(1, "core", HOME), backend(2, "core", HOME)]);
-    let mut policy = policy();
+    let (mut policy, mut known, now) = site(&[backend(1, "core", HOME), backend(2, "core", HOME)]);
     let server = open(&mut policy, &known, 1, now);
 
-    let leaving = BackendEntry {
-        revision: 2_000,
-        phase: BackendPhase::Draining,
-        ..backend(server, "core", HOME)
-    };
-    known.directory.put(leaving);
+    drain(&mut known, server);
     let again = policy.on_packet(&known, &opening(flow(1), 0), now + millis(3_000));
     assert_ne!(instance(again), server);
 }
@@ -263,9 +246,7 @@
 
 #[test]
 fn flows_of_a_gone_backend_server_are_told_at_once() {
-    let now = start();
-    let mut known = knowledge(&[backend(1, "core", HOME)]);
-    let mut policy = policy();
+    let (mut policy, mut known, now) = site(&[backend(1, "core", HOME)]);
     open(&mut policy, &known, 1, now);
 
     known.directory.mark_gone(1, 2_000, now);
@@ -275,9 +256,7 @@
 
 #[test]
 fn flows_of_a_missing_backend_server_stay() {
-    let now = start();
-    let mut known = knowledge(&[backend(1, "core", HOME)]);
-    let mut policy = policy();
+    let (mut policy, mut known, now) = site(&[backend(1, "core", HOME)]);
     open(&mut policy, &known, 1, now);
 
     let until = Some(now + millis(2_000));
@@ -296,9 +275,8 @@
 
 #[test]
 fn an_open_flow_outlives_a_configuration_that_sends_new_ones_elsewhere() {
-    let now = start();
-    let mut known = knowledge(&[backend(1, "core", HOME), backend(2, "photos", HOME)]);
-    let mut policy = policy();
+    let (mut policy, mut known, now) =
+        site(&[backend(1, "core", HOME), backend(2, "photos", HOME)]);
     open(&mut policy, &known, 1, now);
 
     known.replace_routes(routes(2, &[(443, "photos")]));
@@ -328,9 +306,7 @@
 
 #[test]
 fn idle_flows_are_forgotten() {
-    let now = start();
-    let mut known = knowledge(&[backend(1, "core", HOME)]);
-    let mut policy = policy();
+    let (mut policy, mut known, now) = site(&[backend(1, "core", HOME)]);
     open(&mut policy, &known, 1, now);
     policy.on_packet(&known, &opening(flow(2), 0), now);
 
@@ -352,9 +328,7 @@
 
 #[test]
 fn open_flows_of_a_silent_backend_server_are_ended() {
-    let now = start();
-    let known = knowledge(&[backend(1, "core", HOME)]);
-    let mut policy = policy();
+    let (mut policy, known, now) = site(&[backend(1, "core", HOME)]);
     unanswered_requests(&mut policy, &known, now);
 
     // The callers send their requests again. The third one shows that it is not a lost datagram.
@@ -368,9 +342,7 @@
 
 #[test]
 fn open_flows_of_a_slow_backend_server_stay() {
-    let now = start();
-    let known = knowledge(&[backend(1, "core", HOME)]);
-    let mut policy = policy();
+    let (mut policy, known, now) = site(&[backend(1, "core", HOME)]);
     unanswered_requests(&mut policy, &known, now);
 
     // It answers one of them late; the others are sent again and again.
