--- a/crates/valvestage-policy/src/steering/backend_observer.rs
+++ b/crates/valvestage-policy/src/steering/backend_observer.rs
@@ -29,7 +29,7 @@
     decisions: Vec<Decision>,
     /// Answers since they were last taken.
     answers: Vec<AnswerTime>,
-    /// Requests that began earlier seem to have taken longer than they did; none if there are none.
+    /// Answers to requests that began earlier are not timed; none: all are.
     timed_from: Option<Instant>,
 }
 
--- a/crates/valvestage-policy/src/steering/flow_placer.rs
+++ b/crates/valvestage-policy/src/steering/flow_placer.rs
@@ -68,7 +68,7 @@
         let requests = self.flows.load(entry.instance).in_requests(self.options.resting_flow_load);
         let is_cold = entry.cold_until.is_some_and(|until| until > self.now);
         let cold_factor = if is_cold { self.options.cold_factor } else { 1.0 };
-        // Its pace may show the same cold start, which counts once.
+        // Its pace may show the cold start already, which counts once.
         let pace = self.backends.pace().factor(entry.instance, median_pace, self.now);
         let factor = pace.max(cold_factor);
         let is_avoided = self.backends.outliers().is_avoided(entry.instance, self.now);
--- a/crates/valvestage-policy/src/steering/store_follower.rs
+++ b/crates/valvestage-policy/src/steering/store_follower.rs
@@ -8,8 +8,8 @@
 
 use valvestage_core::ids::StoreRevision;
 
-/// Longest time from an answer to the end of the next watch. A watch that is cut off without a word shows it only by its end, and a
-/// configuration has to be in force 3 s after its acknowledgement.
+/// Longest time from an answer to the end of the next watch. A watch that is cut off without a word shows it
+/// only by its end, and a configuration has to be in force 3 s after its acknowledgement.
 pub const WATCH_WAIT: Duration = Duration::from_millis(1_500);
 
 /// Pause after a first failure; doubled with each further one.
