--- a/crates/valvestage-policy/src/steering/backend_pace.rs
+++ b/crates/valvestage-policy/src/steering/backend_pace.rs
@@ -8,14 +8,12 @@
 //! So the median of all backend servers of a service is what one of them is compared with in the end.
 
 use std::collections::HashMap;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use valvestage_core::ids::{InstanceId, ServiceName};
 
 use super::decision::Decision;
-
-/// Time after which an answer counts half: as for requests that end badly, trouble lasts seconds.
-const HALF_LIFE: Duration = Duration::from_secs(4);
+use super::outcome_count::share_left;
 
 /// Answers that the pace of the others counts for. On days with slow backend servers a trial with 4
 /// served 0.979 of the requests, with 2 0.980, and with 1 and steps as below 0.983 (docs/PLATFORM.md).
@@ -71,11 +69,9 @@
         self.counted_at = now;
     }
 
-    /// What share of the answers counts still.
+    /// What share of the answers counts still: they fade as requests that end badly do.
     fn left(&self, now: Instant) -> f64 {
-        let age = now.saturating_duration_since(self.counted_at);
-
-        (-age.as_secs_f64() / HALF_LIFE.as_secs_f64()).exp2()
+        share_left(now.saturating_duration_since(self.counted_at))
     }
 
     fn answers(&self, now: Instant) -> f64 {
--- a/crates/valvestage-policy/src/steering/outcome_count.rs
+++ b/crates/valvestage-policy/src/steering/outcome_count.rs
@@ -81,7 +81,7 @@
     /// `at` gives what the requests count now.
     #[must_use]
     pub fn at(&self, now: Instant) -> OutcomeCount {
-        let left = (-self.age(now).as_secs_f64() / HALF_LIFE.as_secs_f64()).exp2();
+        let left = share_left(self.age(now));
 
         OutcomeCount {
             answered: self.count.answered * left,
@@ -90,3 +90,8 @@
         }
     }
 }
+
+/// What share of something seen so long ago counts still.
+pub(super) fn share_left(age: Duration) -> f64 {
+    (-age.as_secs_f64() / HALF_LIFE.as_secs_f64()).exp2()
+}
