Tell callers at once that their backend servers have ended

Cause: a reset was only ever the verdict on a packet. A caller whose flow rested on a dead backend server sent its next request on it, and may not send that again if it is not idempotent ('cut, no answer', most of what was lost to silent backend servers); one whose request was acknowledged before the backend server died sent nothing more, and waited until its deadline.

Ruled out: noticing silence sooner. The bar (two flows to suspect, three to end open ones, 200 ms each) is as it was; this is about whom it is told.

Change: when an entry is gone and no lapse, or when the first open flow of a silent backend server is ended, the flows there that this balancer knows are reset unasked, 64 each 100 ms. Of a gone one all, of a silent one those that rest: one that waits may still have its answer, and is told when it sends again, as before. Each caller is told once in 150 ms, not for each of up to 16 packets under way.

Tests: ended_flows.rs, one of them a property: a flow whose backend server answers is never told, whatever becomes of its entry within the time that it has to return. They do not compile without the change.

--- a/crates/valvestage-entry/src/data_thread.rs
+++ b/crates/valvestage-entry/src/data_thread.rs
@@ -12,7 +12,7 @@
 use tokio::sync::mpsc;
 use valvestage_platform::packet;
 use valvestage_policy::steering::{
-    CallerPacket, DropReason, EntryPolicy, KeeperAction, PacketVerdict,
+    DropReason, EntryPolicy, FlowReset, KeeperAction, PacketVerdict,
 };
 
 use crate::decision_lines::DecisionLog;
@@ -103,6 +103,7 @@
             let now = Instant::now();
             let actions = self.policy.on_tick(now);
             self.act(actions);
+            self.send_resets();
 
             let wait = self.policy.next_due().saturating_duration_since(Instant::now());
             let wait = if has_more { Duration::ZERO } else { wait };
@@ -252,7 +253,7 @@
                 let sent = self.links.data_socket.send_to(&self.outgoing, address);
                 self.note_sent(sent, address);
             }
-            PacketVerdict::Reset(_) => self.send_reset(&packet),
+            PacketVerdict::Reset(_) => self.send_reset(FlowReset::from(&packet)),
             PacketVerdict::Drop(DropReason::NotReady) => self.keep_early(datagram),
             PacketVerdict::Drop(_) => {}
         }
@@ -264,12 +265,19 @@
         }
     }
 
-    fn send_reset(&self, packet: &CallerPacket) {
+    /// Tells the callers whose flows are over.
+    fn send_resets(&mut self) {
+        for reset in self.policy.take_resets() {
+            self.send_reset(reset);
+        }
+    }
+
+    fn send_reset(&self, reset: FlowReset) {
         // Callers are reached on the port that data addresses have.
         let port = self.links.data_socket.local_addr().map_or(0, |address| address.port());
-        let caller = SocketAddr::new((*packet.flow.caller.ip()).into(), port);
+        let caller = SocketAddr::new((*reset.flow.caller.ip()).into(), port);
 
-        let reset = packet::encode_reset(packet);
+        let reset = packet::encode_reset(reset);
         self.note_sent(self.links.data_socket.send_to(&reset, caller), caller);
     }
 
--- a/crates/valvestage-policy/src/steering.rs
+++ b/crates/valvestage-policy/src/steering.rs
@@ -12,6 +12,7 @@
 //! | [`backend_directory`] | all backend servers, the gone ones among them |
 //! | [`flow_record`], [`flow_tracker`] | what the packets of a flow have shown so far |
 //! | [`backend_load`], [`backend_choice`], `flow_placer` | where a new flow goes |
+//! | [`flow_reset`], `flow_ender` | telling callers that their flows are over |
 //! | [`backend_health`] | which backend servers seem dead |
 //! | [`backend_pace`] | which backend servers take longer than usual |
 //! | [`flow_request`], [`overdue_queue`], [`answer_norm`], [`request_judge`] | how requests end |
@@ -40,9 +41,11 @@
 pub mod caller_packet;
 pub mod decision;
 pub mod entry_policy;
+mod flow_ender;
 mod flow_placer;
 pub mod flow_record;
 pub mod flow_request;
+pub mod flow_reset;
 pub mod flow_tracker;
 mod keeper_news;
 pub mod knowledge;
@@ -71,6 +74,7 @@
 pub use caller_packet::{CallerPacket, DropReason, FlowAddresses, PacketVerdict, ResetReason};
 pub use decision::{AnswerTime, Decision, DroppedPacket, FlowPlacement, NewsSource};
 pub use entry_policy::{EntryOptions, EntryPolicy};
+pub use flow_reset::FlowReset;
 pub use knowledge::Knowledge;
 pub use knowledge_keeper::{KeeperAction, KnowledgeKeeper};
 pub use peer_message::PeerMessage;
--- a/crates/valvestage-policy/src/steering/backend_directory.rs
+++ b/crates/valvestage-policy/src/steering/backend_directory.rs
@@ -27,6 +27,8 @@
     changed_at: StoreRevision,
     /// Gone entries of revisions before this one are forgotten.
     remembers_from: StoreRevision,
+    /// Entries that went since they were last taken.
+    newly_gone: Vec<InstanceId>,
 }
 
 impl BackendDirectory {
@@ -80,6 +82,7 @@
         if let BackendPhase::Gone { lapsed, .. } = &mut entry.phase {
             let known = self.entries.get(&entry.instance).map(|known| known.phase);
             *lapsed = known == Some(BackendPhase::Ready);
+            self.newly_gone.push(entry.instance);
         }
         self.changed_at = self.changed_at.max(entry.revision);
         let token = Self::token_of(entry.instance);
@@ -109,10 +112,16 @@
         entry.phase = BackendPhase::Gone { since: now, lapsed: entry.phase == BackendPhase::Ready };
         entry.revision = at;
         entry.missing_until = None;
+        self.newly_gone.push(instance);
         self.changed_at = self.changed_at.max(at);
         true
     }
 
+    /// `take_newly_gone` gives the entries that went since the last call.
+    pub fn take_newly_gone(&mut self) -> Vec<InstanceId> {
+        std::mem::take(&mut self.newly_gone)
+    }
+
     /// `mark_missing` takes in that an entry is missing and may return until a time; false if that is
     /// known, or it is gone.
     pub fn mark_missing(&mut self, instance: InstanceId, until: Instant) -> bool {
--- a/crates/valvestage-policy/src/steering/caller_packet.rs
+++ b/crates/valvestage-policy/src/steering/caller_packet.rs
@@ -88,6 +88,8 @@
     NoRoute,
     /// The flow belongs to no backend server that is known.
     UnknownToken,
+    /// The caller was told a moment ago that its flow is over, and sent this before.
+    AlreadyTold,
 }
 
 impl DropReason {
@@ -98,6 +100,7 @@
             Self::NotReady => "not_ready",
             Self::NoRoute => "no_route",
             Self::UnknownToken => "unknown_token",
+            Self::AlreadyTold => "already_told",
         }
     }
 }
--- a/crates/valvestage-policy/src/steering/entry_policy.rs
+++ b/crates/valvestage-policy/src/steering/entry_policy.rs
@@ -5,6 +5,7 @@
 
 use super::caller_packet::{CallerPacket, PacketVerdict};
 use super::decision::{AnswerTime, Decision};
+use super::flow_reset::FlowReset;
 use super::knowledge::Knowledge;
 use super::knowledge_keeper::{KeeperAction, KnowledgeKeeper};
 use super::peer_message::{HealthReport, PeerMessage};
@@ -97,6 +98,12 @@
         self.steering.take_answers()
     }
 
+    /// `take_resets` gives the callers to be told since the last call that their flows are over, besides
+    /// those whose packets get that verdict.
+    pub fn take_resets(&mut self) -> Vec<FlowReset> {
+        self.steering.take_resets()
+    }
+
     /// `knowledge` gives what is known.
     #[must_use]
     pub fn knowledge(&self) -> &Knowledge {
@@ -189,7 +196,9 @@
             self.next_cleaning = now + CLEANING_INTERVAL;
             self.steering.on_tick(&mut self.knowledge, now);
         }
-        self.step_keeper(now)
+        let actions = self.step_keeper(now);
+        self.steering.end_flows(&mut self.knowledge, now);
+        actions
     }
 
     /// Notes whether the process stood still since the last tick. Packets that came meanwhile are read
--- a/crates/valvestage-policy/src/steering/flow_record.rs
+++ b/crates/valvestage-policy/src/steering/flow_record.rs
@@ -4,8 +4,9 @@
 
 use valvestage_core::ids::InstanceId;
 
-use super::caller_packet::CallerPacket;
+use super::caller_packet::{CallerPacket, FlowAddresses};
 use super::flow_request::{EndedRequest, FlowRequest};
+use super::flow_reset::FlowReset;
 
 /// Time without a packet after which an answer that has begun seems whole: several round trips.
 const REST_TIME: Duration = Duration::from_millis(100);
@@ -189,6 +190,12 @@
         packet.data_length > 0 && is_after(end, self.sent_until)
     }
 
+    /// `reset_of` gives what ends the flow of this record at its caller.
+    #[must_use]
+    pub fn reset_of(&self, flow: FlowAddresses) -> FlowReset {
+        FlowReset { flow, expected: self.acknowledged }
+    }
+
     /// `is_busy` tells whether the backend server has something to do for the flow.
     #[must_use]
     pub fn is_busy(&self) -> bool {
--- a/crates/valvestage-policy/src/steering/flow_tracker.rs
+++ b/crates/valvestage-policy/src/steering/flow_tracker.rs
@@ -9,6 +9,7 @@
 use super::caller_packet::{CallerPacket, FlowAddresses};
 use super::flow_record::{FlowRecord, FlowSign};
 use super::flow_request::EndedRequest;
+use super::flow_reset::FlowReset;
 
 /// A flow that the caller has ended is kept for packets that come late. Senders give up resending
 /// within 1.6 s.
@@ -125,6 +126,30 @@
         }
     }
 
+    /// `take_open_at` forgets the open flows of some backend servers that their callers have not ended, and
+    /// gives how to tell their callers, with the backend server. Whether they wait for an answer decides
+    /// which of them.
+    pub(super) fn take_open_at(
+        &mut self,
+        instances: &[InstanceId],
+        takes_busy: impl Fn(bool) -> bool,
+    ) -> Vec<(FlowReset, InstanceId)> {
+        let is_taken = |record: &FlowRecord| {
+            record.open
+                && !record.closing
+                && instances.contains(&record.instance)
+                && takes_busy(record.is_busy())
+        };
+        let taken = self.records.iter().filter(|(_, record)| is_taken(record));
+        let taken: Vec<_> =
+            taken.map(|(flow, record)| (record.reset_of(*flow), record.instance)).collect();
+
+        for (reset, _) in &taken {
+            self.remove(&reset.flow);
+        }
+        taken
+    }
+
     /// `expire` forgets the flows that have been silent for too long.
     pub fn expire(&mut self, now: Instant, idle_timeout: Duration) {
         let is_over = |record: &FlowRecord| {
--- a/crates/valvestage-policy/src/steering/steering_policy.rs
+++ b/crates/valvestage-policy/src/steering/steering_policy.rs
@@ -8,12 +8,14 @@
 use valvestage_core::ids::InstanceId;
 
 use super::backend_directory::BackendDirectory;
-use super::backend_entry::BackendPhase;
+use super::backend_entry::{BackendEntry, BackendPhase};
 use super::backend_observer::BackendObserver;
 use super::caller_packet::{CallerPacket, DropReason, FlowAddresses, PacketVerdict, ResetReason};
 use super::decision::{AnswerTime, Decision, DroppedPacket};
+use super::flow_ender::{EndedFlow, FlowEnder};
 use super::flow_placer::{ANSWER_TIME, FlowPlacer};
 use super::flow_record::{FlowRecord, FlowSign};
+use super::flow_reset::FlowReset;
 use super::flow_tracker::FlowTracker;
 use super::knowledge::Knowledge;
 use super::lapse::has_ended;
@@ -26,8 +28,11 @@
     options: SteeringOptions,
     flows: FlowTracker,
     backends: BackendObserver,
+    ender: FlowEnder,
     /// What was decided since they were last taken.
     decisions: Vec<Decision>,
+    /// Callers to be told unasked, since they were last taken.
+    resets: Vec<FlowReset>,
 }
 
 impl SteeringPolicy {
@@ -38,7 +43,9 @@
             options,
             flows: FlowTracker::default(),
             backends: BackendObserver::new(seed),
+            ender: FlowEnder::default(),
             decisions: Vec::new(),
+            resets: Vec::new(),
         }
     }
 
@@ -55,6 +62,12 @@
         self.backends.take_answers()
     }
 
+    /// `take_resets` gives the callers to be told since the last call that their flows are over, besides
+    /// those whose packets get that verdict.
+    pub fn take_resets(&mut self) -> Vec<FlowReset> {
+        std::mem::take(&mut self.resets)
+    }
+
     /// `flow_count` gives the number of flows that are remembered.
     #[must_use]
     pub fn flow_count(&self) -> usize {
@@ -70,6 +83,32 @@
             knowledge.directory.forget_gone(before);
         }
         self.backends.forget(knowledge, now);
+        self.ender.forget(now);
+    }
+
+    /// `end_flows` tells callers that their backend servers have ended; to be called ten times a second.
+    pub fn end_flows(&mut self, knowledge: &mut Knowledge, now: Instant) {
+        self.ender.on_gone(knowledge.directory.take_newly_gone());
+        let knowledge = &*knowledge;
+        let directory = &knowledge.directory;
+        let (zone, health) = (&self.options.zone, self.backends.health());
+
+        let is_gone = |instance| directory.get(instance).is_some_and(BackendEntry::is_gone);
+        let has_ended = |instance| {
+            let entry = directory.get(instance);
+            entry.is_some_and(|entry| has_ended(entry, zone, knowledge, health, now))
+        };
+        self.ender.collect_gone(&mut self.flows, is_gone, has_ended);
+        self.ender.collect_silent(&mut self.flows);
+
+        let mut told = 0;
+        while let Some(ended) = self.ender.next_told(told, now) {
+            let EndedFlow { reset, instance, reason } = ended;
+            told += 1;
+            self.resets.push(reset);
+            let flow = reset.flow;
+            self.decisions.push(Decision::Reset { flow, reason, instance: Some(instance) });
+        }
     }
 
     /// `judge_overdue` looks at requests that should have had their answer; to be called several times
@@ -278,14 +317,33 @@
             self.flows.remove(&packet.flow);
             return forward(knowledge, instance);
         }
+        let Some(reason) = self.over_because(knowledge, entry, now) else {
+            return forward(knowledge, instance);
+        };
+        if self.ender.is_told(&packet.flow, now) {
+            return PacketVerdict::Drop(DropReason::AlreadyTold);
+        }
+        self.ender.on_told(packet.flow, now);
+        PacketVerdict::Reset(reason)
+    }
+
+    /// Why the open flows of a backend server are over; none if they are not.
+    fn over_because(
+        &mut self,
+        knowledge: &Knowledge,
+        entry: &BackendEntry,
+        now: Instant,
+    ) -> Option<ResetReason> {
         let health = self.backends.health();
+
         if has_ended(entry, &self.options.zone, knowledge, health, now) {
-            return PacketVerdict::Reset(ResetReason::BackendGone);
+            return Some(ResetReason::BackendGone);
         }
-        if self.backends.health().is_given_up(instance, now) {
-            return PacketVerdict::Reset(ResetReason::BackendSilent);
+        if health.is_given_up(entry.instance, now) {
+            self.ender.on_given_up(entry.instance);
+            return Some(ResetReason::BackendSilent);
         }
-        forward(knowledge, instance)
+        None
     }
 
     /// The backend server of a flow. Before it is open the token goes before the record: a copy of
--- /dev/null
+++ b/crates/valvestage-policy/tests/steering/ended_flows.rs
@@ -0,0 +1,248 @@
+//! Pattern: a backend server dies while flows rest on it, and while callers wait for answers to requests that
+//! it has acknowledged: neither sends a packet that could be answered with a reset. A caller whose next
+//! request is the first packet on the dead flow has sent it in vain, and may not send it again if it is not
+//! idempotent; on a site where a quarter of the backend servers fell silent that was most of what was lost.
+
+use std::time::{Duration, Instant};
+
+use quickcheck::TestResult;
+use valvestage_policy::steering::{
+    BackendDirectory, BackendEntry, CallerPacket, DropReason, FlowAddresses, FlowReset, Knowledge,
+    PacketVerdict, ResetReason, SteeringOptions, SteeringPolicy,
+};
+
+use crate::fixtures::{HOME, backend, data, flow, knowledge, millis, opening, seeded, start};
+
+/// Time between two rounds.
+const ROUND: Duration = Duration::from_millis(100);
+
+struct Site {
+    policy: SteeringPolicy,
+    known: Knowledge,
+    now: Instant,
+}
+
+impl Site {
+    fn with_backends(count: u64) -> Self {
+        let servers: Vec<BackendEntry> =
+            (1..=count).map(|instance| backend(instance, "core", HOME)).collect();
+        let options = SteeringOptions { zone: HOME.to_owned(), ..Default::default() };
+
+        Self { policy: SteeringPolicy::new(options, 1), known: knowledge(&servers), now: start() }
+    }
+
+    fn send(&mut self, packet: &CallerPacket) -> PacketVerdict {
+        self.policy.on_packet(&self.known, packet, self.now)
+    }
+
+    /// Opens a flow, and gives its backend server.
+    fn open(&mut self, port: u16) -> u64 {
+        let verdict = self.send(&opening(flow(port), 0));
+        let PacketVerdict::Forward { instance, token, .. } = verdict else {
+            panic!("not forwarded: {verdict:?}")
+        };
+
+        self.send(&data(flow(port), token, 1_001, 0, 500 + u32::from(port)));
+        instance
+    }
+
+    /// Sends a request, or sends it again.
+    fn request(&mut self, port: u16, server: u64) -> PacketVerdict {
+        let token = BackendDirectory::token_of(server);
+
+        self.send(&data(flow(port), token, 1_001, 100, 500 + u32::from(port)))
+    }
+
+    /// The entry of a backend server goes, long after its last sign of life.
+    fn lapse(&mut self, server: u64) {
+        for _ in 0..3 {
+            self.now += millis(1_000);
+            self.known.confirm(Some(self.now));
+        }
+
+        assert!(self.known.directory.mark_gone(server, 2_000, self.now));
+    }
+
+    /// One round; gives the flows that were told.
+    fn round(&mut self) -> Vec<FlowReset> {
+        self.now += ROUND;
+        self.policy.end_flows(&mut self.known, self.now);
+        self.policy.take_resets()
+    }
+
+    /// Flows told in some rounds.
+    fn told_in(&mut self, rounds: usize) -> Vec<FlowAddresses> {
+        let told = (0..rounds).flat_map(|_| self.round());
+
+        told.map(|reset| reset.flow).collect()
+    }
+
+    /// The callers of three flows send their requests again: their backend server gives no answer.
+    fn fall_silent(&mut self, server: u64, ports: [u16; 3]) -> Vec<PacketVerdict> {
+        self.now += millis(10);
+        for port in ports {
+            self.request(port, server);
+        }
+        self.now += millis(210);
+        ports.map(|port| self.request(port, server)).to_vec()
+    }
+}
+
+#[test]
+fn resting_flows_of_a_gone_backend_server_are_told_before_their_next_request() {
+    let mut site = Site::with_backends(1);
+    site.open(1);
+    site.open(2);
+
+    site.lapse(1);
+    let mut told = site.round();
+    told.sort_unstable_by_key(|reset| reset.flow);
+    let expected =
+        [1, 2].map(|port| FlowReset { flow: flow(port), expected: 500 + u32::from(port) });
+    assert_eq!(told, expected);
+    assert_eq!(site.told_in(10), [], "once each");
+}
+
+#[test]
+fn a_caller_that_waits_for_an_answer_of_a_gone_backend_server_is_told() {
+    let mut site = Site::with_backends(1);
+    site.open(1);
+    site.request(1, 1);
+
+    site.lapse(1);
+    assert_eq!(site.told_in(1), [flow(1)]);
+}
+
+#[test]
+fn flows_of_the_other_backend_servers_are_left_alone() {
+    let mut site = Site::with_backends(4);
+    let servers: Vec<u64> = (1..=40).map(|port| site.open(port)).collect();
+
+    site.lapse(2);
+    let at_gone: Vec<_> = (1..=40)
+        .zip(&servers)
+        .filter(|(_, server)| **server == 2)
+        .map(|(port, _)| flow(port))
+        .collect();
+    let mut told = site.told_in(3);
+    told.sort_unstable();
+    assert_eq!(told, at_gone);
+}
+
+#[test]
+fn flows_of_an_entry_that_may_have_lapsed_are_told_when_its_time_is_over() {
+    let mut site = Site::with_backends(1);
+    site.open(1);
+
+    // It has just answered.
+    site.known.directory.mark_gone(1, 2_000, site.now);
+    assert_eq!(site.told_in(22), []);
+    assert_eq!(site.told_in(2), [flow(1)]);
+}
+
+#[test]
+fn flows_of_an_entry_that_returns_stay() {
+    let mut site = Site::with_backends(1);
+    site.open(1);
+
+    site.known.directory.mark_gone(1, 2_000, site.now);
+    assert_eq!(site.told_in(10), []);
+    site.known.directory.put(BackendEntry { revision: 2_500, ..backend(1, "core", HOME) });
+    assert_eq!(site.told_in(40), []);
+}
+
+#[test]
+fn resting_flows_of_a_silent_backend_server_are_told_when_the_first_open_flow_is_ended() {
+    let mut site = Site::with_backends(1);
+    for port in 1..=5 {
+        site.open(port);
+    }
+
+    let verdicts = site.fall_silent(1, [1, 2, 3]);
+    assert_eq!(verdicts[2], PacketVerdict::Reset(ResetReason::BackendSilent));
+    let mut told = site.told_in(1);
+    told.sort_unstable();
+    assert_eq!(told, [flow(4), flow(5)], "the busy ones are told when they send again");
+}
+
+#[test]
+fn nobody_is_told_of_a_backend_server_that_answers_one_of_them() {
+    let mut site = Site::with_backends(1);
+    for port in 1..=5 {
+        site.open(port);
+    }
+    for port in 1..=3 {
+        site.request(port, 1);
+    }
+
+    // One of the answers comes, so the two others may be lost datagrams.
+    site.now += millis(150);
+    site.send(&data(flow(1), BackendDirectory::token_of(1), 1_101, 0, 900));
+    site.now += millis(60);
+    for port in 2..=3 {
+        assert!(matches!(site.request(port, 1), PacketVerdict::Forward { .. }));
+    }
+    assert_eq!(site.told_in(10), []);
+}
+
+#[test]
+fn a_flow_is_told_once_for_all_its_packets_under_way() {
+    let mut site = Site::with_backends(1);
+    site.open(1);
+    site.lapse(1);
+
+    assert_eq!(site.request(1, 1), PacketVerdict::Reset(ResetReason::BackendGone));
+    for _ in 0..10 {
+        assert_eq!(site.request(1, 1), PacketVerdict::Drop(DropReason::AlreadyTold));
+    }
+    // The reset was lost: the caller sends again after 200 ms.
+    site.now += millis(200);
+    assert_eq!(site.request(1, 1), PacketVerdict::Reset(ResetReason::BackendGone));
+}
+
+#[test]
+fn many_flows_are_told_within_a_budget() {
+    let mut site = Site::with_backends(1);
+    for port in 1..=500 {
+        site.open(port);
+    }
+
+    site.lapse(1);
+    let rounds: Vec<usize> = (0..12).map(|_| site.round().len()).collect();
+    assert!(rounds.iter().all(|count| *count <= 64), "{rounds:?}");
+    assert_eq!(rounds.iter().sum::<usize>(), 500);
+}
+
+#[test]
+fn a_flow_whose_backend_server_answers_is_never_told() {
+    fn holds(lapses: Vec<(u8, u8)>) -> TestResult {
+        let mut site = Site::with_backends(3);
+        let servers: Vec<u64> = (0..6).map(|port| site.open(port)).collect();
+
+        for (turn, (lapsed, wait)) in (0_u32..).zip(lapses) {
+            for (port, server) in (0_u16..).zip(&servers) {
+                let token = BackendDirectory::token_of(*server);
+                let (sent, had) = (1_001 + turn * 100, 500 + u32::from(port) + turn * 100);
+                let verdict = site.send(&data(flow(port), token, sent, 100, had));
+                if !matches!(verdict, PacketVerdict::Forward { .. }) {
+                    return TestResult::error(format!("turn {turn}: {verdict:?}"));
+                }
+                site.send(&data(flow(port), token, sent + 100, 0, had + 100));
+            }
+            // Whatever becomes of an entry within the time that it has to return.
+            site.now += millis(u64::from(wait) * 5);
+            let lapsed = u64::from(lapsed % 3) + 1;
+            let revision = 2_000 + 10 * u64::from(turn);
+            assert!(site.known.directory.mark_gone(lapsed, revision, site.now));
+            let told = site.told_in(15);
+            if !told.is_empty() {
+                return TestResult::error(format!("turn {turn}: told {told:?}"));
+            }
+            let entry = backend(lapsed, "core", HOME);
+            site.known.directory.put(BackendEntry { revision: revision + 1, ..entry });
+        }
+        TestResult::passed()
+    }
+
+    seeded().tests(60).quickcheck(holds as fn(Vec<(u8, u8)>) -> TestResult);
+}
--- a/crates/valvestage-policy/tests/steering/main.rs
+++ b/crates/valvestage-policy/tests/steering/main.rs
@@ -3,6 +3,7 @@
 mod backend_health;
 mod deployment;
 mod directory;
+mod ended_flows;
 mod fixtures;
 mod flow_record;
 mod follower;
--- a/crates/valvestage-story/src/sentences.rs
+++ b/crates/valvestage-story/src/sentences.rs
@@ -145,6 +145,7 @@
             "no route is known from its address, but the configuration may be out of date."
                 .to_owned()
         }
+        "already_told" => "its caller was told a moment ago that the flow is over.".to_owned(),
         "unknown_token" => {
             format!(
                 "its token {} names no backend server that is known up to revision {}, confirmed {} ms \
