Tests: open connections that fall silent for good while new ones work

Looked at: a watch ends at its own deadline (1.5 s of waiting and 1 s for the answer) and its connection is dropped, both kinds hold one connection each, and the two followers are told of by others; readiness and metrics close what says nothing. No fault was found, so nothing but the stand-ins changes: the simulated deployment and the soak's relay can silence what is open. The simulated deployment's calls give up after 1 s as the program's do; it had 0.5 s.

silent_connections.rs in the policy: a configuration is in force within 3 s of simulated time whenever silence comes, also again and again. In the entry's process tests: three silences in a row, and 40 clients that stop in the middle of a request.

--- /dev/null
+++ b/crates/valvestage-entry/tests/process/silent_connections.rs
@@ -0,0 +1,48 @@
+//! Open connections that fall silent for good while new ones work.
+
+use std::io::Write;
+use std::net::TcpStream;
+
+use crate::site::{Site, wait_until};
+
+/// Connections of a client that never goes on; more than routers and collectors have together.
+const STALLED: usize = 40;
+
+#[test]
+fn a_watch_on_a_silent_connection_ends_and_the_next_call_takes_a_new_one() {
+    let mut site = Site::configured();
+    let relay = site.relay_store();
+    let balancer = site.ready_balancer("one", &[]);
+
+    for version in [9, 11, 14] {
+        // Both kinds are being watched: each has a connection.
+        relay.silence_open();
+        site.configure(version, "core");
+        wait_until("the version is in force", || {
+            balancer.metric("valvestage_entry_configuration_version") == Some(version)
+        });
+    }
+}
+
+#[test]
+fn clients_that_fall_silent_keep_no_other_from_readiness_and_metrics() {
+    let site = Site::configured();
+    let balancer = site.ready_balancer("one", &[]);
+
+    let stalled: Vec<TcpStream> = balancer
+        .http_addresses()
+        .into_iter()
+        .cycle()
+        .take(STALLED)
+        .map(|address| {
+            let mut stream = TcpStream::connect(address).unwrap();
+            stream.write_all(b"GET /-/readiness HTTP/1.1\r\nHost:").unwrap();
+            stream
+        })
+        .collect();
+    assert!(balancer.is_ready());
+    wait_until("its metrics tell of the configuration", || {
+        balancer.metric("valvestage_entry_configuration_version") == Some(3)
+    });
+    drop(stalled);
+}
--- a/crates/valvestage-entry/tests/process/site.rs
+++ b/crates/valvestage-entry/tests/process/site.rs
@@ -12,6 +12,7 @@
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use valvestage_platform::packet::PREFIX_BYTES;
+use valvestage_soak::store_relay::StoreRelay;
 use valvestage_standins::packets::flow_packet::{FlowPacket, flags};
 use valvestage_standins::platform::site_objects::{BackendObject, configuration_object};
 use valvestage_standins::platform::{PlatformStandin, start};
@@ -106,6 +107,21 @@
         Self { standin, store, folder, ports: ports.try_into().unwrap() }
     }
 
+    /// Puts a relay between the store and balancers that start from now on.
+    pub fn relay_store(&mut self) -> StoreRelay {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let SocketAddr::V4(address) = listener.local_addr().unwrap() else {
+            unreachable!("it is bound to an IPv4 address")
+        };
+        let relay = StoreRelay::new(address);
+
+        let (serving, store) = (relay.clone(), std::mem::replace(&mut self.store, address));
+        thread::spawn(move || {
+            actix_rt::System::new().block_on(serving.serve(listener, store)).unwrap();
+        });
+        relay
+    }
+
     /// A site whose callers are sent to the service `core` by configuration 3.
     pub fn configured() -> Self {
         let site = Self::new();
@@ -192,6 +208,11 @@
         SocketAddrV4::new(self.ip, self.ports[0])
     }
 
+    /// Where it answers routers and collectors.
+    pub fn http_addresses(&self) -> [SocketAddrV4; 2] {
+        [self.ports[1], self.ports[2]].map(|port| SocketAddrV4::new(self.ip, port))
+    }
+
     /// The body of a page, with the status before it; none if nobody answers.
     fn get(&self, port: u16, path: &str) -> Option<String> {
         use std::io::Write;
--- a/crates/valvestage-policy/tests/steering/deployment.rs
+++ b/crates/valvestage-policy/tests/steering/deployment.rs
@@ -14,6 +14,9 @@
 /// Time of a datagram, or of an answer of the store.
 const DELAY: Duration = Duration::from_millis(2);
 
+/// What balancers wait for an answer of the store, beyond the wait of a watch.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+
 /// The store, as far as these tests need it.
 #[derive(Default)]
 pub struct FakeStore {
@@ -125,6 +128,8 @@
     ends_at: Instant,
     /// When the balancer gives up.
     gives_up_at: Instant,
+    /// Its connection says nothing more.
+    is_silent: bool,
 }
 
 /// Balancers around one store.
@@ -208,6 +213,11 @@
         self.nodes[node].as_ref().expect("the balancer runs")
     }
 
+    /// All open connections to the store fall silent for good; new ones work.
+    pub fn silence_connections(&mut self) {
+        self.calls.iter_mut().for_each(|call| call.is_silent = true);
+    }
+
     pub fn versions(&self) -> Vec<u64> {
         self.nodes.iter().flatten().map(|node| node.knowledge().routes.version).collect()
     }
@@ -269,7 +279,7 @@
                 self.calls.push(call);
                 continue;
             }
-            let is_cut = self.cut_from_store.contains(&call.node);
+            let is_cut = call.is_silent || self.cut_from_store.contains(&call.node);
             let is_over = call.ends_at <= self.now;
             if self.store_down || is_cut && call.gives_up_at <= self.now {
                 self.reply(&call, None);
@@ -331,9 +341,17 @@
                         StoreCall::Watch { wait, .. } => *wait,
                     };
                     let (answer_at, ends_at) = (self.now + DELAY, self.now + wait);
-                    let gives_up_at = ends_at + millis(500);
+                    let gives_up_at = ends_at + CALL_TIMEOUT;
                     self.store.calls += 1;
-                    self.calls.push(OpenCall { node, kind, call, answer_at, ends_at, gives_up_at });
+                    self.calls.push(OpenCall {
+                        node,
+                        kind,
+                        call,
+                        answer_at,
+                        ends_at,
+                        gives_up_at,
+                        is_silent: false,
+                    });
                 }
             }
         }
--- a/crates/valvestage-policy/tests/steering/main.rs
+++ b/crates/valvestage-policy/tests/steering/main.rs
@@ -16,4 +16,5 @@
 mod peers;
 mod requests;
 mod restarts;
+mod silent_connections;
 mod watch_role;
--- a/crates/valvestage-soak/src/store_relay.rs
+++ b/crates/valvestage-soak/src/store_relay.rs
@@ -41,13 +41,15 @@
 pub struct StoreRelay {
     address: SocketAddrV4,
     state: Arc<Mutex<StoreLinkState>>,
+    /// Sent to connections that are to fall silent for good.
+    silence: Arc<tokio::sync::Notify>,
 }
 
 impl StoreRelay {
     /// `new` is a relay at an address.
     #[must_use]
     pub fn new(address: SocketAddrV4) -> Self {
-        Self { address, state: Arc::default() }
+        Self { address, state: Arc::default(), silence: Arc::default() }
     }
 
     /// `address` gives where it takes connections.
@@ -61,6 +63,12 @@
         *self.state.lock().unwrap_or_else(PoisonError::into_inner) = state;
     }
 
+    /// `silence_open` makes the connections that are open pass nothing more, without ending them; new
+    /// ones work.
+    pub fn silence_open(&self) {
+        self.silence.notify_waiters();
+    }
+
     fn state(&self) -> StoreLinkState {
         *self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -79,8 +87,20 @@
             let (near_read, near_write) = near.into_split();
             let (far_read, far_write) = far.into_split();
             let near_write = Arc::new(tokio::sync::Mutex::new(near_write));
-            tokio::spawn(self.clone().pass_calls(near_read, far_write, near_write.clone()));
-            tokio::spawn(self.clone().pass_answers(far_read, near_write));
+            let calls = self.clone().pass_calls(near_read, far_write, near_write.clone());
+            let answers = self.clone().pass_answers(far_read, near_write);
+            tokio::spawn(self.clone().pass(calls));
+            tokio::spawn(self.clone().pass(answers));
+        }
+    }
+
+    /// Passes one direction on until it is silenced; its ends stay open then.
+    async fn pass(self, direction: impl Future<Output = ()>) {
+        let mut direction = std::pin::pin!(direction);
+
+        tokio::select! {
+            () = &mut direction => {}
+            () = self.silence.notified() => std::future::pending().await,
         }
     }
 
