--- a/crates/valvestage-policy/tests/steering/main.rs
+++ b/crates/valvestage-policy/tests/steering/main.rs
@@ -1,6 +1,7 @@
 //! Steering of packets whose flows only their two ends can read.
 
 mod backend_health;
+mod cached_lists;
 mod deployment;
 mod directory;
 mod ended_flows;
