--- a/crates/valvestage-policy/src/steering.rs
+++ b/crates/valvestage-policy/src/steering.rs
@@ -18,7 +18,7 @@
 //! | [`flow_request`], [`overdue_queue`], [`answer_norm`], [`request_judge`] | how requests end |
 //! | [`outcome_count`], [`outlier_detector`], `outlier_record` | which backend servers fail more of them than others |
 //! | [`backend_observer`] | all that callers' packets show about backend servers |
-//! | [`steering_policy`] | what is done with each packet |
+//! | [`steering_policy`], `packet_verdicts` | what is done with each packet |
 //! | [`knowledge`] | routes and backend servers together |
 //! | [`store_follower`], [`store_link`] | keeping up with the store |
 //! | `lapse` | which gone entries may return |
@@ -56,6 +56,7 @@
 pub mod outlier_detector;
 mod outlier_record;
 pub mod overdue_queue;
+mod packet_verdicts;
 pub mod part_assembly;
 pub mod peer_exchange;
 pub mod peer_message;
--- a/crates/valvestage-policy/src/steering/flow_ender.rs
+++ b/crates/valvestage-policy/src/steering/flow_ender.rs
@@ -13,6 +13,7 @@
 use super::caller_packet::{FlowAddresses, ResetReason};
 use super::flow_reset::FlowReset;
 use super::flow_tracker::FlowTracker;
+use super::lapse::LapseJudge;
 
 /// Flows told in one round of 100 ms at most. At the size to design for a balancer has 6,200 flows, some 900
 /// of them in one availability zone: if all of that is lost they are told within 1.5 s, in bursts of 2.3 KB.
@@ -59,23 +60,35 @@
         }
     }
 
-    /// `collect_gone` takes the flows of those backend servers that have ended, and forgets those that have
-    /// returned.
-    pub(super) fn collect_gone(
+    /// `round` gives the flows whose callers are to be told now.
+    pub(super) fn round(
         &mut self,
         flows: &mut FlowTracker,
-        is_gone: impl Fn(InstanceId) -> bool,
-        has_ended: impl Fn(InstanceId) -> bool,
-    ) {
-        self.gone.retain(|instance| is_gone(*instance));
-        let ended = self.gone.extract_if(.., |instance| has_ended(*instance)).collect::<Vec<_>>();
+        judge: &LapseJudge<'_>,
+    ) -> Vec<EndedFlow> {
+        self.collect_gone(flows, judge);
+        self.collect_silent(flows);
+
+        let count = self.due.len().min(TOLD_PER_ROUND);
+        let ended: Vec<_> = self.due.drain(..count).collect();
+        for flow in ended.iter().map(|ended| ended.reset.flow) {
+            self.on_told(flow, judge.now);
+        }
+        ended
+    }
+
+    /// Takes the flows of those backend servers that have ended, and forgets those that have returned.
+    fn collect_gone(&mut self, flows: &mut FlowTracker, judge: &LapseJudge<'_>) {
+        self.gone.retain(|instance| judge.is_gone(*instance));
+        let ended = self.gone.extract_if(.., |instance| judge.has_ended(*instance));
+        let ended: Vec<_> = ended.collect();
 
         self.collect(flows, &ended, ResetReason::BackendGone, |_| true);
     }
 
-    /// `collect_silent` takes the resting flows of backend servers that were given up. Those that wait for
-    /// an answer may still get it; they are told when they send again.
-    pub(super) fn collect_silent(&mut self, flows: &mut FlowTracker) {
+    /// Takes the resting flows of backend servers that were given up. Those that wait for an answer may still
+    /// get it; they are told when they send again.
+    fn collect_silent(&mut self, flows: &mut FlowTracker) {
         let silent = std::mem::take(&mut self.silent);
 
         self.collect(flows, &silent, ResetReason::BackendSilent, |is_busy| !is_busy);
@@ -98,17 +111,6 @@
         self.due.extend(ended);
     }
 
-    /// `next_told` gives the next flow to tell in a round that has told so many.
-    pub(super) fn next_told(&mut self, told_before: usize, now: Instant) -> Option<EndedFlow> {
-        if told_before >= TOLD_PER_ROUND {
-            return None;
-        }
-
-        let ended = self.due.pop_front()?;
-        self.on_told(ended.reset.flow, now);
-        Some(ended)
-    }
-
     /// `on_told` takes in that a caller is being told.
     pub(super) fn on_told(&mut self, flow: FlowAddresses, now: Instant) {
         self.told.insert(flow, now + TELL_AGAIN_AFTER);
--- a/crates/valvestage-policy/src/steering/lapse.rs
+++ b/crates/valvestage-policy/src/steering/lapse.rs
@@ -5,7 +5,7 @@
 
 use std::time::{Duration, Instant};
 
-use valvestage_core::ids::ZoneName;
+use valvestage_core::ids::{InstanceId, ZoneName};
 
 use super::backend_entry::{BackendEnd, BackendEntry, BackendPhase};
 use super::backend_health::BackendHealth;
@@ -18,27 +18,49 @@
 /// Entries lapse after three heartbeats of some 0.8 s, so a dead backend server was silent for longer.
 pub(super) const SHORTEST_LAPSE: Duration = Duration::from_secs(2);
 
-/// `has_ended` tells whether a backend server has ended, so that its flows can be. One whose entry is gone
-/// has not if it may return and either showed life shortly before, or shared a cut with this balancer.
-///
-/// After a cut of one zone in three for 5 s this keeps 40 to 60 requests a second from being lost in the
-/// second that it takes until the entries are back.
-pub(super) fn has_ended(
-    entry: &BackendEntry,
-    own_zone: &ZoneName,
-    knowledge: &Knowledge,
-    health: &BackendHealth,
-    now: Instant,
-) -> bool {
-    let BackendPhase::Gone { since, end } = entry.phase else { return false };
-    let may_return =
-        end == BackendEnd::Lapsed && now.saturating_duration_since(since) < RETURN_TIME;
-    if !may_return {
-        return true;
+/// `LapseJudge` tells lapses from ends, by what is known at one moment.
+pub(super) struct LapseJudge<'a> {
+    /// Availability zone of this balancer.
+    pub own_zone: &'a ZoneName,
+    /// What is known of entries, and of the store's last confirmation.
+    pub knowledge: &'a Knowledge,
+    /// Signs of life.
+    pub health: &'a BackendHealth,
+    /// The moment.
+    pub now: Instant,
+}
+
+impl LapseJudge<'_> {
+    /// `is_gone` tells whether the entry of a backend server is gone.
+    pub(super) fn is_gone(&self, instance: InstanceId) -> bool {
+        self.knowledge.directory.get(instance).is_some_and(BackendEntry::is_gone)
     }
 
-    let alive_from = since.checked_sub(SHORTEST_LAPSE);
-    let was_alive = alive_from.is_some_and(|from| health.shows_life_since(entry.instance, from));
-    let shared_cut = entry.zone == *own_zone && knowledge.was_out_of_touch(since);
-    !was_alive && !shared_cut
+    /// `has_ended` tells whether a backend server has ended, so that its flows can be. One whose entry is
+    /// gone has not if it may return and either showed life shortly before, or shared a cut with this balancer.
+    ///
+    /// After a cut of one zone in three for 5 s this keeps 40 to 60 requests a second from being lost in the
+    /// second that it takes until the entries are back.
+    pub(super) fn has_ended(&self, instance: InstanceId) -> bool {
+        let entry = self.knowledge.directory.get(instance);
+
+        entry.is_some_and(|entry| match entry.phase {
+            BackendPhase::Gone { since, end: BackendEnd::Lapsed } => {
+                let may_return = self.now.saturating_duration_since(since) < RETURN_TIME;
+                !may_return || !self.may_live(entry, since)
+            }
+            BackendPhase::Gone { .. } => true,
+            BackendPhase::Ready | BackendPhase::Draining => false,
+        })
+    }
+
+    /// Whether a backend server may live although its entry has lapsed.
+    fn may_live(&self, entry: &BackendEntry, lapsed_at: Instant) -> bool {
+        let alive_from = lapsed_at.checked_sub(SHORTEST_LAPSE);
+        let was_alive =
+            alive_from.is_some_and(|from| self.health.shows_life_since(entry.instance, from));
+        let shared_cut = entry.zone == *self.own_zone && self.knowledge.was_out_of_touch(lapsed_at);
+
+        was_alive || shared_cut
+    }
 }
--- /dev/null
+++ b/crates/valvestage-policy/src/steering/packet_verdicts.rs
@@ -0,0 +1,44 @@
+//! Verdicts that several steps of steering come to.
+
+use std::hash::Hasher;
+use std::time::Instant;
+
+use siphasher::sip::SipHasher13;
+use valvestage_core::ids::InstanceId;
+
+use super::backend_directory::BackendDirectory;
+use super::caller_packet::{DropReason, FlowAddresses, PacketVerdict, ResetReason};
+use super::knowledge::Knowledge;
+
+/// `refuse_route` gives the verdict on a packet for an address without a route. A configuration that may be out of date
+/// refuses nothing: the caller sends the packet again.
+pub(super) fn refuse_route(knowledge: &Knowledge, now: Instant) -> PacketVerdict {
+    if knowledge.is_certain(now) {
+        PacketVerdict::Reset(ResetReason::NoRoute)
+    } else {
+        PacketVerdict::Drop(DropReason::NoRoute)
+    }
+}
+
+/// `forward` gives the verdict that a packet goes to a backend server.
+pub(super) fn forward(knowledge: &Knowledge, instance: InstanceId) -> PacketVerdict {
+    match knowledge.directory.get(instance) {
+        Some(entry) => PacketVerdict::Forward {
+            instance,
+            address: entry.address,
+            token: BackendDirectory::token_of(instance),
+        },
+        None => PacketVerdict::Drop(DropReason::UnknownToken),
+    }
+}
+
+/// `draw_of` gives a number that is the same for a flow at every balancer.
+pub(super) fn draw_of(flow: &FlowAddresses) -> u64 {
+    let mut hasher = SipHasher13::new();
+
+    for address in [flow.caller, flow.service] {
+        hasher.write(&address.ip().octets());
+        hasher.write_u16(address.port());
+    }
+    hasher.finish()
+}
--- a/crates/valvestage-policy/src/steering/steering_policy.rs
+++ b/crates/valvestage-policy/src/steering/steering_policy.rs
@@ -1,14 +1,11 @@
 //! The parts of steering together.
 
-use std::hash::Hasher;
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
-use siphasher::sip::SipHasher13;
 use valvestage_core::ids::InstanceId;
 
-use super::backend_directory::BackendDirectory;
-use super::backend_entry::{BackendEntry, BackendPhase};
+use super::backend_entry::BackendPhase;
 use super::backend_observer::BackendObserver;
 use super::caller_packet::{CallerPacket, DropReason, FlowAddresses, PacketVerdict, ResetReason};
 use super::decision::{AnswerTime, Decision, DroppedPacket};
@@ -18,7 +15,8 @@
 use super::flow_reset::FlowReset;
 use super::flow_tracker::FlowTracker;
 use super::knowledge::Knowledge;
-use super::lapse::has_ended;
+use super::lapse::LapseJudge;
+use super::packet_verdicts::{draw_of, forward, refuse_route};
 use super::peer_message::HealthReport;
 use super::steering_options::SteeringOptions;
 
@@ -89,24 +87,16 @@
     /// `end_flows` tells callers that their backend servers have ended; to be called ten times a second.
     pub fn end_flows(&mut self, knowledge: &mut Knowledge, now: Instant) {
         self.ender.on_gone(knowledge.directory.take_newly_gone());
-        let knowledge = &*knowledge;
-        let directory = &knowledge.directory;
-        let (zone, health) = (&self.options.zone, self.backends.health());
-
-        let is_gone = |instance| directory.get(instance).is_some_and(BackendEntry::is_gone);
-        let has_ended = |instance| {
-            let entry = directory.get(instance);
-            entry.is_some_and(|entry| has_ended(entry, zone, knowledge, health, now))
+        let judge = LapseJudge {
+            own_zone: &self.options.zone,
+            knowledge,
+            health: self.backends.health(),
+            now,
         };
-        self.ender.collect_gone(&mut self.flows, is_gone, has_ended);
-        self.ender.collect_silent(&mut self.flows);
 
-        let mut told = 0;
-        while let Some(ended) = self.ender.next_told(told, now) {
-            let EndedFlow { reset, instance, reason } = ended;
-            told += 1;
-            self.resets.push(reset);
+        for EndedFlow { reset, instance, reason } in self.ender.round(&mut self.flows, &judge) {
             let flow = reset.flow;
+            self.resets.push(reset);
             self.decisions.push(Decision::Reset { flow, reason, instance: Some(instance) });
         }
     }
@@ -308,16 +298,16 @@
         let Some(instance) = self.instance_of(knowledge, packet) else {
             return PacketVerdict::Drop(DropReason::UnknownToken);
         };
-        let Some(entry) = knowledge.directory.get(instance) else {
+        if knowledge.directory.get(instance).is_none() {
             return PacketVerdict::Drop(DropReason::UnknownToken);
-        };
+        }
 
         self.observe(knowledge, instance, packet, now);
         if packet.reset {
             self.flows.remove(&packet.flow);
             return forward(knowledge, instance);
         }
-        let Some(reason) = self.over_because(knowledge, entry, now) else {
+        let Some(reason) = self.over_because(knowledge, instance, now) else {
             return forward(knowledge, instance);
         };
         if self.ender.is_told(&packet.flow, now) {
@@ -331,16 +321,17 @@
     fn over_because(
         &mut self,
         knowledge: &Knowledge,
-        entry: &BackendEntry,
+        instance: InstanceId,
         now: Instant,
     ) -> Option<ResetReason> {
         let health = self.backends.health();
+        let judge = LapseJudge { own_zone: &self.options.zone, knowledge, health, now };
 
-        if has_ended(entry, &self.options.zone, knowledge, health, now) {
+        if judge.has_ended(instance) {
             return Some(ResetReason::BackendGone);
         }
-        if health.is_given_up(entry.instance, now) {
-            self.ender.on_given_up(entry.instance);
+        if health.is_given_up(instance, now) {
+            self.ender.on_given_up(instance);
             return Some(ResetReason::BackendSilent);
         }
         None
@@ -392,36 +383,3 @@
         observation.sign
     }
 }
-
-/// The verdict on a packet for an address without a route. A configuration that may be out of date
-/// refuses nothing: the caller sends the packet again.
-fn refuse_route(knowledge: &Knowledge, now: Instant) -> PacketVerdict {
-    if knowledge.is_certain(now) {
-        PacketVerdict::Reset(ResetReason::NoRoute)
-    } else {
-        PacketVerdict::Drop(DropReason::NoRoute)
-    }
-}
-
-/// The verdict that a packet goes to a backend server.
-fn forward(knowledge: &Knowledge, instance: InstanceId) -> PacketVerdict {
-    match knowledge.directory.get(instance) {
-        Some(entry) => PacketVerdict::Forward {
-            instance,
-            address: entry.address,
-            token: BackendDirectory::token_of(instance),
-        },
-        None => PacketVerdict::Drop(DropReason::UnknownToken),
-    }
-}
-
-/// A number that is the same for a flow at every balancer.
-fn draw_of(flow: &FlowAddresses) -> u64 {
-    let mut hasher = SipHasher13::new();
-
-    for address in [flow.caller, flow.service] {
-        hasher.write(&address.ip().octets());
-        hasher.write_u16(address.port());
-    }
-    hasher.finish()
-}
