--- a/crates/valvestage-entry/tests/process/walks.rs
+++ b/crates/valvestage-entry/tests/process/walks.rs
@@ -158,3 +158,28 @@
     backend.receive();
     backend.instance
 }
+
+#[test]
+fn a_callers_request_hung_after_a_balancer_was_restarted() {
+    let site = Site::configured();
+    let backend = site.backend(0xd1, "core");
+    let former = site.ready_balancer("one", &[]);
+    let caller = Caller::new(&former);
+    caller.send(&former, SYN, 40_001, 0, 0);
+    let token = token_of(&backend.receive().1);
+
+    // The backend server ends while no balancer is there that could tell of it.
+    drop(former);
+    site.standin.delete_object("servers", "i-d1");
+    let _other = site.backend(0xd2, "core");
+    let restarted = site.ready_balancer("two", &[]);
+    caller.send(&restarted, ACK, 40_001, token, 10);
+    wait_until("it is dropped", || {
+        let name = "valvestage_entry_drops_total{reason=\"unknown_token\"}";
+        restarted.metric(name) == Some(1)
+    });
+    let story = story_of(restarted, &caller, 40_001);
+    let said =
+        format!("its token {token} names no backend server that is known up to revision 4, ");
+    assert!(story.contains(&said), "{story}");
+}
--- a/crates/valvestage-policy/src/steering/backend_pace.rs
+++ b/crates/valvestage-policy/src/steering/backend_pace.rs
@@ -16,7 +16,7 @@
 use super::outcome_count::share_left;
 
 /// Answers that the pace of the others counts for. On days with slow backend servers a trial with 4
-/// served 0.979 of the requests, with 2 0.980, and with 1 and steps as below 0.983 (docs/PLATFORM.md).
+/// served 0.979 of the requests, with 2 0.980, and with 1 and steps as below 0.983 (docs/DECISIONS.md).
 const PRIOR_ANSWERS: f64 = 1.0;
 
 /// An answer that took more than so many times the usual counts as one that took so long: its packet
--- a/crates/valvestage-policy/src/steering/outlier_detector.rs
+++ b/crates/valvestage-policy/src/steering/outlier_detector.rs
@@ -58,7 +58,7 @@
 
 /// Backend servers reported in one heartbeat at most: some 11 bytes each for counts, 8 for those that are
 /// avoided. With 16 of each, control took up to 5 KB a second while many fail; with 8, days on which a
-/// quarter of all backend servers fail are served no worse (docs/PLATFORM.md).
+/// quarter of all backend servers fail are served no worse (docs/DECISIONS.md).
 const MAX_REPORTS: usize = 8;
 
 /// `OutlierDetector` compares the backend servers of each service.
--- a/crates/valvestage-policy/src/steering/steering_options.rs
+++ b/crates/valvestage-policy/src/steering/steering_options.rs
@@ -19,10 +19,10 @@
     /// request a second, which takes some 40 ms.
     pub resting_flow_load: f64,
     /// How much busier, in requests a slot, the servers of this zone may be before a flow is placed
-    /// in another zone. From the trials that docs/PLATFORM.md lists.
+    /// in another zone. From the trials that docs/DECISIONS.md lists.
     pub zone_preference: f64,
     /// How much busier the servers of all zones of this region may be before a flow is placed in another
-    /// region: there each packet of a request takes tens of milliseconds more. docs/PLATFORM.md.
+    /// region: there each packet of a request takes tens of milliseconds more. docs/DECISIONS.md.
     pub region_preference: f64,
     /// How much busier, in requests a slot, the others may be before a flow is placed on a backend
     /// server that fails more requests than they do. Twice the preference for the own zone: another
--- a/crates/valvestage-story/src/sentences.rs
+++ b/crates/valvestage-story/src/sentences.rs
@@ -10,7 +10,7 @@
     match line.event.as_str() {
         "placed" => format!(
             "The flow from {} to {} was placed on backend server {} of {} in {} (load {}, one of {}); \
-             configuration {}, confirmed {} ms before.{}{}",
+             configuration {}, {}.{}{}",
             text("caller"),
             text("address"),
             text("backend"),
@@ -19,7 +19,7 @@
             text("load"),
             text("candidates"),
             text("version"),
-            text("knowledge_age_ms"),
+            confirmation(line),
             pace(line),
             doubt(line)
         ),
@@ -138,6 +138,14 @@
     }
 }
 
+/// When the store last confirmed what was known.
+fn confirmation(line: &LogLine) -> String {
+    match line.text("knowledge_age_ms").as_str() {
+        "" => "not confirmed by the store yet".to_owned(),
+        age => format!("confirmed {age} ms before"),
+    }
+}
+
 fn drop_reason(line: &LogLine) -> String {
     match line.text("reason").as_str() {
         "not_ready" => "the balancer had just started and knew nothing yet.".to_owned(),
@@ -148,11 +156,10 @@
         "already_told" => "its caller was told a moment ago that the flow is over.".to_owned(),
         "unknown_token" => {
             format!(
-                "its token {} names no backend server that is known up to revision {}, confirmed {} ms \
-                 before.",
+                "its token {} names no backend server that is known up to revision {}, {}.",
                 line.text("token"),
                 line.text("known_until"),
-                line.text("knowledge_age_ms")
+                confirmation(line)
             )
         }
         other => format!("{other}."),
