--- a/crates/valvestage-policy/src/steering/flow_ender.rs
+++ b/crates/valvestage-policy/src/steering/flow_ender.rs
@@ -12,7 +12,7 @@
 
 use super::caller_packet::{FlowAddresses, ResetReason};
 use super::flow_reset::FlowReset;
-use super::flow_tracker::FlowTracker;
+use super::flow_tracker::{FlowSelection, FlowTracker};
 use super::lapse::LapseJudge;
 
 /// Flows told in one round of 100 ms at most. At the size to design for a balancer has 6,200 flows, some 900
@@ -83,7 +83,7 @@
         let ended = self.gone.extract_if(.., |instance| judge.has_ended(*instance));
         let ended: Vec<_> = ended.collect();
 
-        self.collect(flows, &ended, ResetReason::BackendGone, |_| true);
+        self.collect(flows, &ended, ResetReason::BackendGone, FlowSelection::Open);
     }
 
     /// Takes the resting flows of backend servers that were given up. Those that wait for an answer may still
@@ -91,7 +91,7 @@
     fn collect_silent(&mut self, flows: &mut FlowTracker) {
         let silent = std::mem::take(&mut self.silent);
 
-        self.collect(flows, &silent, ResetReason::BackendSilent, |is_busy| !is_busy);
+        self.collect(flows, &silent, ResetReason::BackendSilent, FlowSelection::Resting);
     }
 
     fn collect(
@@ -99,13 +99,13 @@
         flows: &mut FlowTracker,
         instances: &[InstanceId],
         reason: ResetReason,
-        takes_busy: impl Fn(bool) -> bool,
+        selection: FlowSelection,
     ) {
         if instances.is_empty() {
             return;
         }
 
-        let taken = flows.take_open_at(instances, takes_busy);
+        let taken = flows.take_at(instances, selection);
         let ended =
             taken.into_iter().map(|(reset, instance)| EndedFlow { reset, instance, reason });
         self.due.extend(ended);
--- a/crates/valvestage-policy/src/steering/flow_tracker.rs
+++ b/crates/valvestage-policy/src/steering/flow_tracker.rs
@@ -36,6 +36,15 @@
     }
 }
 
+/// `FlowSelection` says which flows are meant.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum FlowSelection {
+    /// Those that opened and that their callers have not ended.
+    Open,
+    /// Those of them that wait for no answer.
+    Resting,
+}
+
 /// `FlowTracker` holds records of flows and the load that they are for each backend server.
 #[derive(Debug, Default)]
 pub struct FlowTracker {
@@ -126,19 +135,18 @@
         }
     }
 
-    /// `take_open_at` forgets the open flows of some backend servers that their callers have not ended, and
-    /// gives how to tell their callers, with the backend server. Whether they wait for an answer decides
-    /// which of them.
-    pub(super) fn take_open_at(
+    /// `take_at` forgets flows of some backend servers, and gives how to tell their callers, each with its
+    /// backend server.
+    pub(super) fn take_at(
         &mut self,
         instances: &[InstanceId],
-        takes_busy: impl Fn(bool) -> bool,
+        selection: FlowSelection,
     ) -> Vec<(FlowReset, InstanceId)> {
         let is_taken = |record: &FlowRecord| {
             record.open
                 && !record.closing
                 && instances.contains(&record.instance)
-                && takes_busy(record.is_busy())
+                && (selection == FlowSelection::Open || !record.is_busy())
         };
         let taken = self.records.iter().filter(|(_, record)| is_taken(record));
         let taken: Vec<_> =
