--- a/crates/valvestage-policy/src/steering/steering_policy.rs
+++ b/crates/valvestage-policy/src/steering/steering_policy.rs
@@ -283,7 +283,7 @@
     ///
     /// Its token alone says where the flow is, not the service to which its address leads now: open
     /// flows stay where they are under a new configuration, and a balancer that has just started knows
-    /// no former one. Comparing the two cost 0.024 of the worth of a day in which all balancers were
+    /// no former one. Comparing the two lost 0.018 of the requests of a day in which all balancers were
     /// restarted after a change of routes. A token that the caller did not get on this flow does no harm:
     /// the packet names one incarnation, which refuses flows that it does not hold.
     fn on_further(
