--- a/crates/valvestage-policy/tests/steering/successors.rs
+++ b/crates/valvestage-policy/tests/steering/successors.rs
@@ -24,6 +24,20 @@
     (knowledge(&[backend(FORMER, "core", HOME), backend(2, "core", HOME)]), start())
 }
 
+fn policy() -> SteeringPolicy {
+    SteeringPolicy::new(SteeringOptions { zone: HOME.to_owned(), ..Default::default() }, 1)
+}
+
+/// A balancer with a flow at the former backend server, which has answered it 20 ms after the time given.
+fn with_answered_flow(known: &Knowledge, now: Instant) -> SteeringPolicy {
+    let mut policy = policy();
+    let token = BackendDirectory::token_of(FORMER);
+
+    policy.on_packet(known, &data(flow(1), token, 1_001, 100, 501), now);
+    policy.on_packet(known, &data(flow(1), token, 1_101, 0, 901), now + millis(20));
+    policy
+}
+
 fn is_gone(known: &Knowledge) -> bool {
     known.directory.get(FORMER).is_some_and(BackendEntry::is_gone)
 }
@@ -31,8 +45,7 @@
 #[test]
 fn an_entry_at_the_same_address_shows_that_the_one_before_has_ended() {
     let (mut known, now) = site();
-    let options = SteeringOptions { zone: HOME.to_owned(), ..Default::default() };
-    let mut policy = SteeringPolicy::new(options, 1);
+    let mut policy = policy();
     let token = BackendDirectory::token_of(FORMER);
     policy.on_packet(&known, &data(flow(1), token, 1_001, 100, 501), now);
 
@@ -48,12 +61,8 @@
 #[test]
 fn so_does_one_of_another_service_and_flows_are_told_unasked() {
     let (mut known, now) = site();
-    let options = SteeringOptions { zone: HOME.to_owned(), ..Default::default() };
-    let mut policy = SteeringPolicy::new(options, 1);
-    let token = BackendDirectory::token_of(FORMER);
     // Its answer has just come: an address has one process all the same.
-    policy.on_packet(&known, &data(flow(1), token, 1_001, 100, 501), now);
-    policy.on_packet(&known, &data(flow(1), token, 1_101, 0, 901), now + millis(20));
+    let mut policy = with_answered_flow(&known, now);
 
     let other = BackendEntry { service: "photos".to_owned(), ..successor() };
     known.directory.admit(other, now + millis(30));
@@ -65,11 +74,8 @@
 #[test]
 fn a_lapse_that_a_peer_tells_of_before_the_successor_is_an_end() {
     let (mut known, now) = site();
-    let options = SteeringOptions { zone: HOME.to_owned(), ..Default::default() };
-    let mut policy = SteeringPolicy::new(options, 1);
+    let mut policy = with_answered_flow(&known, now);
     let token = BackendDirectory::token_of(FORMER);
-    policy.on_packet(&known, &data(flow(1), token, 1_001, 100, 501), now);
-    policy.on_packet(&known, &data(flow(1), token, 1_101, 0, 901), now + millis(20));
 
     assert!(known.directory.mark_gone(FORMER, successor().revision, now + millis(30)));
     known.directory.admit(successor(), now + millis(30));
