A lapsed entry is no end to one that has seen nothing of its backend server, nor to one that slept

The entry had lapsed in a cut and the store said nothing, so that it could not return. "No sign of life here" was taken for an end, though nothing had been asked of it from here. - The frozen balancer woke 2.9 s later and took the time that it slept for time in which the entry could return.

Ruled out: waiting for any lapsed entry while the store is away. Flows of dead backend servers would hang until it is back; a first copy of a packet shows the end after 200 ms, so only the first packet goes on.

Change: where nothing speaks for or against a backend server and its entry cannot return now, the flow stays; after a pause of a second lapsed entries have their 2.3 s anew.

Four new tests, two of them red on the code before (the other two hold what must not change).

--- a/crates/valvestage-policy/src/steering/entry_policy.rs
+++ b/crates/valvestage-policy/src/steering/entry_policy.rs
@@ -7,6 +7,7 @@
 use crate::steering::keeper::keeper_action::KeeperAction;
 use crate::steering::keeper::knowledge_keeper::KnowledgeKeeper;
 use crate::steering::knowledge::Knowledge;
+use crate::steering::knowledge::lapse::RETURN_TIME;
 use crate::steering::knowledge::route_map::RouteMap;
 use crate::steering::packets::caller_packet::{CallerPacket, PacketVerdict};
 use crate::steering::packets::flow_reset::FlowReset;
@@ -217,6 +218,8 @@
         // After a longer one beliefs are old: others are asked at once.
         if gap >= PAUSE {
             self.decisions.push(Decision::Paused { time: gap });
+            // Nor is it known whether the store was away meanwhile: entries that lapsed before have their time anew.
+            self.knowledge.settle_at(now + RETURN_TIME);
             self.keeper.on_pause();
             self.steering.on_pause();
         }
--- a/crates/valvestage-policy/src/steering/health/backend_health.rs
+++ b/crates/valvestage-policy/src/steering/health/backend_health.rs
@@ -164,6 +164,15 @@
             .is_some_and(|record| record.last_life.is_some_and(|life| life >= since))
     }
 
+    /// `shows_anything_since` tells whether a backend server has answered any flow since a time, or any flow misses an
+    /// answer since then.
+    #[must_use]
+    pub fn shows_anything_since(&self, instance: InstanceId, since: Instant) -> bool {
+        let misses = |record: &HealthRecord| record.misses.iter().any(|(_, at)| *at >= since);
+
+        self.shows_life_since(instance, since) || self.records.get(&instance).is_some_and(misses)
+    }
+
     /// `forget` drops what is known about a backend server.
     pub fn forget(&mut self, keep: impl Fn(InstanceId) -> bool) {
         self.records.retain(|instance, _| keep(*instance));
--- a/crates/valvestage-policy/src/steering/knowledge/lapse.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/lapse.rs
@@ -67,11 +67,19 @@
 
     /// Whether a backend server may live although its entry has lapsed.
     fn may_live(&self, entry: &BackendEntry, lapsed_at: Instant) -> bool {
-        let alive_from = lapsed_at.checked_sub(SHORTEST_LAPSE);
-        let was_alive =
-            alive_from.is_some_and(|from| self.health.shows_life_since(entry.instance, from));
+        let alive_from = lapsed_at.checked_sub(SHORTEST_LAPSE).unwrap_or(lapsed_at);
+        let was_alive = self.health.shows_life_since(entry.instance, alive_from);
         let shared_cut = entry.zone == *self.own_zone && self.knowledge.was_out_of_touch(lapsed_at);
 
-        was_alive || shared_cut
+        was_alive || shared_cut || self.is_open_question(entry, alive_from)
+    }
+
+    /// Whether nothing speaks for or against the life of a backend server whose entry cannot return now, since the store
+    /// is away. A flow that has just come from another balancer goes on with its first packet; the first copy of it that
+    /// its caller sends shows the end, 200 ms later.
+    fn is_open_question(&self, entry: &BackendEntry, alive_from: Instant) -> bool {
+        let is_unseen = !self.health.shows_anything_since(entry.instance, alive_from);
+
+        is_unseen && !self.knowledge.is_settled(self.now)
     }
 }
--- a/crates/valvestage-policy/tests/simulation/main.rs
+++ b/crates/valvestage-policy/tests/simulation/main.rs
@@ -133,8 +133,8 @@
     }
 }
 
-/// Open: a flow moves from a frozen balancer to one that has seen nothing of its backend server, whose entry lapsed in a
-/// cut, while the store says nothing. That one ends it.
+/// A flow moves from a frozen balancer to one that has seen nothing of its backend server, whose entry lapsed in a cut,
+/// while the store says nothing; and back to the frozen one, which wakes after the time in which the entry may return.
 #[test]
 fn a_flow_that_moves_while_the_store_is_silent_stays() {
     let violations = play(11_828, None);
--- a/crates/valvestage-policy/tests/steering/lapses.rs
+++ b/crates/valvestage-policy/tests/steering/lapses.rs
@@ -182,6 +182,46 @@
     assert_ends(site.request());
 }
 
+/// The entry of a backend server that this balancer has seen nothing of lapses, and then the store is away.
+fn after_an_unseen_lapse() -> Site {
+    let mut site = Site::with_open_flow(HOME);
+    site.known.directory.put(backend(3, "core", AWAY));
+
+    site.known.directory.mark_gone(3, 2_000, site.now);
+    site.wait(millis(2_000));
+    site.known.settle_at(site.now + millis(3_100));
+    site
+}
+
+fn request_on_unseen(site: &mut Site) -> PacketVerdict {
+    site.send(&data(flow(3), BackendDirectory::token_of(3), 1_001, 100, 501))
+}
+
+#[test]
+fn one_that_was_never_seen_here_may_live_while_its_entry_cannot_return() {
+    let mut site = after_an_unseen_lapse();
+
+    let verdict = request_on_unseen(&mut site);
+    assert!(matches!(verdict, PacketVerdict::Forward { instance: 3, .. }), "{verdict:?}");
+}
+
+#[test]
+fn the_first_copy_of_a_packet_shows_that_it_does_not() {
+    let mut site = after_an_unseen_lapse();
+
+    request_on_unseen(&mut site);
+    site.wait(millis(200));
+    assert_ends(request_on_unseen(&mut site));
+}
+
+#[test]
+fn one_that_was_never_seen_here_is_gone_once_the_store_has_answered_for_long_enough() {
+    let mut site = after_an_unseen_lapse();
+
+    site.wait(millis(3_100));
+    assert_ends(request_on_unseen(&mut site));
+}
+
 /// A balancer that has just started is told of an entry that lapsed so long ago.
 fn told_at_a_start(ago: Duration) -> Site {
     let mut site = Site::with_open_flow(HOME);
--- a/crates/valvestage-policy/tests/steering/pauses.rs
+++ b/crates/valvestage-policy/tests/steering/pauses.rs
@@ -4,7 +4,8 @@
 use std::time::{Duration, Instant};
 
 use valvestage_policy::steering::{
-    BackendDirectory, BackendNews, Decision, EntryOptions, EntryPolicy, SteeringOptions, StoreReply,
+    BackendDirectory, BackendNews, Decision, EntryOptions, EntryPolicy, PacketVerdict,
+    SteeringOptions, StoreReply,
 };
 
 use crate::fixtures::{HOME, address, backend, data, flow, millis, opening, routes, start};
@@ -172,3 +173,25 @@
     balancer.answer_at(SERVER, 51..=80, 5 * USUAL);
     assert!(balancer.has_said_slow());
 }
+
+#[test]
+fn the_time_to_return_does_not_run_while_the_balancer_stands_still() {
+    let mut balancer = Balancer::ready(&[SERVER, OTHERS[0]]);
+    balancer.answer_at(SERVER, 1..=5, millis(40));
+    balancer.turn_after(millis(100));
+    let lapsed = BackendNews { instance: SERVER, revision: 11, entry: None };
+    let news = StoreReply::Changes { objects: vec![lapsed], revision: 11 };
+    balancer.policy.on_backends_reply(news, balancer.now);
+
+    // The store may have been away meanwhile: others tell of it a moment after this one has woken.
+    balancer.turn_after(millis(2_900));
+    let request = data(flow(1), BackendDirectory::token_of(SERVER), 1_101, 100, 1_275);
+    let verdict = balancer.policy.on_packet(&request, balancer.now);
+    assert!(matches!(verdict, PacketVerdict::Forward { instance: SERVER, .. }), "{verdict:?}");
+
+    for _ in 0..24 {
+        balancer.turn_after(millis(100));
+    }
+    let told = balancer.policy.take_resets();
+    assert!(told.iter().any(|reset| reset.flow == flow(1)), "{told:?}");
+}
