Zones of new flows are drawn by what the whole deployment asks of each

Cause: a balancer among 295 sees a 60th of what its zone has to do, so its own zone never looked busy and nothing went to the zones that idled: the threshold of 1.5 requests a slot holds "as this balancer sees them". With 12 backend servers in one zone in place of 96, 31,516 tries were refused by full backend servers with four zones at 15%.

Change: each balancer tells in its heartbeats how many of its flows wait, by service (7 bytes each). What a zone's callers ask for does not depend on where flows are placed, so each works out alike what its zone has no room for, and draws that share of its new flows over zones with room. A zone that was not heard for 3 s gets nothing.

--- a/crates/valvestage-entry/src/decision_lines.rs
+++ b/crates/valvestage-entry/src/decision_lines.rs
@@ -97,6 +97,8 @@
         Decision::Avoided { .. } => "avoided",
         Decision::AvoidedAsTold { .. } => "avoided_as_told",
         Decision::Slowed { .. } => "slowed",
+        Decision::SpillBegan { .. } => "spill_began",
+        Decision::SpillEnded { .. } => "spill_ended",
         Decision::Recovered { .. } => "recovered",
         Decision::RoutesInForce { .. } => "routes_in_force",
         Decision::BackendChanged { .. } => "backend_changed",
@@ -186,6 +188,11 @@
             line.put("told_by", *told_by);
             line.put_time("avoided_ms", *avoided_for);
         }
+        Decision::SpillBegan { service, share } => {
+            line.put("service", service.as_str());
+            line.put("share", rounded(*share));
+        }
+        Decision::SpillEnded { service } => line.put("service", service.as_str()),
         Decision::AvoidedAsTold { instance, peer, left } => {
             line.put_instance("backend", *instance);
             line.put_text("source", peer);
@@ -249,6 +256,9 @@
     line.put("service", placement.service.as_str());
     line.put_instance("backend", placement.instance);
     line.put("zone", placement.zone.as_str());
+    if let Some(zone) = &placement.drawn_zone {
+        line.put("drawn_zone", zone.as_str());
+    }
     line.put("load", rounded(placement.load));
     if placement.pace > 1.0 {
         line.put("pace", rounded(placement.pace));
--- a/crates/valvestage-entry/tests/peer_codec.rs
+++ b/crates/valvestage-entry/tests/peer_codec.rs
@@ -13,7 +13,7 @@
 use valvestage_policy::steering::peers::peer_message::{
     AvoidanceReport, BackendChange, BackendRecord, BackendStanding, BackendsPart, BackendsPull,
     ChunksPull, HealthReport, MAX_MESSAGE_BYTES, MessagePart, OutcomeReport, PeerHeartbeat,
-    RoutesIndex, RoutesPull, WalkScope, WatcherSighting,
+    RoutesIndex, RoutesPull, ServiceDemand, WalkScope, WatcherSighting,
 };
 use valvestage_policy::steering::peers::route_chunk::{ChunkEntry, RouteChunk};
 use valvestage_policy::steering::{
@@ -178,6 +178,7 @@
         watchers: vec![watcher; 4],
         peers: vec![address(5); 4],
         health,
+        demands: Some(vec![ServiceDemand::new(u32::MAX, f64::MAX); 8]),
     };
 
     let datagram = encode(&PeerMessage::Heartbeat(heartbeat)).unwrap();
--- a/crates/valvestage-policy/src/steering/decision.rs
+++ b/crates/valvestage-policy/src/steering/decision.rs
@@ -55,6 +55,18 @@
         /// For how long.
         avoided_for: Duration,
     },
+    /// This availability zone began to give new flows of a service away, for want of slots.
+    SpillBegan {
+        /// The service.
+        service: ServiceName,
+        /// Share of its flows.
+        share: f64,
+    },
+    /// It ceased to.
+    SpillEnded {
+        /// The service.
+        service: ServiceName,
+    },
     /// The same, on the word of another balancer.
     AvoidedAsTold {
         /// The backend server.
@@ -179,6 +191,8 @@
     pub instance: InstanceId,
     /// Its availability zone.
     pub zone: ZoneName,
+    /// Another availability zone that was drawn for the flow, since that of this balancer is too busy.
+    pub drawn_zone: Option<ZoneName>,
     /// Its load in requests a slot, with what its pace, its zone and a cold start add.
     pub load: f64,
     /// How many times as long as those of the others its answers take; 1 at least.
--- a/crates/valvestage-policy/src/steering/entry_policy.rs
+++ b/crates/valvestage-policy/src/steering/entry_policy.rs
@@ -12,7 +12,7 @@
 use crate::steering::packets::caller_packet::{CallerPacket, PacketVerdict};
 use crate::steering::packets::flow_reset::FlowReset;
 use crate::steering::packets::steering_policy::SteeringPolicy;
-use crate::steering::peers::peer_message::{HealthReport, PeerMessage};
+use crate::steering::peers::peer_message::{BalancerReport, PeerMessage};
 use crate::steering::placement::steering_options::SteeringOptions;
 use crate::steering::store::store_follower::StoreReply;
 use crate::steering::store::store_link::BackendNews;
@@ -59,8 +59,8 @@
     last_tick: Instant,
     /// Whether it was noted that the process stood still since the last tick.
     is_gap_noted: bool,
-    /// What others are told of backend servers; as of the last tick.
-    health: HealthReport,
+    /// What others are told of what is seen here; as of the last tick.
+    report: BalancerReport,
     /// What was decided since it was last taken.
     decisions: Vec<Decision>,
 }
@@ -77,7 +77,7 @@
             next_cleaning: now + CLEANING_INTERVAL,
             last_tick: now,
             is_gap_noted: false,
-            health: HealthReport::default(),
+            report: BalancerReport::default(),
             decisions: Vec::new(),
         }
     }
@@ -142,6 +142,9 @@
     ) -> Vec<KeeperAction> {
         if let PeerMessage::Heartbeat(heartbeat) = &message {
             self.steering.on_peer_health(sender, &heartbeat.health, now);
+            if let Some(demands) = &heartbeat.demands {
+                self.steering.on_peer_demand(sender, &heartbeat.zone, demands, now);
+            }
         }
 
         let mut actions = self.keeper.on_message(&mut self.knowledge, sender, message, now);
@@ -195,7 +198,8 @@
         }
         self.last_tick = now;
         self.next_tick = now + TICK_INTERVAL;
-        self.health = self.steering.health_report(now);
+        self.steering.look_at_demand(&self.knowledge, self.keeper.peer_count(), now);
+        self.report = self.steering.report(now);
         if self.next_cleaning <= now {
             self.next_cleaning = now + CLEANING_INTERVAL;
             self.steering.on_tick(&mut self.knowledge, now);
@@ -226,6 +230,6 @@
     }
 
     fn step_keeper(&mut self, now: Instant) -> Vec<KeeperAction> {
-        self.keeper.on_tick(&mut self.knowledge, &self.health, now)
+        self.keeper.on_tick(&mut self.knowledge, &self.report, now)
     }
 }
--- a/crates/valvestage-policy/src/steering/keeper/knowledge_keeper.rs
+++ b/crates/valvestage-policy/src/steering/keeper/knowledge_keeper.rs
@@ -12,7 +12,7 @@
 use crate::steering::entry_policy::EntryOptions;
 use crate::steering::knowledge::Knowledge;
 use crate::steering::knowledge::route_map::RouteMap;
-use crate::steering::peers::peer_message::{HealthReport, PeerHeartbeat, PeerMessage};
+use crate::steering::peers::peer_message::{BalancerReport, PeerHeartbeat, PeerMessage};
 use crate::steering::peers::peer_table::PeerTable;
 use crate::steering::seeded_draw::SeededDraw;
 use crate::steering::store::store_follower::{StoreKind, StoreReply};
@@ -88,11 +88,11 @@
     pub fn on_tick(
         &mut self,
         knowledge: &mut Knowledge,
-        health: &HealthReport,
+        report: &BalancerReport,
         now: Instant,
     ) -> Vec<KeeperAction> {
         self.postpone_missing(knowledge);
-        self.news.note_suspects(&health.suspects);
+        self.news.note_suspects(&report.health.suspects);
         self.step_role(knowledge, now);
         let mut actions = self.calls(knowledge, now);
         actions.extend(self.exchange.on_tick(knowledge, &mut self.news, now));
@@ -102,7 +102,7 @@
                 self.news.note(Decision::PeerLost { peer });
             }
             self.news.note_certainty(knowledge, knowledge.is_certain(now));
-            actions.extend(self.heartbeats(knowledge, health, now));
+            actions.extend(self.heartbeats(knowledge, report, now));
         }
         actions
     }
@@ -169,14 +169,14 @@
     fn heartbeats(
         &mut self,
         knowledge: &Knowledge,
-        health: &HealthReport,
+        report: &BalancerReport,
         now: Instant,
     ) -> Vec<KeeperAction> {
         self.news.on_told();
         self.next_heartbeat = now + HEARTBEAT_INTERVAL;
         let is_ignorant = !knowledge.is_complete() && !knowledge.is_certain(now);
         let asks = std::mem::take(&mut self.asks) || is_ignorant;
-        let heartbeat = self.heartbeat(knowledge, health, asks, now);
+        let heartbeat = self.heartbeat(knowledge, Some(report), asks, now);
 
         let chosen = self.peers.choose(HEARTBEAT_FANOUT, &mut self.draw).into_iter();
         chosen
@@ -187,7 +187,7 @@
     fn heartbeat(
         &mut self,
         knowledge: &Knowledge,
-        health: &HealthReport,
+        report: Option<&BalancerReport>,
         asks: bool,
         now: Instant,
     ) -> PeerHeartbeat {
@@ -204,7 +204,8 @@
             outage_age_ms: outage.map_or(u32::MAX, |at| millis_since(at, now)),
             watchers: self.role.sightings(self.store.answering_since(now), now),
             peers: self.peers.sample(PEERS_TOLD, draw, now),
-            health: health.clone(),
+            health: report.map(|report| report.health.clone()).unwrap_or_default(),
+            demands: report.map(|report| report.demands.clone()),
         }
     }
 
@@ -257,7 +258,7 @@
             || heartbeat.complete_until < knowledge.directory.changed_at();
         if heartbeat.asks && (is_new || knows_less) {
             // One that has just started, or woken, learns at once whom it can ask.
-            let answer = self.heartbeat(knowledge, &HealthReport::default(), false, now);
+            let answer = self.heartbeat(knowledge, None, false, now);
             actions.push(KeeperAction::Tell(sender, PeerMessage::Heartbeat(answer)));
         }
         let Self { exchange, news, .. } = self;
--- a/crates/valvestage-policy/src/steering/packets/flow_tracker.rs
+++ b/crates/valvestage-policy/src/steering/packets/flow_tracker.rs
@@ -78,6 +78,11 @@
         self.loads.get(&instance).copied().unwrap_or_default()
     }
 
+    /// `loads` gives the backend servers that have flows, each with the load that these are for it.
+    pub fn loads(&self) -> impl Iterator<Item = (InstanceId, BackendLoad)> {
+        self.loads.iter().map(|(instance, load)| (*instance, *load))
+    }
+
     /// `insert` adds a record, in place of an earlier one of the flow.
     pub fn insert(&mut self, flow: FlowAddresses, record: FlowRecord) {
         self.remove(&flow);
--- a/crates/valvestage-policy/src/steering/packets/steering_policy.rs
+++ b/crates/valvestage-policy/src/steering/packets/steering_policy.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
-use valvestage_core::ids::InstanceId;
+use valvestage_core::ids::{InstanceId, ZoneName};
 
 use super::caller_packet::{CallerPacket, DropReason, FlowAddresses, PacketVerdict, ResetReason};
 use super::flow_ender::{EndedFlow, FlowEnder};
@@ -16,7 +16,9 @@
 use crate::steering::knowledge::Knowledge;
 use crate::steering::knowledge::backend_entry::BackendPhase;
 use crate::steering::knowledge::lapse::LapseJudge;
-use crate::steering::peers::peer_message::HealthReport;
+use crate::steering::peers::peer_message::{BalancerReport, HealthReport, ServiceDemand};
+use crate::steering::peers::peer_table::FORGET_AFTER;
+use crate::steering::placement::fleet_demand::FleetDemand;
 use crate::steering::placement::flow_placer::{ANSWER_TIME, FlowPlacer};
 use crate::steering::placement::steering_options::SteeringOptions;
 
@@ -26,6 +28,7 @@
     options: SteeringOptions,
     flows: FlowTracker,
     backends: BackendObserver,
+    demand: FleetDemand,
     ender: FlowEnder,
     /// What was decided since they were last taken.
     decisions: Vec<Decision>,
@@ -41,6 +44,7 @@
             options,
             flows: FlowTracker::default(),
             backends: BackendObserver::new(seed),
+            demand: FleetDemand::default(),
             ender: FlowEnder::default(),
             decisions: Vec::new(),
             resets: Vec::new(),
@@ -52,6 +56,7 @@
         let mut decisions = std::mem::take(&mut self.decisions);
 
         decisions.extend(self.backends.take_decisions());
+        decisions.extend(self.demand.take_decisions());
         decisions
     }
 
@@ -81,9 +86,36 @@
             knowledge.directory.forget_gone(before);
         }
         self.backends.forget(knowledge, now);
+        if let Some(before) = now.checked_sub(FORGET_AFTER) {
+            self.demand.forget(before);
+        }
         self.ender.forget(now);
     }
 
+    /// `look_at_demand` takes in what is under way, with so many other balancers known; to be called several times a second.
+    pub fn look_at_demand(&mut self, knowledge: &Knowledge, peer_count: usize, now: Instant) {
+        let health = self.backends.health();
+
+        self.demand.on_tick(&self.options, knowledge, &self.flows, health, peer_count, now);
+    }
+
+    /// `on_peer_demand` takes in what the callers of another balancer ask for.
+    pub fn on_peer_demand(
+        &mut self,
+        peer: SocketAddrV4,
+        zone: &ZoneName,
+        demands: &[ServiceDemand],
+        now: Instant,
+    ) {
+        self.demand.on_told(peer, zone, demands, now);
+    }
+
+    /// `demand` gives what callers ask for.
+    #[must_use]
+    pub fn demand(&self) -> &FleetDemand {
+        &self.demand
+    }
+
     /// `end_flows` tells callers that their backend servers have ended; to be called ten times a second.
     pub fn end_flows(&mut self, knowledge: &mut Knowledge, now: Instant) {
         self.ender.on_gone(knowledge.directory.take_newly_gone());
@@ -125,10 +157,10 @@
         self.backends.on_report(peer, report, now);
     }
 
-    /// `health_report` gives what other balancers are to know of backend servers.
+    /// `report` gives what other balancers are to know of what is seen here.
     #[must_use]
-    pub fn health_report(&self, now: Instant) -> HealthReport {
-        self.backends.report(now)
+    pub fn report(&self, now: Instant) -> BalancerReport {
+        BalancerReport { health: self.backends.report(now), demands: self.demand.reports() }
     }
 
     /// `avoided_count` gives the number of backend servers that are avoided.
@@ -265,6 +297,7 @@
             knowledge,
             flows: &self.flows,
             backends: &self.backends,
+            demand: &self.demand,
             now,
         };
         let Some(placement) = placer.place(flow, service, instead_of, draw_of(&flow)) else {
--- a/crates/valvestage-policy/src/steering/peers/peer_message.rs
+++ b/crates/valvestage-policy/src/steering/peers/peer_message.rs
@@ -66,6 +66,43 @@
     pub peers: Vec<SocketAddrV4>,
     /// What it has seen of backend servers.
     pub health: HealthReport,
+    /// What its callers ask of the services that are asked most; none: it does not say.
+    pub demands: Option<Vec<ServiceDemand>>,
+}
+
+/// `ServiceDigest` is a number for a service, the same at every balancer.
+pub type ServiceDigest = u32;
+
+/// `ServiceDemand` is what the callers of one balancer ask of a service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceDemand {
+    /// The service.
+    pub service: ServiceDigest,
+    /// Requests under way, averaged over a second, in hundredths.
+    pub busy_hundredths: u32,
+}
+
+impl ServiceDemand {
+    /// `new` reports an average.
+    #[must_use]
+    pub fn new(service: ServiceDigest, busy: f64) -> Self {
+        Self { service, busy_hundredths: parts(busy, 100.0) }
+    }
+
+    /// `busy` gives what was reported.
+    #[must_use]
+    pub fn busy(&self) -> f64 {
+        f64::from(self.busy_hundredths) / 100.0
+    }
+}
+
+/// `BalancerReport` is what a balancer tells others of what it sees.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct BalancerReport {
+    /// Backend servers in trouble.
+    pub health: HealthReport,
+    /// What its callers ask for.
+    pub demands: Vec<ServiceDemand>,
 }
 
 /// `HealthReport` is what one balancer has seen of backend servers in trouble.
@@ -126,12 +163,17 @@
 
 /// A count in tenths; one too large for the field is the largest.
 fn tenths(count: f64) -> u16 {
-    let tenths = (count * 10.0).round().clamp(0.0, f64::from(u16::MAX));
+    u16::try_from(parts(count, 10.0)).unwrap_or(u16::MAX)
+}
+
+/// A number in so many parts of one; one too large for the type is the largest.
+fn parts(number: f64, parts_of_one: f64) -> u32 {
+    let parts = (number * parts_of_one).round().clamp(0.0, f64::from(u32::MAX));
 
     // Within the range of the type, as just made sure.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    let tenths = tenths as u16;
-    tenths
+    let parts = parts as u32;
+    parts
 }
 
 /// `WatcherSighting` says when a balancer was last known to follow the store.
--- a/crates/valvestage-policy/src/steering/peers/peer_table.rs
+++ b/crates/valvestage-policy/src/steering/peers/peer_table.rs
@@ -8,7 +8,7 @@
 
 /// A balancer that was not heard of for so long is forgotten, unless the settings name it. It is more
 /// than the longest cut that the platform's pages tell of.
-const FORGET_AFTER: Duration = Duration::from_secs(20);
+pub(in crate::steering) const FORGET_AFTER: Duration = Duration::from_secs(20);
 
 /// Balancers remembered at most, by far more than the size to design for.
 const MAX_PEERS: usize = 2_048;
--- a/crates/valvestage-policy/src/steering/placement/flow_placer.rs
+++ b/crates/valvestage-policy/src/steering/placement/flow_placer.rs
@@ -2,10 +2,12 @@
 
 use std::time::{Duration, Instant};
 
-use valvestage_core::ids::InstanceId;
+use valvestage_core::ids::{InstanceId, ZoneName};
 
 use super::backend_choice::{ChoiceCandidate, ChoiceDoubt, choose};
+use super::fleet_demand::FleetDemand;
 use super::steering_options::SteeringOptions;
+use crate::rendezvous::mix;
 use crate::steering::decision::FlowPlacement;
 use crate::steering::health::backend_observer::BackendObserver;
 use crate::steering::knowledge::Knowledge;
@@ -19,6 +21,7 @@
     pub knowledge: &'a Knowledge,
     pub flows: &'a FlowTracker,
     pub backends: &'a BackendObserver,
+    pub demand: &'a FleetDemand,
     pub now: Instant,
 }
 
@@ -39,8 +42,10 @@
         };
         let all = self.knowledge.directory.iter().filter(takes_new);
         let median = self.backends.pace().median(service, self.now);
+        let drawn_zone = self.demand.drawn_zone(service, unit_of(draw));
+        let home = drawn_zone.unwrap_or(&self.options.zone);
         let candidates: Vec<_> =
-            all.map(|entry| self.candidate(entry, instead_of, median)).collect();
+            all.map(|entry| self.candidate(entry, home, instead_of, median)).collect();
 
         let chosen = choose(&candidates, draw)?;
         Some(FlowPlacement {
@@ -48,6 +53,7 @@
             service: service.to_owned(),
             instance: chosen.entry.instance,
             zone: chosen.entry.zone.clone(),
+            drawn_zone: drawn_zone.cloned(),
             load: chosen.load,
             pace: chosen.pace,
             doubt: chosen.doubt,
@@ -61,6 +67,7 @@
     fn candidate<'a>(
         &self,
         entry: &'a BackendEntry,
+        home: &ZoneName,
         instead_of: Option<InstanceId>,
         median_pace: Option<f64>,
     ) -> ChoiceCandidate<'a> {
@@ -76,16 +83,16 @@
         ChoiceCandidate {
             entry,
             load: (requests + 1.0) * factor / f64::from(entry.slots)
-                + self.distance(entry)
+                + self.distance(entry, home)
                 + avoidance,
             pace,
             doubt: self.doubt(entry, instead_of),
         }
     }
 
-    /// What the way to a backend server adds to its load.
-    fn distance(&self, entry: &BackendEntry) -> f64 {
-        if entry.zone == self.options.zone {
+    /// What the way to a backend server adds to its load, for a flow that is to stay in a zone.
+    fn distance(&self, entry: &BackendEntry, home: &ZoneName) -> f64 {
+        if entry.zone == *home {
             0.0
         } else if self.options.far_zones.contains(&entry.zone) {
             self.options.region_preference
@@ -106,6 +113,14 @@
     }
 }
 
+/// A draw as a number from 0 up to 1; ties are drawn by other bits of it.
+fn unit_of(draw: u64) -> f64 {
+    const STEPS: u32 = 1 << 20;
+    let step = u32::try_from(mix(draw, 0) % u64::from(STEPS)).unwrap_or(0);
+
+    f64::from(step) / f64::from(STEPS)
+}
+
 /// Time in which a backend server answers an opening packet, or acknowledges data. Callers send
 /// again after 200 ms; two packets that were read together show nothing.
 pub(in crate::steering) const ANSWER_TIME: Duration = Duration::from_millis(150);
