--- a/crates/valvestage-entry/tests/process/main.rs
+++ b/crates/valvestage-entry/tests/process/main.rs
@@ -1,5 +1,6 @@
 //! The real program among stand-ins.
 
+mod entries;
 mod silent_connections;
 mod site;
 mod walks;
--- a/crates/valvestage-entry/tests/process/site.rs
+++ b/crates/valvestage-entry/tests/process/site.rs
@@ -54,6 +54,11 @@
 }
 
 impl FakeBackend {
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.socket.local_addr().unwrap()
+    }
+
     /// Whether a packet reaches it; a packet for another one may be seen first.
     pub fn has_packet(&self) -> bool {
         let mut byte = [0; 1];
@@ -64,7 +69,7 @@
         is_there
     }
 
-    /// The next packet that reaches it: the incarnation that is meant, and the packet.
+    /// The next packet that reaches it: the number of the one that is meant, and the packet.
     pub fn receive(&self) -> (u64, Vec<u8>) {
         let mut datagram = [0; 2_048];
         let length = self.socket.recv(&mut datagram).expect("a packet reaches the backend server");
