--- a/crates/valvestage-policy/src/steering/knowledge.rs
+++ b/crates/valvestage-policy/src/steering/knowledge.rs
@@ -6,8 +6,10 @@
 //! | [`backend_name`] | names of backend servers, and the incarnations behind them |
 //! | [`backend_entry`] | what is known of one backend server |
 //! | [`backend_directory`] | all backend servers, the gone ones among them |
+//! | `backend_births` | which of them follow each other, at one address and under one name |
 //! | `lapse` | which gone entries may return |
 
+mod backend_births;
 pub mod backend_directory;
 pub mod backend_entry;
 pub mod backend_name;
--- /dev/null
+++ b/crates/valvestage-policy/src/steering/knowledge/backend_births.rs
@@ -0,0 +1,189 @@
+//! Which incarnations follow each other: at one address, and under one name.
+
+use std::collections::HashSet;
+use std::time::Instant;
+
+use valvestage_core::ids::{InstanceId, ServiceName, StoreRevision};
+
+use super::backend_directory::BackendDirectory;
+use super::backend_entry::{BackendEnd, BackendEntry, BackendPhase};
+use super::backend_name::BackendName;
+
+impl BackendDirectory {
+    /// An address has one process: the incarnations there before a new one have ended, though their
+    /// entries last for some more seconds. Where a fifth of the backend servers fell silent and others took
+    /// their addresses 2 s later, this saved one in eight of the requests that were lost to them.
+    pub(super) fn end_predecessors(
+        &mut self,
+        entry: &BackendEntry,
+        now: Instant,
+    ) -> Vec<InstanceId> {
+        let is_predecessor = |other: &&BackendEntry| {
+            other.address == entry.address
+                && other.revision <= entry.revision
+                && other.instance != entry.instance
+        };
+        let predecessors = self.entries.values().filter(is_predecessor);
+        let predecessors: Vec<_> = predecessors.map(|other| other.instance).collect();
+
+        self.supersede(&predecessors, entry.revision, now)
+    }
+
+    /// A name has one process: its incarnations before this one have ended, and hold no flow any more.
+    pub(super) fn end_older_births(
+        &mut self,
+        entry: &BackendEntry,
+        now: Instant,
+    ) -> Vec<InstanceId> {
+        let older: Vec<_> = self.other_births(entry).map(|other| other.instance).collect();
+
+        self.supersede(&older, entry.revision, now)
+    }
+
+    /// `other_births` gives the other incarnations of an entry's name.
+    pub fn other_births(&self, entry: &BackendEntry) -> impl Iterator<Item = &BackendEntry> {
+        let births = self.names.get(&entry.name).into_iter().flatten();
+        let instance = entry.instance;
+
+        births.filter(move |birth| **birth != instance).filter_map(|birth| self.entries.get(birth))
+    }
+
+    /// Whether an entry tells of an incarnation after which another one has begun. The order of births is that of the
+    /// store's revisions. One that has ended in favour of another never returns, whatever revision a write has that it had sent
+    /// before its end.
+    pub(super) fn is_older_birth(&self, entry: &BackendEntry) -> bool {
+        let is_superseded = |known: &&BackendEntry| {
+            matches!(known.phase, BackendPhase::Gone { end: BackendEnd::Superseded, .. })
+        };
+        let ended_at = self.entries.get(&entry.instance).filter(is_superseded);
+        let ended_at = ended_at.map(|known| known.revision);
+
+        self.other_births(entry).any(|other| {
+            !other.is_gone() && other.revision > entry.revision
+                || ended_at.is_some_and(|ended_at| ended_at <= other.revision)
+        })
+    }
+
+    /// Whether an entry is of a service that neither the configuration names nor those have whose name or address it has.
+    pub(super) fn is_stranger(&self, entry: &BackendEntry) -> bool {
+        let is_named =
+            self.services.as_ref().is_none_or(|services| services.contains(&entry.service));
+        let is_known = |other: &BackendEntry| {
+            (other.name == entry.name || other.address == entry.address)
+                && other.service == entry.service
+        };
+
+        !is_named && !self.entries.values().any(is_known)
+    }
+
+    /// Takes in an entry of a service that nobody named. Another writer may have left it at the address or under the name of a
+    /// living backend server, whose flows stay then; a successor there ends it once its service is named, or its entry lapses.
+    pub(super) fn admit_stranger(&mut self, entry: BackendEntry) -> Vec<InstanceId> {
+        let mut changed: Vec<_> = self.other_births(&entry).map(|other| other.instance).collect();
+        changed.retain(|other| self.mark_unusable(*other, entry.revision));
+
+        let instance = entry.instance;
+        if self.put(entry) {
+            changed.push(instance);
+        }
+        changed
+    }
+
+    /// `name_services` takes in which services the configuration in force names.
+    pub fn name_services(&mut self, services: HashSet<ServiceName>) {
+        self.services = Some(services);
+    }
+
+    /// Takes in that an incarnation was there before the present one of its name: its flows can be told.
+    pub(super) fn admit_older_birth(
+        &mut self,
+        mut entry: BackendEntry,
+        now: Instant,
+    ) -> Vec<InstanceId> {
+        if let Some(known) = self.entries.get(&entry.instance) {
+            let (instance, revision) = (known.instance, known.revision);
+            return self.supersede(&[instance], revision, now);
+        }
+
+        entry.phase = BackendPhase::Gone { since: now, end: BackendEnd::Superseded };
+        let instance = entry.instance;
+        if self.put(entry) { vec![instance] } else { Vec::new() }
+    }
+
+    /// Ends incarnations in favour of another one, and gives those that were not known as gone.
+    pub(super) fn supersede(
+        &mut self,
+        instances: &[InstanceId],
+        at: StoreRevision,
+        now: Instant,
+    ) -> Vec<InstanceId> {
+        let mut ended = Vec::new();
+
+        for instance in instances {
+            let Some(other) = self.entries.get_mut(instance) else { continue };
+            let end = BackendEnd::Superseded;
+            // A peer may have told of its end before it tells of its successor: then it has not lapsed only.
+            if let BackendPhase::Gone { end: known, .. } = &mut other.phase {
+                *known = end;
+                other.revision = other.revision.min(at);
+                continue;
+            }
+            other.phase = BackendPhase::Gone { since: now, end };
+            other.revision = other.revision.max(at);
+            other.missing_until = None;
+            ended.push(other.instance);
+        }
+        self.newly_gone.extend(&ended);
+        ended
+    }
+
+    /// `births` gives the incarnations of a name, the gone ones among them.
+    #[must_use]
+    pub fn births(&self, name: BackendName) -> Vec<InstanceId> {
+        self.names.get(&name).cloned().unwrap_or_default()
+    }
+
+    /// `living` gives the incarnations of a name that are not gone; mostly one.
+    #[must_use]
+    pub fn living(&self, name: BackendName) -> Vec<InstanceId> {
+        let births = self.names.get(&name).into_iter().flatten();
+        let is_living =
+            |birth: &&InstanceId| self.entries.get(birth).is_some_and(|entry| !entry.is_gone());
+
+        births.filter(is_living).copied().collect()
+    }
+
+    /// `heir` gives the process that has started under the name, and at the address, of an incarnation that has ended.
+    #[must_use]
+    pub fn heir(&self, instance: InstanceId) -> Option<&BackendEntry> {
+        let ended = self.entries.get(&instance).filter(|entry| entry.is_gone())?;
+        let is_heir = |other: &&BackendEntry| {
+            !other.is_gone() && other.address == ended.address && other.service == ended.service
+        };
+
+        self.other_births(ended).find(is_heir)
+    }
+
+    /// Gives an incarnation the token of its name, unless a later one, or another name, has it.
+    pub(super) fn give_token(&mut self, entry: &BackendEntry) {
+        let holder = self.tokens.entry(Self::token_of(entry.name.number)).or_insert(entry.instance);
+        let is_followed = self
+            .entries
+            .get(holder)
+            .is_some_and(|held| held.name == entry.name && held.is_gone() && !entry.is_gone());
+
+        if is_followed {
+            *holder = entry.instance;
+        }
+    }
+
+    /// Incarnations that were superseded, and none of whose name is living.
+    pub(super) fn superseded_names(&self) -> Vec<InstanceId> {
+        let is_superseded = |entry: &&BackendEntry| {
+            matches!(entry.phase, BackendPhase::Gone { end: BackendEnd::Superseded, .. })
+                && self.living(entry.name).is_empty()
+        };
+
+        self.entries.values().filter(is_superseded).map(|entry| entry.instance).collect()
+    }
+}
--- a/crates/valvestage-policy/src/steering/knowledge/backend_directory.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/backend_directory.rs
@@ -15,15 +15,15 @@
 /// unknown entry of an earlier revision is one that has gone long ago.
 #[derive(Debug, Default)]
 pub struct BackendDirectory {
-    entries: HashMap<InstanceId, BackendEntry>,
+    pub(super) entries: HashMap<InstanceId, BackendEntry>,
     /// The present incarnation of the name that each token stands for: flows may open at a process before its start is known
     /// here, and after a restart of all balancers nobody knows the ones before it. Where two names have the same token, the
     /// first one known keeps it until it is forgotten.
-    tokens: HashMap<ShortToken, InstanceId>,
+    pub(super) tokens: HashMap<ShortToken, InstanceId>,
     /// The incarnations of each name that are known, the gone ones among them.
-    names: HashMap<BackendName, Vec<InstanceId>>,
+    pub(super) names: HashMap<BackendName, Vec<InstanceId>>,
     /// The services that the configuration in force names; none before the first one.
-    services: Option<HashSet<ServiceName>>,
+    pub(super) services: Option<HashSet<ServiceName>>,
     /// Every change up to this revision is known; 0: nothing was read yet.
     complete_until: StoreRevision,
     /// Every change up to this revision is known but for entries that are missing and may return.
@@ -34,7 +34,7 @@
     /// Gone entries of revisions before this one are forgotten.
     remembers_from: StoreRevision,
     /// Entries that went since they were last taken.
-    newly_gone: Vec<InstanceId>,
+    pub(super) newly_gone: Vec<InstanceId>,
 }
 
 impl BackendDirectory {
@@ -128,163 +128,6 @@
         changed
     }
 
-    /// An address has one process: the incarnations there before a new one have ended, though their
-    /// entries last for some more seconds. Where a fifth of the backend servers fell silent and others took
-    /// their addresses 2 s later, this saved one in eight of the requests that were lost to them.
-    fn end_predecessors(&mut self, entry: &BackendEntry, now: Instant) -> Vec<InstanceId> {
-        let is_predecessor = |other: &&BackendEntry| {
-            other.address == entry.address
-                && other.revision <= entry.revision
-                && other.instance != entry.instance
-        };
-        let predecessors = self.entries.values().filter(is_predecessor);
-        let predecessors: Vec<_> = predecessors.map(|other| other.instance).collect();
-
-        self.supersede(&predecessors, entry.revision, now)
-    }
-
-    /// A name has one process: its incarnations before this one have ended, and hold no flow any more.
-    fn end_older_births(&mut self, entry: &BackendEntry, now: Instant) -> Vec<InstanceId> {
-        let older: Vec<_> = self.other_births(entry).map(|other| other.instance).collect();
-
-        self.supersede(&older, entry.revision, now)
-    }
-
-    /// `other_births` gives the other incarnations of an entry's name.
-    pub fn other_births(&self, entry: &BackendEntry) -> impl Iterator<Item = &BackendEntry> {
-        let births = self.names.get(&entry.name).into_iter().flatten();
-        let instance = entry.instance;
-
-        births.filter(move |birth| **birth != instance).filter_map(|birth| self.entries.get(birth))
-    }
-
-    /// Whether an entry tells of an incarnation after which another one has begun. The order of births is that of the
-    /// store's revisions. One that has ended in favour of another never returns, whatever revision a write has that it had sent
-    /// before its end.
-    fn is_older_birth(&self, entry: &BackendEntry) -> bool {
-        let is_superseded = |known: &&BackendEntry| {
-            matches!(known.phase, BackendPhase::Gone { end: BackendEnd::Superseded, .. })
-        };
-        let ended_at = self.entries.get(&entry.instance).filter(is_superseded);
-        let ended_at = ended_at.map(|known| known.revision);
-
-        self.other_births(entry).any(|other| {
-            !other.is_gone() && other.revision > entry.revision
-                || ended_at.is_some_and(|ended_at| ended_at <= other.revision)
-        })
-    }
-
-    /// Whether an entry is of a service that neither the configuration names nor those have whose name or address it has.
-    fn is_stranger(&self, entry: &BackendEntry) -> bool {
-        let is_named =
-            self.services.as_ref().is_none_or(|services| services.contains(&entry.service));
-        let is_known = |other: &BackendEntry| {
-            (other.name == entry.name || other.address == entry.address)
-                && other.service == entry.service
-        };
-
-        !is_named && !self.entries.values().any(is_known)
-    }
-
-    /// Takes in an entry of a service that nobody named. Another writer may have left it at the address or under the name of a
-    /// living backend server, whose flows stay then; a successor there ends it once its service is named, or its entry lapses.
-    fn admit_stranger(&mut self, entry: BackendEntry) -> Vec<InstanceId> {
-        let mut changed: Vec<_> = self.other_births(&entry).map(|other| other.instance).collect();
-        changed.retain(|other| self.mark_unusable(*other, entry.revision));
-
-        let instance = entry.instance;
-        if self.put(entry) {
-            changed.push(instance);
-        }
-        changed
-    }
-
-    /// `name_services` takes in which services the configuration in force names.
-    pub fn name_services(&mut self, services: HashSet<ServiceName>) {
-        self.services = Some(services);
-    }
-
-    /// Takes in that an incarnation was there before the present one of its name: its flows can be told.
-    fn admit_older_birth(&mut self, mut entry: BackendEntry, now: Instant) -> Vec<InstanceId> {
-        if let Some(known) = self.entries.get(&entry.instance) {
-            let (instance, revision) = (known.instance, known.revision);
-            return self.supersede(&[instance], revision, now);
-        }
-
-        entry.phase = BackendPhase::Gone { since: now, end: BackendEnd::Superseded };
-        let instance = entry.instance;
-        if self.put(entry) { vec![instance] } else { Vec::new() }
-    }
-
-    /// Ends incarnations in favour of another one, and gives those that were not known as gone.
-    fn supersede(
-        &mut self,
-        instances: &[InstanceId],
-        at: StoreRevision,
-        now: Instant,
-    ) -> Vec<InstanceId> {
-        let mut ended = Vec::new();
-
-        for instance in instances {
-            let Some(other) = self.entries.get_mut(instance) else { continue };
-            let end = BackendEnd::Superseded;
-            // A peer may have told of its end before it tells of its successor: then it has not lapsed only.
-            if let BackendPhase::Gone { end: known, .. } = &mut other.phase {
-                *known = end;
-                other.revision = other.revision.min(at);
-                continue;
-            }
-            other.phase = BackendPhase::Gone { since: now, end };
-            other.revision = other.revision.max(at);
-            other.missing_until = None;
-            ended.push(other.instance);
-        }
-        self.newly_gone.extend(&ended);
-        ended
-    }
-
-    /// `births` gives the incarnations of a name, the gone ones among them.
-    #[must_use]
-    pub fn births(&self, name: BackendName) -> Vec<InstanceId> {
-        self.names.get(&name).cloned().unwrap_or_default()
-    }
-
-    /// `living` gives the incarnations of a name that are not gone; mostly one.
-    #[must_use]
-    pub fn living(&self, name: BackendName) -> Vec<InstanceId> {
-        let births = self.names.get(&name).into_iter().flatten();
-        let is_living =
-            |birth: &&InstanceId| self.entries.get(birth).is_some_and(|entry| !entry.is_gone());
-
-        births.filter(is_living).copied().collect()
-    }
-
-    /// `heir` gives the process that has started under the name, and at the address, of an incarnation that has ended.
-    #[must_use]
-    pub fn heir(&self, instance: InstanceId) -> Option<&BackendEntry> {
-        let ended = self.entries.get(&instance).filter(|entry| entry.is_gone())?;
-        let is_heir = |other: &&BackendEntry| {
-            !other.is_gone() && other.address == ended.address && other.service == ended.service
-        };
-
-        self.other_births(ended).find(is_heir)
-    }
-
-    /// `mark_unusable` takes in that the entry of an incarnation names no backend server to use since a revision; false if
-    /// that is old news.
-    pub fn mark_unusable(&mut self, instance: InstanceId, at: StoreRevision) -> bool {
-        let Some(entry) = self.entries.get_mut(&instance) else { return false };
-        if entry.is_gone() || entry.revision >= at {
-            return false;
-        }
-
-        entry.phase = BackendPhase::Unusable;
-        entry.revision = at;
-        entry.missing_until = None;
-        self.changed_at = self.changed_at.max(at);
-        true
-    }
-
     /// `put` takes in what an entry was at its revision; false if more is known already.
     pub fn put(&mut self, mut entry: BackendEntry) -> bool {
         match self.entries.get_mut(&entry.instance) {
@@ -313,17 +156,19 @@
         true
     }
 
-    /// Gives an incarnation the token of its name, unless a later one, or another name, has it.
-    fn give_token(&mut self, entry: &BackendEntry) {
-        let holder = self.tokens.entry(Self::token_of(entry.name.number)).or_insert(entry.instance);
-        let is_followed = self
-            .entries
-            .get(holder)
-            .is_some_and(|held| held.name == entry.name && held.is_gone() && !entry.is_gone());
-
-        if is_followed {
-            *holder = entry.instance;
+    /// `mark_unusable` takes in that the entry of an incarnation names no backend server to use since a revision; false if
+    /// that is old news.
+    pub fn mark_unusable(&mut self, instance: InstanceId, at: StoreRevision) -> bool {
+        let Some(entry) = self.entries.get_mut(&instance) else { return false };
+        if entry.is_gone() || entry.revision >= at {
+            return false;
         }
+
+        entry.phase = BackendPhase::Unusable;
+        entry.revision = at;
+        entry.missing_until = None;
+        self.changed_at = self.changed_at.max(at);
+        true
     }
 
     /// `is_obsolete` tells whether a peer tells of an entry that has gone long ago: its revision is
@@ -421,16 +266,6 @@
         absent
     }
 
-    /// Incarnations that were superseded, and none of whose name is living.
-    fn superseded_names(&self) -> Vec<InstanceId> {
-        let is_superseded = |entry: &&BackendEntry| {
-            matches!(entry.phase, BackendPhase::Gone { end: BackendEnd::Superseded, .. })
-                && self.living(entry.name).is_empty()
-        };
-
-        self.entries.values().filter(is_superseded).map(|entry| entry.instance).collect()
-    }
-
     /// `has_missing` tells whether entries are missing that may return.
     #[must_use]
     pub fn has_missing(&self) -> bool {
--- a/crates/valvestage-policy/src/steering/packets.rs
+++ b/crates/valvestage-policy/src/steering/packets.rs
@@ -4,6 +4,7 @@
 //! |---|---|
 //! | [`caller_packet`] | what is known of one packet, and what is done with it |
 //! | [`steering_policy`] | what is done with each packet: here it is decided whether a flow is ended |
+//! | `flow_backend` | the backend server that a packet of an open flow is for |
 //! | `packet_verdicts` | verdicts that several steps come to |
 //! | [`flow_record`] | what the packets of one flow have shown so far |
 //! | [`flow_tracker`] | all flows that are known |
@@ -11,6 +12,7 @@
 //! | `flow_ender` | which callers are told unasked |
 
 pub mod caller_packet;
+pub(in crate::steering) mod flow_backend;
 pub(in crate::steering) mod flow_ender;
 pub mod flow_record;
 pub mod flow_reset;
--- a/crates/valvestage-policy/src/steering/packets/steering_policy.rs
+++ b/crates/valvestage-policy/src/steering/packets/steering_policy.rs
@@ -6,6 +6,7 @@
 use valvestage_core::ids::{InstanceId, ZoneName};
 
 use super::caller_packet::{CallerPacket, DropReason, FlowAddresses, PacketVerdict, ResetReason};
+use super::flow_backend::{instance_of, present_birth};
 use super::flow_ender::{EndedFlow, FlowEnder};
 use super::flow_record::{FlowRecord, FlowSign};
 use super::flow_reset::FlowReset;
@@ -14,7 +15,7 @@
 use crate::steering::decision::{AnswerTime, Decision, DroppedPacket};
 use crate::steering::health::backend_observer::BackendObserver;
 use crate::steering::knowledge::Knowledge;
-use crate::steering::knowledge::backend_entry::{BackendEntry, BackendPhase};
+use crate::steering::knowledge::backend_entry::BackendPhase;
 use crate::steering::knowledge::lapse::LapseJudge;
 use crate::steering::peers::peer_message::{BalancerReport, HealthReport, ServiceDemand};
 use crate::steering::peers::peer_table::FORGET_AFTER;
@@ -328,10 +329,10 @@
         if !knowledge.routes.routes.contains_key(&packet.flow.service) {
             return refuse_route(knowledge, now);
         }
-        let Some(instance) = self.instance_of(knowledge, packet) else {
+        let Some(instance) = instance_of(&self.flows, knowledge, packet) else {
             return PacketVerdict::Drop(DropReason::UnknownToken);
         };
-        let instance = Self::present_birth(knowledge, packet, instance);
+        let instance = present_birth(knowledge, packet, instance);
         if knowledge.directory.get(instance).is_none() {
             return PacketVerdict::Drop(DropReason::UnknownToken);
         }
@@ -371,38 +372,6 @@
         None
     }
 
-    /// The backend server of a flow. Before it is open the token goes before the record: a copy of
-    /// the opening packet may have gone to another one than the one that the caller took.
-    fn instance_of(&self, knowledge: &Knowledge, packet: &CallerPacket) -> Option<InstanceId> {
-        let record = self.flows.get(&packet.flow);
-        if let Some(record) = record
-            && record.open
-        {
-            return Some(record.instance);
-        }
-
-        let named = knowledge.directory.by_token(packet.token).map(|entry| entry.instance);
-        named.or(record.map(|record| record.instance))
-    }
-
-    /// Where a flow of an incarnation goes on. If another process has started under its name, that one alone knows whether the
-    /// flow was opened there, unless it runs another service than those before it did.
-    fn present_birth(
-        knowledge: &Knowledge,
-        packet: &CallerPacket,
-        instance: InstanceId,
-    ) -> InstanceId {
-        let directory = &knowledge.directory;
-        let heir = directory.heir(instance).or_else(|| directory.get(instance));
-        let Some(heir) = heir else { return instance };
-        let is_led_to =
-            |entry: &&BackendEntry| knowledge.routes.leads_to(packet.flow.service, &entry.service);
-
-        let former =
-            if is_led_to(&heir) { None } else { directory.other_births(heir).find(is_led_to) };
-        former.map_or(heir.instance, |former| former.instance)
-    }
-
     fn observe(
         &mut self,
         knowledge: &Knowledge,
