Test of the bytes of control counts what is told of demand, too

Eight services with a hundred requests under way each beside much trouble: within 400 bytes a heartbeat. The test did not count the field that added.

--- a/crates/valvestage-entry/tests/peer_codec.rs
+++ b/crates/valvestage-entry/tests/peer_codec.rs
@@ -147,7 +147,9 @@
 
     assert!(!report.suspects.is_empty() && !report.outcomes.is_empty());
     assert!(!report.avoided.is_empty());
-    let bytes = postcard::to_stdvec(&report).unwrap().len();
+    // Eight services, of each of which a hundred requests are under way here.
+    let demands = Some(vec![ServiceDemand::new(u32::MAX, 100.0); 8]);
+    let bytes = postcard::to_stdvec(&(report, demands)).unwrap().len();
     assert!(bytes + HEARTBEAT_ELSE <= HEARTBEAT_SHARE, "{bytes} bytes");
 }
 
