A lapse ends no flow whose backend server answers since, nor by the clock of one that is behind

What callers would have seen: flows that are answered each second are reset 2.3 s after the entry lapsed, if the backend server is kept from the store alone; and all flows of a balancer that hears others but gets no answers to its questions.

Cause: the time in which an entry may return went before signs of life that are later than the lapse, and ran also where it was known that others know more.

Change: both leave the lapse in doubt, as a cut does: one packet more for each flow, nobody told unasked. What others know more is known here within 0.7 s, or the balancer counts as behind.

The first of the two new tests was seen red on the code before, the second does not build there.

--- a/crates/valvestage-policy/src/steering/health/backend_health.rs
+++ b/crates/valvestage-policy/src/steering/health/backend_health.rs
@@ -164,6 +164,14 @@
             .is_some_and(|record| record.last_life.is_some_and(|life| life >= since))
     }
 
+    /// `shows_life_after` tells whether a backend server has answered any flow later than at a time.
+    #[must_use]
+    pub fn shows_life_after(&self, instance: InstanceId, time: Instant) -> bool {
+        self.records
+            .get(&instance)
+            .is_some_and(|record| record.last_life.is_some_and(|life| life > time))
+    }
+
     /// `shows_anything_since` tells whether a backend server has answered any flow since a time, or any flow misses an
     /// answer since then.
     #[must_use]
--- a/crates/valvestage-policy/src/steering/keeper/keeper_exchange.rs
+++ b/crates/valvestage-policy/src/steering/keeper/keeper_exchange.rs
@@ -134,6 +134,7 @@
         step: ExchangeStep,
     ) -> Vec<KeeperAction> {
         if step.has_routes {
+            knowledge.note_caught_up();
             let routes = self.exchange.catalogue().map();
             news.take_routes(knowledge, routes, NewsSource::Peer(sender));
         }
@@ -155,6 +156,7 @@
         // other 309 messages each where each part was told of, and 107 with this.
         self.has_untold |= !step.changed.is_empty();
         if step.is_end {
+            knowledge.note_caught_up();
             news.tell_if(std::mem::take(&mut self.has_untold));
         }
         for instance in step.changed {
--- a/crates/valvestage-policy/src/steering/keeper/knowledge_keeper.rs
+++ b/crates/valvestage-policy/src/steering/keeper/knowledge_keeper.rs
@@ -288,6 +288,7 @@
         }
         let Self { exchange, news, .. } = self;
         if exchange.knows_more(knowledge, heartbeat) {
+            knowledge.note_behind(now);
             let pulls = exchange.pulls(knowledge, news, (sender, heartbeat), now);
             if !pulls.is_empty() {
                 self.role.on_pull_sent(now);
@@ -303,6 +304,7 @@
             && heartbeat.complete_until == directory.complete_until()
             && knowledge.knows_evacuations()
         {
+            knowledge.note_caught_up();
             knowledge.confirm(time_of_age(heartbeat.age_ms, now));
         }
         actions
--- a/crates/valvestage-policy/src/steering/knowledge.rs
+++ b/crates/valvestage-policy/src/steering/knowledge.rs
@@ -36,6 +36,10 @@
 /// with each watch, every 1.5 s, and travel in heartbeats.
 const CERTAIN_FOR: Duration = Duration::from_secs(5);
 
+/// What another balancer knows more is known here within this time: two rounds of questions to a slow VM, and a heartbeat of one
+/// that knows the same.
+const CAUGHT_UP_WITHIN: Duration = Duration::from_millis(700);
+
 /// `Knowledge` is what placing and steering go by.
 #[derive(Debug, Default)]
 pub struct Knowledge {
@@ -57,6 +61,8 @@
     regained_at: Option<Instant>,
     /// When entries have returned that lapsed before the store last failed to answer; none if it never did.
     settles_at: Option<Instant>,
+    /// Since when others are known to know more; none: they do not.
+    behind_since: Option<Instant>,
     /// Whether this balancer is cut off with its availability zone.
     is_isolated: bool,
     /// Since when this balancer sees what callers send; none: for as long as matters.
@@ -130,6 +136,24 @@
         [lost_at, unconfirmed].into_iter().flatten().fold(learned_at, Instant::min)
     }
 
+    /// `note_behind` takes in that another balancer knows more.
+    pub fn note_behind(&mut self, now: Instant) {
+        self.behind_since.get_or_insert(now);
+    }
+
+    /// `note_caught_up` takes in that another balancer knows no more, or that it has told something.
+    pub fn note_caught_up(&mut self) {
+        self.behind_since = None;
+    }
+
+    /// `is_behind` tells whether others know more for longer than it takes to be told.
+    #[must_use]
+    pub fn is_behind(&self, now: Instant) -> bool {
+        let is_long = |since: Instant| now.saturating_duration_since(since) >= CAUGHT_UP_WITHIN;
+
+        self.behind_since.is_some_and(is_long)
+    }
+
     /// `has_confirmed_for` tells whether the store has confirmed everything at the end of a time that began with an event,
     /// without a break in which entries could lapse unseen.
     #[must_use]
--- a/crates/valvestage-policy/src/steering/knowledge/lapse.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/lapse.rs
@@ -84,7 +84,9 @@
     /// Whether nothing can be concluded from the lapse of an entry, however long ago it is. The backend server may go on serving
     /// callers through other balancers, also those of flows that this one has served before.
     fn is_in_doubt(&self, entry: &BackendEntry, lapsed_at: Instant) -> bool {
-        self.may_have_lapsed_in_cut(entry, lapsed_at)
+        self.health.shows_life_after(entry.instance, lapsed_at)
+            || self.knowledge.is_behind(self.now)
+            || self.may_have_lapsed_in_cut(entry, lapsed_at)
     }
 
     /// Whether the zone of a backend server, or this one, was cut off when its entry lapsed, and the entry has not had the time to
--- a/crates/valvestage-policy/tests/steering/lapses.rs
+++ b/crates/valvestage-policy/tests/steering/lapses.rs
@@ -296,3 +296,32 @@
     site.wait(millis(300));
     assert_ends(request_on_unseen(&mut site));
 }
+
+/// A request that is answered after a lapse: the entry cannot return, but the flow goes on.
+#[test]
+fn one_that_answers_after_its_lapse_keeps_its_flows_whatever_the_time() {
+    let mut site = Site::with_open_flow(HOME);
+
+    site.lapse();
+    site.wait(millis(1_000));
+    assert_stays(site.request());
+    site.wait(millis(40));
+    site.send(&data(flow(1), BackendDirectory::token_of(1), 1_101, 0, 900));
+    site.wait(RETURNED);
+    assert_stays(site.send(&data(flow(1), BackendDirectory::token_of(1), 1_101, 100, 900)));
+}
+
+/// One that hears others and is not heard asks in vain for what they know more: the entry may have returned.
+#[test]
+fn one_that_knows_that_others_know_more_ends_nothing_by_its_own_clock() {
+    let mut site = Site::with_open_flow(HOME);
+
+    site.lapse();
+    site.wait(millis(1_000));
+    site.known.note_behind(site.now);
+    site.wait(RETURNED);
+    assert_stays(site.request());
+    site.known.note_caught_up();
+    site.wait(millis(200));
+    assert_ends(site.request());
+}
