Packets for backend servers that are not known yet wait, as those before readiness do

Cause: the entries of the zone that is cut off have lapsed, so that nobody knows where its flows are until 0 to 0.8 s after the cut. What cannot be decided yet was dropped, also what had waited for readiness, all copies in one millisecond; the next copy comes after 0.8 to 1.6 s.

Change: HeldPackets holds packets whose token is not known like those that come before readiness, 256 at most, the last copy of each, for 2 s, and gives them back as soon as their backend server is known. Log lines held and dropped. Packets before readiness wait for 2 s, too, where they waited without an end.

--- a/crates/valvestage-entry/src/data_thread.rs
+++ b/crates/valvestage-entry/src/data_thread.rs
@@ -12,7 +12,7 @@
 use tokio::sync::mpsc;
 use valvestage_platform::packet;
 use valvestage_policy::steering::{
-    DropReason, EntryPolicy, FlowReset, KeeperAction, PacketVerdict,
+    EntryPolicy, FlowReset, HeldPackets, KeeperAction, PacketVerdict,
 };
 
 use crate::decision_lines::{DecisionLog, UnsentDatagrams};
@@ -30,9 +30,6 @@
 /// Marks updates of the control thread.
 pub const UPDATES: Token = Token(2);
 
-/// Packets kept while nothing is known yet; callers send each again after 200 ms.
-const MAX_EARLY_PACKETS: usize = 256;
-
 /// Time between two readings of the gauges.
 const GAUGE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -67,7 +64,8 @@
     policy: EntryPolicy,
     /// Whether the process was told to stop; it is never ready again.
     stopping: bool,
-    early: Vec<Vec<u8>>,
+    /// Datagrams about which nothing can be decided yet.
+    held: HeldPackets<Vec<u8>>,
     /// Room for the datagram being sent.
     outgoing: Vec<u8>,
     log: DecisionLog,
@@ -87,7 +85,7 @@
             links,
             policy,
             stopping: false,
-            early: Vec::new(),
+            held: HeldPackets::default(),
             outgoing: Vec::with_capacity(packet::PREFIX_BYTES + packet::MAX_PACKET_BYTES),
             log,
             unsent: None,
@@ -106,6 +104,7 @@
             let now = Instant::now();
             let actions = self.policy.on_tick(now);
             self.act(actions);
+            self.drop_expired(now);
             self.send_resets();
 
             let wait = self.policy.next_due().saturating_duration_since(Instant::now());
@@ -179,10 +178,22 @@
         }
 
         if !self.links.ready.swap(true, Ordering::Relaxed) {
-            log::info!(early_packets = self.early.len(); "ready");
-            for datagram in std::mem::take(&mut self.early) {
-                self.handle_packet(&datagram);
-            }
+            log::info!(held_packets = self.held.len(); "ready");
+        }
+    }
+
+    /// Handles the packets that waited for what is known now.
+    fn release_held(&mut self) {
+        let Self { held, policy, .. } = self;
+
+        for packet in held.take_decidable(|packet| policy.can_decide(packet)) {
+            self.handle_packet(&packet.payload);
+        }
+    }
+
+    fn drop_expired(&mut self, now: Instant) {
+        for expired in self.held.take_expired(now) {
+            self.policy.on_held_too_long(&expired.packet, now);
         }
     }
 
@@ -245,6 +256,7 @@
             }
         }
         self.check_ready();
+        self.release_held();
     }
 
     fn handle_packet(&mut self, datagram: &[u8]) {
@@ -253,7 +265,8 @@
             return;
         };
 
-        match self.policy.on_packet(&packet, Instant::now()) {
+        let now = Instant::now();
+        match self.policy.on_packet(&packet, now) {
             PacketVerdict::Forward { number, address, token, .. } => {
                 packet::encode_forward(datagram, number, token, &mut self.outgoing);
                 let address = SocketAddr::V4(address);
@@ -261,17 +274,15 @@
                 self.note_sent(sent, address);
             }
             PacketVerdict::Reset(_) => self.send_reset(FlowReset::from(&packet)),
-            PacketVerdict::Drop(DropReason::NotReady) => self.keep_early(datagram),
+            PacketVerdict::Drop(reason) if reason.may_pass() => {
+                if !self.held.hold(packet, datagram.to_vec(), now) {
+                    self.policy.on_held_too_long(&packet, now);
+                }
+            }
             PacketVerdict::Drop(_) => {}
         }
     }
 
-    fn keep_early(&mut self, datagram: &[u8]) {
-        if self.early.len() < MAX_EARLY_PACKETS {
-            self.early.push(datagram.to_vec());
-        }
-    }
-
     /// Tells the callers whose flows are over.
     fn send_resets(&mut self) {
         for reset in self.policy.take_resets() {
--- a/crates/valvestage-entry/src/decision_lines.rs
+++ b/crates/valvestage-entry/src/decision_lines.rs
@@ -93,6 +93,7 @@
         Decision::Placed(_) => "placed",
         Decision::Reset { .. } => "reset",
         Decision::Dropped(_) => "dropped",
+        Decision::Held(_) => "held",
         Decision::Suspected { .. } => "suspected",
         Decision::Cleared { .. } => "cleared",
         Decision::Avoided { .. } => "avoided",
@@ -184,7 +185,7 @@
                 line.put_backend(*instance);
             }
         }
-        Decision::Dropped(dropped) => fill_dropped(line, dropped),
+        Decision::Dropped(dropped) | Decision::Held(dropped) => fill_dropped(line, dropped),
         Decision::Suspected { instance, flows, waited } => {
             line.put_backend(*instance);
             line.put("flows", *flows);
--- a/crates/valvestage-policy/src/steering.rs
+++ b/crates/valvestage-policy/src/steering.rs
@@ -55,6 +55,7 @@
     CallerPacket, DropReason, FlowAddresses, PacketVerdict, ResetReason,
 };
 pub use packets::flow_reset::FlowReset;
+pub use packets::held_packets::{HeldPacket, HeldPackets};
 pub use packets::steering_policy::SteeringPolicy;
 pub use peers::peer_message::PeerMessage;
 pub use placement::cold_shares::ColdLimit;
--- a/crates/valvestage-policy/src/steering/decision.rs
+++ b/crates/valvestage-policy/src/steering/decision.rs
@@ -29,6 +29,8 @@
     },
     /// A packet was dropped.
     Dropped(DroppedPacket),
+    /// A packet waits until enough is known; it is dropped if that takes too long.
+    Held(DroppedPacket),
     /// A backend server seems dead.
     Suspected {
         /// The backend server.
--- a/crates/valvestage-policy/src/steering/entry_policy.rs
+++ b/crates/valvestage-policy/src/steering/entry_policy.rs
@@ -157,6 +157,17 @@
         self.steering.on_packet(&self.knowledge, packet, now)
     }
 
+    /// `can_decide` tells whether enough is known to decide about a packet that was held.
+    #[must_use]
+    pub fn can_decide(&self, packet: &CallerPacket) -> bool {
+        self.steering.can_decide(&self.knowledge, packet)
+    }
+
+    /// `on_held_too_long` takes in that a packet waited in vain until enough is known.
+    pub fn on_held_too_long(&mut self, packet: &CallerPacket, now: Instant) {
+        self.steering.on_held_too_long(&self.knowledge, packet, now);
+    }
+
     /// `on_message` takes a message of another balancer in.
     pub fn on_message(
         &mut self,
--- a/crates/valvestage-policy/src/steering/packets.rs
+++ b/crates/valvestage-policy/src/steering/packets.rs
@@ -6,6 +6,7 @@
 //! | [`steering_policy`] | what is done with each packet: here it is decided whether a flow is ended |
 //! | `opening_packets` | packets that ask to open a flow, and copies of them |
 //! | `flow_backend` | the backend server that a packet of an open flow is for |
+//! | [`held_packets`] | packets that wait until enough is known to decide about them |
 //! | `packet_verdicts` | verdicts that several steps come to |
 //! | [`flow_record`] | what the packets of one flow have shown so far |
 //! | [`flow_tracker`] | all flows that are known |
@@ -18,6 +19,7 @@
 pub mod flow_record;
 pub mod flow_reset;
 pub mod flow_tracker;
+pub mod held_packets;
 pub(in crate::steering) mod opening_packets;
 pub(in crate::steering) mod packet_verdicts;
 pub mod steering_policy;
--- a/crates/valvestage-policy/src/steering/packets/caller_packet.rs
+++ b/crates/valvestage-policy/src/steering/packets/caller_packet.rs
@@ -107,6 +107,12 @@
 }
 
 impl DropReason {
+    /// `may_pass` tells whether the reason may be over in a moment, so that the packet is worth holding until then.
+    #[must_use]
+    pub fn may_pass(self) -> bool {
+        matches!(self, Self::NotReady | Self::UnknownToken)
+    }
+
     /// `name` gives the reason as logs and metrics have it.
     #[must_use]
     pub fn name(self) -> &'static str {
--- a/crates/valvestage-policy/src/steering/packets/steering_policy.rs
+++ b/crates/valvestage-policy/src/steering/packets/steering_policy.rs
@@ -224,19 +224,54 @@
                 self.flows.remove(&flow);
             }
             PacketVerdict::Drop(reason) => {
-                let instance = self.flows.get(&flow).map(|record| record.instance);
-                self.decisions.push(Decision::Dropped(DroppedPacket {
-                    flow,
-                    reason,
-                    token: packet.token,
-                    instance,
-                    known_until: knowledge.directory.complete_until(),
-                    age: knowledge.age(now),
-                }));
+                let dropped = self.dropped(knowledge, packet, reason, now);
+                let is_held = reason.may_pass();
+                self.decisions.push(if is_held {
+                    Decision::Held(dropped)
+                } else {
+                    Decision::Dropped(dropped)
+                });
             }
         }
     }
 
+    fn dropped(
+        &self,
+        knowledge: &Knowledge,
+        packet: &CallerPacket,
+        reason: DropReason,
+        now: Instant,
+    ) -> DroppedPacket {
+        DroppedPacket {
+            flow: packet.flow,
+            reason,
+            token: packet.token,
+            instance: self.flows.get(&packet.flow).map(|record| record.instance),
+            known_until: knowledge.directory.complete_until(),
+            age: knowledge.age(now),
+        }
+    }
+
+    /// `can_decide` tells whether enough is known to decide about a packet.
+    #[must_use]
+    pub fn can_decide(&self, knowledge: &Knowledge, packet: &CallerPacket) -> bool {
+        let has_backend = || {
+            let instance = instance_of(&self.flows, knowledge, packet);
+            instance.is_some_and(|instance| knowledge.directory.get(instance).is_some())
+        };
+
+        knowledge.is_complete() && (packet.opening || has_backend())
+    }
+
+    /// `on_held_too_long` takes in that a packet waited in vain until enough is known.
+    pub fn on_held_too_long(&mut self, knowledge: &Knowledge, packet: &CallerPacket, now: Instant) {
+        let is_ready = knowledge.is_complete();
+        let reason = if is_ready { DropReason::UnknownToken } else { DropReason::NotReady };
+        let dropped = self.dropped(knowledge, packet, reason, now);
+
+        self.decisions.push(Decision::Dropped(dropped));
+    }
+
     /// A packet of a flow that a backend server has answered.
     ///
     /// Its token alone says where the flow is, not the service to which its address leads now: open
--- /dev/null
+++ b/crates/valvestage-policy/tests/steering/held_packets.rs
@@ -0,0 +1,94 @@
+//! Pattern: all balancers restart while an availability zone is cut off. The entries of its backend servers have lapsed, so that nobody
+//! knows where their flows are until they are back, some 0.8 s after the cut. Callers send a request again after 200 ms, and then
+//! wait for twice as long each time: a copy that comes just before the entry is read would be the last one for 0.8 to 1.6 s, which is more
+//! than half of the time that a caller gives a request.
+
+use std::time::Instant;
+
+use valvestage_policy::steering::{
+    BackendDirectory, BackendEntry, CallerPacket, Decision, DropReason, HeldPackets, PacketVerdict,
+    SteeringOptions, SteeringPolicy,
+};
+
+use crate::fixtures::{HOME, backend, data, flow, knowledge, millis, opening, start};
+
+/// A request on a flow at backend server 9.
+fn request(port: u16) -> CallerPacket {
+    data(flow(port), BackendDirectory::token_of(9), 1_001, 100, 501)
+}
+
+/// A balancer that holds a packet for a backend server that it does not know.
+fn holding() -> (SteeringPolicy, HeldPackets<u16>, Instant) {
+    let options = SteeringOptions { zone: HOME.to_owned(), ..Default::default() };
+    let mut policy = SteeringPolicy::new(options, 1);
+    let mut held = HeldPackets::default();
+    let now = start();
+
+    let verdict = policy.on_packet(&knowledge(&[backend(1, "core", HOME)]), &request(1), now);
+    let PacketVerdict::Drop(reason) = verdict else { panic!("decided: {verdict:?}") };
+    assert!(reason.may_pass());
+    assert!(held.hold(request(1), 1, now));
+    (policy, held, now)
+}
+
+#[test]
+fn a_packet_waits_until_its_backend_server_is_known() {
+    let (mut policy, mut held, now) = holding();
+    let mut known = knowledge(&[backend(1, "core", HOME)]);
+
+    assert!(held.take_decidable(|packet| policy.can_decide(&known, packet)).is_empty());
+    known.directory.put(BackendEntry { revision: 2_000, ..backend(9, "core", HOME) });
+    let released = held.take_decidable(|packet| policy.can_decide(&known, packet));
+    assert_eq!(released.len(), 1);
+    let verdict = policy.on_packet(&known, &released[0].packet, now + millis(300));
+    assert!(matches!(verdict, PacketVerdict::Forward { instance: 9, .. }), "{verdict:?}");
+    assert!(held.is_empty());
+}
+
+#[test]
+fn the_log_says_that_it_waits_and_when_it_is_given_up() {
+    let (mut policy, mut held, now) = holding();
+    let known = knowledge(&[backend(1, "core", HOME)]);
+    let decisions = policy.take_decisions();
+    assert!(matches!(&decisions[..], [Decision::Held(_)]), "{decisions:?}");
+
+    assert!(held.take_expired(now + millis(1_900)).is_empty());
+    for expired in held.take_expired(now + millis(2_000)) {
+        policy.on_held_too_long(&known, &expired.packet, now + millis(2_000));
+    }
+    let decisions = policy.take_decisions();
+    let [Decision::Dropped(dropped)] = &decisions[..] else { panic!("{decisions:?}") };
+    assert_eq!(dropped.reason, DropReason::UnknownToken);
+}
+
+#[test]
+fn a_copy_takes_the_place_of_the_one_before() {
+    let (_, mut held, now) = holding();
+
+    assert!(held.hold(request(1), 2, now + millis(200)));
+    assert!(held.hold(request(2), 3, now + millis(300)));
+    assert!(held.take_expired(now + millis(2_100)).is_empty(), "the copy waits for its own time");
+    let all = held.take_decidable(|_| true);
+    let all: Vec<_> = all.iter().map(|held| (held.payload, held.copies)).collect();
+    assert_eq!(all, [(2, 2), (3, 1)]);
+}
+
+#[test]
+fn opening_packets_wait_only_until_anything_is_known() {
+    let options = SteeringOptions { zone: HOME.to_owned(), ..Default::default() };
+    let policy = SteeringPolicy::new(options, 1);
+    let packet = opening(flow(1), 0);
+
+    assert!(!policy.can_decide(&Default::default(), &packet));
+    assert!(policy.can_decide(&knowledge(&[backend(1, "core", HOME)]), &packet));
+}
+
+#[test]
+fn no_more_packets_wait_than_there_is_room_for() {
+    let mut held = HeldPackets::default();
+    let now = start();
+
+    let taken = (1..=1_000).filter(|port| held.hold(request(*port), *port, now)).count();
+    assert_eq!(taken, 256);
+    assert!(held.hold(request(1), 1, now), "a copy needs no room");
+}
--- a/crates/valvestage-policy/tests/steering/main.rs
+++ b/crates/valvestage-policy/tests/steering/main.rs
@@ -11,6 +11,7 @@
 mod fleet;
 mod flow_record;
 mod follower;
+mod held_packets;
 mod keepers;
 mod lapses;
 mod large_answers;
--- a/crates/valvestage-story/src/sentences.rs
+++ b/crates/valvestage-story/src/sentences.rs
@@ -37,6 +37,11 @@
         "dropped" => {
             format!("A packet from {} was dropped: {}", text("caller"), drop_reason(line))
         }
+        "held" => format!(
+            "A packet from {} waits for what is not known yet: {}",
+            text("caller"),
+            drop_reason(line)
+        ),
         "suspected" => format!(
             "Backend server {} seemed dead: {} flows missed an answer, the latest for {} ms.",
             text("backend"),
