Balancers ask each other for tokens that they do not know

What callers saw: packets of open flows held or dropped for 4 s after two zones had been cut off at once and the balancers of one had restarted (), though a balancer of the other zone knew their backend servers.

Cause: that one had read the entries before they lapsed and held them for missing. The others had read the store later: they did not ask one that knows an earlier revision, and took what it tells of an entry that their reading lacks for obsolete.

Change: a heartbeat names up to eight tokens of packets that wait. Whoever knows one tells its entry. An entry that is older than what was read comes in as gone: flows there are steered and in doubt, no new ones go there.

Ruled out: that nobody could know it (balancer 1 has backend_missing lines of it all the while), lost messages.

Why it holds: whatever a process that runs remembers is found by the next heartbeats, whichever of two has read later.

A heartbeat about much trouble still fits into one datagram (test unchanged but for the new field).

--- a/crates/valvestage-entry/tests/peer_codec.rs
+++ b/crates/valvestage-entry/tests/peer_codec.rs
@@ -190,6 +190,7 @@
             as_of: u64::MAX,
             zones: vec!["a-zone-with-a-long-name".to_owned(); 7],
         }),
+        wanted: vec![u32::MAX; 8],
     };
 
     let datagram = encode(&PeerMessage::Heartbeat(heartbeat)).unwrap();
--- a/crates/valvestage-policy/src/steering/entry_policy.rs
+++ b/crates/valvestage-policy/src/steering/entry_policy.rs
@@ -246,6 +246,7 @@
         self.next_tick = now + TICK_INTERVAL;
         self.look_at_zones(now);
         self.steering.look_at_demand(&self.knowledge, self.keeper.peer_count(), now);
+        self.steering.look_at_wanted(&self.knowledge, now);
         self.report = self.steering.report(now);
         if self.next_cleaning <= now {
             self.next_cleaning = now + CLEANING_INTERVAL;
--- a/crates/valvestage-policy/src/steering/keeper/knowledge_keeper.rs
+++ b/crates/valvestage-policy/src/steering/keeper/knowledge_keeper.rs
@@ -12,6 +12,7 @@
 use crate::steering::entry_policy::EntryOptions;
 use crate::steering::knowledge::Knowledge;
 use crate::steering::knowledge::route_map::RouteMap;
+use crate::steering::peers::backend_parts::wanted_message;
 use crate::steering::peers::peer_message::{BalancerReport, PeerHeartbeat, PeerMessage};
 use crate::steering::peers::peer_table::{PeerTable, TELL_WITHIN};
 use crate::steering::peers::zone_members::ZoneMembers;
@@ -224,6 +225,7 @@
             evacuations: knowledge.evacuated.report(),
             health: report.map(|report| report.health.clone()).unwrap_or_default(),
             demands: report.map(|report| report.demands.clone()),
+            wanted: report.map(|report| report.wanted.clone()).unwrap_or_default(),
         }
     }
 
@@ -286,6 +288,8 @@
             let answer = self.heartbeat(knowledge, None, false, now);
             actions.push(KeeperAction::Tell(sender, PeerMessage::Heartbeat(answer)));
         }
+        let told = wanted_message(&knowledge.directory, &heartbeat.wanted, now);
+        actions.extend(told.map(|message| KeeperAction::Tell(sender, message)));
         let Self { exchange, news, .. } = self;
         if exchange.knows_more(knowledge, heartbeat) {
             knowledge.note_behind(now);
--- a/crates/valvestage-policy/src/steering/knowledge/backend_directory.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/backend_directory.rs
@@ -134,6 +134,18 @@
         changed
     }
 
+    /// `admit_obsolete` takes in an entry that a peer still believes in and that had gone before this balancer read the store, as one that is gone. The
+    /// backend server may live, kept from the store by a cut: its flows can be steered until that is known.
+    pub fn admit_obsolete(&mut self, mut entry: BackendEntry, now: Instant) -> Vec<InstanceId> {
+        let end = match entry.end_of_phase() {
+            BackendEnd::Lapsed => BackendEnd::LapsedUnseen,
+            end => end,
+        };
+        entry.phase = BackendPhase::Gone { since: now, end };
+
+        self.admit(entry, now)
+    }
+
     /// `put` takes in what an entry was at its revision; false if more is known already.
     pub fn put(&mut self, mut entry: BackendEntry) -> bool {
         match self.entries.get_mut(&entry.instance) {
--- a/crates/valvestage-policy/src/steering/packets.rs
+++ b/crates/valvestage-policy/src/steering/packets.rs
@@ -7,6 +7,7 @@
 //! | `opening_packets` | packets that ask to open a flow, and copies of them |
 //! | `flow_backend` | the backend server that a packet of an open flow is for |
 //! | [`held_packets`] | packets that wait until enough is known to decide about them |
+//! | [`wanted_tokens`] | tokens for which other balancers are asked |
 //! | `packet_verdicts` | verdicts that several steps come to |
 //! | [`flow_record`] | what the packets of one flow have shown so far |
 //! | [`flow_tracker`] | all flows that are known |
@@ -23,3 +24,4 @@
 pub(in crate::steering) mod opening_packets;
 pub(in crate::steering) mod packet_verdicts;
 pub mod steering_policy;
+pub mod wanted_tokens;
--- a/crates/valvestage-policy/src/steering/packets/steering_policy.rs
+++ b/crates/valvestage-policy/src/steering/packets/steering_policy.rs
@@ -12,6 +12,7 @@
 use super::flow_reset::FlowReset;
 use super::flow_tracker::FlowTracker;
 use super::packet_verdicts::{forward, refuse_route};
+use super::wanted_tokens::WantedTokens;
 use crate::steering::decision::{AnswerTime, Decision, DroppedPacket};
 use crate::steering::health::backend_observer::BackendObserver;
 use crate::steering::knowledge::Knowledge;
@@ -33,6 +34,7 @@
     pub(super) demand: FleetDemand,
     pub(super) cold: ColdShares,
     ender: FlowEnder,
+    wanted: WantedTokens,
     /// What was decided since they were last taken.
     pub(super) decisions: Vec<Decision>,
     /// Callers to be told unasked, since they were last taken.
@@ -50,6 +52,7 @@
             demand: FleetDemand::default(),
             cold: ColdShares::default(),
             ender: FlowEnder::default(),
+            wanted: WantedTokens::default(),
             decisions: Vec::new(),
             resets: Vec::new(),
         }
@@ -110,6 +113,11 @@
         self.cold.renew(*cold_limit, knowledge, (zone, members), now);
     }
 
+    /// `look_at_wanted` takes in which backend servers are known by now; to be called several times a second.
+    pub fn look_at_wanted(&mut self, knowledge: &Knowledge, now: Instant) {
+        self.wanted.forget(&knowledge.directory, now);
+    }
+
     /// `on_peer_demand` takes in what the callers of another balancer ask for.
     pub fn on_peer_demand(
         &mut self,
@@ -171,7 +179,11 @@
     /// `report` gives what other balancers are to know of what is seen here.
     #[must_use]
     pub fn report(&self, now: Instant) -> BalancerReport {
-        BalancerReport { health: self.backends.report(now), demands: self.demand.reports() }
+        BalancerReport {
+            health: self.backends.report(now),
+            demands: self.demand.reports(),
+            wanted: self.wanted.list(),
+        }
     }
 
     /// `avoided_count` gives the number of backend servers that are avoided.
@@ -226,6 +238,9 @@
             PacketVerdict::Drop(reason) => {
                 let dropped = self.dropped(knowledge, packet, reason, now);
                 let is_held = reason.may_pass();
+                if reason == DropReason::UnknownToken {
+                    self.wanted.want(packet.token, now);
+                }
                 self.decisions.push(if is_held {
                     Decision::Held(dropped)
                 } else {
--- a/crates/valvestage-policy/src/steering/peers/backend_parts.rs
+++ b/crates/valvestage-policy/src/steering/peers/backend_parts.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use valvestage_core::ids::StoreRevision;
+use valvestage_core::ids::{ShortToken, StoreRevision};
 
 use super::name_list::place_of;
 use super::peer_message::{
@@ -64,6 +64,31 @@
     messages
 }
 
+/// `wanted_message` gives the backend servers of some tokens, the gone ones among them; none if no token is known.
+#[must_use]
+pub fn wanted_message(
+    directory: &BackendDirectory,
+    tokens: &[ShortToken],
+    now: Instant,
+) -> Option<PeerMessage> {
+    let known = tokens.iter().filter_map(|token| directory.by_token(*token));
+    let mut names = Vec::new();
+    let changes: Vec<_> =
+        known.take(CHANGES_EACH).map(|entry| change_of(entry, &mut names, now)).collect();
+
+    (!changes.is_empty()).then(|| {
+        PeerMessage::Backends(BackendsPart {
+            part: MessagePart { index: 0, count: 1 },
+            scope: WalkScope::Wanted,
+            after: 0,
+            told_until: None,
+            complete_until: directory.complete_until(),
+            names,
+            changes,
+        })
+    })
+}
+
 /// The entries after a revision, as many as go into one answer, and the revision of the one that follows them.
 fn next_changes(
     directory: &BackendDirectory,
--- a/crates/valvestage-policy/src/steering/peers/backend_walk.rs
+++ b/crates/valvestage-policy/src/steering/peers/backend_walk.rs
@@ -175,9 +175,13 @@
         let entries = entries_of(part, now);
         let told = entries.iter().map(|entry| entry.instance).collect();
         for entry in entries {
-            if !knowledge.directory.is_obsolete(&entry) {
-                news.changed.extend(knowledge.directory.admit_told(entry, now));
-            }
+            let directory = &mut knowledge.directory;
+            let changed = if directory.is_obsolete(&entry) {
+                directory.admit_obsolete(entry, now)
+            } else {
+                directory.admit_told(entry, now)
+            };
+            news.changed.extend(changed);
         }
 
         let Some(walk) = self.walk_of(sender, scope, after, now) else { return news };
--- a/crates/valvestage-policy/src/steering/peers/peer_message.rs
+++ b/crates/valvestage-policy/src/steering/peers/peer_message.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddrV4;
 
 use serde::{Deserialize, Serialize};
-use valvestage_core::ids::{ConfigurationVersion, InstanceId, StoreRevision, ZoneName};
+use valvestage_core::ids::{ConfigurationVersion, InstanceId, ShortToken, StoreRevision, ZoneName};
 
 use super::route_chunk::{ChunkDigest, RouteChunk};
 use crate::steering::health::outcome_count::OutcomeCount;
@@ -72,6 +72,8 @@
     pub evacuations: Option<EvacuationReport>,
     /// What its callers ask of the services that are asked most; none: it does not say.
     pub demands: Option<Vec<ServiceDemand>>,
+    /// Tokens of flows whose backend servers it does not know; whoever does tells them.
+    pub wanted: Vec<ShortToken>,
 }
 
 /// `ServiceDigest` is a number for a service, the same at every balancer.
@@ -107,6 +109,8 @@
     pub health: HealthReport,
     /// What its callers ask for.
     pub demands: Vec<ServiceDemand>,
+    /// Tokens of flows whose backend servers it does not know.
+    pub wanted: Vec<ShortToken>,
 }
 
 /// `HealthReport` is what one balancer has seen of backend servers in trouble.
@@ -236,6 +240,8 @@
     Changes,
     /// All that there is, so that what is not there is known to be gone.
     Everything,
+    /// Those whose tokens its heartbeat names.
+    Wanted,
 }
 
 /// `MessagePart` counts the datagrams that belong together.
--- a/crates/valvestage-policy/tests/steering/main.rs
+++ b/crates/valvestage-policy/tests/steering/main.rs
@@ -27,5 +27,6 @@
 mod restarts;
 mod silent_connections;
 mod successors;
+mod wanted_tokens;
 mod watch_role;
 mod zone_shares;
