What is read just after a standstill is as old as that

Cause: a balancer that had stood still for 2 s read heartbeats that had waited, and took the ages in them for ages now. Followers that nobody had answered for 2.1 s counted as answered 0.43 s ago; that was newer than what others knew, so all told it on, and nobody took their place for 0.4 s more.

Ruled out: that the followers were answered (their calls end 2.4 s after the silence), clocks (one clock in the simulation).

Change: ages of confirmations and of followers in a heartbeat that is read in the turn after a standstill of 0.3 s or more, or within 100 ms of its being noticed, grow by the time of the standstill.

Why it holds: such a message came after the last turn before the standstill, so it is not older than that. The new test was red before (ages of 160 ms in place of 1,650).

--- a/crates/valvestage-policy/src/steering/entry_policy.rs
+++ b/crates/valvestage-policy/src/steering/entry_policy.rs
@@ -61,6 +61,15 @@
     pub seed: u64,
 }
 
+/// A time in which the process stood still.
+#[derive(Debug, Clone, Copy)]
+struct Standstill {
+    /// When it had its last turn before.
+    since: Instant,
+    /// Until when messages that came meanwhile may be read. After `since`.
+    read_until: Instant,
+}
+
 /// `EntryPolicy` steers packets by what it keeps up to date.
 #[derive(Debug)]
 pub struct EntryPolicy {
@@ -74,6 +83,8 @@
     last_tick: Instant,
     /// Whether it was noted that the process stood still since the last tick.
     is_gap_noted: bool,
+    /// The last time in which the process stood still.
+    standstill: Option<Standstill>,
     /// What others are told of what is seen here; as of the last tick.
     report: BalancerReport,
     /// What was decided since it was last taken.
@@ -101,6 +112,7 @@
             next_cleaning: now + CLEANING_INTERVAL,
             last_tick: now,
             is_gap_noted: false,
+            standstill: None,
             report: BalancerReport::default(),
             decisions: Vec::new(),
         }
@@ -172,10 +184,16 @@
     pub fn on_message(
         &mut self,
         sender: SocketAddrV4,
-        message: PeerMessage,
+        mut message: PeerMessage,
         now: Instant,
     ) -> Vec<KeeperAction> {
-        if let PeerMessage::Heartbeat(heartbeat) = &message {
+        self.note_gap(now);
+        if let PeerMessage::Heartbeat(heartbeat) = &mut message {
+            if let Some(standstill) =
+                self.standstill.filter(|standstill| standstill.read_until > now)
+            {
+                heartbeat.grow_older(now.saturating_duration_since(standstill.since));
+            }
             self.steering.on_peer_health(sender, &heartbeat.health, now);
             if let Some(demands) = &heartbeat.demands {
                 self.steering.on_peer_demand(sender, &heartbeat.zone, demands, now);
@@ -288,6 +306,8 @@
         }
 
         self.is_gap_noted = true;
+        let read_until = now + TICK_INTERVAL;
+        self.standstill = Some(Standstill { since: self.last_tick, read_until });
         self.steering.on_standstill(now);
         // After a longer one beliefs are old: others are asked at once.
         if gap >= PAUSE {
--- a/crates/valvestage-policy/src/steering/peers/peer_message.rs
+++ b/crates/valvestage-policy/src/steering/peers/peer_message.rs
@@ -8,6 +8,7 @@
 //! the backend server named by it would not check for itself.
 
 use std::net::SocketAddrV4;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use valvestage_core::ids::{ConfigurationVersion, InstanceId, ShortToken, StoreRevision, ZoneName};
@@ -94,6 +95,20 @@
     pub wanted: Vec<ShortToken>,
 }
 
+impl PeerHeartbeat {
+    /// `grow_older` takes in that it waited to be read, for so long at most: confirmations of the store that it tells of are older
+    /// by that. Told on as fresh by one that had stood still for 2 s, they kept a whole deployment from noticing that nobody was answered any
+    /// more. How long ago an outage was stays: to take it for a later one does no harm.
+    pub fn grow_older(&mut self, waited: Duration) {
+        let waited_ms = u32::try_from(waited.as_millis()).unwrap_or(u32::MAX);
+
+        self.age_ms = self.age_ms.saturating_add(waited_ms);
+        for sighting in &mut self.watchers {
+            sighting.age_ms = sighting.age_ms.saturating_add(waited_ms);
+        }
+    }
+}
+
 /// `ServiceDigest` is a number for a service, the same at every balancer.
 pub type ServiceDigest = u32;
 
--- /dev/null
+++ b/crates/valvestage-policy/tests/steering/late_messages.rs
@@ -0,0 +1,102 @@
+//! Pattern: a balancer stands still for some seconds, and messages wait to be read. Each tells how old its news is; read late, that
+//! is wrong by the time of the standstill. Told on as fresh, it kept 75 balancers from noticing for 2 s that the store answered nobody
+//! any more, and a configuration came into force 0.3 s too late.
+
+use std::time::{Duration, Instant};
+
+use valvestage_policy::steering::peers::peer_message::{PeerHeartbeat, WatcherSighting};
+use valvestage_policy::steering::{
+    EntryOptions, EntryPolicy, KeeperAction, PeerMessage, SteeringOptions,
+};
+
+use crate::fixtures::{AWAY, HOME, address, millis, start};
+
+/// How long it stands still.
+const STANDSTILL: Duration = Duration::from_millis(1_500);
+
+/// How old the news was when it was sent, in milliseconds.
+const SENT_AGE_MS: u32 = 150;
+
+fn heartbeat() -> PeerHeartbeat {
+    let follower = WatcherSighting {
+        peer: address(3, 7_400),
+        zone: AWAY.to_owned(),
+        age_ms: SENT_AGE_MS,
+        is_answered: true,
+    };
+
+    PeerHeartbeat {
+        zone: AWAY.to_owned(),
+        asks: false,
+        version: 0,
+        complete_until: 0,
+        changed_at: 0,
+        age_ms: SENT_AGE_MS,
+        outage_age_ms: u32::MAX,
+        watchers: vec![follower],
+        peers: Vec::new(),
+        health: Default::default(),
+        evacuations: None,
+        demands: None,
+        wanted: Vec::new(),
+    }
+}
+
+fn balancer(now: Instant) -> EntryPolicy {
+    let options = EntryOptions {
+        steering: SteeringOptions { zone: HOME.to_owned(), ..Default::default() },
+        peer_address: address(1, 7_400),
+        seeds: Vec::new(),
+        link_mbps: 10.0,
+        evacuable_zones: None,
+        is_first_start: false,
+        seed: 1,
+    };
+
+    EntryPolicy::new(options, now)
+}
+
+/// Reads the message, and gives the ages of the follower in what the balancer tells others then and in the next 300 ms.
+fn told_ages(policy: &mut EntryPolicy, now: Instant) -> Vec<u32> {
+    let message = PeerMessage::Heartbeat(heartbeat());
+    let mut actions = policy.on_message(address(2, 7_400), message, now);
+    for turn in 0..=3 {
+        actions.extend(policy.on_tick(now + millis(100 * turn)));
+    }
+    let actions = actions.into_iter();
+    let watchers = actions.filter_map(|action| match action {
+        KeeperAction::Tell(_, PeerMessage::Heartbeat(heartbeat)) => Some(heartbeat.watchers),
+        _ => None,
+    });
+    let told: Vec<_> = watchers.flatten().filter(|told| told.peer == address(3, 7_400)).collect();
+
+    told.iter().map(|told| told.age_ms).collect()
+}
+
+#[test]
+fn what_is_read_after_a_standstill_is_told_on_as_old() {
+    for ticks_first in [false, true] {
+        let began = start();
+        let mut policy = balancer(began);
+        policy.on_tick(began);
+
+        let now = began + STANDSTILL;
+        if ticks_first {
+            policy.on_tick(now);
+        }
+        let ages = told_ages(&mut policy, now);
+        assert!(!ages.is_empty());
+        assert!(ages.iter().all(|age| *age >= 1_500 + SENT_AGE_MS), "{ticks_first}: {ages:?}");
+    }
+}
+
+#[test]
+fn what_is_read_in_time_is_as_old_as_it_says() {
+    let began = start();
+    let mut policy = balancer(began);
+    policy.on_tick(began);
+
+    let now = began + millis(100);
+    let ages = told_ages(&mut policy, now);
+    assert!(ages.iter().any(|age| *age < 400), "{ages:?}");
+}
--- a/crates/valvestage-policy/tests/steering/main.rs
+++ b/crates/valvestage-policy/tests/steering/main.rs
@@ -15,6 +15,7 @@
 mod keepers;
 mod lapses;
 mod large_answers;
+mod late_messages;
 mod links;
 mod outliers;
 mod pace;
