Only what failed since a balancer began to follow the store makes its try a short one

Cause: whoever had failed once gave way 0.4 s after it began again, however long ago that was. Reading 4,500 to 5,500 addresses takes 0.7 to 0.85 s over 10 Mbit/s, so no such try could succeed; each began, stopped, and had its answer 0.17 s later.

Ruled out: a store that refuses, messages that are answered for ever, the growth itself (docs/incidents/tries-shorter-than-an-answer.md).

Why it holds: a try lasts 1.6 s unless a call fails in it; one that is refused gives way after 0.4 s as before.

--- a/crates/valvestage-policy/src/steering/keeper/knowledge_keeper.rs
+++ b/crates/valvestage-policy/src/steering/keeper/knowledge_keeper.rs
@@ -146,7 +146,7 @@
         let was_watching = self.role.is_watching();
         let state = RoleState {
             is_answering: self.store.answering_since(now).is_some(),
-            is_failing: self.store.is_failing(),
+            is_failing: self.store.is_try_failing(),
             is_complete: knowledge.is_complete() || knowledge.is_certain(now),
             has_zones: self.peers.hears_other_zones(TELL_WITHIN, now),
             recent_peers: self.peers.recent_count(now),
--- a/crates/valvestage-policy/src/steering/store/store_link.rs
+++ b/crates/valvestage-policy/src/steering/store/store_link.rs
@@ -61,6 +61,8 @@
     list_began: Option<Instant>,
     /// When the store last failed to answer this balancer or another one.
     last_failure: Option<Instant>,
+    /// Whether a call of this balancer has failed since it last began to follow the store.
+    has_failed_since_begin: bool,
     /// When this balancer started.
     started_at: Instant,
 }
@@ -76,6 +78,7 @@
             listed: HashSet::new(),
             list_began: None,
             last_failure: None,
+            has_failed_since_begin: false,
             started_at: now,
         }
     }
@@ -135,9 +138,17 @@
         is_unsettled.then(|| now + RETURN_TIME)
     }
 
+    /// `is_try_failing` tells whether the store does not answer this balancer since it last began to follow it. What failed
+    /// before says nothing of this try: a call whose answer is long has no other chance than to be waited for.
+    #[must_use]
+    pub fn is_try_failing(&self) -> bool {
+        self.has_failed_since_begin && self.is_failing()
+    }
+
     /// `begin` prepares for following the store. Where nobody has followed it for a while, it may
     /// have been away.
     pub fn begin(&mut self, knowledge: &Knowledge, now: Instant) {
+        self.has_failed_since_begin = false;
         let is_old = |at: Instant| now.saturating_duration_since(at) >= SHORTEST_LAPSE;
 
         if knowledge.confirmed_at().is_some_and(is_old) {
@@ -320,6 +331,7 @@
     fn note_failure<T>(&mut self, reply: &StoreReply<T>, now: Instant) {
         if matches!(reply, StoreReply::Failed) {
             self.last_failure = Some(now);
+            self.has_failed_since_begin = true;
         }
     }
 }
--- a/crates/valvestage-policy/src/steering/store/watch_role.rs
+++ b/crates/valvestage-policy/src/steering/store/watch_role.rs
@@ -76,7 +76,7 @@
 pub struct RoleState {
     /// Whether the store answers this balancer.
     pub is_answering: bool,
-    /// Whether calls of this balancer have failed since the store last answered it.
+    /// Whether calls of this balancer have failed since it began to follow the store, and since that last answered it.
     pub is_failing: bool,
     /// Whether this balancer knows all that it needs, or all that there is.
     pub is_complete: bool,
--- a/crates/valvestage-policy/tests/steering/main.rs
+++ b/crates/valvestage-policy/tests/steering/main.rs
@@ -27,6 +27,7 @@
 mod requests;
 mod restarts;
 mod silent_connections;
+mod slow_store;
 mod successors;
 mod wanted_tokens;
 mod watch_role;
--- /dev/null
+++ b/crates/valvestage-policy/tests/steering/slow_store.rs
@@ -0,0 +1,95 @@
+//! Pattern: the configuration is nearly as large as the store takes, and links are slow, so that reading it takes longer than one try of
+//! a balancer whose calls failed before. Ninety tried in turn and none stayed: for ten seconds one availability zone had no
+//! follower, all of the others followed in its place, and each of their answers was told on by everyone, five times as many messages
+//! as usual. After an outage two followers called the store 53 times in 5 s.
+
+use std::time::Duration;
+
+use valvestage_policy::steering::EntryPolicy;
+
+use crate::deployment::Deployment;
+use crate::fixtures::{HOME, backend, millis, routes};
+
+/// A configuration of 5,500 addresses, some 1 MB, over 10 Mbit/s.
+const READING: Duration = Duration::from_millis(800);
+
+/// A configuration has to be in force within this time.
+const IN_FORCE: Duration = Duration::from_secs(3);
+
+/// Calls of two followers in five seconds, with a watch of at least 0.75 s for each of two kinds, and one that comes or goes.
+const MAX_CALLS: usize = 32;
+
+/// Messages of one balancer in five seconds: four heartbeats each 400 ms, twice as many for those that answer.
+const MAX_MESSAGES_EACH: usize = 110;
+
+fn settled(count: usize) -> Deployment {
+    let mut deployment = Deployment::across_zones(count, 3);
+    deployment.configuration_time = READING;
+    deployment.store.put_routes(routes(3, &[(443, "core")]));
+    deployment.store.put_backend(backend(1, "core", HOME));
+
+    deployment.run(millis(8_000));
+    assert!(deployment.nodes.iter().flatten().all(EntryPolicy::is_ready));
+    deployment
+}
+
+/// The store is away for so long that all have tried in vain.
+fn after_an_outage(count: usize) -> Deployment {
+    let mut deployment = settled(count);
+
+    deployment.store_down = true;
+    deployment.run(millis(12_000));
+    deployment.store_down = false;
+    deployment.run(millis(4_000));
+    deployment
+}
+
+#[test]
+fn few_follow_the_store_soon_after_an_outage() {
+    for count in [6, 12, 30] {
+        let mut deployment = after_an_outage(count);
+
+        let before = deployment.store.calls;
+        deployment.run(millis(5_000));
+        let calls = deployment.store.calls - before;
+        assert!(calls <= MAX_CALLS, "{count} balancers: {calls} calls");
+        assert_eq!(deployment.watchers(), 2, "{count} balancers");
+    }
+}
+
+#[test]
+fn messages_are_few_soon_after_an_outage() {
+    let mut deployment = after_an_outage(30);
+
+    let before = deployment.messages;
+    deployment.run(millis(5_000));
+    let messages = deployment.messages - before;
+    assert!(messages <= 30 * MAX_MESSAGES_EACH, "{messages} messages");
+}
+
+#[test]
+fn a_store_that_refuses_is_still_left_to_others_at_once() {
+    let mut deployment = settled(30);
+    deployment.store_down = true;
+    deployment.run(millis(5_000));
+
+    let before = deployment.store.calls;
+    deployment.run(millis(10_000));
+    let calls = deployment.store.calls - before;
+    assert!(calls <= 220, "{calls} calls in 10 s");
+}
+
+/// All balancers have just started, and their lists fall silent on the way.
+#[test]
+fn those_that_know_nothing_do_not_rest_all_at_once() {
+    let mut deployment = settled(5);
+    for node in 0..5 {
+        deployment.start(node);
+    }
+    deployment.run(millis(300));
+    deployment.silence_connections();
+
+    // Calls that are silent end within 1.8 s, and reading takes 0.8 s.
+    let took = deployment.run_until(|now| now.nodes.iter().flatten().all(EntryPolicy::is_ready));
+    assert!(took <= millis(2_600) + IN_FORCE / 4, "{took:?}");
+}
