While nobody knows anything and nobody tries, nobody rests

Cause: each balancer that gets no answer for 1.6 s gives way to others and rests for 1.5 s or more, so that they have their turn. All had begun within 0.1 s, so all rested together.

Ruled out: the store (it answers new calls), the calls' own time limit (they end 0.1 s after the last one has given way).

Change: rest has no use while no other one is trying. Where something is known nothing changes: calls in an outage stay as few.

Why it holds: of those that know nothing, one begins within the 0.6 s that are drawn, and the others hear of it and let it try.

--- a/crates/valvestage-policy/src/steering/store/watch_role.rs
+++ b/crates/valvestage-policy/src/steering/store/watch_role.rs
@@ -275,7 +275,10 @@
     fn consider(&mut self, state: RoleState, now: Instant) {
         let wanted = if state.is_complete { WANTED_TRIERS } else { WANTED_BEGINNERS };
         let trying = self.sightings.values().filter(|sighting| !sighting.is_answered).count();
-        if trying >= wanted || self.backoff_until.is_some_and(|until| until > now) {
+        // Where nobody knows anything and nobody tries, resting has no use for others.
+        let lets_others_try = state.is_complete || trying > 0;
+        let rests = lets_others_try && self.backoff_until.is_some_and(|until| until > now);
+        if trying >= wanted || rests {
             self.begin_at = None;
             return;
         }
