Whoever has no part of a large configuration waits until the link is idle

Cause: a new one was answered whenever the burst had room, so that two to four were answered at a time.

Change: only those that have begun are answered within the burst; a new one when the link is idle. Bursts are 20 datagrams again. Small questions have their turns as before.

--- a/crates/valvestage-policy/src/steering/peers/answer_queue.rs
+++ b/crates/valvestage-policy/src/steering/peers/answer_queue.rs
@@ -12,9 +12,9 @@
 /// The part of its link that a balancer gives to answers at most: callers' packets take the same link.
 const LINK_SHARE: f64 = 0.66;
 
-/// Datagrams that are sent at once at most, but for the rest of an answer that has begun: with it 28, or 39 KB. Queues
-/// were seen to lose what is beyond 64 KB; and the fewer are answered at once, the sooner one of them can answer others.
-const BURST_DATAGRAMS: u32 = 12;
+/// Datagrams that are sent at once at most, but for the rest of an answer that has begun: with it 36, or 50 KB. Queues
+/// were seen to lose what is beyond 64 KB.
+const BURST_DATAGRAMS: u32 = 20;
 
 /// Bytes of a full datagram.
 const FULL_BYTES: u32 = 1_400;
@@ -118,10 +118,9 @@
         }
 
         self.under_way.retain(|_, until| *until >= now);
-        let goes_on = |waiting: &WaitingQuestion| {
-            !waiting.question.is_large() || self.under_way.contains_key(&waiting.peer)
-        };
-        let place = self.waiting.iter().position(goes_on).unwrap_or(0);
+        let is_idle = self.busy_until.is_none_or(|until| until <= now);
+        let goes_on = self.waiting.iter().position(|waiting| self.goes_on(waiting));
+        let place = goes_on.or(is_idle.then_some(0))?;
         let WaitingQuestion { peer, question, .. } = self.waiting.remove(place)?;
         if question.is_large() {
             self.under_way.insert(peer, now + WAIT_FOR);
@@ -141,10 +140,18 @@
     pub(in crate::steering) fn next_due(&self) -> Option<Instant> {
         let burst_time = self.burst_time();
         let busy_until = self.busy_until.filter(|_| !self.waiting.is_empty())?;
+        if !self.waiting.iter().any(|waiting| self.goes_on(waiting)) {
+            return Some(busy_until);
+        }
 
         Some(busy_until.checked_sub(burst_time).unwrap_or(busy_until))
     }
 
+    /// Whether a question is small, or goes on with what its balancer has begun to fetch. Others wait until the link is idle.
+    fn goes_on(&self, waiting: &WaitingQuestion) -> bool {
+        !waiting.question.is_large() || self.under_way.contains_key(&waiting.peer)
+    }
+
     fn burst_time(&self) -> Duration {
         self.datagram_time * BURST_DATAGRAMS
     }
