Balancers that know the same changes and believe in other backend servers compare

Cause: ends are concluded at the revision that was read last. Two balancers concluded different ones at one revision; who was told by the first knew all up to there and never asked the second.

Change: such an entry is missing like the others; an unusable entry of a lapsed incarnation is there again; and heartbeats have a digest of the backend servers that their sender believes in: of two that know all up to the same revision and differ, the one that hears it asks for everything, once a second at most.

Why it holds: whatever one balancer concluded reaches all others, whatever they have read.

--- a/crates/valvestage-entry/tests/peer_codec.rs
+++ b/crates/valvestage-entry/tests/peer_codec.rs
@@ -180,6 +180,7 @@
         version: u64::MAX,
         complete_until: u64::MAX,
         changed_at: u64::MAX,
+        living: u64::MAX,
         age_ms: u32::MAX,
         outage_age_ms: u32::MAX,
         watchers: vec![watcher; 4],
--- a/crates/valvestage-policy/src/steering/keeper/keeper_exchange.rs
+++ b/crates/valvestage-policy/src/steering/keeper/keeper_exchange.rs
@@ -75,6 +75,16 @@
         pulls.into_iter().map(|pull| tell((sender, pull))).collect()
     }
 
+    /// `compare` asks the sender of a heartbeat for everything, if it believes in other backend servers though both know all changes.
+    pub(in crate::steering) fn compare(
+        &mut self,
+        knowledge: &Knowledge,
+        (sender, heartbeat): (SocketAddrV4, &PeerHeartbeat),
+        now: Instant,
+    ) -> Option<PeerMessage> {
+        self.exchange.compare(knowledge, sender, heartbeat, now)
+    }
+
     /// `on_message` takes a question or an answer in. Entries that go with it may return until the time given.
     pub(in crate::steering) fn on_message(
         &mut self,
--- a/crates/valvestage-policy/src/steering/keeper/knowledge_keeper.rs
+++ b/crates/valvestage-policy/src/steering/keeper/knowledge_keeper.rs
@@ -218,6 +218,7 @@
             version: knowledge.routes.version,
             complete_until: knowledge.directory.complete_until(),
             changed_at: knowledge.directory.changed_at(),
+            living: knowledge.directory.living_digest(),
             age_ms: knowledge.confirmed_at().map_or(u32::MAX, |at| millis_since(at, now)),
             outage_age_ms: outage.map_or(u32::MAX, |at| millis_since(at, now)),
             watchers: self.role.sightings(self.store.answering_since(now), now),
@@ -301,6 +302,8 @@
             return actions;
         }
 
+        let compares = exchange.compare(knowledge, (sender, heartbeat), now);
+        actions.extend(compares.map(|message| KeeperAction::Tell(sender, message)));
         // Nothing has changed after what is known here, so it is complete as far as the peer's is.
         let directory = &mut knowledge.directory;
         directory.complete(heartbeat.complete_until);
--- a/crates/valvestage-policy/src/steering/knowledge/backend_directory.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/backend_directory.rs
@@ -7,6 +7,11 @@
 
 use super::backend_entry::{BackendEnd, BackendEntry, BackendPhase};
 use super::backend_name::BackendName;
+use super::lapse::RETURN_TIME;
+use crate::rendezvous::mix;
+
+/// `LivingDigest` is a number for a set of backend servers, the same at every balancer.
+pub type LivingDigest = u64;
 
 /// `BackendDirectory` holds the backend servers by incarnation and by token.
 ///
@@ -66,6 +71,15 @@
         self.changed_at
     }
 
+    /// `living_digest` gives a number for the backend servers that are believed in, whatever their revisions: two balancers that
+    /// know all changes up to the same revision believe in the same ones.
+    #[must_use]
+    pub fn living_digest(&self) -> LivingDigest {
+        let living = self.entries.values().filter(|entry| !entry.is_gone());
+
+        living.fold(0, |digest, entry| digest ^ mix(entry.instance, 0))
+    }
+
     /// `remembers` tells whether all changes after a revision are still known.
     #[must_use]
     pub fn remembers(&self, after: StoreRevision) -> bool {
@@ -125,7 +139,13 @@
             return Vec::new();
         }
 
-        let missing_until = known.and_then(|known| known.missing_until);
+        // One that nobody told of before, and that was not there when the store was read later, may return as the others may that
+        // were missing then.
+        let is_absent = known.is_none() && !entry.is_gone() && revision > self.complete_until;
+        let missing_until = match known {
+            Some(known) => known.missing_until,
+            None => is_absent.then(|| now + RETURN_TIME),
+        };
         let changed = self.admit(entry, now);
         let stays_missing = missing_until.filter(|_| revision <= self.read_until);
         if let Some(until) = stays_missing {
@@ -178,7 +198,7 @@
     /// that is old news.
     pub fn mark_unusable(&mut self, instance: InstanceId, at: StoreRevision) -> bool {
         let Some(entry) = self.entries.get_mut(&instance) else { return false };
-        if entry.is_gone() || entry.revision >= at {
+        if entry.is_gone() && !entry.has_lapsed() || entry.revision >= at {
             return false;
         }
 
--- a/crates/valvestage-policy/src/steering/knowledge/backend_entry.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/backend_entry.rs
@@ -81,6 +81,15 @@
         matches!(self.phase, BackendPhase::Gone { end: BackendEnd::Superseded, .. })
     }
 
+    /// `has_lapsed` tells whether the entry went while it took new flows, so that it may return.
+    #[must_use]
+    pub fn has_lapsed(&self) -> bool {
+        matches!(
+            self.phase,
+            BackendPhase::Gone { end: BackendEnd::Lapsed | BackendEnd::LapsedUnseen, .. }
+        )
+    }
+
     /// `is_gone` tells whether the entry is gone from the store.
     #[must_use]
     pub fn is_gone(&self) -> bool {
--- a/crates/valvestage-policy/src/steering/knowledge/lapse.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/lapse.rs
@@ -74,8 +74,8 @@
         let entry = self.knowledge.directory.get(instance);
 
         entry.is_some_and(|entry| match entry.phase {
-            BackendPhase::Gone { since, end: BackendEnd::Lapsed | BackendEnd::LapsedUnseen } => {
-                self.is_in_doubt(entry, since)
+            BackendPhase::Gone { since, .. } => {
+                entry.has_lapsed() && self.is_in_doubt(entry, since)
             }
             _ => false,
         })
--- a/crates/valvestage-policy/src/steering/peers/backend_walk.rs
+++ b/crates/valvestage-policy/src/steering/peers/backend_walk.rs
@@ -20,6 +20,9 @@
 /// later. The longest that was seen took under 1 s.
 const WALK_LIFE: Duration = Duration::from_secs(10);
 
+/// Time between two comparisons with others that believe in other backend servers. At the size to design for one takes 120 KB.
+const COMPARE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// `WalkNews` is what a part brought.
 #[derive(Debug, Default)]
 pub(in crate::steering) struct WalkNews {
@@ -50,6 +53,8 @@
     /// The walk under way; none between two.
     walk: Option<Walk>,
     awaited: Option<AwaitedAnswer>,
+    /// When to ask for everything again at the earliest, to compare.
+    compares_from: Option<Instant>,
 }
 
 /// One walk.
@@ -141,6 +146,22 @@
         Some(self.ask(peer, now))
     }
 
+    /// `compare` asks a balancer for everything; none while another answer is under way, or soon after the last time.
+    pub(in crate::steering) fn compare(
+        &mut self,
+        peer: SocketAddrV4,
+        now: Instant,
+    ) -> Option<PeerMessage> {
+        let is_asking = self.awaited.is_some() || self.walk.is_some();
+        if is_asking || self.compares_from.is_some_and(|from| from > now) {
+            return None;
+        }
+
+        self.compares_from = Some(now + COMPARE_INTERVAL);
+        self.walk = Some(Walk::new(peer, WalkScope::Everything, 0, now));
+        Some(self.ask(peer, now))
+    }
+
     /// `retry` asks once more for what did not come; with what is known of the answer that was given up.
     pub(in crate::steering) fn retry(
         &mut self,
--- a/crates/valvestage-policy/src/steering/peers/peer_exchange.rs
+++ b/crates/valvestage-policy/src/steering/peers/peer_exchange.rs
@@ -96,6 +96,29 @@
         pulls
     }
 
+    /// `compare` gives the question for the sender of a heartbeat that knows all changes which are known here, and yet believes in
+    /// other backend servers; none if that is not so, or was asked a moment ago.
+    ///
+    /// Ends that balancers conclude by themselves have the revision that was read last, and two of them may conclude different
+    /// ends at one revision. Whoever had read up to it asked neither, and believed for good in what was gone.
+    pub fn compare(
+        &mut self,
+        knowledge: &Knowledge,
+        peer: SocketAddrV4,
+        heartbeat: &PeerHeartbeat,
+        now: Instant,
+    ) -> Option<PeerMessage> {
+        let directory = &knowledge.directory;
+        let knows_the_same = directory.is_complete()
+            && !directory.has_missing()
+            && heartbeat.complete_until == directory.complete_until();
+        if !knows_the_same || heartbeat.living == directory.living_digest() {
+            return None;
+        }
+
+        self.backends.compare(peer, now)
+    }
+
     /// `overdue` gives the answers that did not come whole in time.
     pub fn overdue(&mut self, knowledge: &Knowledge, now: Instant) -> Vec<OverdueAnswer> {
         if self.routes.is_waiting() {
--- a/crates/valvestage-policy/src/steering/peers/peer_message.rs
+++ b/crates/valvestage-policy/src/steering/peers/peer_message.rs
@@ -15,6 +15,7 @@
 
 use super::route_chunk::{ChunkDigest, RouteChunk};
 use crate::steering::health::outcome_count::OutcomeCount;
+use crate::steering::knowledge::backend_directory::LivingDigest;
 use crate::steering::knowledge::backend_name::{BackendName, BirthDigest};
 use crate::steering::knowledge::evacuated_zones::EvacuationReport;
 
@@ -76,6 +77,8 @@
     pub complete_until: StoreRevision,
     /// Revision of the last change that it knows.
     pub changed_at: StoreRevision,
+    /// Which backend servers it believes in.
+    pub living: LivingDigest,
     /// How long ago the store confirmed all this, milliseconds; at the sender or before it.
     pub age_ms: u32,
     /// How long ago the store last failed to answer the sender, or one that it heard of,
--- a/crates/valvestage-policy/src/steering/store/store_link.rs
+++ b/crates/valvestage-policy/src/steering/store/store_link.rs
@@ -284,6 +284,9 @@
         match (change, self.missing_until(now)) {
             (EntryChange::Written(entry), _) => return directory.admit(entry, now),
             (EntryChange::Unusable, _) => {
+                // It is there again if it had lapsed: others may have seen that it was good meanwhile.
+                let births = if living.is_empty() { directory.births(name) } else { living };
+                living = births;
                 living.retain(|instance| directory.mark_unusable(*instance, revision));
             }
             (EntryChange::Deleted, Some(until)) => {
--- a/crates/valvestage-policy/tests/simulation/seeds/stale_beliefs.rs
+++ b/crates/valvestage-policy/tests/simulation/seeds/stale_beliefs.rs
@@ -1,6 +1,15 @@
 //! Nine seconds after the last fault a balancer still believes in a backend server that is gone.
 //!
-//! What is seen: backend servers of a zone that is cut off end, and others start under their names or in their places.
+//! What happens: backend servers of a zone that is cut off end, and others start under their names or in their places. Two
+//! balancers conclude different ends, each at the revision that it read last, which is the same.
+//!
+//! Why: whoever was told by one of them knows all changes up to that revision and asks nobody else. And they concluded different ends since one of
+//! them did not know an entry that the others knew: it had read the store without it, and took in what a peer told of it later
+//! as if it were there (2,014,712); or it had read it spoiled, and held the one under its name for gone since an
+//! earlier lapse (2,016,408).
+//!
+//! What showed it: heartbeats with the same `complete_until` and `changed_at` by balancers of which one has `BackendChanged` with
+//! the phase gone at that revision, and another one has not.
 
 use super::assert_hold;
 
--- /dev/null
+++ b/crates/valvestage-policy/tests/steering/comparisons.rs
@@ -0,0 +1,128 @@
+//! Pattern: two balancers conclude different ends of backend servers from the same reading of the store, and so at the same revision. A
+//! third one that was told by one of them knows all changes up to that revision, asks nobody, and believes for good in what is
+//! gone: nine seconds after the last fault, two of 15,000 simulated series of faults ended so.
+
+use valvestage_policy::steering::peers::backend_parts::backends_messages;
+use valvestage_policy::steering::peers::peer_message::{BackendsPull, WalkScope};
+use valvestage_policy::steering::{BackendDirectory, BackendEntry, BackendPhase, EntryPolicy};
+
+use crate::deployment::{Deployment, node_address};
+use crate::fixtures::{HOME, backend, millis, routes, start};
+
+fn settled(count: usize) -> Deployment {
+    let mut deployment = Deployment::new(count);
+    deployment.store.put_routes(routes(3, &[(443, "core")]));
+    for instance in 1..=4 {
+        deployment.store.put_backend(backend(instance, "core", HOME));
+    }
+
+    deployment.run(millis(4_000));
+    assert!(deployment.nodes.iter().flatten().all(EntryPolicy::is_ready));
+    deployment
+}
+
+/// Tells a balancer that a backend server is gone, at the revision up to which all know everything.
+fn conclude_end(deployment: &mut Deployment, node: usize, instance: u64) {
+    let now = deployment.now;
+    let revision = deployment.node(node).knowledge().directory.complete_until();
+    let mut teller = BackendDirectory::default();
+    teller.put(backend(instance, "core", HOME));
+    teller.complete(revision);
+    teller.mark_gone(instance, revision, now);
+
+    let pull = BackendsPull { after: 0, scope: WalkScope::Everything };
+    for message in backends_messages(&teller, pull, now) {
+        let policy = deployment.nodes[node].as_mut().expect("it runs");
+        policy.on_message(node_address(5), message, now);
+    }
+}
+
+fn believers(deployment: &Deployment, instance: u64) -> usize {
+    let believes = |node: &&EntryPolicy| {
+        let entry = node.knowledge().directory.get(instance);
+        entry.is_some_and(|entry| !entry.is_gone())
+    };
+
+    deployment.nodes.iter().flatten().filter(believes).count()
+}
+
+#[test]
+fn an_end_that_one_concluded_reaches_those_that_had_read_as_far() {
+    let mut deployment = settled(8);
+
+    conclude_end(&mut deployment, 3, 2);
+    assert_eq!(believers(&deployment, 2), 7);
+    let took = deployment.run_until(|now| believers(now, 2) == 0);
+    assert!(took <= millis(5_000), "{took:?}");
+}
+
+#[test]
+fn two_different_ends_at_one_revision_reach_everybody() {
+    let mut deployment = settled(8);
+
+    conclude_end(&mut deployment, 3, 2);
+    conclude_end(&mut deployment, 6, 3);
+    let took = deployment.run_until(|now| believers(now, 2) == 0 && believers(now, 3) == 0);
+    assert!(took <= millis(5_000), "{took:?}");
+}
+
+/// The cost where all believe in the same: no message more.
+#[test]
+fn those_that_agree_do_not_compare() {
+    let mut deployment = settled(8);
+
+    let before = deployment.messages;
+    deployment.run(millis(10_000));
+    let messages = deployment.messages - before;
+    // Four heartbeats each 400 ms, and those of news that the store has answered.
+    assert!(messages <= 8 * 4 * 40, "{messages} messages");
+}
+
+#[test]
+fn those_that_believe_in_the_same_have_one_digest() {
+    let (mut one, mut other) = (BackendDirectory::default(), BackendDirectory::default());
+    for instance in 1..=3 {
+        one.put(backend(instance, "core", HOME));
+        other.put(BackendEntry { revision: 50, ..backend(4 - instance, "core", HOME) });
+    }
+
+    assert_eq!(one.living_digest(), other.living_digest());
+    other.mark_gone(2, 60, start());
+    assert_ne!(one.living_digest(), other.living_digest());
+}
+
+/// An entry that had lapsed was written again, and spoiled by another writer before this balancer read it. Others saw that it was good
+/// meanwhile, so that its end must be noticed here, too.
+#[test]
+fn a_lapsed_entry_that_is_there_and_cannot_be_used_is_there() {
+    let mut directory = BackendDirectory::default();
+    directory.put(backend(1, "core", HOME));
+    directory.mark_gone(1, 13, start());
+
+    assert!(directory.mark_unusable(1, 28));
+    assert_eq!(directory.get(1).map(|entry| entry.phase), Some(BackendPhase::Unusable));
+}
+
+#[test]
+fn one_that_has_left_is_not() {
+    let mut directory = BackendDirectory::default();
+    directory.put(BackendEntry { phase: BackendPhase::Draining, ..backend(1, "core", HOME) });
+    directory.mark_gone(1, 13, start());
+
+    assert!(!directory.mark_unusable(1, 28));
+}
+
+/// A balancer has read the store, and other entries are missing there. A peer tells of one that it had not, at a revision that was read.
+#[test]
+fn an_entry_that_was_not_there_when_the_store_was_read_is_missing() {
+    let mut directory = BackendDirectory::default();
+    directory.put(backend(1, "core", HOME));
+    directory.complete(20);
+    directory.mark_missing(1, start() + millis(2_000));
+    directory.complete(54);
+
+    directory.admit_told(BackendEntry { revision: 23, ..backend(7, "core", HOME) }, start());
+    assert!(directory.get(7).is_some_and(|entry| entry.missing_until.is_some()));
+    directory.admit_told(BackendEntry { revision: 60, ..backend(8, "core", HOME) }, start());
+    assert!(directory.get(8).is_some_and(|entry| entry.missing_until.is_none()));
+}
--- a/crates/valvestage-policy/tests/steering/late_messages.rs
+++ b/crates/valvestage-policy/tests/steering/late_messages.rs
@@ -31,6 +31,7 @@
         version: 0,
         complete_until: 0,
         changed_at: 0,
+        living: 0,
         age_ms: SENT_AGE_MS,
         outage_age_ms: u32::MAX,
         watchers: vec![follower],
--- a/crates/valvestage-policy/tests/steering/main.rs
+++ b/crates/valvestage-policy/tests/steering/main.rs
@@ -2,6 +2,7 @@
 
 mod backend_health;
 mod cold_backends;
+mod comparisons;
 mod cut_zones;
 mod deployment;
 mod directory;
