--- a/crates/valvestage-policy/src/steering/entry_policy.rs
+++ b/crates/valvestage-policy/src/steering/entry_policy.rs
@@ -293,8 +293,9 @@
     /// have evacuated the zone, but nothing else can serve its callers then.
     fn is_isolated(&self, now: Instant) -> bool {
         let is_unconfirmed = self.knowledge.age(now).is_some_and(|age| age >= ISOLATED_AFTER);
+        let hears_others = self.knowledge.contacts.hears_others(SILENT_ZONES, now);
 
-        self.has_other_zones && is_unconfirmed && !self.keeper.hears_other_zones(SILENT_ZONES, now)
+        self.has_other_zones && is_unconfirmed && !hears_others
     }
 
     /// Notes whether the process stood still since the last tick. Packets that came meanwhile are read
--- a/crates/valvestage-policy/src/steering/keeper/knowledge_keeper.rs
+++ b/crates/valvestage-policy/src/steering/keeper/knowledge_keeper.rs
@@ -117,12 +117,6 @@
         self.peers.unsettle(now);
     }
 
-    /// `hears_other_zones` tells whether a balancer of another availability zone was heard in the time before now.
-    #[must_use]
-    pub fn hears_other_zones(&self, within: Duration, now: Instant) -> bool {
-        self.peers.hears_other_zones(within, now)
-    }
-
     /// `zone_members` gives the balancers of this availability zone.
     #[must_use]
     pub fn zone_members(&self, now: Instant) -> ZoneMembers {
@@ -148,7 +142,7 @@
             is_answering: self.store.answering_since(now).is_some(),
             is_failing: self.store.is_try_failing(),
             is_complete: knowledge.is_complete() || knowledge.is_certain(now),
-            has_zones: self.peers.hears_other_zones(TELL_WITHIN, now),
+            has_zones: knowledge.contacts.hears_others(TELL_WITHIN, now),
             recent_peers: self.peers.recent_count(now),
             draw: self.draw.unit(),
         };
@@ -178,7 +172,7 @@
             return Vec::new();
         }
 
-        let has_zones = self.peers.hears_other_zones(TELL_WITHIN, now);
+        let has_zones = knowledge.contacts.hears_others(TELL_WITHIN, now);
         let is_staying = self.role.is_staying(has_zones);
         let calls = self.store.calls(knowledge, is_staying, now).into_iter();
         calls.map(|(kind, call)| KeeperAction::Call(kind, call)).collect()
@@ -265,7 +259,6 @@
     ) -> Vec<KeeperAction> {
         self.peers.on_zone(sender, &heartbeat.zone);
         if heartbeat.zone != self.zone {
-            self.peers.on_other_zone(now);
             knowledge.contacts.on_heard(&heartbeat.zone, now);
         }
         self.store.on_told_failure(time_of_age(heartbeat.outage_age_ms, now));
--- a/crates/valvestage-policy/src/steering/knowledge/zone_contacts.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/zone_contacts.rs
@@ -70,6 +70,12 @@
         }
     }
 
+    /// `hears_others` tells whether any other zone was heard in the time before now.
+    #[must_use]
+    pub fn hears_others(&self, within: Duration, now: Instant) -> bool {
+        self.any.is_some_and(|contact| now.saturating_duration_since(contact.heard_at) < within)
+    }
+
     /// `reach` tells whether another zone can be reached from here.
     #[must_use]
     pub fn reach(&self, zone: &ZoneName, now: Instant) -> ZoneReach {
--- a/crates/valvestage-policy/src/steering/packets.rs
+++ b/crates/valvestage-policy/src/steering/packets.rs
@@ -3,8 +3,9 @@
 //! | module | contents |
 //! |---|---|
 //! | [`caller_packet`] | what is known of one packet, and what is done with it |
-//! | [`steering_policy`] | what is done with each packet: here it is decided whether a flow is ended |
+//! | [`steering_policy`] | what is done with each packet |
 //! | `opening_packets` | packets that ask to open a flow, and copies of them |
+//! | `flow_ends` | whether the flow of a packet is over |
 //! | `flow_backend` | the backend server that a packet of an open flow is for |
 //! | [`held_packets`] | packets that wait until enough is known to decide about them |
 //! | [`wanted_tokens`] | tokens for which other balancers are asked |
@@ -17,6 +18,7 @@
 pub mod caller_packet;
 pub(in crate::steering) mod flow_backend;
 pub(in crate::steering) mod flow_ender;
+mod flow_ends;
 pub mod flow_record;
 pub mod flow_reset;
 pub mod flow_tracker;
--- a/crates/valvestage-policy/src/steering/peers/peer_table.rs
+++ b/crates/valvestage-policy/src/steering/peers/peer_table.rs
@@ -44,8 +44,6 @@
     unsettled: Option<UnsettledView>,
     /// When any balancer was last heard.
     heard_at: Option<Instant>,
-    /// When a balancer of another availability zone was last heard.
-    other_zone_heard: Option<Instant>,
 }
 
 /// What has to happen before a balancer that knew nobody counts as known to all others.
@@ -84,7 +82,6 @@
             rounds: 0,
             unsettled: None,
             heard_at: None,
-            other_zone_heard: None,
         };
 
         table.set_seeds(seeds);
@@ -177,18 +174,6 @@
         u32::try_from(recent.count()).unwrap_or(u32::MAX)
     }
 
-    /// `on_other_zone` takes in that a balancer of another availability zone has spoken.
-    pub fn on_other_zone(&mut self, now: Instant) {
-        self.other_zone_heard = Some(now);
-    }
-
-    /// `hears_other_zones` tells whether one was heard in the time before now: in a zone that is cut off there is
-    /// nobody else to follow the store.
-    #[must_use]
-    pub fn hears_other_zones(&self, within: Duration, now: Instant) -> bool {
-        self.other_zone_heard.is_some_and(|at| now.saturating_duration_since(at) < within)
-    }
-
     /// `on_told` takes in that another balancer knows of one.
     pub fn on_told(&mut self, peer: SocketAddrV4, now: Instant) {
         if peer == self.own || self.heard.len() >= MAX_PEERS {
--- a/crates/valvestage-policy/tests/simulation/seeds.rs
+++ b/crates/valvestage-policy/tests/simulation/seeds.rs
@@ -1,6 +1,7 @@
 //! Seeds that showed a fault, by what callers and operators saw. Each file tells what happens.
 
 mod dropped_packets;
+mod held_watches;
 mod late_routes;
 mod living_flows;
 mod many_calls;
