Where packets wait, a follower that stays watches for entries at once after a start

Cause: an entry was spoiled by another writer while all balancers were down, and good again 0.3 s after their start. Watches begin 1.2 s after a start, and the store said nothing from 0.9 s on.

Ruled out: that nobody could know it (the good entry stood in the store for 0.5 s while four followed), a lost answer.

Change: where packets wait for tokens that are not known, here or at one whose heartbeat names them, a watch of entries that is held begins at once at followers that stay.

Why it holds: the entry is read when it is written, as at any other time; without waiting packets no call more is made. One of the two new tests was red before, the other one guards the cost.

--- a/crates/valvestage-policy/src/steering/keeper/knowledge_keeper.rs
+++ b/crates/valvestage-policy/src/steering/keeper/knowledge_keeper.rs
@@ -29,6 +29,9 @@
 /// may cost a VM; news reaches 420 balancers in five rounds, and is passed on at once.
 const HEARTBEAT_FANOUT: usize = 4;
 
+/// For how long a token counts as wanted that a heartbeat names: two rounds of them.
+const WANTED_FOR: Duration = Duration::from_millis(800);
+
 /// Balancers named in a heartbeat.
 const PEERS_TOLD: usize = 4;
 
@@ -45,6 +48,8 @@
     /// Whether the next heartbeats ask those that know more to answer at once.
     asks: bool,
     news: KeeperNews,
+    /// Until when packets are likely to wait at other balancers for entries that are not known here either.
+    wanted_elsewhere_until: Option<Instant>,
 }
 
 impl KnowledgeKeeper {
@@ -67,6 +72,7 @@
             next_heartbeat: now,
             asks: true,
             news: KeeperNews::default(),
+            wanted_elsewhere_until: None,
         }
     }
 
@@ -97,7 +103,9 @@
         self.postpone_missing(knowledge);
         self.news.note_suspects(&report.health.suspects);
         self.step_role(knowledge, now);
-        let mut actions = self.calls(knowledge, now);
+        let packets_wait = !report.wanted.is_empty()
+            || self.wanted_elsewhere_until.is_some_and(|until| until > now);
+        let mut actions = self.calls(knowledge, packets_wait, now);
         actions.extend(self.exchange.on_tick(knowledge, &mut self.news, now));
 
         if self.news.is_to_tell() || self.next_heartbeat <= now {
@@ -167,14 +175,19 @@
         }
     }
 
-    fn calls(&mut self, knowledge: &Knowledge, now: Instant) -> Vec<KeeperAction> {
+    fn calls(
+        &mut self,
+        knowledge: &Knowledge,
+        packets_wait: bool,
+        now: Instant,
+    ) -> Vec<KeeperAction> {
         if !self.role.is_watching() {
             return Vec::new();
         }
 
         let has_zones = knowledge.contacts.hears_others(TELL_WITHIN, now);
         let is_staying = self.role.is_staying(has_zones);
-        let calls = self.store.calls(knowledge, is_staying, now).into_iter();
+        let calls = self.store.calls(knowledge, is_staying, packets_wait, now).into_iter();
         calls.map(|(kind, call)| KeeperAction::Call(kind, call)).collect()
     }
 
@@ -283,6 +296,9 @@
             actions.push(KeeperAction::Tell(sender, PeerMessage::Heartbeat(answer)));
         }
         let told = wanted_message(&knowledge.directory, &heartbeat.wanted, now);
+        if told.is_none() && !heartbeat.wanted.is_empty() {
+            self.wanted_elsewhere_until = Some(now + WANTED_FOR);
+        }
         actions.extend(told.map(|message| KeeperAction::Tell(sender, message)));
         let Self { exchange, news, .. } = self;
         if exchange.knows_more(knowledge, heartbeat) {
--- a/crates/valvestage-policy/src/steering/store/store_follower.rs
+++ b/crates/valvestage-policy/src/steering/store/store_follower.rs
@@ -224,6 +224,13 @@
         }
     }
 
+    /// `release_watch` lets a watch begin that was held until a time.
+    pub fn release_watch(&mut self, until: Instant) {
+        if self.not_before == Some(until) {
+            self.not_before = None;
+        }
+    }
+
     /// `list_again` begins anew with a list, once no watch is under way. A list that has begun goes on.
     pub fn list_again(&mut self) {
         if !self.calling && matches!(self.phase, Phase::Watching { .. }) {
--- a/crates/valvestage-policy/src/steering/store/store_link.rs
+++ b/crates/valvestage-policy/src/steering/store/store_link.rs
@@ -156,11 +156,13 @@
         }
     }
 
-    /// `calls` gives the calls that are due. One that is not staying follows until others are known to.
+    /// `calls` gives the calls that are due. One that is not staying follows until others are known to. Where packets wait for
+    /// entries that are not known, one that stays begins to watch for them at once.
     pub fn calls(
         &mut self,
         knowledge: &Knowledge,
         is_staying: bool,
+        packets_wait: bool,
         now: Instant,
     ) -> Vec<(StoreKind, StoreCall)> {
         let known_until = knowledge.directory.complete_until();
@@ -168,9 +170,12 @@
         if knowledge.directory.has_overdue(now) {
             self.backends.list_again();
         }
-        if self.is_fresh(now) {
-            self.routes.hold_watch(self.started_at + FRESH_FOR);
-            self.backends.hold_watch(self.started_at + FRESH_FOR);
+        let held_until = self.started_at + FRESH_FOR;
+        if is_staying && packets_wait {
+            self.backends.release_watch(held_until);
+        } else if self.is_fresh(now) {
+            self.routes.hold_watch(held_until);
+            self.backends.hold_watch(held_until);
         }
         let routes = self.routes.next_call(0, now);
         let backends = self.backends.next_call(known_until, now);
--- a/crates/valvestage-policy/tests/steering/wanted_tokens.rs
+++ b/crates/valvestage-policy/tests/steering/wanted_tokens.rs
@@ -112,3 +112,35 @@
     deployment.run(millis(500));
     assert!(deployment.node(1).can_decide(&request()));
 }
+
+/// All balancers start while an entry is away. It is written again 0.3 s later, and the store goes away 0.5 s after that: before
+/// most of those that have just started begin to watch.
+#[test]
+fn where_packets_wait_entries_are_watched_for_at_once_after_a_start() {
+    let mut deployment = Deployment::across_zones(9, 3);
+    deployment.store.put_routes(routes(3, &[(443, "core")]));
+    deployment.store.put_backend(backend(2, "core", HOME));
+    deployment.run(millis(4_000));
+
+    (0..9).for_each(|node| deployment.start(node));
+    deployment.run(millis(150));
+    assert_eq!(send(&mut deployment), PacketVerdict::Drop(DropReason::UnknownToken));
+    deployment.run(millis(150));
+    deployment.store.put_backend(backend(LAPSED, "core", HOME));
+    deployment.run(millis(500));
+    assert!(deployment.node(1).can_decide(&request()));
+}
+
+/// And only there: the cost of the hold is kept small.
+#[test]
+fn where_no_packet_waits_nobody_watches_for_a_while() {
+    let mut deployment = Deployment::across_zones(9, 3);
+    deployment.store.put_routes(routes(3, &[(443, "core")]));
+    deployment.store.put_backend(backend(2, "core", HOME));
+    deployment.run(millis(4_000));
+
+    (0..9).for_each(|node| deployment.start(node));
+    let before = deployment.store.calls;
+    deployment.run(millis(1_000));
+    assert!(deployment.store.calls - before <= 2 * 9, "a list of each kind at most");
+}
