--- a/crates/valvestage-policy/src/steering/knowledge/backend_directory.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/backend_directory.rs
@@ -154,8 +154,9 @@
         changed
     }
 
-    /// `admit_obsolete` takes in an entry that a peer still believes in and that had gone before this balancer read the store, as one that is gone. The
-    /// backend server may live, kept from the store by a cut: its flows can be steered until that is known.
+    /// `admit_obsolete` takes in an entry that a peer still believes in and that had gone before this balancer read the store,
+    /// as one that is gone. The backend server may live, kept from the store by a cut: its flows can be steered until that is
+    /// known.
     pub fn admit_obsolete(&mut self, mut entry: BackendEntry, now: Instant) -> Vec<InstanceId> {
         let end = match entry.end_of_phase() {
             BackendEnd::Lapsed => BackendEnd::LapsedUnseen,
--- a/crates/valvestage-policy/src/steering/knowledge/lapse.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/lapse.rs
@@ -22,8 +22,7 @@
 
 /// A start of a backend server is known within this time, but for times in which the store was not heard. It may not reach the store for
 /// 2.3 s before the former entry lapses; it writes its own within a heartbeat of 0.8 s, which is read within 1.9 s, and told on
-/// within 0.4 s. Without the first of these, and without regard to such times, six of 8,000 simulated series of faults ended a
-/// flow that had been answered within 1.5 s.
+/// within 0.4 s.
 const BIRTH_LEARNED_WITHIN: Duration = Duration::from_millis(5_400);
 
 /// `LapseJudge` tells lapses from ends, by what is known at one moment.
@@ -47,11 +46,8 @@
     /// `has_ended` tells whether a backend server has ended, so that its flows can be. One whose entry is
     /// gone has not if it may return and either showed life shortly before, or shared a cut with this balancer.
     ///
-    /// Its time does not run while the store is away, which it could not return to: in a simulation of 2,000 series of
-    /// faults, three ended flows that had been answered within 1.5 s.
-    ///
-    /// After a cut of one zone in three for 5 s this keeps 40 to 60 requests a second from being lost in the
-    /// second that it takes until the entries are back.
+    /// Its time does not run while the store is away, which it could not return to. After a cut this keeps the flows in the zone
+    /// that was cut off until the entries are back.
     pub(in crate::steering) fn has_ended(&self, instance: InstanceId) -> bool {
         let entry = self.knowledge.directory.get(instance);
 
@@ -148,9 +144,6 @@
     /// Whether nothing speaks for or against the life of a backend server: its entry cannot return now, since the store is
     /// away, or this balancer started too late to see whether it was silent before the lapse. A flow that has just come from
     /// another balancer goes on with its first packet; the first copy of it that its caller sends shows the end, 200 ms later.
-    ///
-    /// Without the second case one of 20,000 simulated series of faults ended a flow that had been answered 1.5 s before: its
-    /// balancer had started 0.7 s before the entries of a zone lapsed that was cut off.
     fn is_open_question(&self, entry: &BackendEntry, alive_from: Instant) -> bool {
         let is_unseen = !self.health.shows_anything_since(entry.instance, alive_from);
         let knowledge = self.knowledge;
--- a/crates/valvestage-policy/src/steering/peers/answer_queue.rs
+++ b/crates/valvestage-policy/src/steering/peers/answer_queue.rs
@@ -106,8 +106,8 @@
 
     /// `pop` gives the next question to answer; none while the link is busy.
     ///
-    /// One that has some chunks already goes before one that has none: it is done sooner, and tells others. Where all had the
-    /// same turns, ninety that asked four at once were done at the same late moment, 1.6 s after the first ones.
+    /// One that has some chunks already goes before one that has none: it is done sooner, and can tell others. If all had the same
+    /// turns, all would be done at the same late moment.
     pub(in crate::steering) fn pop(
         &mut self,
         now: Instant,
--- a/crates/valvestage-policy/src/steering/peers/backend_walk.rs
+++ b/crates/valvestage-policy/src/steering/peers/backend_walk.rs
@@ -20,7 +20,7 @@
 /// later. The longest that was seen took under 1 s.
 const WALK_LIFE: Duration = Duration::from_secs(10);
 
-/// Time between two comparisons with others that believe in other backend servers. At the size to design for one takes 120 KB.
+/// Time between two comparisons with others that believe in other backend servers: each tells all that there are.
 const COMPARE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// `WalkNews` is what a part brought.
--- a/crates/valvestage-policy/src/steering/peers/peer_message.rs
+++ b/crates/valvestage-policy/src/steering/peers/peer_message.rs
@@ -100,8 +100,8 @@
 
 impl PeerHeartbeat {
     /// `grow_older` takes in that it waited to be read, for so long at most: confirmations of the store that it tells of are older
-    /// by that. Told on as fresh by one that had stood still for 2 s, they kept a whole deployment from noticing that nobody was answered any
-    /// more. How long ago an outage was stays: to take it for a later one does no harm.
+    /// by that. Told on as fresh, they would keep all others from noticing that nobody is answered any more. How long ago an
+    /// outage was stays: to take it for a later one does no harm.
     pub fn grow_older(&mut self, waited: Duration) {
         let waited_ms = u32::try_from(waited.as_millis()).unwrap_or(u32::MAX);
 
