Balancers with entries that are missing compare once the time of these is over

Balancers that miss entries were left out of comparisons, as these may return. One that missed an entry and stopped following the store has nobody who ends that time for it: others conclude the end at a revision that it knows already. Its complete_until equals theirs, its digest differs from theirs for ten seconds.

Change: the exception ends when the time of a missing entry is over.

--- a/crates/valvestage-policy/src/steering/peers/peer_exchange.rs
+++ b/crates/valvestage-policy/src/steering/peers/peer_exchange.rs
@@ -109,8 +109,10 @@
         now: Instant,
     ) -> Option<PeerMessage> {
         let directory = &knowledge.directory;
+        // Those that are missing may return, until their time is over.
+        let awaits_missing = directory.has_missing() && !directory.has_overdue(now);
         let knows_the_same = directory.is_complete()
-            && !directory.has_missing()
+            && !awaits_missing
             && heartbeat.complete_until == directory.complete_until();
         if !knows_the_same || heartbeat.living == directory.living_digest() {
             return None;
--- a/crates/valvestage-policy/tests/simulation/seeds/stale_beliefs.rs
+++ b/crates/valvestage-policy/tests/simulation/seeds/stale_beliefs.rs
@@ -17,3 +17,11 @@
 fn a_backend_server_that_ended_in_a_cut_is_not_believed_in_for_good() {
     assert_hold(&[2_014_712, 2_016_408]);
 }
+
+/// An entry is missing at a balancer that follows the store, which then leaves that to others. They conclude its end at the revision
+/// that it knows already, and it did not compare itself with them while it missed an entry, also when the time of that was over.
+/// `BackendMissing` is its last line about the entry; heartbeats have the same `complete_until` and another digest for ten seconds.
+#[test]
+fn one_that_stopped_following_does_not_believe_in_a_missing_entry_for_good() {
+    assert_hold(&[27_783, 20_702]);
+}
