Read the store's era, and log changes of it and histories that are gone

Each answer now carries a position (era, revision); followers note store_era and history_gone. The stand-in store names its era, can be restored from an older copy, and answers a watch from a revision that it does not have with 410 (it waited before, which the users' platform does not).

No decision is changed: followers still go by the bare revision.

--- a/crates/valvestage-core/src/ids.rs
+++ b/crates/valvestage-core/src/ids.rs
@@ -48,5 +48,8 @@
 /// Token of 32 bits that names the backend server of a flow; 0 is none.
 pub type ShortToken = u32;
 
-/// Revision of the platform's store; grows with each change of any object.
+/// Revision of the platform's store; grows with each change of any object within one era of the store.
 pub type StoreRevision = u64;
+
+/// How often the platform's store was restored from an older copy, as it counts; revisions are given out again in each era.
+pub type StoreEra = u64;
--- a/crates/valvestage-core/src/lib.rs
+++ b/crates/valvestage-core/src/lib.rs
@@ -7,6 +7,7 @@
 //! | [`configuration`] | the deployment configuration and its checks |
 //! | [`packets`] | packet kinds, request attributes, load reports |
 //! | [`reasons`] | refusal and retry reasons, request outcomes |
+//! | [`store_position`] | positions in the history of the platform's store |
 //! | [`settings`] | TOML settings of the binaries |
 //! | [`errors`] | the error type of this crate |
 
@@ -16,9 +17,11 @@
 pub mod packets;
 pub mod reasons;
 pub mod settings;
+pub mod store_position;
 pub mod time;
 
 pub use configuration::{Backend, BackendState, Configuration, RawConfiguration, Service};
 pub use errors::CoreError;
 pub use packets::{LoadReport, PacketKind, RequestClass, Segment};
 pub use reasons::{Outcome, RefusalReason, RetryReason};
+pub use store_position::StorePosition;
--- a/crates/valvestage-entry/src/decision_lines.rs
+++ b/crates/valvestage-entry/src/decision_lines.rs
@@ -110,6 +110,8 @@
         Decision::BackendMissing { .. } => "backend_missing",
         Decision::WatchRole { .. } => "watch_role",
         Decision::StoreLink { .. } => "store_link",
+        Decision::StoreEra { .. } => "store_era",
+        Decision::HistoryGone { .. } => "history_gone",
         Decision::PeerFound { .. } => "peer_found",
         Decision::PeerLost { .. } => "peer_lost",
         Decision::Certainty { .. } => "certainty",
@@ -253,6 +255,16 @@
             line.put("kind", format!("{kind:?}"));
             line.put("answers", *answers);
         }
+        Decision::StoreEra { kind, former, position } => {
+            line.put("kind", format!("{kind:?}"));
+            line.put("former_era", *former);
+            line.put("era", position.era);
+            line.put("revision", position.revision);
+        }
+        Decision::HistoryGone { kind, revision } => {
+            line.put("kind", format!("{kind:?}"));
+            line.put("revision", *revision);
+        }
         Decision::PeerFound { peer } | Decision::PeerLost { peer } => line.put_text("peer", peer),
         Decision::Certainty { is_certain, version } => {
             line.put("certain", *is_certain);
--- a/crates/valvestage-policy/src/steering/decision.rs
+++ b/crates/valvestage-policy/src/steering/decision.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
+use valvestage_core::StorePosition;
 use valvestage_core::ids::{
-    ConfigurationVersion, InstanceId, ServiceName, ShortToken, StoreRevision, ZoneName,
+    ConfigurationVersion, InstanceId, ServiceName, ShortToken, StoreEra, StoreRevision, ZoneName,
 };
 
 use crate::steering::health::outcome_count::OutcomeCount;
@@ -162,6 +163,22 @@
         /// Whether it answers.
         answers: bool,
     },
+    /// The store answers from another era than before: it was restored from an older copy.
+    StoreEra {
+        /// For which kind of objects.
+        kind: StoreKind,
+        /// The era of the answer before.
+        former: StoreEra,
+        /// Where the store stands now.
+        position: StorePosition,
+    },
+    /// The store does not have the history that a watch asked for.
+    HistoryGone {
+        /// For which kind of objects.
+        kind: StoreKind,
+        /// The revision that the watch was to go on from.
+        revision: StoreRevision,
+    },
     /// Another balancer was heard for the first time.
     PeerFound {
         /// Its address.
--- a/crates/valvestage-policy/src/steering/keeper/knowledge_keeper.rs
+++ b/crates/valvestage-policy/src/steering/keeper/knowledge_keeper.rs
@@ -370,6 +370,9 @@
 
     fn note_link(&mut self, kind: StoreKind, was_failing: bool) {
         let is_failing = self.store.is_kind_failing(kind);
+        for decision in self.store.take_decisions() {
+            self.news.note(decision);
+        }
 
         if was_failing != is_failing {
             self.news.note(Decision::StoreLink { kind, answers: !is_failing });
--- a/crates/valvestage-policy/src/steering/store/evacuation_follower.rs
+++ b/crates/valvestage-policy/src/steering/store/evacuation_follower.rs
@@ -8,6 +8,7 @@
 use super::store_follower::{
     Completeness, FollowerNews, StoreCall, StoreFollower, StoreKind, StoreReply,
 };
+use crate::steering::decision::Decision;
 use crate::steering::knowledge::evacuated_zones::{EvacuatedZones, EvacuationReport};
 
 /// `EvacuationNews` is what the store says of the evacuation of one zone.
@@ -48,6 +49,11 @@
         self.follower.is_failing()
     }
 
+    /// Returns what was noticed of the store since the last call.
+    pub fn take_decisions(&mut self) -> Vec<Decision> {
+        self.follower.take_decisions()
+    }
+
     /// `next_call` gives the call to make now; none while one is under way or a pause lasts. What others have told is gone
     /// on from, which saves the list of each one that begins to follow.
     pub fn next_call(&mut self, known: &EvacuatedZones, now: Instant) -> Option<StoreCall> {
--- a/crates/valvestage-policy/src/steering/store/store_follower.rs
+++ b/crates/valvestage-policy/src/steering/store/store_follower.rs
@@ -6,7 +6,10 @@
 
 use std::time::{Duration, Instant};
 
-use valvestage_core::ids::StoreRevision;
+use valvestage_core::StorePosition;
+use valvestage_core::ids::{StoreEra, StoreRevision};
+
+use crate::steering::decision::Decision;
 
 /// Longest time from an answer to the end of the next watch. A watch that is cut off without a word shows it
 /// only by its end, and a configuration has to be in force 3 s after its acknowledgement.
@@ -73,15 +76,15 @@
         objects: Vec<T>,
         /// Name of the last object, if a further page follows it.
         next_after: Option<String>,
-        /// The store's revision.
-        revision: StoreRevision,
+        /// The store's position when the page was read.
+        position: StorePosition,
     },
     /// Changes, in order; possibly none.
     Changes {
         /// The changed objects.
         objects: Vec<T>,
-        /// The revision to go on from.
-        revision: StoreRevision,
+        /// The position to go on from.
+        position: StorePosition,
     },
     /// The history that the watch asked for is gone.
     HistoryGone,
@@ -128,6 +131,7 @@
 /// `StoreFollower` decides the next call for one kind of objects.
 #[derive(Debug)]
 pub struct StoreFollower {
+    kind: StoreKind,
     phase: Phase,
     /// Whether a call is under way; there is one at most.
     calling: bool,
@@ -142,6 +146,10 @@
     /// How old lists may be.
     freshness: ListFreshness,
     last_answer: Option<Instant>,
+    /// The era of the last answer; none before the first one.
+    era: Option<StoreEra>,
+    /// What was noticed since it was last taken.
+    decisions: Vec<Decision>,
 }
 
 impl StoreFollower {
@@ -154,6 +162,7 @@
         };
 
         Self {
+            kind,
             phase: Phase::Listing { after: None, revision: None },
             calling: false,
             pause,
@@ -163,9 +172,16 @@
             needs_list: false,
             freshness: ListFreshness::Current,
             last_answer: None,
+            era: None,
+            decisions: Vec::new(),
         }
     }
 
+    /// Returns what was noticed of the store since the last call.
+    pub fn take_decisions(&mut self) -> Vec<Decision> {
+        std::mem::take(&mut self.decisions)
+    }
+
     /// `allow_cached_lists` lets lists be some seconds old, where a watch from their revision on brings what has changed
     /// meanwhile before it is needed. Where that history is gone, the next list is a current one.
     pub fn allow_cached_lists(&mut self) {
@@ -251,17 +267,20 @@
     pub fn on_reply<T>(&mut self, reply: StoreReply<T>, now: Instant) -> FollowerNews<T> {
         self.calling = false;
         let (objects, completes) = match reply {
-            StoreReply::Page { objects, next_after, revision } => {
+            StoreReply::Page { objects, next_after, position } => {
                 self.on_success(now);
-                (objects, self.on_page(next_after, revision))
+                self.note_era(position);
+                (objects, self.on_page(next_after, position.revision))
             }
-            StoreReply::Changes { objects, revision } => {
+            StoreReply::Changes { objects, position } => {
                 self.on_success(now);
+                self.note_era(position);
                 self.not_before = (!objects.is_empty()).then_some(now + self.pause);
-                (objects, self.on_changes(revision))
+                (objects, self.on_changes(position.revision))
             }
             StoreReply::HistoryGone => {
                 self.on_success(now);
+                self.note_history_gone();
                 self.restart_list();
                 self.needs_list = true;
                 self.freshness = ListFreshness::Current;
@@ -276,6 +295,20 @@
         FollowerNews { objects, completes }
     }
 
+    fn note_era(&mut self, position: StorePosition) {
+        let former = self.era.replace(position.era);
+
+        if let Some(former) = former.filter(|era| *era != position.era) {
+            self.decisions.push(Decision::StoreEra { kind: self.kind, former, position });
+        }
+    }
+
+    fn note_history_gone(&mut self) {
+        if let Phase::Watching { revision } = self.phase {
+            self.decisions.push(Decision::HistoryGone { kind: self.kind, revision });
+        }
+    }
+
     fn on_failure(&mut self, now: Instant) {
         let pause = FIRST_PAUSE.saturating_mul(1 << self.failures.min(3));
 
--- a/crates/valvestage-policy/src/steering/store/store_link.rs
+++ b/crates/valvestage-policy/src/steering/store/store_link.rs
@@ -9,6 +9,7 @@
 use super::store_follower::{
     Completeness, FollowerNews, StoreCall, StoreFollower, StoreKind, StoreReply,
 };
+use crate::steering::decision::Decision;
 use crate::steering::knowledge::Knowledge;
 use crate::steering::knowledge::backend_entry::BackendEntry;
 use crate::steering::knowledge::backend_name::BackendName;
@@ -93,6 +94,14 @@
             || evacuations.is_some_and(EvacuationFollower::is_failing)
     }
 
+    /// Returns what was noticed of the store since the last call.
+    pub fn take_decisions(&mut self) -> Vec<Decision> {
+        let mut decisions = self.routes.take_decisions();
+        decisions.extend(self.backends.take_decisions());
+        decisions.extend(self.evacuations.iter_mut().flat_map(EvacuationFollower::take_decisions));
+        decisions
+    }
+
     /// `answered_at` gives when the store last answered for routes and backend servers, for the kind that it answered longer ago.
     /// With a third kind in it others would be told of an answer more often than each 1.5 s, and each by four messages.
     #[must_use]
--- a/crates/valvestage-policy/tests/simulation/store.rs
+++ b/crates/valvestage-policy/tests/simulation/store.rs
@@ -2,7 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use valvestage_core::ids::InstanceId;
+use valvestage_core::StorePosition;
+use valvestage_core::ids::{InstanceId, StoreEra};
 use valvestage_policy::steering::{
     BackendEntry, BackendNews, BackendPhase, EntryChange, EvacuationNews, RouteMap, StoreCall,
     StoreKind, StoreReply,
@@ -60,6 +61,8 @@
 
 /// `FakeStore` keeps the configuration and the entries of backend servers, with their history.
 pub struct FakeStore {
+    /// How often it was restored from an older copy.
+    pub era: StoreEra,
     pub revision: u64,
     pub routes: RouteMap,
     pub entries: BTreeMap<InstanceId, BackendEntry>,
@@ -87,6 +90,7 @@
 impl Default for FakeStore {
     fn default() -> Self {
         Self {
+            era: 0,
             revision: 0,
             routes: RouteMap::default(),
             entries: BTreeMap::new(),
@@ -213,6 +217,7 @@
     /// The answer to a call, if there is something to say.
     pub fn answer(&self, kind: StoreKind, call: &StoreCall, is_over: bool) -> Option<StoreAnswer> {
         let revision = self.revision;
+        let position = StorePosition::new(self.era, revision);
         let after = match call {
             StoreCall::List { .. } => None,
             StoreCall::Watch { revision, .. } => Some(*revision),
@@ -221,7 +226,7 @@
             (StoreKind::Configuration, None) => {
                 let has_any = self.routes.version > 0;
                 let objects = has_any.then(|| self.routes.clone()).into_iter().collect();
-                StoreAnswer::Routes(StoreReply::Page { objects, next_after: None, revision })
+                StoreAnswer::Routes(StoreReply::Page { objects, next_after: None, position })
             }
             (StoreKind::Configuration, Some(after)) if after < self.forgotten => {
                 StoreAnswer::Routes(StoreReply::HistoryGone)
@@ -232,7 +237,7 @@
                 if objects.is_empty() && !is_over {
                     return None;
                 }
-                StoreAnswer::Routes(StoreReply::Changes { objects, revision })
+                StoreAnswer::Routes(StoreReply::Changes { objects, position })
             }
             (StoreKind::Backends, None) => {
                 let objects = self.entries.values().map(|entry| BackendNews {
@@ -244,13 +249,13 @@
                     },
                 });
                 let objects = objects.collect();
-                StoreAnswer::Backends(StoreReply::Page { objects, next_after: None, revision })
+                StoreAnswer::Backends(StoreReply::Page { objects, next_after: None, position })
             }
             (StoreKind::Evacuations, None) => {
                 let shown = self.evacuated.iter().filter(|_| !self.hides_evacuations).cloned();
                 let objects = shown.map(|zone| EvacuationNews { zone, revision, is_asked: true });
                 let objects = objects.collect();
-                StoreAnswer::Evacuations(StoreReply::Page { objects, next_after: None, revision })
+                StoreAnswer::Evacuations(StoreReply::Page { objects, next_after: None, position })
             }
             (StoreKind::Evacuations, Some(after)) if after < self.forgotten => {
                 StoreAnswer::Evacuations(StoreReply::HistoryGone)
@@ -261,7 +266,7 @@
                 if objects.is_empty() && !is_over {
                     return None;
                 }
-                StoreAnswer::Evacuations(StoreReply::Changes { objects, revision })
+                StoreAnswer::Evacuations(StoreReply::Changes { objects, position })
             }
             (StoreKind::Backends, Some(after)) if after < self.forgotten => {
                 StoreAnswer::Backends(StoreReply::HistoryGone)
@@ -272,7 +277,7 @@
                 if objects.is_empty() && !is_over {
                     return None;
                 }
-                StoreAnswer::Backends(StoreReply::Changes { objects, revision })
+                StoreAnswer::Backends(StoreReply::Changes { objects, position })
             }
         })
     }
--- a/crates/valvestage-policy/tests/simulation/world/knowledge.rs
+++ b/crates/valvestage-policy/tests/simulation/world/knowledge.rs
@@ -214,8 +214,8 @@
         let misses = self.mutation == Some(Mutation::MissRoutes) && self.now > 4_000;
 
         self.step(balancer, |policy| match answer {
-            StoreAnswer::Routes(StoreReply::Changes { revision, .. }) if misses => {
-                let nothing = StoreReply::Changes { objects: Vec::new(), revision };
+            StoreAnswer::Routes(StoreReply::Changes { position, .. }) if misses => {
+                let nothing = StoreReply::Changes { objects: Vec::new(), position };
                 policy.on_routes_reply(nothing, now)
             }
             StoreAnswer::Routes(reply) => policy.on_routes_reply(reply, now),
--- a/crates/valvestage-policy/tests/steering/deployment.rs
+++ b/crates/valvestage-policy/tests/steering/deployment.rs
@@ -9,7 +9,7 @@
     KeeperAction, PeerMessage, RouteMap, SteeringOptions, StoreCall, StoreKind, StoreReply,
 };
 
-use crate::fixtures::{address, millis, name_of};
+use crate::fixtures::{address, at, millis, name_of};
 use crate::links::{LinkLimits, LinkTable};
 
 /// Time of a datagram, or of an answer of the store.
@@ -92,7 +92,11 @@
             StoreCall::List { .. } => {
                 let zones = self.evacuated.iter().cloned();
                 let objects = zones.map(|zone| EvacuationNews { zone, revision, is_asked: true });
-                StoreReply::Page { objects: objects.collect(), next_after: None, revision }
+                StoreReply::Page {
+                    objects: objects.collect(),
+                    next_after: None,
+                    position: at(revision),
+                }
             }
             StoreCall::Watch { revision, .. } if *revision < self.forgotten => {
                 StoreReply::HistoryGone
@@ -103,7 +107,7 @@
                 if objects.is_empty() {
                     return None;
                 }
-                StoreReply::Changes { objects, revision }
+                StoreReply::Changes { objects, position: at(revision) }
             }
         })
     }
@@ -113,7 +117,7 @@
             StoreCall::List { .. } => StoreReply::Page {
                 objects: self.routes.iter().cloned().collect(),
                 next_after: None,
-                revision: self.revision,
+                position: at(self.revision),
             },
             StoreCall::Watch { revision, .. } if *revision < self.forgotten => {
                 StoreReply::HistoryGone
@@ -125,7 +129,7 @@
                     return None;
                 }
                 let until = self.watched_until.unwrap_or(u64::MAX);
-                StoreReply::Changes { objects, revision: self.revision.min(until) }
+                StoreReply::Changes { objects, position: at(self.revision.min(until)) }
             }
         })
     }
@@ -141,7 +145,7 @@
                 StoreReply::Page {
                     objects: objects.collect(),
                     next_after: None,
-                    revision: self.revision,
+                    position: at(self.revision),
                 }
             }
             StoreCall::Watch { revision, .. } if *revision < self.forgotten => {
@@ -154,7 +158,7 @@
                     return None;
                 }
                 let until = self.watched_until.unwrap_or(u64::MAX);
-                StoreReply::Changes { objects, revision: self.revision.min(until) }
+                StoreReply::Changes { objects, position: at(self.revision.min(until)) }
             }
         })
     }
@@ -387,17 +391,17 @@
             }
             (StoreKind::Evacuations, Some(revision)) => {
                 let reply = self.store.answer_evacuations(&call.call);
-                let nothing = StoreReply::Changes { objects: Vec::new(), revision };
+                let nothing = StoreReply::Changes { objects: Vec::new(), position: at(revision) };
                 policy.on_evacuations_reply(reply.unwrap_or(nothing), self.now)
             }
             (StoreKind::Configuration, Some(revision)) => {
                 let reply = self.store.answer_routes(&call.call);
-                let nothing = StoreReply::Changes { objects: Vec::new(), revision };
+                let nothing = StoreReply::Changes { objects: Vec::new(), position: at(revision) };
                 policy.on_routes_reply(reply.unwrap_or(nothing), self.now)
             }
             (StoreKind::Backends, Some(revision)) => {
                 let reply = self.store.answer_backends(&call.call);
-                let nothing = StoreReply::Changes { objects: Vec::new(), revision };
+                let nothing = StoreReply::Changes { objects: Vec::new(), position: at(revision) };
                 policy.on_backends_reply(reply.unwrap_or(nothing), self.now)
             }
         };
--- a/crates/valvestage-policy/tests/steering/fixtures.rs
+++ b/crates/valvestage-policy/tests/steering/fixtures.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use quickcheck::{Gen, QuickCheck};
+use valvestage_core::StorePosition;
 use valvestage_policy::steering::{
     BackendEntry, BackendName, BackendPhase, CallerPacket, FlowAddresses, Knowledge, RouteMap,
     RouteTarget,
@@ -19,6 +20,11 @@
     Duration::from_millis(count)
 }
 
+/// A position in the first era of the store.
+pub fn at(revision: u64) -> StorePosition {
+    StorePosition::new(0, revision)
+}
+
 pub fn address(last: u8, port: u16) -> SocketAddrV4 {
     SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, last), port)
 }
--- a/crates/valvestage-policy/tests/steering/follower.rs
+++ b/crates/valvestage-policy/tests/steering/follower.rs
@@ -2,19 +2,22 @@
 
 use std::time::Instant;
 
+use valvestage_core::StorePosition;
 use valvestage_policy::steering::store::store_follower::{Completeness, FollowerNews, WATCH_WAIT};
-use valvestage_policy::steering::{ListFreshness, StoreCall, StoreFollower, StoreKind, StoreReply};
+use valvestage_policy::steering::{
+    Decision, ListFreshness, StoreCall, StoreFollower, StoreKind, StoreReply,
+};
 
-use crate::fixtures::{millis, start};
+use crate::fixtures::{at, millis, start};
 
 fn page(objects: &[u32], next: Option<&str>, revision: u64) -> StoreReply<u32> {
     let next_after = next.map(str::to_owned);
 
-    StoreReply::Page { objects: objects.to_vec(), next_after, revision }
+    StoreReply::Page { objects: objects.to_vec(), next_after, position: at(revision) }
 }
 
 fn changes(objects: &[u32], revision: u64) -> StoreReply<u32> {
-    StoreReply::Changes { objects: objects.to_vec(), revision }
+    StoreReply::Changes { objects: objects.to_vec(), position: at(revision) }
 }
 
 fn watched_revision(call: Option<StoreCall>) -> Option<u64> {
@@ -178,3 +181,22 @@
 
     assert!(follower.next_call(0, now + millis(110)).is_some());
 }
+
+#[test]
+fn another_era_of_the_store_and_a_history_that_is_gone_are_told() {
+    let (mut follower, now) = (StoreFollower::new(StoreKind::Backends), start());
+    follower.next_call(0, now);
+    follower.on_reply(page(&[], None, 26), now);
+    assert!(follower.take_decisions().is_empty());
+
+    follower.next_call(0, now);
+    follower.on_reply(StoreReply::<u32>::HistoryGone, now);
+    let gone = Decision::HistoryGone { kind: StoreKind::Backends, revision: 26 };
+    assert_eq!(follower.take_decisions(), [gone]);
+
+    follower.next_call(0, now);
+    let position = StorePosition::new(1, 22);
+    follower.on_reply::<u32>(StoreReply::Page { objects: vec![], next_after: None, position }, now);
+    let era = Decision::StoreEra { kind: StoreKind::Backends, former: 0, position };
+    assert_eq!(follower.take_decisions(), [era]);
+}
--- a/crates/valvestage-policy/tests/steering/pauses.rs
+++ b/crates/valvestage-policy/tests/steering/pauses.rs
@@ -9,7 +9,7 @@
 };
 
 use crate::fixtures::{
-    HOME, address, backend, data, flow, millis, name_of, opening, routes, start,
+    HOME, address, at, backend, data, flow, millis, name_of, opening, routes, start,
 };
 
 /// The backend server with requests under way.
@@ -124,7 +124,7 @@
 }
 
 fn page<T>(objects: Vec<T>) -> StoreReply<T> {
-    StoreReply::Page { objects, next_after: None, revision: 10 }
+    StoreReply::Page { objects, next_after: None, position: at(10) }
 }
 
 #[test]
@@ -183,7 +183,7 @@
     balancer.answer_at(SERVER, 1..=5, millis(40));
     balancer.turn_after(millis(100));
     let lapsed = BackendNews { name: name_of(SERVER), revision: 11, change: EntryChange::Deleted };
-    let news = StoreReply::Changes { objects: vec![lapsed], revision: 11 };
+    let news = StoreReply::Changes { objects: vec![lapsed], position: at(11) };
     balancer.policy.on_backends_reply(news, balancer.now);
 
     // The store may have been away meanwhile: others tell of it a moment after this one has woken.
--- a/crates/valvestage-policy/tests/steering/successors.rs
+++ b/crates/valvestage-policy/tests/steering/successors.rs
@@ -8,7 +8,7 @@
     PacketVerdict, ResetReason, SteeringOptions, SteeringPolicy, StoreLink, StoreReply,
 };
 
-use crate::fixtures::{HOME, backend, data, flow, knowledge, millis, name_of, opening, start};
+use crate::fixtures::{HOME, at, backend, data, flow, knowledge, millis, name_of, opening, start};
 
 /// The backend server whose address is given to another one.
 const FORMER: u64 = 1;
@@ -137,7 +137,7 @@
         revision: 2_500,
         change: EntryChange::Deleted,
     };
-    let reply = StoreReply::Changes { objects: vec![news(FORMER), news(2)], revision: 2_500 };
+    let reply = StoreReply::Changes { objects: vec![news(FORMER), news(2)], position: at(2_500) };
     let changed = link.on_backends_reply(&mut known, reply, now + millis(500));
     assert_eq!(changed, [FORMER, 2]);
     let former = known.directory.get(FORMER).unwrap();
--- a/crates/valvestage-standins/src/platform/server.rs
+++ b/crates/valvestage-standins/src/platform/server.rs
@@ -5,7 +5,10 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use actix_web::dev::Server;
+use actix_web::body::MessageBody;
+use actix_web::dev::{Server, ServiceRequest, ServiceResponse};
+use actix_web::http::header::HeaderName;
+use actix_web::middleware::{Next, from_fn};
 use actix_web::web::{Data, Json, JsonConfig, Path, PayloadConfig, Query, delete, get, post, put};
 use actix_web::{App, HttpResponse, HttpServer};
 use serde::Deserialize;
@@ -80,6 +83,16 @@
         self.inner.written.notify_waiters();
     }
 
+    /// Goes back to what there was so many changes ago, in the next era of the store.
+    pub fn restore(&self, lost_changes: u64) {
+        let mut store = self.store();
+        let revision = store.revision().saturating_sub(lost_changes);
+        store.restore(revision);
+        drop(store);
+
+        self.inner.written.notify_waiters();
+    }
+
     /// `misbehave` sets the faults.
     pub fn misbehave(&self, faults: Faults) {
         *self.faults() = faults;
@@ -128,6 +141,7 @@
 
     let server = HttpServer::new(move || {
         App::new()
+            .wrap(from_fn(name_era))
             .app_data(data.clone())
             .app_data(PayloadConfig::new(2 * MAX_VALUE_BYTES))
             .app_data(JsonConfig::default().limit(2 * MAX_VALUE_BYTES))
@@ -145,6 +159,21 @@
     Ok((address, server))
 }
 
+/// Says in each answer how often the store was restored.
+async fn name_era(
+    request: ServiceRequest,
+    next: Next<impl MessageBody>,
+) -> Result<ServiceResponse<impl MessageBody>, actix_web::Error> {
+    let standin = request.app_data::<Data<PlatformStandin>>().cloned();
+    let mut response = next.call(request).await?;
+
+    if let Some(standin) = standin {
+        let era = standin.store().era();
+        response.headers_mut().insert(HeaderName::from_static("store-era"), era.into());
+    }
+    Ok(response)
+}
+
 #[derive(Deserialize)]
 struct ListQuery {
     after: Option<String>,
--- a/crates/valvestage-standins/src/platform/store.rs
+++ b/crates/valvestage-standins/src/platform/store.rs
@@ -4,7 +4,7 @@
 use std::ops::Bound;
 
 use serde_json::Value;
-use valvestage_core::ids::StoreRevision;
+use valvestage_core::ids::{StoreEra, StoreRevision};
 use valvestage_platform::messages::{ListPage, ObjectMeta, WatchPage, WireEvent, WireObject};
 
 /// `WriteRefusal` says why nothing was written.
@@ -19,9 +19,11 @@
 /// `ObjectStore` holds objects; each change of any object raises the revision.
 #[derive(Debug, Default)]
 pub struct ObjectStore {
+    /// How often it was restored from an older copy.
+    era: StoreEra,
     revision: StoreRevision,
     objects: BTreeMap<(String, String), WireObject>,
-    /// Changes in order, with their kinds.
+    /// All changes in order, with their kinds; those that are forgotten are not shown.
     history: Vec<(StoreRevision, String, WireEvent)>,
     /// Changes up to this revision are forgotten.
     forgotten: StoreRevision,
@@ -107,7 +109,7 @@
     /// are forgotten.
     #[must_use]
     pub fn changes(&self, kind: &str, after: StoreRevision, lag: u64) -> Option<WatchPage> {
-        if after < self.forgotten {
+        if after < self.forgotten || after > self.revision {
             return None;
         }
 
@@ -119,9 +121,39 @@
         Some(WatchPage { events: events.collect(), revision: until.max(after) })
     }
 
-    /// `forget_history` drops all changes so far.
+    /// Returns how often the store was restored from an older copy.
+    #[must_use]
+    pub fn era(&self) -> StoreEra {
+        self.era
+    }
+
+    /// Returns the revision of the last change.
+    #[must_use]
+    pub fn revision(&self) -> StoreRevision {
+        self.revision
+    }
+
+    /// Goes back to what there was at a revision, with its history, as a store that is restored from a copy. Revisions after it
+    /// are given out again, in the next era.
+    pub fn restore(&mut self, revision: StoreRevision) {
+        let revision = revision.clamp(self.forgotten, self.revision);
+
+        self.era += 1;
+        self.revision = revision;
+        self.history.retain(|(at, _, _)| *at <= revision);
+        self.objects.clear();
+        for (_, kind, event) in &self.history {
+            let key = (kind.clone(), event.object.meta.name.clone());
+            if event.deleted {
+                self.objects.remove(&key);
+            } else {
+                self.objects.insert(key, event.object.clone());
+            }
+        }
+    }
+
+    /// Forgets all changes so far.
     pub fn forget_history(&mut self) {
         self.forgotten = self.revision;
-        self.history.clear();
     }
 }
