--- a/crates/valvestage-policy/tests/simulation/backends.rs
+++ b/crates/valvestage-policy/tests/simulation/backends.rs
@@ -46,6 +46,8 @@
     pub silent_until: Millis,
     /// When it said that it leaves.
     pub drains_since: Option<Millis>,
+    /// When the store took that, unless it lost it.
+    pub drain_stored_at: Option<Millis>,
     pub flows: BTreeMap<FlowNumber, HeldFlow>,
     /// Until when it bears little, if it has started during traffic.
     pub cold_until: Option<Millis>,
@@ -72,6 +74,7 @@
             has_ended: false,
             silent_until: 0,
             drains_since: None,
+            drain_stored_at: None,
             flows: BTreeMap::new(),
             cold_until: None,
             cold_openings: Vec::new(),
--- a/crates/valvestage-policy/tests/simulation/events.rs
+++ b/crates/valvestage-policy/tests/simulation/events.rs
@@ -45,6 +45,8 @@
     StoreScan,
     /// Routers ask balancers whether they are ready; oracles look at them.
     Probe,
+    /// The operator writes again what the store has lost.
+    OperatorWrites,
     /// A fault begins.
     FaultBegins(usize),
     /// It ends.
--- a/crates/valvestage-policy/tests/simulation/fault.rs
+++ b/crates/valvestage-policy/tests/simulation/fault.rs
@@ -18,6 +18,13 @@
 const LARGE_GROWTH: usize = 4_300;
 const GROWTH_LATER_MS: usize = 900;
 
+/// The longest that a store is away which is restored.
+const LONGEST_AWAY_MS: usize = 2_500;
+
+/// Other faults begin from so long before a restore on, over so long a time.
+const BEFORE_RESTORE_MS: Millis = 3_000;
+const NEAR_RESTORE_MS: usize = 8_000;
+
 /// What happens. Numbers choose a balancer, zone or backend server among those that there are.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FaultKind {
@@ -51,6 +58,8 @@
     StoreLapse,
     /// The store forgets its history.
     StoreForgets,
+    /// The store is away, and comes back from an older copy. What its callers wrote since is written again.
+    StoreRestored(RestoreDepth),
     /// A share of the store's answers is lost.
     StoreLoses,
     /// A backend server says nothing.
@@ -71,6 +80,15 @@
     ColdReturn(usize),
 }
 
+/// How much a store has lost that was restored.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RestoreDepth {
+    /// The last changes.
+    Changes(u64),
+    /// The changes of the last milliseconds.
+    Age(Millis),
+}
+
 /// Seeds from here on have starts under the same name and entries of other writers besides.
 pub const REBIRTH_SEEDS: u64 = 1_000_000;
 
@@ -83,6 +101,9 @@
 /// Seeds from here on have calls that fall silent just before the configuration grows to nearly all that the store takes.
 pub const GROWTH_SEEDS: u64 = 4_000_000;
 
+/// Seeds from here on have stores that are restored from an older copy, and other faults near them.
+pub const RESTORE_SEEDS: u64 = 5_000_000;
+
 /// Which faults a seed draws from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FaultSeries {
@@ -96,6 +117,8 @@
     Cuts,
     /// Silent calls and a growth of the configuration, and few others.
     Growths,
+    /// Restored stores, and faults of all kinds near them.
+    Restores,
 }
 
 impl FaultSeries {
@@ -105,7 +128,8 @@
             REBIRTH_SEEDS..PLACES_SEEDS => Self::Rebirths,
             PLACES_SEEDS..CUT_SEEDS => Self::Places,
             CUT_SEEDS..GROWTH_SEEDS => Self::Cuts,
-            GROWTH_SEEDS.. => Self::Growths,
+            GROWTH_SEEDS..RESTORE_SEEDS => Self::Growths,
+            RESTORE_SEEDS.. => Self::Restores,
         }
     }
 }
@@ -135,6 +159,7 @@
             FaultSeries::Places => draw_with_places(&mut draw),
             FaultSeries::Cuts => draw_cuts(&mut draw),
             FaultSeries::Growths => draw_growth(&mut draw),
+            FaultSeries::Restores => draw_restores(&mut draw),
         };
         faults.sort_by_key(|fault| fault.at);
         Self { faults }
@@ -197,6 +222,42 @@
     faults
 }
 
+/// One restored store or two, with most other faults shortly before and after the first one.
+fn draw_restores(draw: &mut SeededDraw) -> Vec<Fault> {
+    let restores = 1 + draw.below(2);
+    let others = 1 + draw.below(6);
+
+    let mut faults: Vec<_> = (0..restores).map(|_| draw_restore(draw)).collect();
+    let center = faults[0].at;
+    for _ in 0..others {
+        let which = draw.below(1_000);
+        let mut fault = match draw.below(8) {
+            0 | 1 => timed(FaultKind::BackendReplaced(which), draw),
+            2 => draw_rebirth(draw),
+            3 => draw_place(draw),
+            _ => draw_fault(draw),
+        };
+        if draw.below(4) > 0 {
+            let later = u64::try_from(draw.below(NEAR_RESTORE_MS)).expect("it fits");
+            let at = (center + later).saturating_sub(BEFORE_RESTORE_MS);
+            fault.at = at.clamp(FIRST_AT, LAST_AT);
+        }
+        faults.push(fault);
+    }
+    faults
+}
+
+fn draw_restore(draw: &mut SeededDraw) -> Fault {
+    let depth = if draw.below(2) == 0 {
+        RestoreDepth::Changes(1 + u64::try_from(draw.below(6)).expect("few"))
+    } else {
+        RestoreDepth::Age(500 + u64::try_from(draw.below(5_500)).expect("it fits"))
+    };
+    let away_ms = u64::try_from(draw.below(LONGEST_AWAY_MS)).expect("it fits");
+
+    Fault { for_ms: away_ms, ..timed(FaultKind::StoreRestored(depth), draw) }
+}
+
 fn draw_fault(draw: &mut SeededDraw) -> Fault {
     let which = draw.below(1_000);
     let kind = match draw.below(20) {
--- a/crates/valvestage-policy/tests/simulation/main.rs
+++ b/crates/valvestage-policy/tests/simulation/main.rs
@@ -42,7 +42,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 
-use fault::{CUT_SEEDS, FaultPlan, GROWTH_SEEDS, PLACES_SEEDS, REBIRTH_SEEDS};
+use fault::{CUT_SEEDS, FaultPlan, GROWTH_SEEDS, PLACES_SEEDS, REBIRTH_SEEDS, RESTORE_SEEDS};
 use mutation::Mutation;
 use oracles::{Oracle, Violation};
 use world::World;
@@ -153,6 +153,13 @@
 }
 
 fn report(failed: &[(u64, Vec<Violation>)]) {
+    for oracle in Oracle::ALL {
+        let violates = |violations: &[Violation]| violations.iter().any(|v| v.oracle == oracle);
+        let seeds = failed.iter().filter(|(_, violations)| violates(violations)).count();
+        if seeds > 0 {
+            println!("{oracle:?}: {seeds} seeds");
+        }
+    }
     for (seed, violations) in failed.iter().take(8) {
         println!("seed {seed}: {} violations, the first {:?}", violations.len(), violations[0]);
         println!("  by {:?}", shrink(*seed));
@@ -199,6 +206,14 @@
     assert!(failed.is_empty(), "{} of {SEEDS} seeds", failed.len());
 }
 
+#[test]
+fn no_seed_with_a_restored_store_violates_anything() {
+    let failed = play_all(RESTORE_SEEDS, SEEDS);
+
+    report(&failed);
+    assert!(failed.is_empty(), "{} of {SEEDS} seeds", failed.len());
+}
+
 #[test]
 fn seeds_that_ever_failed_hold() {
     for (seed, cause) in KNOWN {
--- a/crates/valvestage-policy/tests/simulation/store.rs
+++ b/crates/valvestage-policy/tests/simulation/store.rs
@@ -73,6 +73,8 @@
     pub evacuated: BTreeSet<String>,
     evacuation_changes: Vec<EvacuationNews>,
     forgotten: u64,
+    /// When each revision was given out.
+    changed_at: Vec<(u64, Millis)>,
     pub mode: StoreMode,
     /// Whether one answer in three is lost.
     pub loses: bool,
@@ -100,6 +102,7 @@
             evacuated: BTreeSet::new(),
             evacuation_changes: Vec::new(),
             forgotten: 0,
+            changed_at: Vec::new(),
             mode: StoreMode::Answers,
             loses: false,
             calls: Vec::new(),
@@ -183,6 +186,67 @@
         self.entry_changes.push(BackendNews { name, revision, change: EntryChange::Deleted });
     }
 
+    /// Keeps when the last revision was given out.
+    pub fn note_time(&mut self, now: Millis) {
+        if self.changed_at.last().is_none_or(|(revision, _)| *revision < self.revision) {
+            self.changed_at.push((self.revision, now));
+        }
+    }
+
+    /// The last revision before a time.
+    pub fn revision_at(&self, time: Millis) -> u64 {
+        let before = self.changed_at.iter().rev().find(|(_, at)| *at <= time);
+
+        before.map_or(0, |(revision, _)| *revision)
+    }
+
+    /// Goes back to what there was at a revision, in the next era. Lapses that were counted before are not.
+    pub fn restore(&mut self, revision: u64) {
+        self.era += 1;
+        self.revision = revision;
+        self.forgotten = self.forgotten.min(revision);
+        self.changed_at.retain(|(at, _)| *at <= revision);
+        self.route_changes.retain(|(at, _)| *at <= revision);
+        self.entry_changes.retain(|news| news.revision <= revision);
+        self.evacuation_changes.retain(|news| news.revision <= revision);
+
+        let routes = self.route_changes.last();
+        self.routes = routes.map(|(_, routes)| routes.clone()).unwrap_or_default();
+        self.evacuated.clear();
+        for news in &self.evacuation_changes {
+            if news.is_asked {
+                self.evacuated.insert(news.zone.clone());
+            } else {
+                self.evacuated.remove(&news.zone);
+            }
+        }
+        self.entries.clear();
+        for news in self.entry_changes.clone() {
+            self.replay(news);
+        }
+    }
+
+    /// Takes a change of an entry in that was there before.
+    fn replay(&mut self, news: BackendNews) {
+        let former = self.entries.values().find(|entry| entry.name == news.name).cloned();
+        self.entries.retain(|_, entry| entry.name != news.name);
+
+        let entry = match news.change {
+            EntryChange::Written(entry) => entry,
+            EntryChange::Unusable => {
+                let Some(former) = former else { return };
+                BackendEntry { phase: BackendPhase::Unusable, revision: news.revision, ..former }
+            }
+            EntryChange::Deleted => return,
+        };
+        self.entries.insert(entry.instance, entry);
+    }
+
+    /// Whether changes after a revision cannot be told.
+    fn lacks(&self, after: u64) -> bool {
+        after < self.forgotten || after > self.revision
+    }
+
     pub fn forget_history(&mut self) {
         self.forgotten = self.revision;
     }
@@ -228,7 +292,7 @@
                 let objects = has_any.then(|| self.routes.clone()).into_iter().collect();
                 StoreAnswer::Routes(StoreReply::Page { objects, next_after: None, position })
             }
-            (StoreKind::Configuration, Some(after)) if after < self.forgotten => {
+            (StoreKind::Configuration, Some(after)) if self.lacks(after) => {
                 StoreAnswer::Routes(StoreReply::HistoryGone)
             }
             (StoreKind::Configuration, Some(after)) => {
@@ -257,7 +321,7 @@
                 let objects = objects.collect();
                 StoreAnswer::Evacuations(StoreReply::Page { objects, next_after: None, position })
             }
-            (StoreKind::Evacuations, Some(after)) if after < self.forgotten => {
+            (StoreKind::Evacuations, Some(after)) if self.lacks(after) => {
                 StoreAnswer::Evacuations(StoreReply::HistoryGone)
             }
             (StoreKind::Evacuations, Some(after)) => {
@@ -268,7 +332,7 @@
                 }
                 StoreAnswer::Evacuations(StoreReply::Changes { objects, position })
             }
-            (StoreKind::Backends, Some(after)) if after < self.forgotten => {
+            (StoreKind::Backends, Some(after)) if self.lacks(after) => {
                 StoreAnswer::Backends(StoreReply::HistoryGone)
             }
             (StoreKind::Backends, Some(after)) => {
--- a/crates/valvestage-policy/tests/simulation/world.rs
+++ b/crates/valvestage-policy/tests/simulation/world.rs
@@ -75,6 +75,10 @@
     allowed: BTreeSet<(SocketAddrV4, usize)>,
     /// Versions and when they were acknowledged.
     acknowledged: Vec<(u64, Millis)>,
+    /// The newest configuration that the operator has written, also where the store has lost it.
+    newest_routes: RouteMap,
+    /// Which zones the operator wants to be evacuated.
+    wants_evacuated: Vec<bool>,
     mutation: Option<Mutation>,
     violations: Vec<Violation>,
     late_calls: usize,
@@ -86,7 +90,7 @@
     pub fn new(seed: u64, faults: FaultPlan, mutation: Option<Mutation>) -> Self {
         let mut draw = SeededDraw::new(seed);
         let mut plan = SitePlan::draw(&mut draw);
-        if FaultSeries::of(seed) == FaultSeries::Places {
+        if matches!(FaultSeries::of(seed), FaultSeries::Places | FaultSeries::Restores) {
             plan.add_places(&mut draw);
         }
         let slow = Some(SLOW_LINK).filter(|_| plan.has_slow_links);
@@ -114,6 +118,8 @@
             dropped_at: BTreeMap::new(),
             allowed: BTreeSet::new(),
             acknowledged: Vec::new(),
+            newest_routes: RouteMap::default(),
+            wants_evacuated: vec![false; plan.zones],
             mutation,
             violations: Vec::new(),
             late_calls: 0,
@@ -188,6 +194,7 @@
             Event::CallerStart(caller) => self.open_flow(caller),
             Event::StoreScan => self.scan_store(),
             Event::Probe => self.probe(),
+            Event::OperatorWrites => self.write_again(),
             Event::FaultBegins(number) => self.begin_fault(number),
             Event::FaultEnds(number) => self.end_fault(number),
         }
@@ -206,7 +213,7 @@
 
     /// The operator writes what it wants.
     fn configure(&mut self) {
-        let version = self.store.routes.version + 1 + self.draw.next_number() % 3;
+        let version = self.newest_routes.version + 1 + self.draw.next_number() % 3;
         let routes = self.wanted.iter().map(|(address, service)| {
             let service = SERVICES[*service].to_owned();
             (*address, vec![RouteTarget { service, weight: 1 }])
@@ -221,6 +228,7 @@
             }),
             ..Default::default()
         };
+        self.newest_routes = map.clone();
         self.store.put_routes(map);
         self.acknowledged.push((version, self.now));
         self.allowed.extend(self.wanted.iter().map(|(address, service)| (*address, *service)));
--- a/crates/valvestage-policy/tests/simulation/world/checks.rs
+++ b/crates/valvestage-policy/tests/simulation/world/checks.rs
@@ -86,7 +86,7 @@
         sent_at: Millis,
     ) {
         let backend = &self.backends[&instance];
-        let Some(since) = backend.drains_since else { return };
+        let Some(since) = backend.drain_stored_at else { return };
         let service = backend.service;
         let takes_flows = |other: &&crate::backends::Backend| {
             other.service == service && !other.has_ended && other.drains_since.is_none()
--- a/crates/valvestage-policy/tests/simulation/world/faults.rs
+++ b/crates/valvestage-policy/tests/simulation/world/faults.rs
@@ -3,11 +3,12 @@
 use std::net::SocketAddrV4;
 
 use valvestage_core::ids::InstanceId;
+use valvestage_policy::steering::BackendPhase;
 
 use super::{ADDRESSES, World};
 use crate::backends::{Backend, LEAVES_AFTER, next_birth};
 use crate::events::{Event, Millis};
-use crate::fault::{Fault, FaultKind};
+use crate::fault::{Fault, FaultKind, RestoreDepth};
 use crate::oracles::Oracle;
 use crate::site::{SitePlan, ZONES, service_address};
 use crate::store::{MAX_ROUTES, StoreMode};
@@ -19,6 +20,10 @@
 /// Time in which all balancers are restarted one after the other.
 const ROLL_MS: Millis = 4_000;
 
+/// After a restore the operator writes again within this time; backend servers within this and the time between two writes.
+const OPERATOR_WRITES_WITHIN: usize = 2_000;
+const BACKENDS_WRITE_WITHIN: usize = 1_200;
+
 /// An address is not given to another backend server before this.
 const REUSE_AFTER: Millis = 2_000;
 
@@ -124,6 +129,7 @@
                 self.store.forget_history();
                 self.store_disturbed_at = self.store_disturbed_at.max(self.now);
             }
+            FaultKind::StoreRestored(_) => self.disturb_store(StoreMode::Refuses, until),
             FaultKind::StoreLoses => {
                 self.store.loses = true;
                 self.store_disturbed_at = self.store_disturbed_at.max(until);
@@ -189,6 +195,7 @@
                 self.store.mode = StoreMode::Answers;
                 self.lapses = false;
             }
+            FaultKind::StoreRestored(depth) => self.restore_store(number, depth),
             FaultKind::StoreLoses => self.store.loses = false,
             FaultKind::BackendReplaced(_) => self.end_drained(),
             FaultKind::AddressReused(_) => self.reuse_addresses(),
@@ -236,6 +243,7 @@
     /// The operator asks for an evacuation, if the store takes it.
     fn evacuate(&mut self, zone: usize) {
         if self.store.mode == StoreMode::Answers && self.plan.places.is_some() {
+            self.wants_evacuated[zone] = true;
             self.store.evacuate(ZONES[zone], true);
             self.evacuated_since[zone].get_or_insert(self.now);
         }
@@ -244,6 +252,7 @@
     /// The operator takes a zone back, as soon as the store takes that.
     fn take_back(&mut self, fault: usize, zone: usize) {
         if self.store.mode == StoreMode::Answers {
+            self.wants_evacuated[zone] = false;
             self.store.evacuate(ZONES[zone], false);
             self.evacuated_since[zone] = None;
         } else {
@@ -279,6 +288,66 @@
         }
     }
 
+    /// The store comes back from what it had when it went away, or some changes before.
+    fn restore_store(&mut self, fault: usize, depth: RestoreDepth) {
+        let revision = match depth {
+            RestoreDepth::Changes(count) => self.store.revision.saturating_sub(count),
+            RestoreDepth::Age(age) => {
+                let away_from = self.faults[fault].at;
+                self.store.revision_at(away_from.saturating_sub(age))
+            }
+        };
+        if self.trace.faults {
+            println!("{} ms: restored {} to {revision}", self.now, self.store.revision);
+        }
+
+        self.store.restore(revision);
+        self.store.mode = StoreMode::Answers;
+        self.store_disturbed_at = self.store_disturbed_at.max(self.now);
+        self.forget_lost_words();
+        let later = u64::try_from(self.draw.below(OPERATOR_WRITES_WITHIN)).expect("it fits");
+        self.queue.add(self.now + later, Event::OperatorWrites);
+    }
+
+    /// Promises count from when the store has something again that it lost, and silence from its return.
+    fn forget_lost_words(&mut self) {
+        let version = self.store.routes.version;
+        self.acknowledged.retain(|(acknowledged, _)| *acknowledged <= version);
+        for (zone, since) in self.evacuated_since.iter_mut().enumerate() {
+            *since = since.filter(|_| self.store.evacuated.contains(ZONES[zone]));
+        }
+
+        for backend in self.backends.values_mut() {
+            let later = u64::try_from(self.draw.below(BACKENDS_WRITE_WITHIN)).expect("it fits");
+            backend.last_beat = if backend.has_ended { self.now } else { self.now + later };
+            let kept = self.store.entries.get(&backend.instance);
+            backend.born_at = backend.born_at.filter(|_| kept.is_some());
+            let drains = kept.is_some_and(|entry| entry.phase == BackendPhase::Draining);
+            backend.drain_stored_at = backend.drain_stored_at.filter(|_| drains);
+        }
+    }
+
+    /// The operator writes its newest configuration again, and what it wants of zones, where the store has something else.
+    pub(super) fn write_again(&mut self) {
+        if self.store.mode != StoreMode::Answers {
+            self.queue.add(self.now + 200, Event::OperatorWrites);
+            return;
+        }
+
+        if self.newest_routes.version > self.store.routes.version {
+            let routes = self.newest_routes.clone();
+            self.acknowledged.push((routes.version, self.now));
+            self.store.put_routes(routes);
+        }
+        for (zone, name) in ZONES.iter().enumerate().take(self.plan.zones) {
+            let is_wanted = self.wants_evacuated[zone];
+            if self.store.evacuated.contains(*name) != is_wanted {
+                self.store.evacuate(name, is_wanted);
+                self.evacuated_since[zone] = is_wanted.then_some(self.now);
+            }
+        }
+    }
+
     fn disturb_store(&mut self, mode: StoreMode, until: Millis) {
         self.store.mode = mode;
         self.store_disturbed_at = self.store_disturbed_at.max(until);
@@ -317,6 +386,7 @@
         let now = self.now;
         let backend = self.backends.get_mut(&instance).expect("it is there");
         backend.drains_since = Some(now);
+        backend.drain_stored_at = Some(now);
         let entry = backend.entry(self.base);
         self.store.put_entry(entry, self.now);
     }
--- a/crates/valvestage-policy/tests/simulation/world/knowledge.rs
+++ b/crates/valvestage-policy/tests/simulation/world/knowledge.rs
@@ -1,8 +1,6 @@
 //! Balancers, each other and the store.
 
-use valvestage_policy::steering::{
-    BackendPhase, EntryPolicy, KeeperAction, PeerMessage, StoreReply,
-};
+use valvestage_policy::steering::{EntryPolicy, KeeperAction, PeerMessage, StoreReply};
 
 use super::{END_AT, LATE_AT, NEAR_MS, SCAN_EVERY, World};
 use crate::backends::{BEAT_MS, LAPSE_MS};
@@ -155,6 +153,7 @@
             self.queue.add(self.now + SCAN_EVERY, Event::StoreScan);
         }
 
+        self.store.note_time(self.now);
         self.step_entries();
         for call in std::mem::take(&mut self.store.calls) {
             if let Some(call) = self.answer_call(call) {
@@ -237,9 +236,12 @@
                 if lives && reaches {
                     backend.last_beat = self.now;
                     let known = self.store.entries.get(&instance);
-                    if known.is_none_or(|entry| entry.phase == BackendPhase::Unusable) {
+                    let entry = backend.entry(self.base);
+                    if known.is_none_or(|known| known.phase != entry.phase) {
                         backend.born_at.get_or_insert(self.now);
-                        let entry = backend.entry(self.base);
+                        if backend.drains_since.is_some() {
+                            backend.drain_stored_at.get_or_insert(self.now);
+                        }
                         self.store.put_entry(entry, self.now);
                     }
                 } else if is_away && !self.lapses {
--- a/crates/valvestage-policy/tests/steering/deployment.rs
+++ b/crates/valvestage-policy/tests/steering/deployment.rs
@@ -4,12 +4,13 @@
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
+use valvestage_core::StorePosition;
 use valvestage_policy::steering::{
     BackendEntry, BackendNews, EntryChange, EntryOptions, EntryPolicy, EvacuationNews,
     KeeperAction, PeerMessage, RouteMap, SteeringOptions, StoreCall, StoreKind, StoreReply,
 };
 
-use crate::fixtures::{address, at, millis, name_of};
+use crate::fixtures::{address, millis, name_of};
 use crate::links::{LinkLimits, LinkTable};
 
 /// Time of a datagram, or of an answer of the store.
@@ -27,6 +28,8 @@
 /// The store, as far as these tests need it.
 #[derive(Default)]
 pub struct FakeStore {
+    /// How often it was restored from an older copy.
+    era: u64,
     pub revision: u64,
     pub routes: Option<RouteMap>,
     pub backends: BTreeMap<u64, BackendEntry>,
@@ -66,6 +69,41 @@
         self.history.push((self.revision, StoreKind::Backends, None, Some(news)));
     }
 
+    /// Goes back to what there was some changes before, in the next era.
+    pub fn restore(&mut self, lost_changes: u64) {
+        self.era += 1;
+        self.revision -= lost_changes;
+        self.history.retain(|(at, ..)| *at <= self.revision);
+        self.evacuations.retain(|news| news.revision <= self.revision);
+
+        self.routes = self.history.iter().rev().find_map(|(_, _, routes, _)| routes.clone());
+        self.backends.clear();
+        for news in self.history.iter().filter_map(|(_, _, _, news)| news.as_ref()) {
+            self.backends.retain(|_, entry| entry.name != news.name);
+            if let EntryChange::Written(entry) = &news.change {
+                self.backends.insert(entry.instance, entry.clone());
+            }
+        }
+        self.evacuated.clear();
+        for news in &self.evacuations {
+            if news.is_asked {
+                self.evacuated.insert(news.zone.clone());
+            } else {
+                self.evacuated.remove(&news.zone);
+            }
+        }
+    }
+
+    /// Where it stands at a revision.
+    fn position(&self, revision: u64) -> StorePosition {
+        StorePosition::new(self.era, revision)
+    }
+
+    /// Whether changes after a revision cannot be told.
+    fn lacks(&self, after: u64) -> bool {
+        after < self.forgotten || after > self.revision
+    }
+
     /// The operator evacuates a zone, or takes it back.
     pub fn evacuate(&mut self, zone: &str, is_asked: bool) {
         self.revision += 1;
@@ -95,19 +133,17 @@
                 StoreReply::Page {
                     objects: objects.collect(),
                     next_after: None,
-                    position: at(revision),
+                    position: self.position(revision),
                 }
             }
-            StoreCall::Watch { revision, .. } if *revision < self.forgotten => {
-                StoreReply::HistoryGone
-            }
+            StoreCall::Watch { revision, .. } if self.lacks(*revision) => StoreReply::HistoryGone,
             StoreCall::Watch { revision: after, .. } => {
                 let news = self.evacuations.iter().filter(|news| news.revision > *after);
                 let objects: Vec<_> = news.cloned().collect();
                 if objects.is_empty() {
                     return None;
                 }
-                StoreReply::Changes { objects, position: at(revision) }
+                StoreReply::Changes { objects, position: self.position(revision) }
             }
         })
     }
@@ -117,11 +153,9 @@
             StoreCall::List { .. } => StoreReply::Page {
                 objects: self.routes.iter().cloned().collect(),
                 next_after: None,
-                position: at(self.revision),
+                position: self.position(self.revision),
             },
-            StoreCall::Watch { revision, .. } if *revision < self.forgotten => {
-                StoreReply::HistoryGone
-            }
+            StoreCall::Watch { revision, .. } if self.lacks(*revision) => StoreReply::HistoryGone,
             StoreCall::Watch { revision, .. } => {
                 let news = self.news(*revision, StoreKind::Configuration);
                 let objects: Vec<_> = news.filter_map(|(_, _, routes, _)| routes.clone()).collect();
@@ -129,7 +163,7 @@
                     return None;
                 }
                 let until = self.watched_until.unwrap_or(u64::MAX);
-                StoreReply::Changes { objects, position: at(self.revision.min(until)) }
+                StoreReply::Changes { objects, position: self.position(self.revision.min(until)) }
             }
         })
     }
@@ -145,12 +179,10 @@
                 StoreReply::Page {
                     objects: objects.collect(),
                     next_after: None,
-                    position: at(self.revision),
+                    position: self.position(self.revision),
                 }
             }
-            StoreCall::Watch { revision, .. } if *revision < self.forgotten => {
-                StoreReply::HistoryGone
-            }
+            StoreCall::Watch { revision, .. } if self.lacks(*revision) => StoreReply::HistoryGone,
             StoreCall::Watch { revision, .. } => {
                 let news = self.news(*revision, StoreKind::Backends);
                 let objects: Vec<_> = news.filter_map(|(_, _, _, news)| news.clone()).collect();
@@ -158,7 +190,7 @@
                     return None;
                 }
                 let until = self.watched_until.unwrap_or(u64::MAX);
-                StoreReply::Changes { objects, position: at(self.revision.min(until)) }
+                StoreReply::Changes { objects, position: self.position(self.revision.min(until)) }
             }
         })
     }
@@ -373,15 +405,15 @@
         };
 
         if has_answer || is_over {
-            self.reply(call, Some(revision));
+            self.reply(call, Some(self.store.position(revision)));
         }
         has_answer || is_over
     }
 
-    fn reply(&mut self, call: &OpenCall, revision: Option<u64>) {
+    fn reply(&mut self, call: &OpenCall, position: Option<StorePosition>) {
         let Some(policy) = &mut self.nodes[call.node] else { return };
 
-        let actions = match (call.kind, revision) {
+        let actions = match (call.kind, position) {
             (StoreKind::Configuration, None) => {
                 policy.on_routes_reply(StoreReply::Failed, self.now)
             }
@@ -389,19 +421,19 @@
             (StoreKind::Evacuations, None) => {
                 policy.on_evacuations_reply(StoreReply::Failed, self.now)
             }
-            (StoreKind::Evacuations, Some(revision)) => {
+            (StoreKind::Evacuations, Some(position)) => {
                 let reply = self.store.answer_evacuations(&call.call);
-                let nothing = StoreReply::Changes { objects: Vec::new(), position: at(revision) };
+                let nothing = StoreReply::Changes { objects: Vec::new(), position };
                 policy.on_evacuations_reply(reply.unwrap_or(nothing), self.now)
             }
-            (StoreKind::Configuration, Some(revision)) => {
+            (StoreKind::Configuration, Some(position)) => {
                 let reply = self.store.answer_routes(&call.call);
-                let nothing = StoreReply::Changes { objects: Vec::new(), position: at(revision) };
+                let nothing = StoreReply::Changes { objects: Vec::new(), position };
                 policy.on_routes_reply(reply.unwrap_or(nothing), self.now)
             }
-            (StoreKind::Backends, Some(revision)) => {
+            (StoreKind::Backends, Some(position)) => {
                 let reply = self.store.answer_backends(&call.call);
-                let nothing = StoreReply::Changes { objects: Vec::new(), position: at(revision) };
+                let nothing = StoreReply::Changes { objects: Vec::new(), position };
                 policy.on_backends_reply(reply.unwrap_or(nothing), self.now)
             }
         };
--- a/crates/valvestage-policy/tests/steering/main.rs
+++ b/crates/valvestage-policy/tests/steering/main.rs
@@ -27,6 +27,7 @@
 mod regions;
 mod requests;
 mod restarts;
+mod restored_store;
 mod silent_connections;
 mod slow_store;
 mod successors;
--- /dev/null
+++ b/crates/valvestage-policy/tests/steering/restored_store.rs
@@ -0,0 +1,292 @@
+//! Pattern: the store is away for a moment and comes back from a copy that is some seconds old, in its next era. Revisions that
+//! balancers know are given out again for other changes.
+//!
+//! What was seen: two requests reached a backend server 3.0 s after the store had taken that it leaves. What happened: the store was
+//! away for 2.6 s and came back without its last revisions. The balancers that follow it listed it anew and knew at once that the backend
+//! server leaves; the others did not hear of it until the store had given out as many revisions as before.
+//!
+//! Why: knowledge was compared by bare revisions. Everybody knew all changes up to 26, so a change of revision 23 was old
+//! news, and the followers went on from 26, which the store did not have: it refused, and they listed it again and again.
+//!
+//! What showed it: `backend_changed` with the revision 23 at two balancers, `asked` with `known_until` 26 at the six others just after, and
+//! 70 calls a second of each follower until the store had come to 26.
+
+use std::time::Duration;
+
+use valvestage_policy::steering::{BackendEntry, BackendPhase};
+
+use crate::deployment::Deployment;
+use crate::fixtures::{AWAY, HOME, backend, millis, routes};
+
+/// A leaving backend server gets no new flows after this time, and a configuration is in force.
+const KNOWN_WITHIN: Duration = Duration::from_secs(3);
+
+/// How long the store is away.
+const AWAY_FOR: Duration = Duration::from_millis(2_600);
+
+/// The newest configuration that balancers know.
+const VERSION: u64 = 30;
+
+fn draining(instance: u64) -> BackendEntry {
+    BackendEntry { phase: BackendPhase::Draining, ..backend(instance, "core", HOME) }
+}
+
+/// Balancers that know six backend servers, and after those four configurations.
+fn settled(count: usize) -> Deployment {
+    let mut deployment = Deployment::across_zones(count, 3);
+    deployment.store.put_routes(routes(3, &[(443, "core")]));
+    for instance in 1..=6 {
+        deployment.store.put_backend(backend(instance, "core", HOME));
+    }
+    deployment.run(millis(4_000));
+    assert!(deployment.nodes.iter().flatten().all(|node| node.is_ready()));
+
+    for version in VERSION - 3..=VERSION {
+        deployment.store.put_routes(routes(version, &[(443, "core")]));
+        deployment.run(millis(500));
+    }
+    deployment
+}
+
+/// The store goes away, and comes back without its last changes.
+fn restore(deployment: &mut Deployment, lost_changes: u64) {
+    deployment.store_down = true;
+    deployment.run(AWAY_FOR);
+    deployment.store.restore(lost_changes);
+    deployment.store_down = false;
+}
+
+fn phase_of(deployment: &Deployment, node: usize, instance: u64) -> Option<BackendPhase> {
+    let entry = deployment.node(node).knowledge().directory.get(instance);
+
+    entry.map(|entry| entry.phase)
+}
+
+fn is_draining_everywhere(deployment: &Deployment, instance: u64) -> bool {
+    let is_draining = |node| phase_of(deployment, node, instance) == Some(BackendPhase::Draining);
+
+    (0..deployment.nodes.len()).all(is_draining)
+}
+
+#[test]
+fn a_leaving_backend_server_is_known_everywhere_though_its_revision_was_given_out_before() {
+    let mut deployment = settled(8);
+
+    restore(&mut deployment, 4);
+    deployment.run(millis(4_200));
+    deployment.store.put_backend(draining(2));
+    let took = deployment.run_until(|now| is_draining_everywhere(now, 2));
+    assert!(took <= KNOWN_WITHIN, "{took:?}");
+}
+
+#[test]
+fn a_restored_store_is_called_no_more_often_than_after_another_outage() {
+    for count in [8, 90] {
+        let calls_after = |lost_changes: Option<u64>| {
+            let mut deployment = settled(count);
+            deployment.store_down = true;
+            deployment.run(AWAY_FOR);
+            if let Some(lost_changes) = lost_changes {
+                deployment.store.restore(lost_changes);
+            }
+            deployment.store_down = false;
+            let before = deployment.store.calls;
+            deployment.run(millis(5_000));
+            deployment.store.calls - before
+        };
+
+        let (ordinary, restored) = (calls_after(None), calls_after(Some(4)));
+        // One list more of each kind for each of two followers.
+        assert!(
+            restored <= ordinary + 4,
+            "{count} balancers: {restored} calls, {ordinary} after another outage"
+        );
+    }
+}
+
+#[test]
+fn a_backend_server_that_was_known_as_leaving_gets_nothing_because_of_an_old_copy() {
+    let mut deployment = settled(8);
+    deployment.store.put_backend(draining(2));
+    deployment.run_until(|now| is_draining_everywhere(now, 2));
+
+    // The copy shows it as ready, and it says only later that it leaves.
+    restore(&mut deployment, 1);
+    for _ in 0..150 {
+        deployment.run(millis(10));
+        assert!(is_draining_everywhere(&deployment, 2));
+    }
+    deployment.store.put_backend(draining(2));
+    deployment.run(millis(5_000));
+    assert!(is_draining_everywhere(&deployment, 2));
+}
+
+#[test]
+fn a_backend_server_that_has_left_is_not_believed_in_because_of_an_old_copy() {
+    let mut deployment = settled(8);
+    deployment.store.put_backend(draining(2));
+    deployment.run(millis(2_000));
+    deployment.store.delete_backend(2);
+    deployment.run(millis(2_000));
+
+    // The copy shows it as ready until its silence is noticed.
+    restore(&mut deployment, 2);
+    for _ in 0..230 {
+        deployment.run(millis(10));
+        for node in 0..8 {
+            let phase = phase_of(&deployment, node, 2);
+            assert!(matches!(phase, Some(BackendPhase::Gone { .. })), "balancer {node}: {phase:?}");
+        }
+    }
+    deployment.store.delete_backend(2);
+    deployment.run(millis(5_000));
+    assert!(
+        (0..8)
+            .all(|node| matches!(phase_of(&deployment, node, 2), Some(BackendPhase::Gone { .. })))
+    );
+}
+
+#[test]
+fn a_backend_server_that_an_old_copy_lacks_is_used_until_it_is_really_gone() {
+    let mut deployment = settled(8);
+    deployment.store.put_backend(backend(7, "core", AWAY));
+    deployment.run(millis(2_000));
+
+    restore(&mut deployment, 1);
+    for _ in 0..150 {
+        deployment.run(millis(10));
+        assert!((0..8).all(|node| phase_of(&deployment, node, 7) == Some(BackendPhase::Ready)));
+    }
+    deployment.store.put_backend(backend(7, "core", AWAY));
+    deployment.run(millis(6_000));
+    for node in 0..8 {
+        let entry = deployment.node(node).knowledge().directory.get(7);
+        assert!(entry.is_some_and(
+            |entry| entry.phase == BackendPhase::Ready && entry.missing_until.is_none()
+        ));
+    }
+
+    // The same, and it has ended.
+    restore(&mut deployment, 1);
+    deployment.run(millis(6_000));
+    assert!(
+        (0..8)
+            .all(|node| matches!(phase_of(&deployment, node, 7), Some(BackendPhase::Gone { .. })))
+    );
+}
+
+#[test]
+fn a_configuration_that_the_store_has_lost_stays_in_force_and_a_newer_one_comes_in_time() {
+    let mut deployment = settled(8);
+
+    restore(&mut deployment, 4);
+    for _ in 0..400 {
+        deployment.run(millis(10));
+        assert!(deployment.versions().iter().all(|version| *version == VERSION));
+    }
+    deployment.store.put_routes(routes(VERSION + 1, &[(443, "core")]));
+    let is_in_force = |now: &Deployment| now.versions().iter().all(|known| *known == VERSION + 1);
+    let took = deployment.run_until(is_in_force);
+    assert!(took <= KNOWN_WITHIN, "{took:?}");
+}
+
+/// The open watches begin again only when the store has given out more revisions than it had lost.
+#[test]
+fn a_store_that_has_overtaken_what_it_lost_is_listed_all_the_same() {
+    let mut deployment = settled(8);
+    deployment.silence_connections();
+
+    deployment.store.restore(4);
+    deployment.store.put_backend(draining(2));
+    for version in VERSION + 1..=VERSION + 6 {
+        deployment.store.put_routes(routes(version, &[(443, "core")]));
+    }
+    let took = deployment.run_until(|now| is_draining_everywhere(now, 2));
+    assert!(took <= KNOWN_WITHIN, "{took:?}");
+}
+
+/// Both lose what the former one gave out.
+#[test]
+fn a_store_that_is_restored_twice_is_followed_in_its_last_era() {
+    let mut deployment = settled(8);
+
+    restore(&mut deployment, 4);
+    deployment.run(millis(300));
+    deployment.store.put_routes(routes(VERSION, &[(443, "core")]));
+    deployment.run(millis(300));
+    restore(&mut deployment, 2);
+    deployment.run(millis(4_200));
+    deployment.store.put_backend(draining(2));
+    let took = deployment.run_until(|now| is_draining_everywhere(now, 2));
+    assert!(took <= KNOWN_WITHIN, "{took:?}");
+}
+
+/// It knows the new era only, and the others have not heard of it.
+#[test]
+fn one_that_starts_in_the_new_era_agrees_with_the_others() {
+    let mut deployment = settled(8);
+    deployment.store.put_backend(draining(2));
+    deployment.run(millis(1_000));
+
+    deployment.stop(5);
+    restore(&mut deployment, 1);
+    deployment.cut_from_peers = vec![5];
+    deployment.start(5);
+    deployment.run(millis(1_000));
+    deployment.cut_from_peers.clear();
+    deployment.run(millis(5_000));
+    assert!(is_draining_everywhere(&deployment, 2));
+}
+
+/// It hears of the new era 5 s later, and what it knows of the former one overwrites nothing.
+#[test]
+fn one_that_stood_still_while_the_store_was_restored_brings_nothing_back() {
+    let mut deployment = settled(8);
+    deployment.store.put_backend(backend(7, "core", AWAY));
+    deployment.run(millis(1_000));
+
+    deployment.paused = vec![5];
+    restore(&mut deployment, 1);
+    deployment.store.put_backend(draining(2));
+    deployment.run(millis(5_000));
+    deployment.paused.clear();
+    deployment.run(millis(5_000));
+    assert!(is_draining_everywhere(&deployment, 2));
+    assert!(
+        (0..8)
+            .all(|node| matches!(phase_of(&deployment, node, 7), Some(BackendPhase::Gone { .. })))
+    );
+}
+
+#[test]
+fn an_evacuation_that_an_old_copy_lacks_stays_until_the_operator_has_had_time_to_write_it_again() {
+    let mut deployment = Deployment::across_zones(8, 3);
+    deployment.has_evacuations = true;
+    for node in 0..8 {
+        deployment.start(node);
+    }
+    deployment.store.put_routes(routes(3, &[(443, "core")]));
+    deployment.store.put_backend(backend(1, "core", HOME));
+    deployment.run(millis(4_000));
+    deployment.store.evacuate(HOME, true);
+    deployment.run(millis(2_000));
+
+    restore(&mut deployment, 1);
+    for _ in 0..200 {
+        deployment.run(millis(10));
+        let holds = |node: usize| deployment.node(node).knowledge().evacuated.holds(HOME);
+        assert!((0..8).all(holds));
+    }
+    deployment.store.evacuate(HOME, true);
+    deployment.run(millis(6_000));
+    assert!((0..8).all(|node| deployment.node(node).knowledge().evacuated.zones().contains(HOME)));
+
+    // It was taken back, which the copy lacks until the operator says so again.
+    deployment.store.evacuate(HOME, false);
+    deployment.run(millis(6_000));
+    restore(&mut deployment, 1);
+    deployment.run(millis(2_000));
+    deployment.store.evacuate(HOME, false);
+    deployment.run(millis(6_000));
+    assert!((0..8).all(|node| !deployment.node(node).knowledge().evacuated.holds(HOME)));
+}
