--- a/crates/valvestage-entry/src/decision_lines.rs
+++ b/crates/valvestage-entry/src/decision_lines.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use serde_json::{Map, Value};
+use valvestage_core::StorePosition;
 use valvestage_policy::steering::knowledge::backend_name::{shown_birth, shown_digits};
 use valvestage_policy::steering::placement::backend_choice::ChoiceDoubt;
 use valvestage_policy::steering::{
@@ -169,6 +170,12 @@
         self.put_text("address", flow.service);
     }
 
+    /// Puts a revision under a key, and beside it the era of the store that it is of.
+    fn put_position(&mut self, key: &'static str, position: StorePosition) {
+        self.put(key, position.revision);
+        self.put("era", position.era);
+    }
+
     fn put_source(&mut self, source: NewsSource) {
         match source {
             NewsSource::Store => self.put("source", "store"),
@@ -229,17 +236,17 @@
             line.put("addresses", *addresses);
             line.put_source(*source);
         }
-        Decision::BackendChanged { instance, revision, service, phase, source } => {
+        Decision::BackendChanged { instance, position, service, phase, source } => {
             line.put_backend(*instance);
-            line.put("revision", *revision);
+            line.put_position("revision", *position);
             line.put("service", service.as_str());
             line.put("phase", phase_name(*phase));
             line.put_source(*source);
         }
-        Decision::Evacuation { zone, phase, revision, source, age } => {
+        Decision::Evacuation { zone, phase, position, source, age } => {
             line.put("zone", zone.as_str());
             line.put("phase", phase.name());
-            line.put("revision", *revision);
+            line.put_position("revision", *position);
             line.put_source(*source);
             if let Some(age) = age {
                 line.put_time("knowledge_age_ms", *age);
@@ -258,12 +265,11 @@
         Decision::StoreEra { kind, former, position } => {
             line.put("kind", format!("{kind:?}"));
             line.put("former_era", *former);
-            line.put("era", position.era);
-            line.put("revision", position.revision);
+            line.put_position("revision", *position);
         }
-        Decision::HistoryGone { kind, revision } => {
+        Decision::HistoryGone { kind, position } => {
             line.put("kind", format!("{kind:?}"));
-            line.put("revision", *revision);
+            line.put_position("revision", *position);
         }
         Decision::PeerFound { peer } | Decision::PeerLost { peer } => line.put_text("peer", peer),
         Decision::Certainty { is_certain, version } => {
@@ -273,7 +279,7 @@
         Decision::Asked { peer, version, known_until } => {
             line.put_text("peer", peer);
             line.put("version", *version);
-            line.put("known_until", *known_until);
+            line.put_position("known_until", *known_until);
         }
         Decision::Answered { peer, version, datagrams } => {
             line.put_text("peer", peer);
@@ -319,7 +325,7 @@
     line.put_flow(&dropped.flow);
     line.put("reason", dropped.reason.name());
     line.put("token", dropped.token);
-    line.put("known_until", dropped.known_until);
+    line.put_position("known_until", dropped.known_until);
     if let Some(instance) = dropped.instance {
         line.put_backend(instance);
     }
--- a/crates/valvestage-entry/tests/peer_codec.rs
+++ b/crates/valvestage-entry/tests/peer_codec.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use quickcheck::{Gen, QuickCheck};
+use valvestage_core::StorePosition;
 use valvestage_entry::peer_codec::{MAX_DATAGRAM_BYTES, decode, encode};
 use valvestage_policy::steering::health::backend_observer::BackendObserver;
 use valvestage_policy::steering::health::flow_request::EndedRequest;
@@ -22,6 +23,11 @@
 };
 
 /// The same draws on every run.
+/// A position in the first era of the store.
+fn at(revision: u64) -> StorePosition {
+    StorePosition::new(0, revision)
+}
+
 fn seeded() -> QuickCheck {
     QuickCheck::new().tests(3_000).rng(Gen::from_size_and_seed(300, 42))
 }
@@ -58,8 +64,12 @@
     let gone = BackendRecord { standing: lapsed, ..record.clone() };
     let changes = [record, gone];
     let name = BackendName { digest: u32::MAX, number: u64::MAX };
-    let changes =
-        changes.map(|record| BackendChange { name, birth: 0xff_ffff, revision: u64::MAX, record });
+    let changes = changes.map(|record| BackendChange {
+        name,
+        birth: 0xff_ffff,
+        position: at(u64::MAX),
+        record,
+    });
     let part = MessagePart { index: 0, count: 1 };
     let entry =
         ChunkEntry { regions: None, address: address(8), targets: vec![(0, 1), (9, u32::MAX)] };
@@ -76,13 +86,13 @@
         }),
         PeerMessage::ChunksPull(ChunksPull { digests: vec![[u8::MAX; 8]; 16] }),
         PeerMessage::RoutesChunk(chunk),
-        PeerMessage::BackendsPull(BackendsPull { after: u64::MAX, scope: WalkScope::Changes }),
+        PeerMessage::BackendsPull(BackendsPull { after: at(u64::MAX), scope: WalkScope::Changes }),
         PeerMessage::Backends(BackendsPart {
             part,
             scope: WalkScope::Everything,
-            after: 0,
+            after: at(0),
             told_until: None,
-            complete_until: u64::MAX,
+            complete_until: at(u64::MAX),
             names: vec!["core".to_owned()],
             changes: changes.to_vec(),
         }),
@@ -133,7 +143,7 @@
     BackendEntry {
         instance,
         name: BackendName { digest: u32::MAX, number: instance },
-        revision: instance,
+        position: at(instance),
         service: "core".to_owned(),
         address: address(9),
         zone: "zone-a".to_owned(),
@@ -178,8 +188,9 @@
         zone: watcher.zone.clone(),
         asks: true,
         version: u64::MAX,
-        complete_until: u64::MAX,
-        changed_at: u64::MAX,
+        complete_until: at(u64::MAX),
+        changed_at: at(u64::MAX),
+        era_head: at(u64::MAX),
         living: u64::MAX,
         age_ms: u32::MAX,
         outage_age_ms: u32::MAX,
@@ -188,7 +199,7 @@
         health,
         demands: Some(vec![ServiceDemand::new(u32::MAX, f64::MAX); 8]),
         evacuations: Some(EvacuationReport {
-            as_of: u64::MAX,
+            as_of: at(u64::MAX),
             zones: vec!["a-zone-with-a-long-name".to_owned(); 7],
         }),
         wanted: vec![u32::MAX; 8],
--- a/crates/valvestage-policy/src/steering/decision.rs
+++ b/crates/valvestage-policy/src/steering/decision.rs
@@ -5,7 +5,7 @@
 
 use valvestage_core::StorePosition;
 use valvestage_core::ids::{
-    ConfigurationVersion, InstanceId, ServiceName, ShortToken, StoreEra, StoreRevision, ZoneName,
+    ConfigurationVersion, InstanceId, ServiceName, ShortToken, StoreEra, ZoneName,
 };
 
 use crate::steering::health::outcome_count::OutcomeCount;
@@ -111,8 +111,8 @@
     BackendChanged {
         /// The backend server.
         instance: InstanceId,
-        /// The store's revision of the change.
-        revision: StoreRevision,
+        /// The store's position at the change.
+        position: StorePosition,
         /// The service that it runs.
         service: ServiceName,
         /// Where it stands now.
@@ -126,8 +126,8 @@
         zone: ZoneName,
         /// What happened to it.
         phase: EvacuationPhase,
-        /// The store's revision up to which this is known.
-        revision: StoreRevision,
+        /// The store's position up to which this is known.
+        position: StorePosition,
         /// Who told of it.
         source: NewsSource,
         /// How long ago the store confirmed what was known before.
@@ -176,8 +176,8 @@
     HistoryGone {
         /// For which kind of objects.
         kind: StoreKind,
-        /// The revision that the watch was to go on from.
-        revision: StoreRevision,
+        /// The position that the watch was to go on from.
+        position: StorePosition,
     },
     /// Another balancer was heard for the first time.
     PeerFound {
@@ -202,8 +202,8 @@
         peer: SocketAddrV4,
         /// Version of the configuration here.
         version: ConfigurationVersion,
-        /// Up to which revision every change of backend servers is known here; 0: all is asked for.
-        known_until: StoreRevision,
+        /// Up to which position every change of backend servers is known here; the start: all is asked for.
+        known_until: StorePosition,
     },
     /// An answer of several datagrams to another balancer.
     Answered {
@@ -265,8 +265,8 @@
     pub token: ShortToken,
     /// The backend server that the flow was known to have, if any.
     pub instance: Option<InstanceId>,
-    /// The store's revision up to which all backend servers were known.
-    pub known_until: StoreRevision,
+    /// The store's position up to which all backend servers were known.
+    pub known_until: StorePosition,
     /// How long ago the store confirmed what is known.
     pub age: Option<Duration>,
 }
--- a/crates/valvestage-policy/src/steering/keeper/keeper_exchange.rs
+++ b/crates/valvestage-policy/src/steering/keeper/keeper_exchange.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddrV4;
 use std::time::Instant;
 
+use valvestage_core::StorePosition;
+
 use super::keeper_action::KeeperAction;
 use super::keeper_news::KeeperNews;
 use crate::steering::decision::{Decision, NewsSource};
@@ -160,11 +162,13 @@
         missing_until: Option<Instant>,
         now: Instant,
     ) -> Vec<KeeperAction> {
+        let era = knowledge.directory.changed_at().era;
         let step = self.exchange.on_backends_part(knowledge, sender, part, missing_until, now);
+        let is_new_era = knowledge.directory.changed_at().era > era;
 
         // What came before the end is of no use to others yet: 60 that started before 1,500 backend servers sent each
         // other 309 messages each where each part was told of, and 107 with this.
-        self.has_untold |= !step.changed.is_empty();
+        self.has_untold |= is_new_era || !step.changed.is_empty();
         if step.is_end {
             knowledge.note_caught_up();
             news.tell_if(std::mem::take(&mut self.has_untold));
@@ -190,7 +194,7 @@
             news.note(Decision::Asked { peer, version: *version, known_until });
         }
         PeerMessage::BackendsPull(BackendsPull { scope: WalkScope::Everything, .. }) => {
-            news.note(Decision::Asked { peer, version, known_until: 0 });
+            news.note(Decision::Asked { peer, version, known_until: StorePosition::START });
         }
         _ => {}
     }
--- a/crates/valvestage-policy/src/steering/keeper/keeper_news.rs
+++ b/crates/valvestage-policy/src/steering/keeper/keeper_news.rs
@@ -76,7 +76,7 @@
             Some(_) => Decision::BackendMissing { instance },
             None => Decision::BackendChanged {
                 instance,
-                revision: entry.revision,
+                position: entry.position,
                 service: entry.service.clone(),
                 phase: entry.phase,
                 source,
@@ -105,7 +105,7 @@
         let age = knowledge.age(now);
         for (zone, phase) in begun.chain(ended) {
             let zone = zone.clone();
-            self.decisions.push(Decision::Evacuation { zone, phase, revision: as_of, source, age });
+            self.decisions.push(Decision::Evacuation { zone, phase, position: as_of, source, age });
         }
     }
 
--- a/crates/valvestage-policy/src/steering/keeper/knowledge_keeper.rs
+++ b/crates/valvestage-policy/src/steering/keeper/knowledge_keeper.rs
@@ -101,6 +101,7 @@
         now: Instant,
     ) -> Vec<KeeperAction> {
         self.postpone_missing(knowledge);
+        self.settle_contests(knowledge, now);
         self.news.note_suspects(&report.health.suspects);
         self.step_role(knowledge, now);
         let packets_wait = !report.wanted.is_empty()
@@ -167,6 +168,15 @@
         }
     }
 
+    /// Believes in backend servers that a restored store still shows once it has settled.
+    fn settle_contests(&mut self, knowledge: &mut Knowledge, now: Instant) {
+        let confirmed_at = knowledge.confirmed_at();
+
+        for instance in knowledge.directory.settle_contests(confirmed_at, now) {
+            self.news.note_backend(knowledge, instance, NewsSource::Store);
+        }
+    }
+
     /// Entries that are missing have time to return from the store's last failure on: it may have gone
     /// away again before it could take them back.
     fn postpone_missing(&self, knowledge: &mut Knowledge) {
@@ -225,6 +235,7 @@
             version: knowledge.routes.version,
             complete_until: knowledge.directory.complete_until(),
             changed_at: knowledge.directory.changed_at(),
+            era_head: knowledge.directory.era_head(),
             living: knowledge.directory.living_digest(),
             age_ms: knowledge.confirmed_at().map_or(u32::MAX, |at| millis_since(at, now)),
             outage_age_ms: outage.map_or(u32::MAX, |at| millis_since(at, now)),
@@ -275,13 +286,15 @@
             knowledge.contacts.on_heard(&heartbeat.zone, now);
         }
         self.store.on_told_failure(time_of_age(heartbeat.outage_age_ms, now));
+        self.store.enter_era(heartbeat.era_head.era, now);
+        knowledge.directory.note_listed(heartbeat.era_head, now);
         for peer in &heartbeat.peers {
             self.peers.on_told(*peer, now);
         }
         for sighting in &heartbeat.watchers {
             self.news.tell_if(self.role.on_sighting(sighting, now));
         }
-        let told_until = heartbeat.evacuations.as_ref().map_or(0, |report| report.as_of);
+        let knows_evacuations = heartbeat.evacuations.is_some();
         if let Some(report) = heartbeat.evacuations.clone() {
             self.news.take_evacuations(knowledge, report, NewsSource::Peer(sender), now);
         }
@@ -289,7 +302,7 @@
         let mut actions = Vec::new();
         let knows_less = heartbeat.version < knowledge.routes.version
             || heartbeat.complete_until < knowledge.directory.changed_at()
-            || told_until == 0 && knowledge.evacuated.is_known();
+            || !knows_evacuations && knowledge.evacuated.is_known();
         if heartbeat.asks && (is_new || knows_less) {
             // One that has just started, or woken, learns at once whom it can ask.
             let answer = self.heartbeat(knowledge, None, false, now);
@@ -387,12 +400,14 @@
         now: Instant,
     ) {
         let was_complete = knowledge.directory.is_complete();
+        let era = knowledge.directory.changed_at().era;
         let was_failing = self.store.is_kind_failing(StoreKind::Backends);
         let changed = self.store.on_backends_reply(knowledge, reply, now);
 
         self.note_link(StoreKind::Backends, was_failing);
         let is_complete_now = knowledge.directory.is_complete() != was_complete;
-        self.news.tell_if(is_complete_now || !changed.is_empty());
+        let is_new_era = knowledge.directory.changed_at().era > era;
+        self.news.tell_if(is_complete_now || is_new_era || !changed.is_empty());
         for instance in changed {
             self.news.note_backend(knowledge, instance, NewsSource::Store);
         }
--- a/crates/valvestage-policy/src/steering/knowledge.rs
+++ b/crates/valvestage-policy/src/steering/knowledge.rs
@@ -8,6 +8,7 @@
 //! | [`backend_entry`] | what is known of one backend server |
 //! | [`backend_directory`] | all backend servers, the gone ones among them |
 //! | `backend_births` | which of them follow each other, at one address and under one name |
+//! | `store_restores` | what stays known of them when the store is restored |
 //! | [`evacuated_zones`] | availability zones that the operator wants to be left alone |
 //! | [`zone_contacts`] | since when the other availability zones are heard |
 //! | `lapse` | which gone entries may return |
@@ -20,6 +21,7 @@
 pub mod evacuated_zones;
 pub(in crate::steering) mod lapse;
 pub mod route_map;
+mod store_restores;
 pub mod zone_contacts;
 
 use std::time::{Duration, Instant};
@@ -95,7 +97,7 @@
     /// `settle_at` takes in when entries have returned that lapsed before the store last failed to answer.
     pub fn settle_at(&mut self, at: Instant) {
         self.settles_at = self.settles_at.max(Some(at));
-        self.directory.postpone_missing(at);
+        self.directory.settle_at(at);
     }
 
     /// `is_settled` tells whether entries that could not return, since the store was away, have had the time for it.
--- a/crates/valvestage-policy/src/steering/knowledge/backend_births.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/backend_births.rs
@@ -3,7 +3,8 @@
 use std::collections::HashSet;
 use std::time::Instant;
 
-use valvestage_core::ids::{InstanceId, ServiceName, StoreRevision};
+use valvestage_core::StorePosition;
+use valvestage_core::ids::{InstanceId, ServiceName};
 
 use super::backend_directory::BackendDirectory;
 use super::backend_entry::{BackendEnd, BackendEntry, BackendPhase};
@@ -20,24 +21,27 @@
     ) -> Vec<InstanceId> {
         let is_predecessor = |other: &&BackendEntry| {
             other.address == entry.address
-                && other.revision <= entry.revision
+                && other.position <= entry.position
                 && other.instance != entry.instance
         };
         let predecessors = self.entries.values().filter(is_predecessor);
         let predecessors: Vec<_> = predecessors.map(|other| other.instance).collect();
 
-        self.supersede(&predecessors, entry.revision, now)
+        self.supersede(&predecessors, entry.position, now)
     }
 
-    /// A name has one process: its incarnations before this one have ended, and hold no flow any more.
+    /// A name has one process: its incarnations before this one have ended, and hold no flow any more. What a later era of the store
+    /// shows is not older.
     pub(super) fn end_older_births(
         &mut self,
         entry: &BackendEntry,
         now: Instant,
     ) -> Vec<InstanceId> {
-        let older: Vec<_> = self.other_births(entry).map(|other| other.instance).collect();
+        let is_older = |other: &&BackendEntry| other.position.era <= entry.position.era;
+        let older = self.other_births(entry).filter(is_older);
+        let older: Vec<_> = older.map(|other| other.instance).collect();
 
-        self.supersede(&older, entry.revision, now)
+        self.supersede(&older, entry.position, now)
     }
 
     /// `other_births` gives the other incarnations of an entry's name.
@@ -49,16 +53,19 @@
     }
 
     /// Whether an entry tells of an incarnation after which another one has begun. The order of births is that of the
-    /// store's revisions. One that has ended in favour of another never returns, whatever revision a write has that it had sent
+    /// store's positions, once a restored store has settled. In one era, one that has ended in favour of another never returns, whatever revision a write has that it had sent
     /// before its end.
-    pub(super) fn is_older_birth(&self, entry: &BackendEntry) -> bool {
+    pub(super) fn is_older_birth(&self, entry: &BackendEntry, now: Instant) -> bool {
+        let era = entry.position.era;
         let known = self.entries.get(&entry.instance);
-        let ended_at = known.filter(|known| known.is_superseded());
-        let ended_at = ended_at.map(|known| known.revision);
+        let ended_at = known.filter(|known| known.is_superseded() && known.position.era == era);
+        let ended_at = ended_at.map(|known| known.position);
 
+        let is_comparable =
+            |other: &BackendEntry| other.position.era == era || !self.is_unsettled(now);
         self.other_births(entry).any(|other| {
-            !other.is_gone() && other.revision > entry.revision
-                || ended_at.is_some_and(|ended_at| ended_at <= other.revision)
+            !other.is_gone() && other.position > entry.position && is_comparable(other)
+                || ended_at.is_some_and(|ended_at| ended_at <= other.position)
         })
     }
 
@@ -78,7 +85,7 @@
     /// living backend server, whose flows stay then; a successor there ends it once its service is named, or its entry lapses.
     pub(super) fn admit_stranger(&mut self, entry: BackendEntry) -> Vec<InstanceId> {
         let mut changed: Vec<_> = self.other_births(&entry).map(|other| other.instance).collect();
-        changed.retain(|other| self.mark_unusable(*other, entry.revision));
+        changed.retain(|other| self.mark_unusable(*other, entry.position));
 
         let instance = entry.instance;
         if self.put(entry) {
@@ -99,8 +106,8 @@
         now: Instant,
     ) -> Vec<InstanceId> {
         if let Some(known) = self.entries.get(&entry.instance) {
-            let (instance, revision) = (known.instance, known.revision);
-            return self.supersede(&[instance], revision, now);
+            let (instance, position) = (known.instance, known.position);
+            return self.supersede(&[instance], position, now);
         }
 
         entry.phase = BackendPhase::Gone { since: now, end: BackendEnd::Superseded };
@@ -112,7 +119,7 @@
     pub(super) fn supersede(
         &mut self,
         instances: &[InstanceId],
-        at: StoreRevision,
+        at: StorePosition,
         now: Instant,
     ) -> Vec<InstanceId> {
         let mut ended = Vec::new();
@@ -123,11 +130,11 @@
             // A peer may have told of its end before it tells of its successor: then it has not lapsed only.
             if let BackendPhase::Gone { end: known, .. } = &mut other.phase {
                 *known = end;
-                other.revision = other.revision.min(at);
+                other.position = other.position.min(at);
                 continue;
             }
             other.phase = BackendPhase::Gone { since: now, end };
-            other.revision = other.revision.max(at);
+            other.position = other.position.max(at);
             other.missing_until = None;
             ended.push(other.instance);
         }
@@ -181,7 +188,7 @@
     pub(in crate::steering) fn end_superseded(
         &mut self,
         name: BackendName,
-        at: StoreRevision,
+        at: StorePosition,
         now: Instant,
     ) -> Vec<InstanceId> {
         let mut births = self.births(name);
--- a/crates/valvestage-policy/src/steering/knowledge/backend_directory.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/backend_directory.rs
@@ -1,9 +1,10 @@
 //! All backend servers that are known, the gone ones among them.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Instant;
 
-use valvestage_core::ids::{InstanceId, ServiceName, ShortToken, StoreRevision};
+use valvestage_core::StorePosition;
+use valvestage_core::ids::{InstanceId, ServiceName, ShortToken};
 
 use super::backend_entry::{BackendEnd, BackendEntry, BackendPhase};
 use super::backend_name::BackendName;
@@ -16,8 +17,8 @@
 /// `BackendDirectory` holds the backend servers by incarnation and by token.
 ///
 /// What is known comes from the store and from peers, in any order. For each backend server the
-/// highest revision wins. `complete_until` says up to which revision nothing is missing, so that an
-/// unknown entry of an earlier revision is one that has gone long ago.
+/// highest position wins. `complete_until` says up to which position nothing is missing, so that an
+/// unknown entry of an earlier position is one that has gone long ago.
 #[derive(Debug, Default)]
 pub struct BackendDirectory {
     pub(super) entries: HashMap<InstanceId, BackendEntry>,
@@ -29,15 +30,23 @@
     pub(super) names: HashMap<BackendName, Vec<InstanceId>>,
     /// The services that the configuration in force names; none before the first one.
     pub(super) services: Option<HashSet<ServiceName>>,
-    /// Every change up to this revision is known; 0: nothing was read yet.
-    complete_until: StoreRevision,
-    /// Every change up to this revision is known but for entries that are missing and may return.
+    /// Every change up to this position is known; the start: nothing was read yet.
+    complete_until: StorePosition,
+    /// Every change up to this position is known but for entries that are missing and may return.
     /// Not below `complete_until`.
-    read_until: StoreRevision,
-    /// Revision of the last change that is known.
-    changed_at: StoreRevision,
-    /// Gone entries of revisions before this one are forgotten.
-    remembers_from: StoreRevision,
+    read_until: StorePosition,
+    /// Position of the last change that is known.
+    changed_at: StorePosition,
+    /// Gone entries of positions before this one are forgotten.
+    remembers_from: StorePosition,
+    /// When entries have returned that lapsed, or that a restored store has lost; none: it was never away.
+    pub(super) settles_at: Option<Instant>,
+    /// Where the store stood when it was first listed in its present era: what it shows up to here may be of the copy.
+    pub(super) era_head: StorePosition,
+    /// When the store shows no entry any more that is only of the copy; none: it was never restored.
+    pub(super) era_settles_at: Option<Instant>,
+    /// Entries of the copy that speak against what is known of a former era.
+    pub(super) contested: BTreeMap<InstanceId, BackendEntry>,
     /// Entries that went since they were last taken.
     pub(super) newly_gone: Vec<InstanceId>,
 }
@@ -55,19 +64,19 @@
 
     /// `complete_until` gives the revision up to which every change is known.
     #[must_use]
-    pub fn complete_until(&self) -> StoreRevision {
+    pub fn complete_until(&self) -> StorePosition {
         self.complete_until
     }
 
     /// `read_until` gives the revision up to which every change is known, but for entries that are missing and may return.
     #[must_use]
-    pub fn read_until(&self) -> StoreRevision {
+    pub fn read_until(&self) -> StorePosition {
         self.read_until
     }
 
     /// `changed_at` gives the revision of the last change that is known.
     #[must_use]
-    pub fn changed_at(&self) -> StoreRevision {
+    pub fn changed_at(&self) -> StorePosition {
         self.changed_at
     }
 
@@ -82,26 +91,27 @@
 
     /// `remembers` tells whether all changes after a revision are still known.
     #[must_use]
-    pub fn remembers(&self, after: StoreRevision) -> bool {
-        after > 0 && after >= self.remembers_from
+    pub fn remembers(&self, after: StorePosition) -> bool {
+        !after.is_start() && after >= self.remembers_from
     }
 
     /// `is_complete` tells whether all entries were read once.
     #[must_use]
     pub fn is_complete(&self) -> bool {
-        self.complete_until > 0
+        !self.complete_until.is_start()
     }
 
     /// `admit` takes in what an entry was at its revision, with what a new incarnation at a known address
     /// shows, and gives those of which something else is believed.
-    pub fn admit(&mut self, mut entry: BackendEntry, now: Instant) -> Vec<InstanceId> {
+    pub fn admit(&mut self, entry: BackendEntry, now: Instant) -> Vec<InstanceId> {
+        let Some(mut entry) = self.reconcile_eras(entry, now) else { return Vec::new() };
         // Where it was known, its flows have time from the news on.
         if let BackendPhase::Gone { since, .. } = &mut entry.phase
             && self.entries.contains_key(&entry.instance)
         {
             *since = now;
         }
-        if !entry.is_gone() && self.is_older_birth(&entry) {
+        if !entry.is_gone() && self.is_older_birth(&entry, now) {
             return self.admit_older_birth(entry, now);
         }
         if !entry.is_gone() && self.is_stranger(&entry) {
@@ -133,21 +143,29 @@
     /// newer than what was read: else the peer does not know that it went, or holds it for missing, too. Four of 10,000
     /// simulated series of faults ended with entries that all balancers believed in for good.
     pub fn admit_told(&mut self, entry: BackendEntry, now: Instant) -> Vec<InstanceId> {
-        let (instance, revision) = (entry.instance, entry.revision);
+        let (instance, position) = (entry.instance, entry.position);
         let known = self.entries.get(&instance);
-        if known.is_some_and(|known| known.revision >= revision) {
-            return Vec::new();
+        if known.is_some_and(|known| known.position >= position) {
+            return if self.admit_told_departure(&entry, now) {
+                vec![instance]
+            } else {
+                Vec::new()
+            };
         }
 
         // One that nobody told of before, and that was not there when the store was read later, may return as the others may that
         // were missing then.
-        let is_absent = known.is_none() && !entry.is_gone() && revision > self.complete_until;
+        let is_unknown = known.is_none() && !self.contested.contains_key(&instance);
+        let is_absent = is_unknown && !entry.is_gone() && position > self.complete_until;
         let missing_until = match known {
+            // One that was missing in a former era has been written again.
+            Some(known) if known.position.era < position.era => None,
             Some(known) => known.missing_until,
+            None if self.may_be_written_again(&entry, now) => self.settles_at,
             None => is_absent.then(|| now + RETURN_TIME),
         };
         let changed = self.admit(entry, now);
-        let stays_missing = missing_until.filter(|_| revision <= self.read_until);
+        let stays_missing = missing_until.filter(|_| position <= self.read_until);
         if let Some(until) = stays_missing {
             self.mark_missing(instance, until);
         }
@@ -167,11 +185,12 @@
         self.admit(entry, now)
     }
 
-    /// `put` takes in what an entry was at its revision; false if more is known already.
+    /// `put` takes in what an entry was at its position; false if more is known already, or if a new era
+    /// shows the same.
     pub fn put(&mut self, mut entry: BackendEntry) -> bool {
         match self.entries.get_mut(&entry.instance) {
-            Some(known) if known.revision > entry.revision => return false,
-            Some(known) if known.revision == entry.revision => {
+            Some(known) if known.position > entry.position => return false,
+            Some(known) if known.position == entry.position => {
                 // The same entry read again: it is there after all.
                 let was_missing = known.missing_until.take().is_some();
                 return was_missing;
@@ -185,65 +204,75 @@
             *end = known.map_or(*end, BackendEntry::end_of_phase);
             self.newly_gone.push(entry.instance);
         }
-        self.changed_at = self.changed_at.max(entry.revision);
+        let known = self.entries.get(&entry.instance);
+        let is_repeated = known
+            .is_some_and(|known| known.position.era < entry.position.era && known.is_same(&entry));
+        self.note_change(entry.position);
         self.give_token(&entry);
         let births = self.names.entry(entry.name).or_default();
         if !births.contains(&entry.instance) {
             births.push(entry.instance);
         }
         self.entries.insert(entry.instance, entry);
-        true
+        !is_repeated
+    }
+
+    /// Keeps the position of a change, so that others ask for it.
+    pub(super) fn note_change(&mut self, at: StorePosition) {
+        self.changed_at = self.changed_at.max(at);
     }
 
     /// `mark_unusable` takes in that the entry of an incarnation names no backend server to use since a revision; false if
     /// that is old news.
-    pub fn mark_unusable(&mut self, instance: InstanceId, at: StoreRevision) -> bool {
+    pub fn mark_unusable(&mut self, instance: InstanceId, at: StorePosition) -> bool {
         let Some(entry) = self.entries.get_mut(&instance) else { return false };
-        if entry.is_gone() && !entry.has_lapsed() || entry.revision >= at {
+        if entry.is_gone() && !entry.has_lapsed() || entry.position >= at {
             return false;
         }
 
         entry.phase = BackendPhase::Unusable;
-        entry.revision = at;
+        entry.position = at;
         entry.missing_until = None;
-        self.changed_at = self.changed_at.max(at);
+        self.note_change(at);
         true
     }
 
     /// `is_obsolete` tells whether a peer tells of an entry that has gone long ago: its revision is
     /// one up to which every change is known, and yet it is not known.
     #[must_use]
-    pub fn is_obsolete(&self, entry: &BackendEntry) -> bool {
+    pub fn is_obsolete(&self, entry: &BackendEntry, now: Instant) -> bool {
         !entry.is_gone()
-            && entry.revision <= self.complete_until
+            && !self.may_be_written_again(entry, now)
+            && !self.contested.contains_key(&entry.instance)
+            && entry.position <= self.complete_until
             && !self.entries.contains_key(&entry.instance)
     }
 
     /// `mark_gone` takes in that an entry went at a revision; false if that is old news.
-    pub fn mark_gone(&mut self, instance: InstanceId, at: StoreRevision, now: Instant) -> bool {
+    pub fn mark_gone(&mut self, instance: InstanceId, at: StorePosition, now: Instant) -> bool {
         let Some(entry) = self.entries.get_mut(&instance) else {
             return false;
         };
-        if entry.revision > at {
+        if entry.position > at {
             return false;
         }
         if let BackendPhase::Gone { end, .. } = &mut entry.phase {
             // That it was superseded was concluded here. That its entry went is to reach those who concluded otherwise, by
             // another configuration.
-            let is_news = *end == BackendEnd::Superseded && entry.revision < at;
+            let is_news = *end == BackendEnd::Superseded && entry.position < at;
             if is_news {
                 *end = BackendEnd::Left;
-                entry.revision = at;
-                self.changed_at = self.changed_at.max(at);
+                entry.position = at;
+                self.note_change(at);
             }
             return is_news;
         }
 
         entry.phase = BackendPhase::Gone { since: now, end: entry.end_of_phase() };
-        entry.revision = at;
+        entry.position = at;
         entry.missing_until = None;
         self.newly_gone.push(instance);
-        self.changed_at = self.changed_at.max(at);
+        self.note_change(at);
         true
     }
 
@@ -266,8 +295,8 @@
 
     /// `complete` takes in that every change up to a revision was read. While entries are missing
     /// that may return, that is not the whole truth yet.
-    pub fn complete(&mut self, until: StoreRevision) {
-        if self.complete_until == 0 {
+    pub fn complete(&mut self, until: StorePosition) {
+        if self.complete_until.is_start() {
             // What went before this list was never seen here, and others may still believe in it.
             self.remembers_from = self.remembers_from.max(until);
             self.changed_at = self.changed_at.max(until);
@@ -283,12 +312,12 @@
     pub fn retain_listed(
         &mut self,
         listed: &HashSet<InstanceId>,
-        at: StoreRevision,
+        at: StorePosition,
         missing_until: Option<Instant>,
         now: Instant,
     ) -> Vec<InstanceId> {
         let is_absent = |entry: &&BackendEntry| {
-            !entry.is_gone() && entry.revision <= at && !listed.contains(&entry.instance)
+            !entry.is_gone() && entry.position <= at && !listed.contains(&entry.instance)
         };
         let absent: Vec<_> =
             self.entries.values().filter(is_absent).map(|entry| entry.instance).collect();
@@ -296,6 +325,7 @@
         for instance in self.superseded_names() {
             self.mark_gone(instance, at, now);
         }
+        self.end_contested(|entry| !listed.contains(&entry.instance), at, now);
         for instance in &absent {
             match missing_until {
                 Some(until) => self.mark_missing(*instance, until),
@@ -311,8 +341,10 @@
         self.entries.values().any(|entry| entry.missing_until.is_some())
     }
 
-    /// `postpone_missing` gives the entries that are missing time until then, where they have less.
-    pub fn postpone_missing(&mut self, until: Instant) {
+    /// Sets when entries have returned that lapsed, or that a restored store has lost. Those that are missing have time until then,
+    /// where they have less.
+    pub fn settle_at(&mut self, until: Instant) {
+        self.settles_at = self.settles_at.max(Some(until));
         for missing_until in self.entries.values_mut().filter_map(|e| e.missing_until.as_mut()) {
             *missing_until = until.max(*missing_until);
         }
@@ -344,7 +376,7 @@
         let mut forgotten = self.remembers_from;
         self.entries.retain(|_, entry| match entry.phase {
             BackendPhase::Gone { since, .. } if since < before => {
-                forgotten = forgotten.max(entry.revision);
+                forgotten = forgotten.max(entry.position);
                 false
             }
             _ => true,
--- a/crates/valvestage-policy/src/steering/knowledge/backend_entry.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/backend_entry.rs
@@ -4,7 +4,8 @@
 use std::time::Instant;
 
 use super::backend_name::BackendName;
-use valvestage_core::ids::{InstanceId, ServiceName, StoreRevision, ZoneName};
+use valvestage_core::StorePosition;
+use valvestage_core::ids::{InstanceId, ServiceName, ZoneName};
 
 /// `BackendPhase` is where a backend server stands in its life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -45,8 +46,8 @@
     pub instance: InstanceId,
     /// The name of its entry.
     pub name: BackendName,
-    /// The store's revision at the last change; the highest one known wins.
-    pub revision: StoreRevision,
+    /// The store's position at the last change; the highest one known wins.
+    pub position: StorePosition,
     /// The service that it runs.
     pub service: ServiceName,
     /// Where it takes packets.
@@ -90,6 +91,12 @@
         )
     }
 
+    /// Returns whether another entry says the same, at whatever position.
+    #[must_use]
+    pub fn is_same(&self, other: &Self) -> bool {
+        *self == Self { position: self.position, ..other.clone() }
+    }
+
     /// `is_gone` tells whether the entry is gone from the store.
     #[must_use]
     pub fn is_gone(&self) -> bool {
--- /dev/null
+++ b/crates/valvestage-policy/src/steering/knowledge/store_restores.rs
@@ -0,0 +1,186 @@
+//! What stays known of backend servers when the store is restored from an older copy.
+//!
+//! The copy shows some entries as they were before. Until each backend server that lives has written its entry again, and those of the
+//! others have lapsed, an entry of the copy proves nothing against what is known of a former era:
+//!
+//! - one that is known as leaving stays so;
+//! - one that has ended, and one whose name or address has another backend server by now, is not believed in. Such an entry is
+//!   contested until the store has settled: if it is still there then, its backend server lives;
+//! - those that the copy lacks count as missing, and may return.
+
+use std::time::Instant;
+
+use valvestage_core::StorePosition;
+use valvestage_core::ids::InstanceId;
+
+use super::backend_directory::BackendDirectory;
+use super::backend_entry::{BackendEnd, BackendEntry, BackendPhase};
+use super::backend_name::BackendName;
+use super::lapse::RETURN_TIME;
+
+impl BackendDirectory {
+    /// Returns where the store stood when it was first listed in its present era, as far as is known.
+    #[must_use]
+    pub fn era_head(&self) -> StorePosition {
+        self.era_head
+    }
+
+    /// Takes in where the store stood at a list, here or at another balancer.
+    pub fn note_listed(&mut self, position: StorePosition, now: Instant) {
+        if position.era > self.era_head.era {
+            self.era_head = position;
+            self.contested.clear();
+            self.era_settles_at = Some(now + RETURN_TIME);
+        } else if position.era == self.era_head.era && position < self.era_head {
+            self.era_head = position;
+        }
+    }
+
+    /// Admits the entries that are still contested once the store has settled and has confirmed since that nothing else is the
+    /// case. Returns the backend servers of which something else is believed.
+    pub fn settle_contests(
+        &mut self,
+        confirmed_at: Option<Instant>,
+        now: Instant,
+    ) -> Vec<InstanceId> {
+        let is_confirmed = self.era_settles_at.is_none_or(|at| confirmed_at >= Some(at));
+        if self.contested.is_empty() || self.is_unsettled(now) || !is_confirmed {
+            return Vec::new();
+        }
+
+        let contested = std::mem::take(&mut self.contested);
+        contested.into_values().flat_map(|entry| self.admit(entry, now)).collect()
+    }
+
+    /// Returns the entries that are left out for now.
+    pub fn contested(&self) -> impl Iterator<Item = &BackendEntry> {
+        self.contested.values()
+    }
+
+    /// Returns the backend servers of the contested entries of a name.
+    pub fn contested_births(&self, name: BackendName) -> impl Iterator<Item = InstanceId> {
+        let of_name = self.contested.values().filter(move |entry| entry.name == name);
+
+        of_name.map(|entry| entry.instance)
+    }
+
+    /// Takes in that some contested entries are not in the store any more at a position. Returns their backend servers.
+    pub(in crate::steering) fn end_contested(
+        &mut self,
+        has_gone: impl Fn(&BackendEntry) -> bool,
+        at: StorePosition,
+        now: Instant,
+    ) -> Vec<InstanceId> {
+        let is_meant = |entry: &BackendEntry| has_gone(entry) && entry.position <= at;
+        let ended: Vec<_> =
+            self.contested.values().filter(|entry| is_meant(entry)).cloned().collect();
+        self.contested.retain(|_, entry| !is_meant(entry));
+
+        let instances = ended.iter().map(|entry| entry.instance).collect();
+        for entry in ended {
+            // Others hold it for contested, too: with this position they learn that it went.
+            let phase = BackendPhase::Gone { since: now, end: BackendEnd::Superseded };
+            self.put(BackendEntry { position: at, phase, ..entry });
+        }
+        instances
+    }
+
+    /// Applies what former eras of the store showed to an entry of a later one; none if it is contested.
+    pub(super) fn reconcile_eras(
+        &mut self,
+        mut entry: BackendEntry,
+        now: Instant,
+    ) -> Option<BackendEntry> {
+        self.drop_contested(&entry);
+        if entry.is_gone() {
+            return Some(entry);
+        }
+        if self.is_unsettled(now) && self.is_contested(&entry) {
+            self.note_change(entry.position);
+            self.contested.insert(entry.instance, entry);
+            return None;
+        }
+
+        let known = self.entries.get(&entry.instance);
+        if let Some(known) = known.filter(|known| known.position.era < entry.position.era) {
+            if known.phase == BackendPhase::Draining {
+                entry.phase = BackendPhase::Draining;
+            }
+            // It is the same start, and what was left of its cold time was said earlier.
+            entry.cold_until = known.cold_until;
+        }
+        Some(entry)
+    }
+
+    /// Returns whether a peer tells of an entry of a former era which may be written again in this one.
+    pub(super) fn may_be_written_again(&self, told: &BackendEntry, now: Instant) -> bool {
+        !told.is_gone() && told.position.era < self.read_until().era && self.is_unsettled(now)
+    }
+
+    /// Takes in that a peer knows a backend server as leaving, or as ended, where it is known as ready from an older copy of the
+    /// store; false if that is no news. It may still serve the flows that it has.
+    pub(super) fn admit_told_departure(&mut self, told: &BackendEntry, now: Instant) -> bool {
+        if !self.is_unsettled(now) {
+            return false;
+        }
+        let Some(known) = self.entries.get_mut(&told.instance) else { return false };
+        let departs = told.phase == BackendPhase::Draining || has_ended_for_good(told);
+        if !departs || known.phase != BackendPhase::Ready {
+            return false;
+        }
+
+        known.phase = BackendPhase::Draining;
+        true
+    }
+
+    /// Returns when the contests are decided; none if nothing is contested.
+    #[must_use]
+    pub fn contests_end_at(&self) -> Option<Instant> {
+        self.era_settles_at.filter(|_| !self.contested.is_empty())
+    }
+
+    /// Returns whether the store may still show entries of an older copy.
+    pub(super) fn is_unsettled(&self, now: Instant) -> bool {
+        self.era_settles_at.is_some_and(|at| at > now)
+    }
+
+    /// A later entry under the name, or at the address, of a contested one shows that it was an older one.
+    fn drop_contested(&mut self, entry: &BackendEntry) {
+        let is_followed = |contested: &BackendEntry| {
+            let is_in_place = contested.instance == entry.instance
+                || !entry.is_gone()
+                    && (contested.name == entry.name || contested.address == entry.address);
+            is_in_place && contested.position < entry.position
+        };
+
+        self.contested.retain(|_, contested| !is_followed(contested));
+    }
+
+    /// Whether an entry may be of the copy, and a former era shows that its backend server has ended or has another one in its place.
+    fn is_contested(&self, entry: &BackendEntry) -> bool {
+        let is_written_since =
+            entry.position > self.era_head && entry.position.era == self.era_head.era;
+        if is_written_since {
+            return false;
+        }
+
+        let is_former = |known: &BackendEntry| known.position.era < entry.position.era;
+        let known = self.entries.get(&entry.instance).filter(|known| is_former(known));
+        match known {
+            Some(known) if has_ended_for_good(known) => return true,
+            Some(known) if !known.is_gone() => return false,
+            _ => {}
+        }
+        self.entries.values().any(|other| {
+            other.instance != entry.instance
+                && is_former(other)
+                && !other.is_gone()
+                && (other.name == entry.name || other.address == entry.address)
+        })
+    }
+}
+
+/// Whether an incarnation never takes flows again, whatever an older copy shows.
+fn has_ended_for_good(entry: &BackendEntry) -> bool {
+    matches!(entry.phase, BackendPhase::Gone { end: BackendEnd::Left | BackendEnd::Superseded, .. })
+}
--- a/crates/valvestage-policy/src/steering/peers/backend_parts.rs
+++ b/crates/valvestage-policy/src/steering/peers/backend_parts.rs
@@ -2,7 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use valvestage_core::ids::{ShortToken, StoreRevision};
+use valvestage_core::StorePosition;
+use valvestage_core::ids::ShortToken;
 
 use super::name_list::place_of;
 use super::peer_message::{
@@ -13,9 +14,9 @@
 use crate::steering::knowledge::backend_entry::{BackendEnd, BackendEntry, BackendPhase};
 use crate::steering::store::watch_role::millis_since;
 
-/// Bytes of one change of a backend server, as the codec writes it: a name of up to 5 and 9 bytes, a birth of 4, a revision of 9, an
+/// Bytes of one change of a backend server, as the codec writes it: a name of up to 5 and 9 bytes, a birth of 4, a position of 11, an
 /// address of 7, and some small ones.
-const CHANGE_BYTES: usize = 43;
+const CHANGE_BYTES: usize = 45;
 
 /// Changes in one datagram. The names of a part have room in what is left of it.
 const CHANGES_EACH: usize = (MAX_MESSAGE_BYTES - 40) / CHANGE_BYTES;
@@ -33,17 +34,18 @@
 ) -> Vec<PeerMessage> {
     let BackendsPull { after, scope } = pull;
     let is_forgotten = scope == WalkScope::Changes && !directory.remembers(after);
-    let (after, scope) = if is_forgotten { (0, WalkScope::Everything) } else { (after, scope) };
+    let (after, scope) =
+        if is_forgotten { (StorePosition::START, WalkScope::Everything) } else { (after, scope) };
 
-    let (changes, next_revision) = next_changes(directory, after);
+    let (changes, next_position) = next_changes(directory, after);
     let mut parts: Vec<_> = changes.chunks(CHANGES_EACH).collect();
     if parts.is_empty() {
         parts.push(&[]);
     }
     let count = u16::try_from(parts.len()).unwrap_or(u16::MAX);
     // Each part goes up to the next one. Several entries may have the same revision.
-    let ends = parts.iter().skip(1).map(|part| part.first().map(|entry| entry.revision - 1));
-    let ends: Vec<_> = ends.chain([next_revision.map(|revision| revision - 1)]).collect();
+    let ends = parts.iter().skip(1).map(|part| part.first().map(|entry| entry.position.before()));
+    let ends: Vec<_> = ends.chain([next_position.map(StorePosition::before)]).collect();
 
     let mut begin = after;
     let mut messages = Vec::with_capacity(parts.len());
@@ -80,7 +82,7 @@
         PeerMessage::Backends(BackendsPart {
             part: MessagePart { index: 0, count: 1 },
             scope: WalkScope::Wanted,
-            after: 0,
+            after: StorePosition::START,
             told_until: None,
             complete_until: directory.complete_until(),
             names,
@@ -92,19 +94,20 @@
 /// The entries after a revision, as many as go into one answer, and the revision of the one that follows them.
 fn next_changes(
     directory: &BackendDirectory,
-    after: StoreRevision,
-) -> (Vec<&BackendEntry>, Option<StoreRevision>) {
-    let mut entries: Vec<_> = directory.iter().filter(|entry| entry.revision > after).collect();
-    let key = |entry: &&BackendEntry| (entry.revision, entry.instance);
+    after: StorePosition,
+) -> (Vec<&BackendEntry>, Option<StorePosition>) {
+    let all = directory.iter().chain(directory.contested());
+    let mut entries: Vec<_> = all.filter(|entry| entry.position > after).collect();
+    let key = |entry: &&BackendEntry| (entry.position, entry.instance);
 
-    let mut next_revision = None;
+    let mut next_position = None;
     if entries.len() > CHANGES_AT_ONCE {
         let (_, next, _) = entries.select_nth_unstable_by_key(CHANGES_AT_ONCE, key);
-        next_revision = Some(next.revision);
+        next_position = Some(next.position);
         entries.truncate(CHANGES_AT_ONCE);
     }
     entries.sort_unstable_by_key(key);
-    (entries, next_revision)
+    (entries, next_position)
 }
 
 fn change_of(entry: &BackendEntry, names: &mut Vec<String>, now: Instant) -> BackendChange {
@@ -122,7 +125,7 @@
     BackendChange {
         name: entry.name,
         birth: entry.name.birth_of(entry.instance),
-        revision: entry.revision,
+        position: entry.position,
         record: BackendRecord {
             service: place_of(names, &entry.service),
             zone: place_of(names, &entry.zone),
@@ -143,7 +146,7 @@
 }
 
 fn entry_of(change: BackendChange, names: &[String], now: Instant) -> Option<BackendEntry> {
-    let BackendChange { name, birth, revision, record } = change;
+    let BackendChange { name, birth, position, record } = change;
     let cold_for = Duration::from_millis(record.cold_for_ms.into());
     let phase = match record.standing {
         BackendStanding::Ready => BackendPhase::Ready,
@@ -159,7 +162,7 @@
     Some(BackendEntry {
         instance: name.born(birth),
         name,
-        revision,
+        position,
         service: names.get(usize::from(record.service))?.clone(),
         address: record.address,
         zone: names.get(usize::from(record.zone))?.clone(),
--- a/crates/valvestage-policy/src/steering/peers/backend_walk.rs
+++ b/crates/valvestage-policy/src/steering/peers/backend_walk.rs
@@ -7,7 +7,8 @@
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
-use valvestage_core::ids::{InstanceId, StoreRevision};
+use valvestage_core::StorePosition;
+use valvestage_core::ids::InstanceId;
 
 use super::awaited_answer::AwaitedAnswer;
 use super::backend_parts::entries_of;
@@ -38,9 +39,9 @@
 #[derive(Debug)]
 struct PartSpan {
     /// With it, everything up to this revision has come; none: with it, everything.
-    told_until: Option<StoreRevision>,
+    told_until: Option<StorePosition>,
     /// Up to which revision its sender knows every change.
-    complete_until: StoreRevision,
+    complete_until: StorePosition,
     told: Vec<InstanceId>,
 }
 
@@ -63,21 +64,21 @@
     peer: SocketAddrV4,
     scope: WalkScope,
     /// Everything up to this revision has come. Where the walk began, if nothing has.
-    cursor: StoreRevision,
+    cursor: StorePosition,
     /// Where the answer under way begins: one that brings the cursor no further is not followed by another.
-    asked_from: StoreRevision,
+    asked_from: StorePosition,
     /// The part of it that counts for every balancer: the peer knows every change up to here.
-    certain_until: StoreRevision,
+    certain_until: StorePosition,
     /// The backend servers that were told of.
     told: HashSet<InstanceId>,
     /// Parts that came before those in front of them, by the revision that they begin after.
-    early: BTreeMap<StoreRevision, PartSpan>,
+    early: BTreeMap<StorePosition, PartSpan>,
     /// Until when to go on from where it is.
     lasts_until: Instant,
 }
 
 impl Walk {
-    fn new(peer: SocketAddrV4, scope: WalkScope, after: StoreRevision, now: Instant) -> Self {
+    fn new(peer: SocketAddrV4, scope: WalkScope, after: StorePosition, now: Instant) -> Self {
         Self {
             peer,
             scope,
@@ -100,7 +101,7 @@
     }
 
     /// Takes a part in; gives up to which revision everything is known if it was the last one.
-    fn take(&mut self, after: StoreRevision, span: PartSpan) -> Option<StoreRevision> {
+    fn take(&mut self, after: StorePosition, span: PartSpan) -> Option<StorePosition> {
         self.early.insert(after, span);
 
         while let Some(first) = self.early.first_entry() {
@@ -135,8 +136,9 @@
         }
 
         let known_until = knowledge.directory.complete_until();
-        let begin = if self.has_history { known_until } else { 0 };
-        let scope = if begin > 0 { WalkScope::Changes } else { WalkScope::Everything };
+        let begin = if self.has_history { known_until } else { StorePosition::START };
+        let scope =
+            if begin > StorePosition::START { WalkScope::Changes } else { WalkScope::Everything };
         self.walk = self.walk.take().filter(|walk| walk.lasts_until > now);
         let walk = self.walk.get_or_insert_with(|| Walk::new(peer, scope, begin, now));
         walk.move_to(peer);
@@ -158,7 +160,7 @@
         }
 
         self.compares_from = Some(now + COMPARE_INTERVAL);
-        self.walk = Some(Walk::new(peer, WalkScope::Everything, 0, now));
+        self.walk = Some(Walk::new(peer, WalkScope::Everything, StorePosition::START, now));
         Some(self.ask(peer, now))
     }
 
@@ -170,7 +172,7 @@
     ) -> Option<(IncompleteAnswer, Option<(SocketAddrV4, PeerMessage)>)> {
         let awaited = self.awaited.as_ref().filter(|awaited| awaited.is_over(now))?;
         let (peer, may_ask) = (awaited.peer(), awaited.may_ask_again());
-        let cursor = self.walk.as_ref().map_or(0, |walk| walk.cursor);
+        let cursor = self.walk.as_ref().map_or(0, |walk| walk.cursor.revision);
         let incomplete = awaited.incomplete(StoreKind::Backends, cursor, now);
 
         let ask = may_ask.then(|| self.pull(knowledge, peer, now)).flatten();
@@ -197,7 +199,7 @@
         let told = entries.iter().map(|entry| entry.instance).collect();
         for entry in entries {
             let directory = &mut knowledge.directory;
-            let changed = if directory.is_obsolete(&entry) {
+            let changed = if directory.is_obsolete(&entry, now) {
                 directory.admit_obsolete(entry, now)
             } else {
                 directory.admit_told(entry, now)
@@ -230,14 +232,14 @@
         &mut self,
         sender: SocketAddrV4,
         scope: WalkScope,
-        after: StoreRevision,
+        after: StorePosition,
         now: Instant,
     ) -> Option<&mut Walk> {
         let walk = self.walk.as_mut().filter(|walk| walk.peer == sender)?;
 
         // The peer does not remember all changes that were asked for, and begins with everything.
-        if scope == WalkScope::Everything && walk.scope == WalkScope::Changes && after == 0 {
-            *walk = Walk::new(sender, WalkScope::Everything, 0, now);
+        if scope == WalkScope::Everything && walk.scope == WalkScope::Changes && after.is_start() {
+            *walk = Walk::new(sender, WalkScope::Everything, StorePosition::START, now);
         }
         Some(walk).filter(|walk| walk.scope == scope)
     }
@@ -250,7 +252,7 @@
                 walk.asked_from = walk.cursor;
                 (walk.cursor, walk.scope)
             }
-            None => (0, WalkScope::Everything),
+            None => (StorePosition::START, WalkScope::Everything),
         };
 
         PeerMessage::BackendsPull(BackendsPull { after, scope })
@@ -260,7 +262,7 @@
     fn end(
         &mut self,
         knowledge: &mut Knowledge,
-        until: StoreRevision,
+        until: StorePosition,
         missing_until: Option<Instant>,
         now: Instant,
     ) -> Vec<InstanceId> {
--- a/crates/valvestage-policy/src/steering/peers/peer_exchange.rs
+++ b/crates/valvestage-policy/src/steering/peers/peer_exchange.rs
@@ -74,7 +74,7 @@
             && (heartbeat.complete_until > directory.complete_until()
                 || heartbeat.changed_at > directory.changed_at());
 
-        has_changes || !self.backends.has_history() && heartbeat.complete_until > 0
+        has_changes || !self.backends.has_history() && !heartbeat.complete_until.is_start()
     }
 
     /// `pulls` gives the questions for the sender of a heartbeat; none while their answers are awaited.
--- a/crates/valvestage-policy/src/steering/peers/peer_message.rs
+++ b/crates/valvestage-policy/src/steering/peers/peer_message.rs
@@ -11,7 +11,8 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use valvestage_core::ids::{ConfigurationVersion, InstanceId, ShortToken, StoreRevision, ZoneName};
+use valvestage_core::StorePosition;
+use valvestage_core::ids::{ConfigurationVersion, InstanceId, ShortToken, ZoneName};
 
 use super::route_chunk::{ChunkDigest, RouteChunk};
 use crate::steering::health::outcome_count::OutcomeCount;
@@ -74,9 +75,11 @@
     /// Version of its configuration.
     pub version: ConfigurationVersion,
     /// Up to which revision it knows every change of backend servers.
-    pub complete_until: StoreRevision,
+    pub complete_until: StorePosition,
     /// Revision of the last change that it knows.
-    pub changed_at: StoreRevision,
+    pub changed_at: StorePosition,
+    /// Where the store stood when it was first listed in its present era.
+    pub era_head: StorePosition,
     /// Which backend servers it believes in.
     pub living: LivingDigest,
     /// How long ago the store confirmed all this, milliseconds; at the sender or before it.
@@ -264,7 +267,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BackendsPull {
     /// Changes up to this revision are known, or were told in this walk.
-    pub after: StoreRevision,
+    pub after: StorePosition,
     /// What the sender is reading.
     pub scope: WalkScope,
 }
@@ -297,11 +300,11 @@
     /// What is being read.
     pub scope: WalkScope,
     /// The changes begin after this revision.
-    pub after: StoreRevision,
+    pub after: StorePosition,
     /// They go up to this revision; none: nothing follows them.
-    pub told_until: Option<StoreRevision>,
+    pub told_until: Option<StorePosition>,
     /// Every change up to this revision is known to the sender.
-    pub complete_until: StoreRevision,
+    pub complete_until: StorePosition,
     /// Names of services and availability zones; the changes have their places in this list.
     pub names: Vec<String>,
     /// The changes.
@@ -316,7 +319,7 @@
     /// Which incarnation of that name.
     pub birth: BirthDigest,
     /// The store's revision at the change.
-    pub revision: StoreRevision,
+    pub position: StorePosition,
     /// What it was then.
     pub record: BackendRecord,
 }
--- a/crates/valvestage-policy/src/steering/store/evacuation_follower.rs
+++ b/crates/valvestage-policy/src/steering/store/evacuation_follower.rs
@@ -3,7 +3,8 @@
 use std::collections::BTreeSet;
 use std::time::Instant;
 
-use valvestage_core::ids::{StoreRevision, ZoneName};
+use valvestage_core::StorePosition;
+use valvestage_core::ids::ZoneName;
 
 use super::store_follower::{
     Completeness, FollowerNews, StoreCall, StoreFollower, StoreKind, StoreReply,
@@ -16,8 +17,8 @@
 pub struct EvacuationNews {
     /// The zone.
     pub zone: ZoneName,
-    /// The store's revision at the change.
-    pub revision: StoreRevision,
+    /// The store's position at the change.
+    pub position: StorePosition,
     /// Whether it is asked for; else it was taken back.
     pub is_asked: bool,
 }
@@ -81,13 +82,13 @@
                 self.list(objects);
                 None
             }
-            Completeness::ListEnds { revision, single_page, .. } => {
+            Completeness::ListEnds { position, single_page, .. } => {
                 if single_page {
                     self.listed.clear();
                 }
                 self.list(objects);
                 let zones = std::mem::take(&mut self.listed).into_iter().collect();
-                Some(EvacuationReport { as_of: revision, zones })
+                Some(EvacuationReport { as_of: position, zones })
             }
             Completeness::Unchanged => {
                 self.list(objects);
@@ -107,10 +108,10 @@
 fn changed(
     known: &EvacuatedZones,
     changes: &[EvacuationNews],
-    until: StoreRevision,
+    until: StorePosition,
 ) -> Option<EvacuationReport> {
     let mut zones = known.zones().clone();
-    for news in changes.iter().filter(|news| news.revision > known.as_of()) {
+    for news in changes.iter().filter(|news| news.position > known.as_of()) {
         if news.is_asked {
             zones.insert(news.zone.clone());
         } else {
--- a/crates/valvestage-policy/src/steering/store/store_follower.rs
+++ b/crates/valvestage-policy/src/steering/store/store_follower.rs
@@ -110,22 +110,28 @@
     ListBegins,
     /// The last page of a list.
     ListEnds {
-        /// The revision of its first page: changes after it are still to come.
-        revision: StoreRevision,
+        /// The position of its first page: changes after it are still to come.
+        position: StorePosition,
         /// Whether calls have failed since the list before, so that entries may have lapsed.
         after_outage: bool,
         /// Whether the last page is also the first.
         single_page: bool,
     },
-    /// All changes up to a revision.
-    Until(StoreRevision),
+    /// All changes up to a position.
+    Until(StorePosition),
 }
 
 /// Where the follower stands.
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum Phase {
-    Listing { after: Option<String>, revision: Option<StoreRevision> },
-    Watching { revision: StoreRevision },
+    /// `position` is that of the first page.
+    Listing {
+        after: Option<String>,
+        position: Option<StorePosition>,
+    },
+    Watching {
+        position: StorePosition,
+    },
 }
 
 /// `StoreFollower` decides the next call for one kind of objects.
@@ -146,12 +152,25 @@
     /// How old lists may be.
     freshness: ListFreshness,
     last_answer: Option<Instant>,
-    /// The era of the last answer; none before the first one.
+    /// The last era that was heard of; none before the first answer.
     era: Option<StoreEra>,
+    /// When an answer is needed that watches are to end for.
+    watch_due: Option<Instant>,
     /// What was noticed since it was last taken.
     decisions: Vec<Decision>,
 }
 
+impl<T> StoreReply<T> {
+    /// Returns where the store stood; none if the answer does not say so.
+    #[must_use]
+    pub fn position(&self) -> Option<StorePosition> {
+        match self {
+            Self::Page { position, .. } | Self::Changes { position, .. } => Some(*position),
+            Self::HistoryGone | Self::Failed => None,
+        }
+    }
+}
+
 impl StoreFollower {
     /// `new` begins with a list.
     #[must_use]
@@ -163,7 +182,7 @@
 
         Self {
             kind,
-            phase: Phase::Listing { after: None, revision: None },
+            phase: Phase::Listing { after: None, position: None },
             calling: false,
             pause,
             not_before: None,
@@ -173,6 +192,7 @@
             freshness: ListFreshness::Current,
             last_answer: None,
             era: None,
+            watch_due: None,
             decisions: Vec::new(),
         }
     }
@@ -203,33 +223,36 @@
     /// `next_call` gives the call to make now; none while one is under way or a pause lasts.
     ///
     /// Peers may know more than this follower has read itself: then the watch goes on from there.
-    pub fn next_call(&mut self, known_until: StoreRevision, now: Instant) -> Option<StoreCall> {
+    pub fn next_call(&mut self, known_until: StorePosition, now: Instant) -> Option<StoreCall> {
         if self.calling || self.not_before.is_some_and(|time| time > now) {
             return None;
         }
 
         self.calling = true;
+        self.era = self.era.max((!known_until.is_start()).then_some(known_until.era));
         // Others take this balancer for a follower by the age of its last answer.
         let age = self.last_answer.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
         let wait = WATCH_WAIT.saturating_sub(age).max(WATCH_WAIT / 2);
+        let until_due = self.watch_due.map(|due| due.saturating_duration_since(now));
+        let wait = until_due.filter(|due| !due.is_zero()).map_or(wait, |due| wait.min(due));
         Some(match &mut self.phase {
             Phase::Listing { after, .. } => {
                 StoreCall::List { after: after.clone(), freshness: self.freshness }
             }
-            Phase::Watching { revision } => {
-                *revision = known_until.max(*revision);
-                StoreCall::Watch { revision: *revision, wait }
+            Phase::Watching { position } => {
+                *position = known_until.max(*position);
+                StoreCall::Watch { revision: position.revision, wait }
             }
         })
     }
 
     /// `go_on_from` leaves out a list that has not begun, since all up to a revision is known. For objects that only their
     /// owners take away: those that lapse while the store is away have to be listed.
-    pub fn go_on_from(&mut self, revision: StoreRevision) {
-        let is_to_list = matches!(self.phase, Phase::Listing { after: None, revision: None });
+    pub fn go_on_from(&mut self, position: StorePosition) {
+        let is_to_list = matches!(self.phase, Phase::Listing { after: None, position: None });
 
         if is_to_list && !self.calling && !self.needs_list {
-            self.phase = Phase::Watching { revision };
+            self.phase = Phase::Watching { position };
         }
     }
 
@@ -240,6 +263,11 @@
         }
     }
 
+    /// Lets watches end at a time, if they would last longer; none: as usual.
+    pub fn end_watches_at(&mut self, due: Option<Instant>) {
+        self.watch_due = due;
+    }
+
     /// `release_watch` lets a watch begin that was held until a time.
     pub fn release_watch(&mut self, until: Instant) {
         if self.not_before == Some(until) {
@@ -267,16 +295,34 @@
     pub fn on_reply<T>(&mut self, reply: StoreReply<T>, now: Instant) -> FollowerNews<T> {
         self.calling = false;
         let (objects, completes) = match reply {
+            StoreReply::Page { position, .. } | StoreReply::Changes { position, .. }
+                if self.is_of_former_era(position) =>
+            {
+                self.on_failure(now);
+                (Vec::new(), Completeness::Unchanged)
+            }
             StoreReply::Page { objects, next_after, position } => {
                 self.on_success(now);
-                self.note_era(position);
-                (objects, self.on_page(next_after, position.revision))
+                let goes_on = self.goes_on_in(position);
+                self.enter_era(position);
+                if goes_on {
+                    (objects, self.on_page(next_after, position))
+                } else {
+                    self.restart_list();
+                    (Vec::new(), Completeness::Unchanged)
+                }
             }
             StoreReply::Changes { objects, position } => {
                 self.on_success(now);
-                self.note_era(position);
-                self.not_before = (!objects.is_empty()).then_some(now + self.pause);
-                (objects, self.on_changes(position.revision))
+                let goes_on = self.goes_on_in(position);
+                self.enter_era(position);
+                if goes_on {
+                    self.not_before = (!objects.is_empty()).then_some(now + self.pause);
+                    (objects, self.on_changes(position))
+                } else {
+                    self.restart_list();
+                    (Vec::new(), Completeness::Unchanged)
+                }
             }
             StoreReply::HistoryGone => {
                 self.on_success(now);
@@ -295,17 +341,40 @@
         FollowerNews { objects, completes }
     }
 
-    fn note_era(&mut self, position: StorePosition) {
+    /// Whether an answer was given before the store was restored.
+    fn is_of_former_era(&self, position: StorePosition) -> bool {
+        self.era.is_some_and(|era| position.era < era)
+    }
+
+    /// Whether an answer goes on from what was read. Revisions of another era name other changes, so a watch that ends in a new era
+    /// says nothing of what came before its revision there.
+    fn goes_on_in(&self, position: StorePosition) -> bool {
+        match &self.phase {
+            Phase::Listing { position: None, .. } => {
+                self.freshness == ListFreshness::Current
+                    || self.era.is_none_or(|era| era == position.era)
+            }
+            Phase::Listing { position: Some(first), .. } => first.era == position.era,
+            Phase::Watching { position: from } => from.era == position.era,
+        }
+    }
+
+    /// Takes in the era of an answer. In a new one only a current list can tell what is the case, and entries that it lacks may be
+    /// written again.
+    fn enter_era(&mut self, position: StorePosition) {
         let former = self.era.replace(position.era);
 
-        if let Some(former) = former.filter(|era| *era != position.era) {
+        if let Some(former) = former.filter(|former| *former < position.era) {
             self.decisions.push(Decision::StoreEra { kind: self.kind, former, position });
+            self.was_away = true;
+            self.needs_list = true;
+            self.freshness = ListFreshness::Current;
         }
     }
 
     fn note_history_gone(&mut self) {
-        if let Phase::Watching { revision } = self.phase {
-            self.decisions.push(Decision::HistoryGone { kind: self.kind, revision });
+        if let Phase::Watching { position } = self.phase {
+            self.decisions.push(Decision::HistoryGone { kind: self.kind, position });
         }
     }
 
@@ -319,7 +388,7 @@
     }
 
     fn restart_list(&mut self) {
-        self.phase = Phase::Listing { after: None, revision: None };
+        self.phase = Phase::Listing { after: None, position: None };
     }
 
     fn on_success(&mut self, now: Instant) {
@@ -328,33 +397,33 @@
         self.last_answer = Some(now);
     }
 
-    fn on_page(&mut self, next_after: Option<String>, page: StoreRevision) -> Completeness {
-        let Phase::Listing { revision, .. } = &self.phase else {
+    fn on_page(&mut self, next_after: Option<String>, page: StorePosition) -> Completeness {
+        let Phase::Listing { position, .. } = &self.phase else {
             return Completeness::Unchanged;
         };
 
-        let is_first = revision.is_none();
-        let first_revision = revision.unwrap_or(page);
+        let is_first = position.is_none();
+        let first = position.unwrap_or(page);
         if next_after.is_some() {
-            self.phase = Phase::Listing { after: next_after, revision: Some(first_revision) };
+            self.phase = Phase::Listing { after: next_after, position: Some(first) };
             return if is_first { Completeness::ListBegins } else { Completeness::Unchanged };
         }
 
-        self.phase = Phase::Watching { revision: first_revision };
+        self.phase = Phase::Watching { position: first };
         self.needs_list = false;
         Completeness::ListEnds {
-            revision: first_revision,
+            position: first,
             after_outage: std::mem::take(&mut self.was_away),
             single_page: is_first,
         }
     }
 
-    fn on_changes(&mut self, until: StoreRevision) -> Completeness {
-        let Phase::Watching { revision } = &mut self.phase else {
+    fn on_changes(&mut self, until: StorePosition) -> Completeness {
+        let Phase::Watching { position } = &mut self.phase else {
             return Completeness::Unchanged;
         };
 
-        *revision = until.max(*revision);
-        Completeness::Until(*revision)
+        *position = until.max(*position);
+        Completeness::Until(*position)
     }
 }
--- a/crates/valvestage-policy/src/steering/store/store_link.rs
+++ b/crates/valvestage-policy/src/steering/store/store_link.rs
@@ -3,7 +3,8 @@
 use std::collections::{BTreeSet, HashSet};
 use std::time::{Duration, Instant};
 
-use valvestage_core::ids::{InstanceId, StoreRevision, ZoneName};
+use valvestage_core::StorePosition;
+use valvestage_core::ids::{InstanceId, StoreEra, ZoneName};
 
 use super::evacuation_follower::{EvacuationFollower, EvacuationNews};
 use super::store_follower::{
@@ -24,6 +25,9 @@
 /// The store answers this balancer if it has done so within this time: one watch, and a slow answer.
 const ANSWER_LIFE: Duration = Duration::from_millis(2_500);
 
+/// Watches that are to confirm that a restored store has settled end so much later, since waits have whole milliseconds.
+const CONFIRMED_AFTER: Duration = Duration::from_millis(20);
+
 /// A balancer has just started for this time: two rounds of heartbeats to learn who else follows the store, and some more.
 const FRESH_FOR: Duration = Duration::from_millis(1_200);
 
@@ -32,8 +36,8 @@
 pub struct BackendNews {
     /// The name of its entry.
     pub name: BackendName,
-    /// The store's revision at the change.
-    pub revision: StoreRevision,
+    /// The store's position at the change.
+    pub position: StorePosition,
     /// What became of the entry.
     pub change: EntryChange,
 }
@@ -60,7 +64,9 @@
     listed: HashSet<InstanceId>,
     /// When that list was begun.
     list_began: Option<Instant>,
-    /// When the store last failed to answer this balancer or another one.
+    /// The last era of the store that was heard of; none before the first one.
+    era: Option<StoreEra>,
+    /// When the store last failed to answer this balancer or another one, or was restored.
     last_failure: Option<Instant>,
     /// Whether a call of this balancer has failed since it last began to follow the store.
     has_failed_since_begin: bool,
@@ -78,6 +84,7 @@
             evacuations: evacuable.map(EvacuationFollower::new),
             listed: HashSet::new(),
             list_began: None,
+            era: None,
             last_failure: None,
             has_failed_since_begin: false,
             started_at: now,
@@ -165,6 +172,16 @@
         }
     }
 
+    /// Takes in the era of the store, as it says or as another balancer knows it. A store that was restored counts as away until
+    /// now: entries that its copy lacks may be written again.
+    pub fn enter_era(&mut self, era: StoreEra, now: Instant) {
+        let former = self.era.replace(self.era.map_or(era, |known| known.max(era)));
+
+        if former.is_some_and(|former| former < era) {
+            self.last_failure = Some(now);
+        }
+    }
+
     /// `calls` gives the calls that are due. One that is not staying follows until others are known to. Where packets wait for
     /// entries that are not known, one that stays begins to watch for them at once.
     pub fn calls(
@@ -186,7 +203,10 @@
             self.routes.hold_watch(held_until);
             self.backends.hold_watch(held_until);
         }
-        let routes = self.routes.next_call(0, now);
+        let contests_end = knowledge.directory.contests_end_at().map(|at| at + CONFIRMED_AFTER);
+        self.routes.end_watches_at(contests_end);
+        self.backends.end_watches_at(contests_end);
+        let routes = self.routes.next_call(StorePosition::START, now);
         let backends = self.backends.next_call(known_until, now);
         if matches!(backends, Some(StoreCall::List { after: None, .. })) {
             self.list_began = Some(now);
@@ -249,14 +269,14 @@
         reply: StoreReply<EvacuationNews>,
         now: Instant,
     ) -> Option<EvacuationReport> {
-        self.note_failure(&reply, now);
+        self.note_reply(&reply, now);
 
         self.evacuations.as_mut()?.on_reply(&knowledge.evacuated, reply, now)
     }
 
     /// `on_routes_reply` takes an answer about the configuration in, and gives what it brought.
     pub fn on_routes_reply(&mut self, reply: StoreReply<RouteMap>, now: Instant) -> Vec<RouteMap> {
-        self.note_failure(&reply, now);
+        self.note_reply(&reply, now);
 
         self.routes.on_reply(reply, now).objects
     }
@@ -269,7 +289,10 @@
         reply: StoreReply<BackendNews>,
         now: Instant,
     ) -> Vec<InstanceId> {
-        self.note_failure(&reply, now);
+        self.note_reply(&reply, now);
+        if let StoreReply::Page { position, .. } = &reply {
+            knowledge.directory.note_listed(*position, now);
+        }
         let FollowerNews { objects, completes } = self.backends.on_reply(reply, now);
         let begins = matches!(
             completes,
@@ -284,6 +307,7 @@
             let name = news.name;
             changed.extend(self.take(knowledge, news, now));
             self.listed.extend(knowledge.directory.living(name));
+            self.listed.extend(knowledge.directory.contested_births(name));
         }
         changed.extend(self.complete(knowledge, completes, now));
         changed
@@ -292,8 +316,14 @@
     /// Takes in what the store says of one backend server; gives those of which something else is believed.
     fn take(&self, knowledge: &mut Knowledge, news: BackendNews, now: Instant) -> Vec<InstanceId> {
         let directory = &mut knowledge.directory;
-        let BackendNews { name, revision, change } = news;
+        let BackendNews { name, position, change } = news;
         let mut living = directory.living(name);
+        let contested = match &change {
+            EntryChange::Deleted => {
+                directory.end_contested(|entry| entry.name == name, position, now)
+            }
+            _ => Vec::new(),
+        };
 
         match (change, self.missing_until(now)) {
             (EntryChange::Written(entry), _) => return directory.admit(entry, now),
@@ -301,15 +331,17 @@
                 // It is there again if it had lapsed: others may have seen that it was good meanwhile.
                 let births = if living.is_empty() { directory.births(name) } else { living };
                 living = births;
-                living.retain(|instance| directory.mark_unusable(*instance, revision));
+                living.retain(|instance| directory.mark_unusable(*instance, position));
             }
             (EntryChange::Deleted, Some(until)) => {
                 living.retain(|instance| directory.mark_missing(*instance, until));
-                living.extend(directory.end_superseded(name, revision, now));
+                living.extend(directory.end_superseded(name, position, now));
+                living.extend(contested);
             }
             (EntryChange::Deleted, None) => {
                 let mut births = directory.births(name);
-                births.retain(|instance| directory.mark_gone(*instance, revision, now));
+                births.retain(|instance| directory.mark_gone(*instance, position, now));
+                births.extend(contested);
                 return births;
             }
         }
@@ -327,16 +359,16 @@
 
         match completes {
             Completeness::Unchanged | Completeness::ListBegins => Vec::new(),
-            Completeness::Until(revision) => {
-                directory.complete(revision);
+            Completeness::Until(position) => {
+                directory.complete(position);
                 Vec::new()
             }
-            Completeness::ListEnds { revision, after_outage, .. } => {
+            Completeness::ListEnds { position, after_outage, .. } => {
                 let after_outage = after_outage.then(|| now + RETURN_TIME);
                 let missing_until = after_outage.or(self.missing_until(now));
                 let mut absent =
-                    directory.retain_listed(&self.listed, revision, missing_until, now);
-                directory.complete(revision);
+                    directory.retain_listed(&self.listed, position, missing_until, now);
+                directory.complete(position);
                 if let Some(began) = self.list_began {
                     absent.extend(directory.expire_missing(began));
                 }
@@ -345,7 +377,10 @@
         }
     }
 
-    fn note_failure<T>(&mut self, reply: &StoreReply<T>, now: Instant) {
+    fn note_reply<T>(&mut self, reply: &StoreReply<T>, now: Instant) {
+        if let Some(position) = reply.position() {
+            self.enter_era(position.era, now);
+        }
         if matches!(reply, StoreReply::Failed) {
             self.last_failure = Some(now);
             self.has_failed_since_begin = true;
--- a/crates/valvestage-policy/tests/simulation/backends.rs
+++ b/crates/valvestage-policy/tests/simulation/backends.rs
@@ -4,6 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::{Duration, Instant};
 
+use valvestage_core::StorePosition;
 use valvestage_core::ids::InstanceId;
 use valvestage_policy::steering::{BackendEntry, BackendName, BackendPhase};
 
@@ -96,7 +97,7 @@
         BackendEntry {
             instance: self.instance,
             name: self.name,
-            revision: 0,
+            position: StorePosition::START,
             service: SERVICES[self.service].to_owned(),
             address: self.address,
             zone: ZONES[self.zone].to_owned(),
--- a/crates/valvestage-policy/tests/simulation/store.rs
+++ b/crates/valvestage-policy/tests/simulation/store.rs
@@ -133,16 +133,16 @@
             entry.instance = entry.name.number;
         }
         self.revision += 1;
-        entry.revision = self.revision;
+        entry.position = self.position();
         self.entries.retain(|_, other| other.name != entry.name);
         self.entries.insert(entry.instance, entry.clone());
         if self.hides_drains {
             entry.phase = BackendPhase::Ready;
         }
-        let (name, revision) = (entry.name, self.revision);
+        let (name, position) = (entry.name, self.position());
         self.entry_changes.push(BackendNews {
             name,
-            revision,
+            position,
             change: EntryChange::Written(entry),
         });
     }
@@ -155,9 +155,9 @@
         } else {
             self.evacuated.remove(zone);
         }
-        let (zone, revision) = (zone.to_owned(), self.revision);
+        let (zone, position) = (zone.to_owned(), self.position());
         if !self.hides_evacuations {
-            self.evacuation_changes.push(EvacuationNews { zone, revision, is_asked });
+            self.evacuation_changes.push(EvacuationNews { zone, position, is_asked });
         }
     }
 
@@ -166,10 +166,10 @@
         let Some(entry) = self.entries.get_mut(&instance) else { return };
 
         self.revision += 1;
-        entry.revision = self.revision;
+        entry.position = StorePosition::new(self.era, self.revision);
         entry.phase = BackendPhase::Unusable;
-        let (name, revision) = (entry.name, self.revision);
-        self.entry_changes.push(BackendNews { name, revision, change: EntryChange::Unusable });
+        let (name, position) = (entry.name, entry.position);
+        self.entry_changes.push(BackendNews { name, position, change: EntryChange::Unusable });
     }
 
     /// The last time in which the store had no entry of a backend server; none if it always had one.
@@ -182,8 +182,12 @@
 
         self.absences.insert(instance, Absence { since: now, until: None });
         self.revision += 1;
-        let (name, revision) = (entry.name, self.revision);
-        self.entry_changes.push(BackendNews { name, revision, change: EntryChange::Deleted });
+        let (name, position) = (entry.name, self.position());
+        self.entry_changes.push(BackendNews { name, position, change: EntryChange::Deleted });
+    }
+
+    fn position(&self) -> StorePosition {
+        StorePosition::new(self.era, self.revision)
     }
 
     /// Keeps when the last revision was given out.
@@ -200,16 +204,18 @@
         before.map_or(0, |(revision, _)| *revision)
     }
 
-    /// Goes back to what there was at a revision, in the next era. Lapses that were counted before are not.
-    pub fn restore(&mut self, revision: u64) {
+    /// Goes back to what there was at a revision, in the next era.
+    pub fn restore(&mut self, revision: u64, now: Millis) {
+        let former: Vec<_> = self.entries.keys().copied().collect();
         self.era += 1;
         self.revision = revision;
         self.forgotten = self.forgotten.min(revision);
         self.changed_at.retain(|(at, _)| *at <= revision);
         self.route_changes.retain(|(at, _)| *at <= revision);
-        self.entry_changes.retain(|news| news.revision <= revision);
-        self.evacuation_changes.retain(|news| news.revision <= revision);
+        self.entry_changes.retain(|news| news.position.revision <= revision);
+        self.evacuation_changes.retain(|news| news.position.revision <= revision);
 
+        self.enter_era();
         let routes = self.route_changes.last();
         self.routes = routes.map(|(_, routes)| routes.clone()).unwrap_or_default();
         self.evacuated.clear();
@@ -224,6 +230,24 @@
         for news in self.entry_changes.clone() {
             self.replay(news);
         }
+        for instance in former.into_iter().filter(|one| !self.entries.contains_key(one)) {
+            self.absences.insert(instance, Absence { since: now, until: None });
+        }
+    }
+
+    /// What it tells now is told in its present era, also what was written in a former one.
+    fn enter_era(&mut self) {
+        let era = self.era;
+
+        for news in &mut self.entry_changes {
+            news.position.era = era;
+            if let EntryChange::Written(entry) = &mut news.change {
+                entry.position.era = era;
+            }
+        }
+        for news in &mut self.evacuation_changes {
+            news.position.era = era;
+        }
     }
 
     /// Takes a change of an entry in that was there before.
@@ -235,7 +259,7 @@
             EntryChange::Written(entry) => entry,
             EntryChange::Unusable => {
                 let Some(former) = former else { return };
-                BackendEntry { phase: BackendPhase::Unusable, revision: news.revision, ..former }
+                BackendEntry { phase: BackendPhase::Unusable, position: news.position, ..former }
             }
             EntryChange::Deleted => return,
         };
@@ -280,8 +304,7 @@
 
     /// The answer to a call, if there is something to say.
     pub fn answer(&self, kind: StoreKind, call: &StoreCall, is_over: bool) -> Option<StoreAnswer> {
-        let revision = self.revision;
-        let position = StorePosition::new(self.era, revision);
+        let position = self.position();
         let after = match call {
             StoreCall::List { .. } => None,
             StoreCall::Watch { revision, .. } => Some(*revision),
@@ -306,7 +329,7 @@
             (StoreKind::Backends, None) => {
                 let objects = self.entries.values().map(|entry| BackendNews {
                     name: entry.name,
-                    revision: entry.revision,
+                    position: entry.position,
                     change: match entry.phase {
                         BackendPhase::Unusable => EntryChange::Unusable,
                         _ => EntryChange::Written(entry.clone()),
@@ -317,7 +340,7 @@
             }
             (StoreKind::Evacuations, None) => {
                 let shown = self.evacuated.iter().filter(|_| !self.hides_evacuations).cloned();
-                let objects = shown.map(|zone| EvacuationNews { zone, revision, is_asked: true });
+                let objects = shown.map(|zone| EvacuationNews { zone, position, is_asked: true });
                 let objects = objects.collect();
                 StoreAnswer::Evacuations(StoreReply::Page { objects, next_after: None, position })
             }
@@ -325,7 +348,8 @@
                 StoreAnswer::Evacuations(StoreReply::HistoryGone)
             }
             (StoreKind::Evacuations, Some(after)) => {
-                let changes = self.evacuation_changes.iter().filter(|news| news.revision > after);
+                let changes =
+                    self.evacuation_changes.iter().filter(|news| news.position.revision > after);
                 let objects: Vec<_> = changes.cloned().collect();
                 if objects.is_empty() && !is_over {
                     return None;
@@ -336,7 +360,8 @@
                 StoreAnswer::Backends(StoreReply::HistoryGone)
             }
             (StoreKind::Backends, Some(after)) => {
-                let changes = self.entry_changes.iter().filter(|news| news.revision > after);
+                let changes =
+                    self.entry_changes.iter().filter(|news| news.position.revision > after);
                 let objects: Vec<_> = changes.cloned().collect();
                 if objects.is_empty() && !is_over {
                     return None;
--- a/crates/valvestage-policy/tests/simulation/world/faults.rs
+++ b/crates/valvestage-policy/tests/simulation/world/faults.rs
@@ -301,7 +301,7 @@
             println!("{} ms: restored {} to {revision}", self.now, self.store.revision);
         }
 
-        self.store.restore(revision);
+        self.store.restore(revision, self.now);
         self.store.mode = StoreMode::Answers;
         self.store_disturbed_at = self.store_disturbed_at.max(self.now);
         self.forget_lost_words();
--- a/crates/valvestage-policy/tests/steering/comparisons.rs
+++ b/crates/valvestage-policy/tests/steering/comparisons.rs
@@ -7,7 +7,7 @@
 use valvestage_policy::steering::{BackendDirectory, BackendEntry, BackendPhase, EntryPolicy};
 
 use crate::deployment::{Deployment, node_address};
-use crate::fixtures::{HOME, backend, millis, routes, start};
+use crate::fixtures::{HOME, at, backend, millis, routes, start};
 
 fn settled(count: usize) -> Deployment {
     let mut deployment = Deployment::new(count);
@@ -30,7 +30,7 @@
     teller.complete(revision);
     teller.mark_gone(instance, revision, now);
 
-    let pull = BackendsPull { after: 0, scope: WalkScope::Everything };
+    let pull = BackendsPull { after: at(0), scope: WalkScope::Everything };
     for message in backends_messages(&teller, pull, now) {
         let policy = deployment.nodes[node].as_mut().expect("it runs");
         policy.on_message(node_address(5), message, now);
@@ -83,11 +83,11 @@
     let (mut one, mut other) = (BackendDirectory::default(), BackendDirectory::default());
     for instance in 1..=3 {
         one.put(backend(instance, "core", HOME));
-        other.put(BackendEntry { revision: 50, ..backend(4 - instance, "core", HOME) });
+        other.put(BackendEntry { position: at(50), ..backend(4 - instance, "core", HOME) });
     }
 
     assert_eq!(one.living_digest(), other.living_digest());
-    other.mark_gone(2, 60, start());
+    other.mark_gone(2, at(60), start());
     assert_ne!(one.living_digest(), other.living_digest());
 }
 
@@ -97,9 +97,9 @@
 fn a_lapsed_entry_that_is_there_and_cannot_be_used_is_there() {
     let mut directory = BackendDirectory::default();
     directory.put(backend(1, "core", HOME));
-    directory.mark_gone(1, 13, start());
+    directory.mark_gone(1, at(13), start());
 
-    assert!(directory.mark_unusable(1, 28));
+    assert!(directory.mark_unusable(1, at(28)));
     assert_eq!(directory.get(1).map(|entry| entry.phase), Some(BackendPhase::Unusable));
 }
 
@@ -107,9 +107,9 @@
 fn one_that_has_left_is_not() {
     let mut directory = BackendDirectory::default();
     directory.put(BackendEntry { phase: BackendPhase::Draining, ..backend(1, "core", HOME) });
-    directory.mark_gone(1, 13, start());
+    directory.mark_gone(1, at(13), start());
 
-    assert!(!directory.mark_unusable(1, 28));
+    assert!(!directory.mark_unusable(1, at(28)));
 }
 
 /// A balancer has read the store, and other entries are missing there. A peer tells of one that it had not, at a revision that was read.
@@ -117,12 +117,12 @@
 fn an_entry_that_was_not_there_when_the_store_was_read_is_missing() {
     let mut directory = BackendDirectory::default();
     directory.put(backend(1, "core", HOME));
-    directory.complete(20);
+    directory.complete(at(20));
     directory.mark_missing(1, start() + millis(2_000));
-    directory.complete(54);
+    directory.complete(at(54));
 
-    directory.admit_told(BackendEntry { revision: 23, ..backend(7, "core", HOME) }, start());
+    directory.admit_told(BackendEntry { position: at(23), ..backend(7, "core", HOME) }, start());
     assert!(directory.get(7).is_some_and(|entry| entry.missing_until.is_some()));
-    directory.admit_told(BackendEntry { revision: 60, ..backend(8, "core", HOME) }, start());
+    directory.admit_told(BackendEntry { position: at(60), ..backend(8, "core", HOME) }, start());
     assert!(directory.get(8).is_some_and(|entry| entry.missing_until.is_none()));
 }
--- a/crates/valvestage-policy/tests/steering/cut_zones.rs
+++ b/crates/valvestage-policy/tests/steering/cut_zones.rs
@@ -10,7 +10,7 @@
     ResetReason, SteeringOptions, SteeringPolicy, ZoneContacts, ZoneReach,
 };
 
-use crate::fixtures::{AWAY, HOME, backend, data, flow, knowledge, millis, opening, start};
+use crate::fixtures::{AWAY, HOME, at, backend, data, flow, knowledge, millis, opening, start};
 
 /// A third zone, which nothing happens to.
 const THIRD: &str = "zone-c";
@@ -81,7 +81,7 @@
     fn cut_off_away(&mut self) -> Vec<FlowAddresses> {
         self.heard = vec![THIRD];
         let mut told = self.pass(CUT - millis(100));
-        assert!(self.known.directory.mark_gone(1, 2_000, self.now));
+        assert!(self.known.directory.mark_gone(1, at(2_000), self.now));
         told.extend(self.pass(millis(100)));
         told
     }
@@ -136,7 +136,7 @@
     site.cut_off_away();
     site.heal();
     site.pass(millis(800));
-    site.known.directory.put(BackendEntry { revision: 2_500, ..backend(1, "core", AWAY) });
+    site.known.directory.put(BackendEntry { position: at(2_500), ..backend(1, "core", AWAY) });
     assert_eq!(site.pass(millis(6_000)), []);
 }
 
@@ -150,7 +150,7 @@
     site.heal();
     site.is_confirmed = true;
     site.pass(WORD);
-    assert!(site.known.directory.mark_gone(1, 2_000, site.now));
+    assert!(site.known.directory.mark_gone(1, at(2_000), site.now));
     assert_eq!(site.pass(millis(2_000)), []);
 }
 
@@ -213,7 +213,7 @@
     let mut site = Site::with_flow_in(AWAY);
 
     site.pass(millis(3_000));
-    assert!(site.known.directory.mark_gone(1, 2_000, site.now));
+    assert!(site.known.directory.mark_gone(1, at(2_000), site.now));
     assert_eq!(site.pass(WORD), [flow(1)]);
 }
 
--- a/crates/valvestage-policy/tests/steering/deployment.rs
+++ b/crates/valvestage-policy/tests/steering/deployment.rs
@@ -54,18 +54,18 @@
 
     pub fn put_backend(&mut self, mut entry: BackendEntry) {
         self.revision += 1;
-        entry.revision = self.revision;
-        let (name, revision) = (entry.name, self.revision);
+        entry.position = self.position(self.revision);
+        let (name, revision, position) = (entry.name, self.revision, self.position(self.revision));
         self.backends.insert(entry.instance, entry.clone());
-        let news = BackendNews { name, revision, change: EntryChange::Written(entry) };
+        let news = BackendNews { name, position, change: EntryChange::Written(entry) };
         self.history.push((revision, StoreKind::Backends, None, Some(news)));
     }
 
     pub fn delete_backend(&mut self, instance: u64) {
         self.revision += 1;
         self.backends.remove(&instance);
-        let (name, revision) = (name_of(instance), self.revision);
-        let news = BackendNews { name, revision, change: EntryChange::Deleted };
+        let (name, position) = (name_of(instance), self.position(self.revision));
+        let news = BackendNews { name, position, change: EntryChange::Deleted };
         self.history.push((self.revision, StoreKind::Backends, None, Some(news)));
     }
 
@@ -74,7 +74,8 @@
         self.era += 1;
         self.revision -= lost_changes;
         self.history.retain(|(at, ..)| *at <= self.revision);
-        self.evacuations.retain(|news| news.revision <= self.revision);
+        self.evacuations.retain(|news| news.position.revision <= self.revision);
+        self.enter_era();
 
         self.routes = self.history.iter().rev().find_map(|(_, _, routes, _)| routes.clone());
         self.backends.clear();
@@ -94,6 +95,21 @@
         }
     }
 
+    /// What it tells now is told in its present era, also what was written in a former one.
+    fn enter_era(&mut self) {
+        let era = self.era;
+
+        for news in self.history.iter_mut().filter_map(|(_, _, _, news)| news.as_mut()) {
+            news.position.era = era;
+            if let EntryChange::Written(entry) = &mut news.change {
+                entry.position.era = era;
+            }
+        }
+        for news in &mut self.evacuations {
+            news.position.era = era;
+        }
+    }
+
     /// Where it stands at a revision.
     fn position(&self, revision: u64) -> StorePosition {
         StorePosition::new(self.era, revision)
@@ -112,8 +128,8 @@
         } else {
             self.evacuated.remove(zone);
         }
-        let (zone, revision) = (zone.to_owned(), self.revision);
-        self.evacuations.push(EvacuationNews { zone, revision, is_asked });
+        let (zone, position) = (zone.to_owned(), self.position(self.revision));
+        self.evacuations.push(EvacuationNews { zone, position, is_asked });
     }
 
     /// Calls for a kind of objects; told apart for evacuations only.
@@ -129,7 +145,8 @@
         Some(match call {
             StoreCall::List { .. } => {
                 let zones = self.evacuated.iter().cloned();
-                let objects = zones.map(|zone| EvacuationNews { zone, revision, is_asked: true });
+                let position = self.position(revision);
+                let objects = zones.map(|zone| EvacuationNews { zone, position, is_asked: true });
                 StoreReply::Page {
                     objects: objects.collect(),
                     next_after: None,
@@ -138,7 +155,7 @@
             }
             StoreCall::Watch { revision, .. } if self.lacks(*revision) => StoreReply::HistoryGone,
             StoreCall::Watch { revision: after, .. } => {
-                let news = self.evacuations.iter().filter(|news| news.revision > *after);
+                let news = self.evacuations.iter().filter(|news| news.position.revision > *after);
                 let objects: Vec<_> = news.cloned().collect();
                 if objects.is_empty() {
                     return None;
@@ -173,7 +190,7 @@
             StoreCall::List { .. } => {
                 let objects = self.backends.values().map(|entry| BackendNews {
                     name: entry.name,
-                    revision: entry.revision,
+                    position: entry.position,
                     change: EntryChange::Written(entry.clone()),
                 });
                 StoreReply::Page {
--- a/crates/valvestage-policy/tests/steering/directory.rs
+++ b/crates/valvestage-policy/tests/steering/directory.rs
@@ -4,10 +4,14 @@
 
 use valvestage_policy::steering::{BackendDirectory, BackendEnd, BackendEntry, BackendPhase};
 
-use crate::fixtures::{AWAY, HOME, backend, millis, seeded, start};
+use crate::fixtures::{AWAY, HOME, at, backend, millis, seeded, start};
 
 fn draining(instance: u64, revision: u64) -> BackendEntry {
-    BackendEntry { revision, phase: BackendPhase::Draining, ..backend(instance, "core", HOME) }
+    BackendEntry {
+        position: at(revision),
+        phase: BackendPhase::Draining,
+        ..backend(instance, "core", HOME)
+    }
 }
 
 #[test]
@@ -23,7 +27,7 @@
 fn a_gone_entry_stays_gone_for_news_that_is_older() {
     let (mut directory, now) = (BackendDirectory::default(), start());
     directory.put(backend(5, "core", HOME));
-    directory.mark_gone(5, 20, now);
+    directory.mark_gone(5, at(20), now);
 
     assert!(!directory.put(draining(5, 19)));
     assert!(directory.get(5).unwrap().is_gone());
@@ -33,25 +37,25 @@
 fn an_entry_that_returns_is_there_again() {
     let (mut directory, now) = (BackendDirectory::default(), start());
     directory.put(backend(5, "core", HOME));
-    directory.mark_gone(5, 20, now);
+    directory.mark_gone(5, at(20), now);
 
-    assert!(directory.put(BackendEntry { revision: 25, ..backend(5, "core", HOME) }));
+    assert!(directory.put(BackendEntry { position: at(25), ..backend(5, "core", HOME) }));
     assert!(!directory.get(5).unwrap().is_gone());
 }
 
 #[test]
 fn what_a_peer_tells_of_an_entry_gone_long_ago_is_obsolete() {
     let (mut directory, now) = (BackendDirectory::default(), start());
-    directory.complete(1);
+    directory.complete(at(1));
     directory.put(backend(5, "core", HOME));
-    directory.mark_gone(5, 20, now);
-    directory.complete(30);
+    directory.mark_gone(5, at(20), now);
+    directory.complete(at(30));
     directory.forget_gone(now + millis(1));
 
-    assert!(directory.is_obsolete(&backend(5, "core", HOME)));
-    assert!(!directory.is_obsolete(&backend(31, "core", HOME)));
-    assert!(!directory.remembers(19), "changes after 19 are not all known any more");
-    assert!(directory.remembers(20));
+    assert!(directory.is_obsolete(&backend(5, "core", HOME), start()));
+    assert!(!directory.is_obsolete(&backend(31, "core", HOME), start()));
+    assert!(!directory.remembers(at(19)), "changes after 19 are not all known any more");
+    assert!(directory.remembers(at(20)));
 }
 
 #[test]
@@ -59,20 +63,20 @@
     let (mut directory, now) = (BackendDirectory::default(), start());
     directory.put(backend(5, "core", HOME));
     directory.put(backend(6, "core", HOME));
-    directory.complete(10);
+    directory.complete(at(10));
 
-    directory.retain_listed(&HashSet::new(), 40, Some(now + millis(2_000)), now);
-    directory.complete(40);
+    directory.retain_listed(&HashSet::new(), at(40), Some(now + millis(2_000)), now);
+    directory.complete(at(40));
     assert!(!directory.get(5).unwrap().is_gone());
-    assert_eq!(directory.complete_until(), 10, "what is missing is not settled yet");
+    assert_eq!(directory.complete_until(), at(10), "what is missing is not settled yet");
 
     // One returns under the same id, the other does not.
-    directory.put(BackendEntry { revision: 41, ..backend(5, "core", HOME) });
+    directory.put(BackendEntry { position: at(41), ..backend(5, "core", HOME) });
     assert_eq!(directory.expire_missing(now + millis(2_000)), [6]);
     assert!(!directory.get(5).unwrap().is_gone());
     assert!(directory.get(6).unwrap().is_gone());
-    assert_eq!(directory.complete_until(), 40);
-    assert!(directory.changed_at() > 10, "peers have to ask for it");
+    assert_eq!(directory.complete_until(), at(40));
+    assert!(directory.changed_at() > at(10), "peers have to ask for it");
 }
 
 #[test]
@@ -81,7 +85,7 @@
     directory.put(backend(5, "core", HOME));
     directory.put(backend(50, "core", HOME));
 
-    directory.retain_listed(&HashSet::new(), 40, None, now);
+    directory.retain_listed(&HashSet::new(), at(40), None, now);
     assert!(directory.get(5).unwrap().is_gone());
     assert!(!directory.get(50).unwrap().is_gone(), "it is newer than the list");
 }
@@ -104,14 +108,14 @@
 
     for (instance, revision, leaves) in changes {
         let (instance, revision) = (u64::from(instance % 8) + 1, u64::from(*revision) + 1);
-        let mut entry = BackendEntry { revision, ..backend(instance, "core", HOME) };
+        let mut entry = BackendEntry { position: at(revision), ..backend(instance, "core", HOME) };
         if *leaves {
             entry.phase = BackendPhase::Gone { since: now, end: BackendEnd::Left };
         }
         directory.put(entry);
     }
     let mut known: Vec<_> =
-        directory.iter().map(|entry| (entry.instance, entry.revision)).collect();
+        directory.iter().map(|entry| (entry.instance, entry.position.revision)).collect();
     known.sort_unstable();
     known
 }
@@ -140,17 +144,17 @@
 fn what_went_before_the_first_list_is_not_remembered() {
     let mut directory = BackendDirectory::default();
     directory.put(backend(5, "core", HOME));
-    directory.complete(40);
+    directory.complete(at(40));
 
-    assert!(!directory.remembers(39), "others may know an entry that went before 40");
-    assert!(directory.remembers(40));
+    assert!(!directory.remembers(at(39)), "others may know an entry that went before 40");
+    assert!(directory.remembers(at(40)));
 }
 
 #[test]
 fn a_peer_that_does_not_know_that_an_entry_went_does_not_bring_it_back() {
     let (mut directory, now) = (BackendDirectory::default(), start());
     directory.put(backend(1, "core", HOME));
-    directory.complete(1);
+    directory.complete(at(1));
     directory.mark_missing(1, now + millis(2_300));
 
     assert!(directory.admit_told(backend(1, "core", HOME), now).is_empty());
@@ -158,7 +162,7 @@
     // The store has it again: it was there all the time. Or it has returned, by a peer's word.
     assert_eq!(directory.admit(backend(1, "core", HOME), now), [1]);
     directory.mark_missing(1, now + millis(2_300));
-    let returned = BackendEntry { revision: 9, ..backend(1, "core", HOME) };
+    let returned = BackendEntry { position: at(9), ..backend(1, "core", HOME) };
     assert_eq!(directory.admit_told(returned, now), [1]);
     assert!(!directory.has_missing());
 }
@@ -167,16 +171,16 @@
 fn a_peer_that_is_behind_what_was_read_does_not_bring_a_missing_entry_back() {
     let (mut directory, now) = (BackendDirectory::default(), start());
     directory.put(backend(1, "core", HOME));
-    directory.complete(1);
+    directory.complete(at(1));
     // It lapsed, returned and went again while this balancer read nothing; the list of revision 9 does not have it.
     directory.mark_missing(1, now + millis(2_300));
-    directory.complete(9);
+    directory.complete(at(9));
 
-    let told = BackendEntry { revision: 6, ..backend(1, "core", HOME) };
+    let told = BackendEntry { position: at(6), ..backend(1, "core", HOME) };
     directory.admit_told(told, now);
     assert!(directory.has_missing());
-    assert_eq!(directory.get(1).unwrap().revision, 6);
+    assert_eq!(directory.get(1).unwrap().position, at(6));
     // The next list began after its time.
     assert_eq!(directory.expire_missing(now + millis(2_400)), [1]);
-    assert_eq!(directory.complete_until(), 9);
+    assert_eq!(directory.complete_until(), at(9));
 }
--- a/crates/valvestage-policy/tests/steering/ended_flows.rs
+++ b/crates/valvestage-policy/tests/steering/ended_flows.rs
@@ -11,7 +11,9 @@
     PacketVerdict, ResetReason, SteeringOptions, SteeringPolicy,
 };
 
-use crate::fixtures::{AWAY, HOME, backend, data, flow, knowledge, millis, opening, seeded, start};
+use crate::fixtures::{
+    AWAY, HOME, at, backend, data, flow, knowledge, millis, opening, seeded, start,
+};
 
 /// Time between two rounds.
 const ROUND: Duration = Duration::from_millis(100);
@@ -60,7 +62,7 @@
             self.known.confirm(Some(self.now));
         }
 
-        assert!(self.known.directory.mark_gone(server, 2_000, self.now));
+        assert!(self.known.directory.mark_gone(server, at(2_000), self.now));
     }
 
     /// One round; gives the flows that were told.
@@ -135,7 +137,7 @@
     site.open(1);
 
     // It has just answered.
-    site.known.directory.mark_gone(1, 2_000, site.now);
+    site.known.directory.mark_gone(1, at(2_000), site.now);
     assert_eq!(site.told_in(22), []);
     assert_eq!(site.told_in(2), [flow(1)]);
 }
@@ -145,9 +147,9 @@
     let mut site = Site::with_backends(1);
     site.open(1);
 
-    site.known.directory.mark_gone(1, 2_000, site.now);
+    site.known.directory.mark_gone(1, at(2_000), site.now);
     assert_eq!(site.told_in(10), []);
-    site.known.directory.put(BackendEntry { revision: 2_500, ..backend(1, "core", HOME) });
+    site.known.directory.put(BackendEntry { position: at(2_500), ..backend(1, "core", HOME) });
     assert_eq!(site.told_in(40), []);
 }
 
@@ -233,13 +235,13 @@
             site.now += millis(u64::from(wait) * 5);
             let lapsed = u64::from(lapsed % 3) + 1;
             let revision = 2_000 + 10 * u64::from(turn);
-            assert!(site.known.directory.mark_gone(lapsed, revision, site.now));
+            assert!(site.known.directory.mark_gone(lapsed, at(revision), site.now));
             let told = site.told_in(15);
             if !told.is_empty() {
                 return TestResult::error(format!("turn {turn}: told {told:?}"));
             }
             let entry = backend(lapsed, "core", HOME);
-            site.known.directory.put(BackendEntry { revision: revision + 1, ..entry });
+            site.known.directory.put(BackendEntry { position: at(revision + 1), ..entry });
         }
         TestResult::passed()
     }
--- a/crates/valvestage-policy/tests/steering/evacuations.rs
+++ b/crates/valvestage-policy/tests/steering/evacuations.rs
@@ -7,7 +7,7 @@
 use valvestage_policy::steering::{EvacuationReport, PacketVerdict, ResetReason, StoreKind};
 
 use crate::deployment::Deployment;
-use crate::fixtures::{backend, data, flow, millis, opening, routes, start};
+use crate::fixtures::{at, backend, data, flow, millis, opening, routes, start};
 
 /// What it may take until all balancers know of an evacuation: users ask for five seconds.
 const AIM: Duration = Duration::from_secs(1);
@@ -273,7 +273,10 @@
 }
 
 fn report(as_of: u64, zones: &[&str]) -> EvacuationReport {
-    EvacuationReport { as_of, zones: zones.iter().map(|zone| (*zone).to_owned()).collect() }
+    EvacuationReport {
+        as_of: at(as_of),
+        zones: zones.iter().map(|zone| (*zone).to_owned()).collect(),
+    }
 }
 
 #[test]
@@ -284,7 +287,7 @@
     assert!(!zones.replace(report(19, &[]), now));
     assert!(!zones.replace(report(20, &[]), now));
     assert!(!zones.replace(report(25, &["zone-a"]), now), "nothing is new but the revision");
-    assert_eq!(zones.as_of(), 25);
+    assert_eq!(zones.as_of(), at(25));
 }
 
 #[test]
@@ -294,8 +297,8 @@
 
     zones.replace(report(30, &[]), now);
     assert!(zones.holds("zone-a"));
-    assert!(zones.end_returns(Some(29), now).is_empty());
-    assert_eq!(zones.end_returns(Some(30), now), ["zone-a"]);
+    assert!(zones.end_returns(Some(at(29)), now).is_empty());
+    assert_eq!(zones.end_returns(Some(at(30)), now), ["zone-a"]);
     assert!(!zones.holds("zone-a"));
 }
 
@@ -305,8 +308,8 @@
     zones.replace(report(20, &["zone-a"]), now);
 
     zones.replace(report(30, &[]), now);
-    assert!(zones.end_returns(Some(21), now + millis(2_400)).is_empty());
-    assert_eq!(zones.end_returns(Some(21), now + millis(2_500)), ["zone-a"]);
+    assert!(zones.end_returns(Some(at(21)), now + millis(2_400)).is_empty());
+    assert_eq!(zones.end_returns(Some(at(21)), now + millis(2_500)), ["zone-a"]);
 }
 
 #[test]
--- a/crates/valvestage-policy/tests/steering/fixtures.rs
+++ b/crates/valvestage-policy/tests/steering/fixtures.rs
@@ -57,7 +57,7 @@
     BackendEntry {
         instance,
         name: name_of(instance),
-        revision: instance,
+        position: at(instance),
         service: service.to_owned(),
         address: address(u8::try_from(instance % 250).unwrap(), 8_080),
         zone: zone.to_owned(),
@@ -77,7 +77,7 @@
     for entry in backends {
         knowledge.directory.put(entry.clone());
     }
-    knowledge.directory.complete(1_000);
+    knowledge.directory.complete(at(1_000));
     knowledge
 }
 
--- a/crates/valvestage-policy/tests/steering/fleet.rs
+++ b/crates/valvestage-policy/tests/steering/fleet.rs
@@ -11,7 +11,7 @@
     SteeringPolicy,
 };
 
-use crate::fixtures::{address, backend, data, flow, knowledge, millis, opening, start};
+use crate::fixtures::{address, at, backend, data, flow, knowledge, millis, opening, start};
 
 const ZONES: usize = 5;
 const BALANCERS: usize = 100;
@@ -183,7 +183,7 @@
 fn the_callers_of_an_evacuated_zone_are_spread_over_the_others() {
     let mut fleet = Fleet::new(true);
     fleet.run(LEARNING);
-    let report = EvacuationReport { as_of: 5, zones: vec![zone_name(1)] };
+    let report = EvacuationReport { as_of: at(5), zones: vec![zone_name(1)] };
     fleet.known.evacuated.replace(report, fleet.now);
 
     fleet.run(Duration::from_secs(1));
--- a/crates/valvestage-policy/tests/steering/follower.rs
+++ b/crates/valvestage-policy/tests/steering/follower.rs
@@ -32,68 +32,68 @@
     let (mut follower, now) = (StoreFollower::new(StoreKind::Configuration), start());
 
     assert_eq!(
-        follower.next_call(0, now),
+        follower.next_call(at(0), now),
         Some(StoreCall::List { after: None, freshness: ListFreshness::Current })
     );
     let news = follower.on_reply(page(&[1, 2], Some("b"), 10), now);
     assert_eq!(news.completes, Completeness::ListBegins);
     let second =
         Some(StoreCall::List { after: Some("b".to_owned()), freshness: ListFreshness::Current });
-    assert_eq!(follower.next_call(0, now), second);
+    assert_eq!(follower.next_call(at(0), now), second);
 
     // Something changed between the two pages: the watch replays it.
     let news = follower.on_reply(page(&[3], None, 15), now);
-    let ends = Completeness::ListEnds { revision: 10, after_outage: false, single_page: false };
+    let ends = Completeness::ListEnds { position: at(10), after_outage: false, single_page: false };
     assert_eq!(news, FollowerNews { objects: vec![3], completes: ends });
-    assert_eq!(watched_revision(follower.next_call(0, now)), Some(10));
+    assert_eq!(watched_revision(follower.next_call(at(0), now)), Some(10));
 }
 
 #[test]
 fn there_is_one_call_at_a_time() {
     let (mut follower, now) = (StoreFollower::new(StoreKind::Configuration), start());
 
-    assert!(follower.next_call(0, now).is_some());
-    assert!(follower.next_call(0, now + millis(5_000)).is_none());
+    assert!(follower.next_call(at(0), now).is_some());
+    assert!(follower.next_call(at(0), now + millis(5_000)).is_none());
 }
 
 #[test]
 fn a_watch_goes_on_where_it_ended_or_where_peers_are() {
     let (mut follower, now) = (StoreFollower::new(StoreKind::Configuration), start());
-    follower.next_call(0, now);
+    follower.next_call(at(0), now);
     follower.on_reply(page(&[], None, 10), now);
-    follower.next_call(0, now);
+    follower.next_call(at(0), now);
 
     let news = follower.on_reply(changes(&[4], 12), now);
-    assert_eq!(news.completes, Completeness::Until(12));
+    assert_eq!(news.completes, Completeness::Until(at(12)));
     let later = now + millis(500);
-    assert_eq!(watched_revision(follower.next_call(20, later)), Some(20));
+    assert_eq!(watched_revision(follower.next_call(at(20), later)), Some(20));
 }
 
 #[test]
 fn a_revision_never_goes_back() {
     let (mut follower, now) = (StoreFollower::new(StoreKind::Configuration), start());
-    follower.next_call(0, now);
+    follower.next_call(at(0), now);
     follower.on_reply(page(&[], None, 10), now);
-    follower.next_call(0, now);
+    follower.next_call(at(0), now);
 
     follower.on_reply(changes(&[], 8), now);
-    assert_eq!(watched_revision(follower.next_call(0, now)), Some(10));
+    assert_eq!(watched_revision(follower.next_call(at(0), now)), Some(10));
 }
 
 #[test]
 fn history_that_is_gone_leads_to_a_new_list_without_an_outage() {
     let (mut follower, now) = (StoreFollower::new(StoreKind::Configuration), start());
-    follower.next_call(0, now);
+    follower.next_call(at(0), now);
     follower.on_reply(page(&[1], None, 10), now);
-    follower.next_call(0, now);
+    follower.next_call(at(0), now);
 
     follower.on_reply(StoreReply::<u32>::HistoryGone, now);
     assert_eq!(
-        follower.next_call(0, now),
+        follower.next_call(at(0), now),
         Some(StoreCall::List { after: None, freshness: ListFreshness::Current })
     );
     let news = follower.on_reply(page(&[1], None, 30), now);
-    let ends = Completeness::ListEnds { revision: 30, after_outage: false, single_page: true };
+    let ends = Completeness::ListEnds { position: at(30), after_outage: false, single_page: true };
     assert_eq!(news.completes, ends);
 }
 
@@ -103,10 +103,10 @@
     let mut pauses = Vec::new();
 
     for _ in 0..6 {
-        assert!(follower.next_call(0, now).is_some());
+        assert!(follower.next_call(at(0), now).is_some());
         follower.on_reply(StoreReply::<u32>::Failed, now);
         let failed_at = now;
-        while follower.next_call(0, now).is_none() {
+        while follower.next_call(at(0), now).is_none() {
             now += millis(10);
         }
         follower.on_reply(StoreReply::<u32>::Failed, now);
@@ -120,44 +120,44 @@
 #[test]
 fn the_first_list_after_failures_says_so() {
     let (mut follower, now) = (StoreFollower::new(StoreKind::Configuration), start());
-    follower.next_call(0, now);
+    follower.next_call(at(0), now);
     follower.on_reply(StoreReply::<u32>::Failed, now);
 
     let later = now + millis(1_000);
-    follower.next_call(0, later);
+    follower.next_call(at(0), later);
     let news = follower.on_reply(page(&[1], None, 10), later);
-    let ends = Completeness::ListEnds { revision: 10, after_outage: true, single_page: true };
+    let ends = Completeness::ListEnds { position: at(10), after_outage: true, single_page: true };
     assert_eq!(news.completes, ends);
 }
 
 #[test]
 fn a_list_that_is_asked_for_again_is_read_to_its_end() {
     let (mut follower, now) = (StoreFollower::new(StoreKind::Configuration), start());
-    follower.next_call(0, now);
+    follower.next_call(at(0), now);
     follower.on_reply(page(&[1], None, 10), now);
-    follower.next_call(0, now);
+    follower.next_call(at(0), now);
     follower.list_again();
-    assert!(follower.next_call(0, now).is_none(), "the watch goes on");
+    assert!(follower.next_call(at(0), now).is_none(), "the watch goes on");
     follower.on_reply(changes(&[], 10), now);
 
     follower.list_again();
     assert_eq!(
-        follower.next_call(0, now),
+        follower.next_call(at(0), now),
         Some(StoreCall::List { after: None, freshness: ListFreshness::Current })
     );
     follower.on_reply(page(&[1], Some("b"), 11), now);
     follower.list_again();
     let second =
         Some(StoreCall::List { after: Some("b".to_owned()), freshness: ListFreshness::Current });
-    assert_eq!(follower.next_call(0, now), second);
+    assert_eq!(follower.next_call(at(0), now), second);
 }
 
 /// A follower of backend servers that has just been told of a change.
 fn told_of_a_change(kind: StoreKind, now: Instant) -> StoreFollower {
     let mut follower = StoreFollower::new(kind);
-    follower.next_call(0, now);
+    follower.next_call(at(0), now);
     follower.on_reply(page(&[], None, 10), now);
-    follower.next_call(0, now);
+    follower.next_call(at(0), now);
     follower.on_reply(changes(&[4], 12), now);
     follower
 }
@@ -167,8 +167,8 @@
     let now = start();
     let mut follower = told_of_a_change(StoreKind::Backends, now);
 
-    assert!(follower.next_call(0, now + millis(390)).is_none());
-    let call = follower.next_call(0, now + millis(410));
+    assert!(follower.next_call(at(0), now + millis(390)).is_none());
+    let call = follower.next_call(at(0), now + millis(410));
     // The answers of a follower are never further apart than those of one without news.
     let Some(StoreCall::Watch { wait, .. }) = call else { panic!("{call:?}") };
     assert!(wait + millis(410) <= WATCH_WAIT, "{wait:?}");
@@ -179,22 +179,22 @@
     let now = start();
     let mut follower = told_of_a_change(StoreKind::Configuration, now);
 
-    assert!(follower.next_call(0, now + millis(110)).is_some());
+    assert!(follower.next_call(at(0), now + millis(110)).is_some());
 }
 
 #[test]
 fn another_era_of_the_store_and_a_history_that_is_gone_are_told() {
     let (mut follower, now) = (StoreFollower::new(StoreKind::Backends), start());
-    follower.next_call(0, now);
+    follower.next_call(at(0), now);
     follower.on_reply(page(&[], None, 26), now);
     assert!(follower.take_decisions().is_empty());
 
-    follower.next_call(0, now);
+    follower.next_call(at(0), now);
     follower.on_reply(StoreReply::<u32>::HistoryGone, now);
-    let gone = Decision::HistoryGone { kind: StoreKind::Backends, revision: 26 };
+    let gone = Decision::HistoryGone { kind: StoreKind::Backends, position: at(26) };
     assert_eq!(follower.take_decisions(), [gone]);
 
-    follower.next_call(0, now);
+    follower.next_call(at(0), now);
     let position = StorePosition::new(1, 22);
     follower.on_reply::<u32>(StoreReply::Page { objects: vec![], next_after: None, position }, now);
     let era = Decision::StoreEra { kind: StoreKind::Backends, former: 0, position };
--- a/crates/valvestage-policy/tests/steering/held_packets.rs
+++ b/crates/valvestage-policy/tests/steering/held_packets.rs
@@ -10,7 +10,7 @@
     SteeringOptions, SteeringPolicy,
 };
 
-use crate::fixtures::{HOME, backend, data, flow, knowledge, millis, opening, start};
+use crate::fixtures::{HOME, at, backend, data, flow, knowledge, millis, opening, start};
 
 /// A request on a flow at backend server 9.
 fn request(port: u16) -> CallerPacket {
@@ -37,7 +37,7 @@
     let mut known = knowledge(&[backend(1, "core", HOME)]);
 
     assert!(held.take_decidable(|packet| policy.can_decide(&known, packet)).is_empty());
-    known.directory.put(BackendEntry { revision: 2_000, ..backend(9, "core", HOME) });
+    known.directory.put(BackendEntry { position: at(2_000), ..backend(9, "core", HOME) });
     let released = held.take_decidable(|packet| policy.can_decide(&known, packet));
     assert_eq!(released.len(), 1);
     let verdict = policy.on_packet(&known, &released[0].packet, now + millis(300));
--- a/crates/valvestage-policy/tests/steering/lapses.rs
+++ b/crates/valvestage-policy/tests/steering/lapses.rs
@@ -12,7 +12,7 @@
     PeerMessage, ResetReason, SteeringOptions, SteeringPolicy,
 };
 
-use crate::fixtures::{AWAY, HOME, backend, data, flow, knowledge, millis, opening, start};
+use crate::fixtures::{AWAY, HOME, at, backend, data, flow, knowledge, millis, opening, start};
 
 /// Longer than entries take to return.
 const RETURNED: Duration = Duration::from_millis(2_400);
@@ -52,7 +52,7 @@
     }
 
     fn lapse(&mut self) {
-        assert!(self.known.directory.mark_gone(1, 2_000, self.now));
+        assert!(self.known.directory.mark_gone(1, at(2_000), self.now));
     }
 
     fn wait(&mut self, time: Duration) {
@@ -95,7 +95,7 @@
 
     site.lapse();
     site.wait(millis(1_500));
-    site.known.directory.put(BackendEntry { revision: 2_500, ..backend(1, "core", HOME) });
+    site.known.directory.put(BackendEntry { position: at(2_500), ..backend(1, "core", HOME) });
     site.wait(RETURNED);
     assert_stays(site.request());
 }
@@ -116,8 +116,11 @@
 #[test]
 fn one_that_was_draining_is_gone_at_once() {
     let mut site = Site::with_open_flow(HOME);
-    let leaving =
-        BackendEntry { revision: 1_500, phase: BackendPhase::Draining, ..backend(1, "core", HOME) };
+    let leaving = BackendEntry {
+        position: at(1_500),
+        phase: BackendPhase::Draining,
+        ..backend(1, "core", HOME)
+    };
     site.known.directory.put(leaving);
 
     site.lapse();
@@ -187,7 +190,7 @@
     let mut site = Site::with_open_flow(HOME);
     site.known.directory.put(backend(3, "core", AWAY));
 
-    site.known.directory.mark_gone(3, 2_000, site.now);
+    site.known.directory.mark_gone(3, at(2_000), site.now);
     site.wait(millis(2_000));
     site.known.settle_at(site.now + millis(3_100));
     site
@@ -229,11 +232,11 @@
     let mut lapsed = backend(9, "core", HOME);
     lapsed.address = backend(2, "core", HOME).address;
     teller.put(lapsed);
-    teller.complete(1_000);
-    teller.mark_gone(9, 2_000, site.now);
+    teller.complete(at(1_000));
+    teller.mark_gone(9, at(2_000), site.now);
     site.now += ago;
 
-    let pull = BackendsPull { after: 0, scope: WalkScope::Everything };
+    let pull = BackendsPull { after: at(0), scope: WalkScope::Everything };
     for message in backends_messages(&teller, pull, site.now) {
         let PeerMessage::Backends(part) = message else { panic!("not a part of backends") };
         for entry in entries_of(part, site.now) {
@@ -261,7 +264,7 @@
     site.known.see_from(site.now);
 
     site.wait(millis(600));
-    site.known.directory.mark_gone(3, 2_000, site.now);
+    site.known.directory.mark_gone(3, at(2_000), site.now);
     site.wait(millis(300));
     site
 }
@@ -292,7 +295,7 @@
     site.known.see_from(site.now);
 
     site.wait(SILENT);
-    site.known.directory.mark_gone(3, 2_000, site.now);
+    site.known.directory.mark_gone(3, at(2_000), site.now);
     site.wait(millis(300));
     assert_ends(request_on_unseen(&mut site));
 }
--- a/crates/valvestage-policy/tests/steering/late_messages.rs
+++ b/crates/valvestage-policy/tests/steering/late_messages.rs
@@ -9,7 +9,7 @@
     EntryOptions, EntryPolicy, KeeperAction, PeerMessage, SteeringOptions,
 };
 
-use crate::fixtures::{AWAY, HOME, address, millis, start};
+use crate::fixtures::{AWAY, HOME, address, at, millis, start};
 
 /// How long it stands still.
 const STANDSTILL: Duration = Duration::from_millis(1_500);
@@ -29,8 +29,9 @@
         zone: AWAY.to_owned(),
         asks: false,
         version: 0,
-        complete_until: 0,
-        changed_at: 0,
+        complete_until: at(0),
+        changed_at: at(0),
+        era_head: at(0),
         living: 0,
         age_ms: SENT_AGE_MS,
         outage_age_ms: u32::MAX,
--- a/crates/valvestage-policy/tests/steering/packets.rs
+++ b/crates/valvestage-policy/tests/steering/packets.rs
@@ -8,7 +8,7 @@
 };
 
 use crate::fixtures::{
-    AWAY, HOME, backend, data, flow, front, knowledge, millis, opening, routes, start, target,
+    AWAY, HOME, at, backend, data, flow, front, knowledge, millis, opening, routes, start, target,
 };
 
 fn policy() -> SteeringPolicy {
@@ -23,7 +23,7 @@
 /// A backend server of `core` is leaving.
 fn drain(known: &mut Knowledge, server: u64) {
     let leaving = BackendEntry {
-        revision: 2_000,
+        position: at(2_000),
         phase: BackendPhase::Draining,
         ..backend(server, "core", HOME)
     };
@@ -241,7 +241,7 @@
     // Opened through another balancer: nothing was seen of it here.
     assert_eq!(instance(policy.on_packet(&known, &request(1, 1), now)), 1);
 
-    known.directory.mark_gone(1, 2_000, now);
+    known.directory.mark_gone(1, at(2_000), now);
     let verdict = policy.on_packet(&known, &request(1, 1), now + millis(50));
     assert_eq!(verdict, PacketVerdict::Reset(ResetReason::BackendGone));
 }
@@ -252,7 +252,7 @@
     open(&mut policy, &known, 1, now);
 
     let until = Some(now + millis(2_000));
-    known.directory.retain_listed(&std::collections::HashSet::new(), 2_000, until, now);
+    known.directory.retain_listed(&std::collections::HashSet::new(), at(2_000), until, now);
     assert_eq!(instance(policy.on_packet(&known, &request(1, 1), now + millis(50))), 1);
 }
 
--- a/crates/valvestage-policy/tests/steering/pauses.rs
+++ b/crates/valvestage-policy/tests/steering/pauses.rs
@@ -61,7 +61,7 @@
         let mut policy = EntryPolicy::new(options, now);
         let news = servers.iter().map(|instance| BackendNews {
             name: name_of(*instance),
-            revision: *instance,
+            position: at(*instance),
             change: EntryChange::Written(backend(*instance, "core", HOME)),
         });
 
@@ -182,7 +182,8 @@
     let mut balancer = Balancer::ready(&[SERVER, OTHERS[0]]);
     balancer.answer_at(SERVER, 1..=5, millis(40));
     balancer.turn_after(millis(100));
-    let lapsed = BackendNews { name: name_of(SERVER), revision: 11, change: EntryChange::Deleted };
+    let lapsed =
+        BackendNews { name: name_of(SERVER), position: at(11), change: EntryChange::Deleted };
     let news = StoreReply::Changes { objects: vec![lapsed], position: at(11) };
     balancer.policy.on_backends_reply(news, balancer.now);
 
--- a/crates/valvestage-policy/tests/steering/peers.rs
+++ b/crates/valvestage-policy/tests/steering/peers.rs
@@ -10,7 +10,7 @@
 use valvestage_policy::steering::seeded_draw::SeededDraw;
 use valvestage_policy::steering::{BackendDirectory, RouteMap};
 
-use crate::fixtures::{HOME, address, backend, front, millis, start, target};
+use crate::fixtures::{HOME, address, at, backend, front, millis, start, target};
 
 #[test]
 fn every_balancer_has_its_turn() {
@@ -159,11 +159,11 @@
 #[test]
 fn only_changes_are_told_while_they_are_remembered() {
     let (mut directory, now) = (BackendDirectory::default(), start());
-    directory.complete(1);
+    directory.complete(at(1));
     for instance in 1..=9 {
         directory.put(backend(instance, "core", HOME));
     }
-    directory.complete(9);
+    directory.complete(at(9));
     let told = |directory: &BackendDirectory, after| {
         let pull = BackendsPull { after, scope: WalkScope::Changes };
         let messages = backends_messages(directory, pull, now);
@@ -173,10 +173,10 @@
         });
         parts.sum::<usize>()
     };
-    assert_eq!(told(&directory, 7), 2);
+    assert_eq!(told(&directory, at(7)), 2);
 
     // One of revision 8 is forgotten, so changes after 7 are not all known any more.
-    directory.mark_gone(8, 10, now);
+    directory.mark_gone(8, at(10), now);
     directory.forget_gone(now + millis(1));
-    assert_eq!(told(&directory, 7), 8);
+    assert_eq!(told(&directory, at(7)), 8);
 }
--- a/crates/valvestage-policy/tests/steering/rebirths.rs
+++ b/crates/valvestage-policy/tests/steering/rebirths.rs
@@ -10,7 +10,7 @@
     PacketVerdict, PeerMessage, ResetReason, SteeringOptions, SteeringPolicy,
 };
 
-use crate::fixtures::{HOME, backend, data, flow, knowledge, millis, name_of, opening, start};
+use crate::fixtures::{HOME, at, backend, data, flow, knowledge, millis, name_of, opening, start};
 
 /// The name that all births share, and what their packets are addressed to.
 const NAME: u64 = 7;
@@ -22,13 +22,13 @@
 fn birth(instance: u64, revision: u64) -> BackendEntry {
     let entry = backend(NAME, "core", HOME);
 
-    BackendEntry { instance, revision, ..entry }
+    BackendEntry { instance, position: at(revision), ..entry }
 }
 
 fn directory() -> BackendDirectory {
     let mut directory = BackendDirectory::default();
     directory.put(birth(FIRST, 500));
-    directory.complete(1_000);
+    directory.complete(at(1_000));
     directory
 }
 
@@ -111,10 +111,10 @@
     let now = start();
     let mut teller = directory();
     teller.admit(birth(SECOND, 1_100), now);
-    teller.complete(1_100);
+    teller.complete(at(1_100));
 
     let mut hearer = BackendDirectory::default();
-    let pull = BackendsPull { after: 0, scope: WalkScope::Everything };
+    let pull = BackendsPull { after: at(0), scope: WalkScope::Everything };
     for message in backends_messages(&teller, pull, now) {
         let PeerMessage::Backends(part) = message else { panic!("not a part of backends") };
         for entry in entries_of(part, now) {
@@ -296,9 +296,9 @@
 fn an_entry_that_cannot_be_used_keeps_its_flows_and_gets_no_new_ones() {
     let mut site = Site::with_open_flow();
 
-    assert!(site.known.directory.mark_unusable(FIRST, 1_100));
+    assert!(site.known.directory.mark_unusable(FIRST, at(1_100)));
     assert!(matches!(site.request(1), PacketVerdict::Forward { instance: FIRST, .. }));
     let verdict = site.policy.on_packet(&site.known, &opening(flow(5), 0), site.now);
     assert_eq!(verdict, PacketVerdict::Reset(ResetReason::NoBackend));
-    assert!(!site.known.directory.mark_unusable(FIRST, 1_050), "older news");
+    assert!(!site.known.directory.mark_unusable(FIRST, at(1_050)), "older news");
 }
--- a/crates/valvestage-policy/tests/steering/regions.rs
+++ b/crates/valvestage-policy/tests/steering/regions.rs
@@ -6,7 +6,7 @@
 };
 
 use crate::fixtures::{
-    AWAY, HOME, backend, flow, front, knowledge, opening, routes, start, target,
+    AWAY, HOME, at, backend, flow, front, knowledge, opening, routes, start, target,
 };
 
 /// A balancer in the region west; one backend server there and one in the region east.
@@ -50,7 +50,7 @@
 fn without_a_backend_server_in_them_they_are_refused_at_once() {
     let (mut policy, mut known, now) = (balancer(), with_regions(&["east"]), start());
     let mut leaving = backend(2, "core", AWAY);
-    (leaving.phase, leaving.revision) = (BackendPhase::Draining, 900);
+    (leaving.phase, leaving.position) = (BackendPhase::Draining, at(900));
     known.directory.put(leaving);
 
     let verdict = policy.on_packet(&known, &opening(flow(1), 0), now);
--- a/crates/valvestage-policy/tests/steering/restarts.rs
+++ b/crates/valvestage-policy/tests/steering/restarts.rs
@@ -11,7 +11,7 @@
 };
 
 use crate::fixtures::{
-    AWAY, HOME, backend, data, flow, front, knowledge, millis, opening, routes, seeded, start,
+    AWAY, HOME, at, backend, data, flow, front, knowledge, millis, opening, routes, seeded, start,
 };
 
 fn restarted() -> SteeringPolicy {
@@ -67,7 +67,7 @@
         let servers = [backend(1, "core", HOME), backend(2, "photos", AWAY)];
         let mut known = knowledge(&servers);
         known.directory.put(backend(3, "core", HOME));
-        known.directory.mark_gone(3, 2_000, now);
+        known.directory.mark_gone(3, at(2_000), now);
         let instance = u64::from(named % 5);
         let token = if is_named { BackendDirectory::token_of(instance) } else { token };
         let by_token = known.directory.by_token(token).map(|entry| entry.instance);
@@ -98,7 +98,7 @@
 fn a_flow_on_a_draining_backend_server_stays_at_a_balancer_that_never_placed_on_it() {
     let mut known = known_after_move();
     let leaving = valvestage_policy::steering::BackendEntry {
-        revision: 2_000,
+        position: at(2_000),
         phase: valvestage_policy::steering::BackendPhase::Draining,
         ..backend(1, "core", HOME)
     };
--- a/crates/valvestage-policy/tests/steering/successors.rs
+++ b/crates/valvestage-policy/tests/steering/successors.rs
@@ -19,7 +19,7 @@
 fn successor() -> BackendEntry {
     let name = name_of(SUCCESSOR);
 
-    BackendEntry { instance: SUCCESSOR, name, revision: 2_000, ..backend(FORMER, "core", HOME) }
+    BackendEntry { instance: SUCCESSOR, name, position: at(2_000), ..backend(FORMER, "core", HOME) }
 }
 
 fn site() -> (Knowledge, Instant) {
@@ -79,7 +79,7 @@
     let mut policy = with_answered_flow(&known, now);
     let token = BackendDirectory::token_of(FORMER);
 
-    assert!(known.directory.mark_gone(FORMER, successor().revision, now + millis(30)));
+    assert!(known.directory.mark_gone(FORMER, successor().position, now + millis(30)));
     known.directory.admit(successor(), now + millis(30));
     let request = data(flow(1), token, 1_101, 100, 901);
     let verdict = policy.on_packet(&known, &request, now + millis(40));
@@ -91,7 +91,7 @@
     let (mut known, now) = site();
 
     // Told late by a peer: the store had it before the present one.
-    known.directory.admit(BackendEntry { revision: 0, ..successor() }, now);
+    known.directory.admit(BackendEntry { position: at(0), ..successor() }, now);
     assert!(!is_gone(&known));
 }
 
@@ -110,7 +110,7 @@
     let (mut known, now) = site();
     let leaving = BackendEntry { phase: BackendPhase::Draining, ..backend(2, "core", HOME) };
 
-    known.directory.admit(BackendEntry { revision: 2_000, ..leaving }, now);
+    known.directory.admit(BackendEntry { position: at(2_000), ..leaving }, now);
     assert!(known.directory.iter().all(|entry| !entry.is_gone()));
 }
 
@@ -134,13 +134,13 @@
 
     let news = |instance| BackendNews {
         name: name_of(instance),
-        revision: 2_500,
+        position: at(2_500),
         change: EntryChange::Deleted,
     };
     let reply = StoreReply::Changes { objects: vec![news(FORMER), news(2)], position: at(2_500) };
     let changed = link.on_backends_reply(&mut known, reply, now + millis(500));
     assert_eq!(changed, [FORMER, 2]);
     let former = known.directory.get(FORMER).unwrap();
-    assert_eq!((former.revision, former.is_superseded()), (2_500, false));
+    assert_eq!((former.position, former.is_superseded()), (at(2_500), false));
     assert!(known.directory.get(2).unwrap().missing_until.is_some(), "this one may return");
 }
--- a/crates/valvestage-standins/src/platform/store.rs
+++ b/crates/valvestage-standins/src/platform/store.rs
@@ -75,7 +75,7 @@
 
         self.revision += 1;
         object.meta.revision = self.revision;
-        let event = WireEvent { object: object.clone(), deleted: true };
+        let event = WireEvent { object: object.clone(), deleted: true, era: self.era };
         self.history.push((self.revision, kind.to_owned(), event));
         Some(object)
     }
@@ -86,7 +86,7 @@
         let object = WireObject { meta, spec: value, status: Value::Null };
 
         self.objects.insert((kind.to_owned(), name.to_owned()), object.clone());
-        let event = WireEvent { object: object.clone(), deleted: false };
+        let event = WireEvent { object: object.clone(), deleted: false, era: self.era };
         self.history.push((self.revision, kind.to_owned(), event));
         object
     }
