Ask for everything while an entry is overdue

Cause: a balancer that starts lists the store, misses an entry, and stops following. Others know at an earlier position that the entry went. It asks them for changes after the position up to which it knows everything, which the missing entry keeps where it is, so that it is never told. Evidence: BackendMissing is its last line about the entry, complete_until stays 38 and it asks at each heartbeat.

--- a/crates/valvestage-policy/src/steering/peers/backend_walk.rs
+++ b/crates/valvestage-policy/src/steering/peers/backend_walk.rs
@@ -136,7 +136,8 @@
         }
 
         let known_until = knowledge.directory.complete_until();
-        let begin = if self.has_history { known_until } else { StorePosition::START };
+        let asks_all = !self.has_history || self.asks_for_overdue(knowledge, now);
+        let begin = if asks_all { StorePosition::START } else { known_until };
         let scope =
             if begin > StorePosition::START { WalkScope::Changes } else { WalkScope::Everything };
         self.walk = self.walk.take().filter(|walk| walk.lasts_until > now);
@@ -148,6 +149,18 @@
         Some(self.ask(peer, now))
     }
 
+    /// Whether to ask for everything because an entry is missing whose time to return is over. Changes after what is completely known
+    /// do not tell that it went before, and it keeps this balancer from being complete.
+    fn asks_for_overdue(&mut self, knowledge: &Knowledge, now: Instant) -> bool {
+        let is_due = self.compares_from.is_none_or(|from| from <= now);
+        if !is_due || !knowledge.directory.has_overdue(now) {
+            return false;
+        }
+
+        self.compares_from = Some(now + COMPARE_INTERVAL);
+        true
+    }
+
     /// `compare` asks a balancer for everything; none while another answer is under way, or soon after the last time.
     pub(in crate::steering) fn compare(
         &mut self,
--- a/crates/valvestage-policy/tests/simulation/seeds/stale_beliefs.rs
+++ b/crates/valvestage-policy/tests/simulation/seeds/stale_beliefs.rs
@@ -25,3 +25,17 @@
 fn one_that_stopped_following_does_not_believe_in_a_missing_entry_for_good() {
     assert_hold(&[27_783, 20_702]);
 }
+
+/// A balancer that starts reads the store while it may have been away, misses an entry, and leaves the store to others. They know at an earlier
+/// revision that the entry went, and tell it changes after the one up to which it knows everything; what it misses keeps that
+/// where it is. `BackendMissing` is its last line about the entry; its heartbeats keep one `complete_until`, and it asks for
+/// changes at each heartbeat that it hears.
+#[test]
+fn one_that_misses_an_entry_learns_of_an_end_that_others_knew_before() {
+    assert_hold(&[2_000_749, 2_001_739]);
+}
+
+#[test]
+fn a_start_under_a_former_name_is_learned() {
+    assert_hold(&[2_203_988]);
+}
