End watches soon after a restored store has settled

Contested entries are admitted once the store has confirmed after it has settled. Watches that an answer is needed of last 100 ms at least and end when it is due. Told departures count only where the told position is older or the same.

--- a/crates/valvestage-policy/src/steering/knowledge/store_restores.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/store_restores.rs
@@ -3,10 +3,10 @@
 //! The copy shows some entries as they were before. Until each backend server that lives has written its entry again, and those of the
 //! others have lapsed, an entry of the copy proves nothing against what is known of a former era:
 //!
-//! - one that is known as leaving stays so;
-//! - one that has ended, and one whose name or address has another backend server by now, is not believed in. Such an entry is
-//!   contested until the store has settled: if it is still there then, its backend server lives;
-//! - those that the copy lacks count as missing, and may return.
+//! - a backend server that is known as leaving gets no new flows;
+//! - the entry of a backend server that has ended, or whose name or address has another one by now, is contested: it is left out until
+//!   the store has settled, and admitted if it is still there then;
+//! - entries that the copy lacks count as missing, and may return.
 
 use std::time::Instant;
 
@@ -25,7 +25,7 @@
         self.era_head
     }
 
-    /// Takes in where the store stood at a list, here or at another balancer.
+    /// Records where the store stood at a list, here or at another balancer.
     pub fn note_listed(&mut self, position: StorePosition, now: Instant) {
         if position.era > self.era_head.era {
             self.era_head = position;
@@ -64,7 +64,7 @@
         of_name.map(|entry| entry.instance)
     }
 
-    /// Takes in that some contested entries are not in the store any more at a position. Returns their backend servers.
+    /// Ends the contests of entries that the store does not have any more at a position. Returns their backend servers.
     pub(in crate::steering) fn end_contested(
         &mut self,
         has_gone: impl Fn(&BackendEntry) -> bool,
@@ -78,7 +78,7 @@
 
         let instances = ended.iter().map(|entry| entry.instance).collect();
         for entry in ended {
-            // Others hold it for contested, too: with this position they learn that it went.
+            // Peers have it among their contested entries, too, and learn of its end by this position.
             let phase = BackendPhase::Gone { since: now, end: BackendEnd::Superseded };
             self.put(BackendEntry { position: at, phase, ..entry });
         }
@@ -106,7 +106,7 @@
             if known.phase == BackendPhase::Draining {
                 entry.phase = BackendPhase::Draining;
             }
-            // It is the same start, and what was left of its cold time was said earlier.
+            // The copy says what was left of the cold time when it was made.
             entry.cold_until = known.cold_until;
         }
         Some(entry)
@@ -117,15 +117,17 @@
         !told.is_gone() && told.position.era < self.read_until().era && self.is_unsettled(now)
     }
 
-    /// Takes in that a peer knows a backend server as leaving, or as ended, where it is known as ready from an older copy of the
-    /// store; false if that is no news. It may still serve the flows that it has.
+    /// Marks a backend server as leaving that a peer knows as leaving, or as ended, and that is known as ready from an older copy
+    /// of the store; false if that is no news. It may still serve the flows that it has.
     pub(super) fn admit_told_departure(&mut self, told: &BackendEntry, now: Instant) -> bool {
         if !self.is_unsettled(now) {
             return false;
         }
         let Some(known) = self.entries.get_mut(&told.instance) else { return false };
+        let is_from_copy =
+            told.position.era < known.position.era || told.position == known.position;
         let departs = told.phase == BackendPhase::Draining || has_ended_for_good(told);
-        if !departs || known.phase != BackendPhase::Ready {
+        if !is_from_copy || !departs || known.phase != BackendPhase::Ready {
             return false;
         }
 
--- a/crates/valvestage-policy/src/steering/store/store_follower.rs
+++ b/crates/valvestage-policy/src/steering/store/store_follower.rs
@@ -15,6 +15,9 @@
 /// only by its end, and a configuration has to be in force 3 s after its acknowledgement.
 pub const WATCH_WAIT: Duration = Duration::from_millis(1_500);
 
+/// Shortest wait of a watch whose answer is needed at once.
+const SHORTEST_WATCH: Duration = Duration::from_millis(100);
+
 /// Pause after a first failure; doubled with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 
@@ -234,7 +237,7 @@
         let age = self.last_answer.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
         let wait = WATCH_WAIT.saturating_sub(age).max(WATCH_WAIT / 2);
         let until_due = self.watch_due.map(|due| due.saturating_duration_since(now));
-        let wait = until_due.filter(|due| !due.is_zero()).map_or(wait, |due| wait.min(due));
+        let wait = until_due.map_or(wait, |time| wait.min(time.max(SHORTEST_WATCH)));
         Some(match &mut self.phase {
             Phase::Listing { after, .. } => {
                 StoreCall::List { after: after.clone(), freshness: self.freshness }
@@ -359,7 +362,7 @@
         }
     }
 
-    /// Takes in the era of an answer. In a new one only a current list can tell what is the case, and entries that it lacks may be
+    /// Enters the era of an answer. In a new one only a current list can tell what is the case, and entries that it lacks may be
     /// written again.
     fn enter_era(&mut self, position: StorePosition) {
         let former = self.era.replace(position.era);
--- a/crates/valvestage-policy/src/steering/store/store_link.rs
+++ b/crates/valvestage-policy/src/steering/store/store_link.rs
@@ -172,8 +172,8 @@
         }
     }
 
-    /// Takes in the era of the store, as it says or as another balancer knows it. A store that was restored counts as away until
-    /// now: entries that its copy lacks may be written again.
+    /// Records the era of the store, as it says or as another balancer knows it. A restored store counts as away until now: entries
+    /// that its copy lacks may be written again.
     pub fn enter_era(&mut self, era: StoreEra, now: Instant) {
         let former = self.era.replace(self.era.map_or(era, |known| known.max(era)));
 
--- a/crates/valvestage-policy/tests/simulation/seeds.rs
+++ b/crates/valvestage-policy/tests/simulation/seeds.rs
@@ -6,6 +6,7 @@
 mod living_flows;
 mod many_calls;
 mod many_messages;
+mod restored_stores;
 mod stale_beliefs;
 
 use crate::play;
--- /dev/null
+++ b/crates/valvestage-policy/tests/simulation/seeds/restored_stores.rs
@@ -0,0 +1,22 @@
+//! A store was restored from an older copy, and balancers believe in backend servers that have ended.
+
+use super::assert_hold;
+
+/// A backend server that has crashed starts again under its name while balancers contest entries of the copy.
+#[test]
+fn a_start_shortly_after_a_restore_is_known_in_time() {
+    assert_hold(&[5_003_403, 5_004_777]);
+}
+
+/// Watches that are to confirm that the store has settled end 20 ms after it has. When a change came just before, the next watch lasted
+/// 1.5 s, and contested entries were admitted that much later.
+#[test]
+fn contested_entries_are_admitted_soon_after_the_store_has_settled() {
+    assert_hold(&[5_000_703, 5_001_091]);
+}
+
+/// The entry of one that has left is in the copy, and lapses while a zone is cut off.
+#[test]
+fn an_entry_of_an_older_copy_is_not_believed_in_after_a_cut() {
+    assert_hold(&[5_005_953]);
+}
