Show the last lines of each balancer when a soak is not ready

The two listed soak tests failed once as NotReady, with nothing to trace them by: their logs were in a temporary folder of a machine that is gone. Nothing is waited for longer, no check changes.

--- a/crates/valvestage-soak/src/balancer_process.rs
+++ b/crates/valvestage-soak/src/balancer_process.rs
@@ -65,6 +65,19 @@
         self.child.is_some()
     }
 
+    /// Returns whether it runs, and the last lines that it wrote in all its lives.
+    #[must_use]
+    pub fn last_lines(&self, count: usize) -> String {
+        let state = if self.is_running() { "runs" } else { "does not run" };
+        let log = fs::read(&self.log)
+            .map(|bytes| String::from_utf8_lossy(&bytes).into_owned())
+            .unwrap_or_else(|error| error.to_string());
+
+        let lines: Vec<_> = log.lines().collect();
+        let last = &lines[lines.len().saturating_sub(count)..];
+        format!("{} {state}, {} starts:\n{}", self.log.display(), self.starts, last.join("\n"))
+    }
+
     /// `id` gives its process id, while it runs.
     #[must_use]
     pub fn id(&self) -> Option<u32> {
--- a/crates/valvestage-soak/src/errors.rs
+++ b/crates/valvestage-soak/src/errors.rs
@@ -16,12 +16,14 @@
         cause: io::Error,
     },
     /// The balancers did not become ready at the beginning.
-    #[error("start: {ready} of {balancers} balancers became ready")]
+    #[error("start: {ready} of {balancers} balancers became ready\n{}", logs.join("\n"))]
     NotReady {
         /// How many did.
         ready: usize,
         /// How many there are.
         balancers: usize,
+        /// The last lines that each of them wrote.
+        logs: Vec<String>,
     },
     /// The soak was told to stop; its balancers have ended with it.
     #[error("play: stopped by a signal")]
--- a/crates/valvestage-soak/src/soak_site.rs
+++ b/crates/valvestage-soak/src/soak_site.rs
@@ -29,6 +29,9 @@
 /// Longest wait for all balancers to become ready at the beginning.
 const READY_WITHIN: Duration = Duration::from_secs(60);
 
+/// Lines of each balancer's log that an error shows.
+const SHOWN_LINES: usize = 40;
+
 /// Time between two looks at what is awaited.
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
 
@@ -130,7 +133,8 @@
         while self.router.count_in() < self.plan.balancers {
             if Instant::now() >= give_up {
                 let (ready, balancers) = (self.router.count_in(), self.plan.balancers);
-                return Err(SoakError::NotReady { ready, balancers });
+                let logs = self.balancers.iter().map(|one| one.last_lines(SHOWN_LINES)).collect();
+                return Err(SoakError::NotReady { ready, balancers, logs });
             }
             thread::sleep(LOOK_AGAIN);
         }
