--- a/crates/valvestage-policy/src/steering/keeper/knowledge_keeper.rs
+++ b/crates/valvestage-policy/src/steering/keeper/knowledge_keeper.rs
@@ -285,7 +285,7 @@
         if heartbeat.zone != self.zone {
             knowledge.contacts.on_heard(&heartbeat.zone, now);
         }
-        self.store.on_told_failure(time_of_age(heartbeat.outage_age_ms, now));
+        self.store.merge_peer_failure(time_of_age(heartbeat.outage_age_ms, now));
         self.store.enter_era(heartbeat.era_head.era, now);
         knowledge.directory.note_listed(heartbeat.era_head, now);
         for peer in &heartbeat.peers {
--- a/crates/valvestage-policy/src/steering/knowledge/backend_directory.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/backend_directory.rs
@@ -52,7 +52,7 @@
 }
 
 impl BackendDirectory {
-    /// `token_of` gives the token of a backend server's number, the same at every balancer; never 0.
+    /// Returns the token of a backend server's number, the same at every balancer; never 0.
     #[must_use]
     pub fn token_of(number: u64) -> ShortToken {
         // Fibonacci hashing: spreads ids that differ in few bits over all 32 bits.
@@ -62,25 +62,25 @@
         ShortToken::try_from(hash).unwrap_or(ShortToken::MAX).max(1)
     }
 
-    /// `complete_until` gives the revision up to which every change is known.
+    /// Returns the position up to which every change is known.
     #[must_use]
     pub fn complete_until(&self) -> StorePosition {
         self.complete_until
     }
 
-    /// `read_until` gives the revision up to which every change is known, but for entries that are missing and may return.
+    /// Returns the position up to which every change is known, but for entries that are missing and may return.
     #[must_use]
     pub fn read_until(&self) -> StorePosition {
         self.read_until
     }
 
-    /// `changed_at` gives the revision of the last change that is known.
+    /// Returns the position of the last change that is known.
     #[must_use]
     pub fn changed_at(&self) -> StorePosition {
         self.changed_at
     }
 
-    /// `living_digest` gives a number for the backend servers that are believed in, whatever their revisions: two balancers that
+    /// Returns a number for the backend servers that are believed in, whatever their positions: two balancers that
     /// know all changes up to the same revision believe in the same ones.
     #[must_use]
     pub fn living_digest(&self) -> LivingDigest {
@@ -89,19 +89,19 @@
         living.fold(0, |digest, entry| digest ^ mix(entry.instance, 0))
     }
 
-    /// `remembers` tells whether all changes after a revision are still known.
+    /// Returns whether all changes after a position are still known.
     #[must_use]
     pub fn remembers(&self, after: StorePosition) -> bool {
         !after.is_start() && after >= self.remembers_from
     }
 
-    /// `is_complete` tells whether all entries were read once.
+    /// Returns whether all entries were read once.
     #[must_use]
     pub fn is_complete(&self) -> bool {
         !self.complete_until.is_start()
     }
 
-    /// `admit` takes in what an entry was at its revision, with what a new incarnation at a known address
+    /// Applies what an entry was at its position, with what a new incarnation at a known address
     /// shows, and gives those of which something else is believed.
     pub fn admit(&mut self, entry: BackendEntry, now: Instant) -> Vec<InstanceId> {
         let Some(mut entry) = self.reconcile_eras(entry, now) else { return Vec::new() };
@@ -139,9 +139,8 @@
         changed
     }
 
-    /// `admit_told` takes in what a peer tells of an entry. One that is missing here has returned if its revision is
-    /// newer than what was read: else the peer does not know that it went, or holds it for missing, too. Four of 10,000
-    /// simulated series of faults ended with entries that all balancers believed in for good.
+    /// Applies what a peer tells of an entry. One that is missing here has returned if its position is
+    /// newer than what was read: else the peer does not know that it went, or holds it for missing, too.
     pub fn admit_told(&mut self, entry: BackendEntry, now: Instant) -> Vec<InstanceId> {
         let (instance, position) = (entry.instance, entry.position);
         let known = self.entries.get(&instance);
@@ -170,7 +169,7 @@
         changed
     }
 
-    /// `admit_obsolete` takes in an entry that a peer still believes in and that had gone before this balancer read the store,
+    /// Adds an entry that a peer still believes in and that had gone before this balancer read the store,
     /// as one that is gone. The backend server may live, kept from the store by a cut: its flows can be steered until that is
     /// known.
     pub fn admit_obsolete(&mut self, mut entry: BackendEntry, now: Instant) -> Vec<InstanceId> {
@@ -183,7 +182,7 @@
         self.admit(entry, now)
     }
 
-    /// `put` takes in what an entry was at its position; false if more is known already, or if a new era
+    /// Stores what an entry was at its position; false if more is known already, or if a new era
     /// shows the same.
     pub fn put(&mut self, mut entry: BackendEntry) -> bool {
         match self.entries.get_mut(&entry.instance) {
@@ -220,7 +219,7 @@
         self.changed_at = self.changed_at.max(at);
     }
 
-    /// `mark_unusable` takes in that the entry of an incarnation names no backend server to use since a revision; false if
+    /// Records that the entry of an incarnation names no backend server to use since a position; false if
     /// that is old news.
     pub fn mark_unusable(&mut self, instance: InstanceId, at: StorePosition) -> bool {
         let Some(entry) = self.entries.get_mut(&instance) else { return false };
@@ -235,7 +234,7 @@
         true
     }
 
-    /// `is_obsolete` tells whether a peer tells of an entry that has gone long ago: its revision is
+    /// Returns whether a peer tells of an entry that has gone long ago: its position is
     /// one up to which every change is known, and yet it is not known.
     #[must_use]
     pub fn is_obsolete(&self, entry: &BackendEntry, now: Instant) -> bool {
@@ -246,7 +245,7 @@
             && !self.entries.contains_key(&entry.instance)
     }
 
-    /// `mark_gone` takes in that an entry went at a revision; false if that is old news.
+    /// Records that an entry went at a position; false if that is old news.
     pub fn mark_gone(&mut self, instance: InstanceId, at: StorePosition, now: Instant) -> bool {
         let Some(entry) = self.entries.get_mut(&instance) else {
             return false;
@@ -274,12 +273,12 @@
         true
     }
 
-    /// `take_newly_gone` gives the entries that went since the last call.
+    /// Returns the entries that went since the last call.
     pub fn take_newly_gone(&mut self) -> Vec<InstanceId> {
         std::mem::take(&mut self.newly_gone)
     }
 
-    /// `mark_missing` takes in that an entry is missing and may return until a time; false if that is
+    /// Records that an entry is missing and may return until a time; false if that is
     /// known, or it is gone.
     pub fn mark_missing(&mut self, instance: InstanceId, until: Instant) -> bool {
         match self.entries.get_mut(&instance) {
@@ -291,7 +290,7 @@
         }
     }
 
-    /// `complete` takes in that every change up to a revision was read. While entries are missing
+    /// Records that every change up to a position was read. While entries are missing
     /// that may return, that is not the whole truth yet.
     pub fn complete(&mut self, until: StorePosition) {
         if self.complete_until.is_start() {
@@ -305,7 +304,7 @@
         }
     }
 
-    /// `retain_listed` handles the entries that a whole list of a revision does not have, and gives
+    /// Handles the entries that a whole list of a position does not have, and returns
     /// them: they are gone, or missing until the time given.
     pub fn retain_listed(
         &mut self,
@@ -333,7 +332,7 @@
         absent
     }
 
-    /// `has_missing` tells whether entries are missing that may return.
+    /// Returns whether entries are missing that may return.
     #[must_use]
     pub fn has_missing(&self) -> bool {
         self.entries.values().any(|entry| entry.missing_until.is_some())
@@ -348,14 +347,13 @@
         }
     }
 
-    /// `has_overdue` tells whether entries are missing whose time is over.
+    /// Returns whether entries are missing whose time is over.
     #[must_use]
     pub fn has_overdue(&self, now: Instant) -> bool {
         self.entries.values().any(|entry| entry.missing_until.is_some_and(|until| until <= now))
     }
 
-    /// `expire_missing` turns the entries gone that a list does not have which began after their time,
-    /// and gives them.
+    /// Ends the entries that a list does not have which began after their time, and returns them.
     pub fn expire_missing(&mut self, list_began: Instant) -> Vec<InstanceId> {
         let is_over =
             |entry: &&BackendEntry| entry.missing_until.is_some_and(|until| until <= list_began);
@@ -369,7 +367,7 @@
         over
     }
 
-    /// `forget_gone` removes the entries that are gone since before a time.
+    /// Removes the entries that are gone since before a time.
     pub fn forget_gone(&mut self, before: Instant) {
         let mut forgotten = self.remembers_from;
         self.entries.retain(|_, entry| match entry.phase {
@@ -389,25 +387,25 @@
         });
     }
 
-    /// `get` gives an entry.
+    /// Returns an entry.
     #[must_use]
     pub fn get(&self, instance: InstanceId) -> Option<&BackendEntry> {
         self.entries.get(&instance)
     }
 
-    /// `by_token` gives the entry that a token names.
+    /// Returns the entry that a token names.
     #[must_use]
     pub fn by_token(&self, token: ShortToken) -> Option<&BackendEntry> {
         self.tokens.get(&token).and_then(|instance| self.entries.get(instance))
     }
 
-    /// `owns_token` tells whether flows on an incarnation can be steered by its token.
+    /// Returns whether flows on an incarnation can be steered by its token.
     #[must_use]
     pub fn owns_token(&self, entry: &BackendEntry) -> bool {
         self.tokens.get(&Self::token_of(entry.name.number)) == Some(&entry.instance)
     }
 
-    /// `iter` gives all entries.
+    /// Returns all entries.
     pub fn iter(&self) -> impl Iterator<Item = &BackendEntry> {
         self.entries.values()
     }
--- a/crates/valvestage-policy/src/steering/knowledge/evacuated_zones.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/evacuated_zones.rs
@@ -43,37 +43,37 @@
 }
 
 impl EvacuatedZones {
-    /// `is_known` tells whether they were read once.
+    /// Returns whether they were read once.
     #[must_use]
     pub fn is_known(&self) -> bool {
         !self.as_of.is_start()
     }
 
-    /// `as_of` gives the revision up to which every change is known; 0: nothing was read yet.
+    /// Returns the position up to which every change is known; the start: nothing was read yet.
     #[must_use]
     pub fn as_of(&self) -> StorePosition {
         self.as_of
     }
 
-    /// `zones` gives the zones that the operator has not taken back.
+    /// Returns the zones that the operator has not taken back.
     #[must_use]
     pub fn zones(&self) -> &BTreeSet<ZoneName> {
         &self.zones
     }
 
-    /// `holds` tells whether a zone gets no new flows.
+    /// Returns whether a zone gets no new flows.
     #[must_use]
     pub fn holds(&self, zone: &str) -> bool {
         self.zones.contains(zone) || self.returning.contains_key(zone)
     }
 
-    /// `is_empty` tells whether there is no such zone.
+    /// Returns whether there is no such zone.
     #[must_use]
     pub fn is_empty(&self) -> bool {
         self.zones.is_empty() && self.returning.is_empty()
     }
 
-    /// `report` gives what others are to know; none where nothing was read yet.
+    /// Returns what others are to know; none where nothing was read yet.
     #[must_use]
     pub fn report(&self) -> Option<EvacuationReport> {
         let zones = self.zones.iter().cloned().collect();
@@ -81,7 +81,7 @@
         self.is_known().then_some(EvacuationReport { as_of: self.as_of, zones })
     }
 
-    /// `replace` takes in what was the case at a position; true if it is newer and other zones are evacuated now. Those that
+    /// Applies what was the case at a position; true if it is newer and other zones are evacuated now. Those that
     /// were taken back get nothing before [`Self::end_returns`] says so.
     pub fn replace(&mut self, report: EvacuationReport, now: Instant) -> bool {
         if report.as_of <= self.as_of {
@@ -106,7 +106,7 @@
         true
     }
 
-    /// `end_returns` lets zones come back of whose backend servers every change up to a revision is known; none: whatever is
+    /// Releases zones of whose backend servers every change up to a position is known; none: whatever is
     /// known of them. Gives these zones.
     pub fn end_returns(
         &mut self,
--- a/crates/valvestage-policy/src/steering/peers/backend_parts.rs
+++ b/crates/valvestage-policy/src/steering/peers/backend_parts.rs
@@ -24,7 +24,7 @@
 /// Changes in one answer.
 const CHANGES_AT_ONCE: usize = CHANGES_EACH * ANSWER_WINDOW;
 
-/// `backends_messages` gives the next changes that another balancer does not know, in the order of their
+/// Returns the next changes that another balancer does not know, in the order of their
 /// revisions; or the first of all that there is, where not all changes after its revision are remembered.
 #[must_use]
 pub fn backends_messages(
@@ -66,7 +66,7 @@
     messages
 }
 
-/// `wanted_message` gives the backend servers of some tokens, the gone ones among them; none if no token is known.
+/// Returns the backend servers of some tokens, the gone ones among them; none if no token is known.
 #[must_use]
 pub fn wanted_message(
     directory: &BackendDirectory,
@@ -137,7 +137,7 @@
     }
 }
 
-/// `entries_of` gives the entries that a peer told of; those whose names are missing are left out.
+/// Returns the entries that a peer told of; those whose names are missing are left out.
 #[must_use]
 pub fn entries_of(part: BackendsPart, now: Instant) -> Vec<BackendEntry> {
     let BackendsPart { names, changes, .. } = part;
--- a/crates/valvestage-policy/src/steering/store/evacuation_follower.rs
+++ b/crates/valvestage-policy/src/steering/store/evacuation_follower.rs
@@ -34,7 +34,7 @@
 }
 
 impl EvacuationFollower {
-    /// `new` begins with a list, which may be cached: a balancer that has just started is told of changes since by others, or
+    /// Creates a follower that begins with a list, which may be cached: a balancer that has just started is told of changes since by others, or
     /// watches for them by itself, before an evacuation has to be in force.
     #[must_use]
     pub fn new(zones: BTreeSet<ZoneName>) -> Self {
@@ -44,7 +44,7 @@
         Self { follower, zones, listed: BTreeSet::new() }
     }
 
-    /// `is_failing` tells whether the last call failed.
+    /// Returns whether the last call failed.
     #[must_use]
     pub fn is_failing(&self) -> bool {
         self.follower.is_failing()
@@ -55,7 +55,7 @@
         self.follower.take_decisions()
     }
 
-    /// `next_call` gives the call to make now; none while one is under way or a pause lasts. What others have told is gone
+    /// Returns the call to make now; none while one is under way or a pause lasts. What others have told is gone
     /// on from, which saves the list of each one that begins to follow.
     pub fn next_call(&mut self, known: &EvacuatedZones, now: Instant) -> Option<StoreCall> {
         if known.is_known() {
@@ -65,7 +65,7 @@
         self.follower.next_call(known.as_of(), now)
     }
 
-    /// `on_reply` takes an answer in, and gives what is the case by now; none if that is not known.
+    /// Processes an answer. Returns what is the case by now; none if that is not known.
     pub fn on_reply(
         &mut self,
         known: &EvacuatedZones,
--- a/crates/valvestage-policy/src/steering/store/store_follower.rs
+++ b/crates/valvestage-policy/src/steering/store/store_follower.rs
@@ -175,7 +175,7 @@
 }
 
 impl StoreFollower {
-    /// `new` begins with a list.
+    /// Creates a follower that begins with a list.
     #[must_use]
     pub fn new(kind: StoreKind) -> Self {
         let pause = match kind {
@@ -205,25 +205,25 @@
         std::mem::take(&mut self.decisions)
     }
 
-    /// `allow_cached_lists` lets lists be some seconds old, where a watch from their revision on brings what has changed
+    /// Allows lists that are some seconds old, where a watch from their position on brings what has changed
     /// meanwhile before it is needed. Where that history is gone, the next list is a current one.
     pub fn allow_cached_lists(&mut self) {
         self.freshness = ListFreshness::Cached;
     }
 
-    /// `last_answer` gives when the store answered last.
+    /// Returns when the store answered last.
     #[must_use]
     pub fn last_answer(&self) -> Option<Instant> {
         self.last_answer
     }
 
-    /// `is_failing` tells whether the last call failed.
+    /// Returns whether the last call failed.
     #[must_use]
     pub fn is_failing(&self) -> bool {
         self.failures > 0
     }
 
-    /// `next_call` gives the call to make now; none while one is under way or a pause lasts.
+    /// Returns the call to make now; none while one is under way or a pause lasts.
     ///
     /// Peers may know more than this follower has read itself: then the watch goes on from there.
     pub fn next_call(&mut self, known_until: StorePosition, now: Instant) -> Option<StoreCall> {
@@ -249,7 +249,7 @@
         })
     }
 
-    /// `go_on_from` leaves out a list that has not begun, since all up to a revision is known. For objects that only their
+    /// Skips a list that has not begun, since all up to a position is known. For objects that only their
     /// owners take away: those that lapse while the store is away have to be listed.
     pub fn go_on_from(&mut self, position: StorePosition) {
         let is_to_list = matches!(self.phase, Phase::Listing { after: None, position: None });
@@ -259,7 +259,7 @@
         }
     }
 
-    /// `hold_watch` lets no watch begin before a time. Lists are made all the same.
+    /// Delays watches until a time. Lists are made all the same.
     pub fn hold_watch(&mut self, until: Instant) {
         if matches!(self.phase, Phase::Watching { .. }) {
             self.not_before = self.not_before.max(Some(until));
@@ -271,21 +271,21 @@
         self.watch_due = due;
     }
 
-    /// `release_watch` lets a watch begin that was held until a time.
+    /// Allows a watch that was delayed until a time.
     pub fn release_watch(&mut self, until: Instant) {
         if self.not_before == Some(until) {
             self.not_before = None;
         }
     }
 
-    /// `list_again` begins anew with a list, once no watch is under way. A list that has begun goes on.
+    /// Begins anew with a list, once no watch is under way. A list that has begun goes on.
     pub fn list_again(&mut self) {
         if !self.calling && matches!(self.phase, Phase::Watching { .. }) {
             self.restart_list();
         }
     }
 
-    /// `assume_outage` begins anew with a list, as after failures: nobody has followed the store for a
+    /// Begins anew with a list, as after failures: nobody has followed the store for a
     /// while, so entries may have lapsed unseen.
     pub fn assume_outage(&mut self) {
         if !self.calling {
@@ -294,7 +294,7 @@
         }
     }
 
-    /// `on_reply` takes the result of the call in, and gives what it brought.
+    /// Processes the result of the call. Returns what it brought.
     pub fn on_reply<T>(&mut self, reply: StoreReply<T>, now: Instant) -> FollowerNews<T> {
         self.calling = false;
         let (objects, completes) = match reply {
--- a/crates/valvestage-policy/src/steering/store/store_link.rs
+++ b/crates/valvestage-policy/src/steering/store/store_link.rs
@@ -75,7 +75,7 @@
 }
 
 impl StoreLink {
-    /// `new` has read nothing. Zones can be evacuated where they are given.
+    /// Creates a link that has read nothing. Zones can be evacuated where they are given.
     #[must_use]
     pub fn new(evacuable: Option<BTreeSet<ZoneName>>, now: Instant) -> Self {
         Self {
@@ -91,7 +91,7 @@
         }
     }
 
-    /// `is_failing` tells whether the store does not answer this balancer.
+    /// Returns whether the store does not answer this balancer.
     #[must_use]
     pub fn is_failing(&self) -> bool {
         let evacuations = self.evacuations.as_ref();
@@ -109,7 +109,7 @@
         decisions
     }
 
-    /// `answered_at` gives when the store last answered for routes and backend servers, for the kind that it answered longer ago.
+    /// Returns when the store last answered for routes and backend servers, for the kind that it answered longer ago.
     /// With a third kind in it others would be told of an answer more often than each 1.5 s, and each by four messages.
     #[must_use]
     pub fn answered_at(&self) -> Option<Instant> {
@@ -119,7 +119,7 @@
         Some(routes.min(backends))
     }
 
-    /// `answering_since` gives the same while the store answers; none while it does not.
+    /// Returns the same while the store answers; none while it does not.
     #[must_use]
     pub fn answering_since(&self, now: Instant) -> Option<Instant> {
         let is_recent = |at: &Instant| now.saturating_duration_since(*at) <= ANSWER_LIFE;
@@ -127,25 +127,25 @@
         self.answered_at().filter(is_recent).filter(|_| !self.is_failing())
     }
 
-    /// `last_failure` gives when the store last failed to answer this balancer or another one.
+    /// Returns when the store last failed to answer this balancer or another one, or was restored.
     #[must_use]
     pub fn last_failure(&self) -> Option<Instant> {
         self.last_failure
     }
 
-    /// `on_told_failure` takes in when the store last failed to answer another balancer.
-    pub fn on_told_failure(&mut self, at: Option<Instant>) {
+    /// Records a store failure that a peer has told of.
+    pub fn merge_peer_failure(&mut self, at: Option<Instant>) {
         self.last_failure = self.last_failure.max(at);
     }
 
-    /// `settles_at` gives when entries have returned that lapsed before the store last failed; none if
+    /// Returns when entries have returned that lapsed before the store last failed; none if
     /// it never did.
     #[must_use]
     pub fn settles_at(&self) -> Option<Instant> {
         self.last_failure.map(|at| at + RETRY_TIME + RETURN_TIME)
     }
 
-    /// `missing_until` gives until when an entry that goes now may return: it may have lapsed in an
+    /// Returns until when an entry that goes now may return: it may have lapsed in an
     /// outage. None: it is gone.
     #[must_use]
     pub fn missing_until(&self, now: Instant) -> Option<Instant> {
@@ -154,14 +154,14 @@
         is_unsettled.then(|| now + RETURN_TIME)
     }
 
-    /// `is_try_failing` tells whether the store does not answer this balancer since it last began to follow it. What failed
+    /// Returns whether the store does not answer this balancer since it last began to follow it. What failed
     /// before says nothing of this try: a call whose answer is long has no other chance than to be waited for.
     #[must_use]
     pub fn is_try_failing(&self) -> bool {
         self.has_failed_since_begin && self.is_failing()
     }
 
-    /// `begin` prepares for following the store. Where nobody has followed it for a while, it may
+    /// Prepares for following the store. Where nobody has followed it for a while, it may
     /// have been away.
     pub fn begin(&mut self, knowledge: &Knowledge, now: Instant) {
         self.has_failed_since_begin = false;
@@ -182,7 +182,7 @@
         }
     }
 
-    /// `calls` gives the calls that are due. One that is not staying follows until others are known to. Where packets wait for
+    /// Returns the calls that are due. One that is not staying follows until others are known to. Where packets wait for
     /// entries that are not known, one that stays begins to watch for them at once.
     pub fn calls(
         &mut self,
@@ -220,8 +220,8 @@
         routes.into_iter().chain(backends).chain(evacuations).collect()
     }
 
-    /// The call about evacuated zones that is due. One that has just started reads what it needs to know, and leaves it to
-    /// others to go on. Of 90 balancers that start together 88 begin to follow, and most stop within a second: 100 calls less.
+    /// Returns the call about evacuated zones that is due. A balancer that has just started reads what it needs to know, and leaves
+    /// the watches to others.
     fn next_evacuations(
         &mut self,
         knowledge: &Knowledge,
@@ -229,7 +229,7 @@
         now: Instant,
     ) -> Option<StoreCall> {
         let is_next = if self.routes.is_failing() || self.backends.is_failing() {
-            // Whoever tries in vain makes one call less in each turn.
+            // Skips the evacuation call while other calls to the store fail.
             false
         } else if knowledge.evacuated.is_known() {
             is_staying && !self.is_fresh(now)
@@ -249,7 +249,7 @@
         self.started_at + FRESH_FOR > now
     }
 
-    /// `is_kind_failing` tells whether the last call for a kind failed.
+    /// Returns whether the last call for a kind failed.
     #[must_use]
     pub fn is_kind_failing(&self, kind: StoreKind) -> bool {
         match kind {
@@ -261,7 +261,7 @@
         }
     }
 
-    /// `on_evacuations_reply` takes an answer about evacuated zones in, and gives what is the case by now, where that is
+    /// Processes an answer about evacuated zones. Returns what is the case by now, where that is
     /// known.
     pub fn on_evacuations_reply(
         &mut self,
@@ -274,14 +274,14 @@
         self.evacuations.as_mut()?.on_reply(&knowledge.evacuated, reply, now)
     }
 
-    /// `on_routes_reply` takes an answer about the configuration in, and gives what it brought.
+    /// Processes an answer about the configuration. Returns what it brought.
     pub fn on_routes_reply(&mut self, reply: StoreReply<RouteMap>, now: Instant) -> Vec<RouteMap> {
         self.note_reply(&reply, now);
 
         self.routes.on_reply(reply, now).objects
     }
 
-    /// `on_backends_reply` takes an answer about backend servers in, and gives those of which
+    /// Processes an answer about backend servers. Returns those of which
     /// something else is believed now.
     pub fn on_backends_reply(
         &mut self,
--- a/crates/valvestage-policy/src/steering/store/watch_role.rs
+++ b/crates/valvestage-policy/src/steering/store/watch_role.rs
@@ -32,8 +32,8 @@
 /// Followers told of in one heartbeat, those first that stay; more of them are about to stop.
 const MAX_TOLD: usize = 4;
 
-/// A balancer that tries without an answer counts for so long after it was heard of.
-const TRYING_LIFE: Duration = Duration::from_millis(800);
+/// How long a peer's unanswered attempt counts.
+const ATTEMPT_TTL: Duration = Duration::from_millis(800);
 
 /// Balancers that try at once, while what is known is in force everywhere.
 const WANTED_TRIERS: usize = 3;
@@ -64,8 +64,8 @@
 /// What is drawn on top of it: when all start at once, some read the store and tell the others.
 const START_JITTER: Duration = Duration::from_millis(45);
 
-/// What is drawn at the first start of a deployment, whose traffic begins ten seconds later. With 1 s, 25 of 91
-/// balancers had begun before they heard of each other; with 3 s, 14.
+/// What is drawn at the first start of a deployment, whose traffic begins ten seconds later, so that most balancers hear of the first
+/// followers before they begin.
 const FIRST_START_JITTER: Duration = Duration::from_millis(3_000);
 
 /// Pause for a peer that knows everything to tell it.
@@ -99,7 +99,7 @@
 
 impl Sighting {
     fn is_alive(&self, now: Instant) -> bool {
-        let life = if self.is_answered { SIGHTING_LIFE } else { TRYING_LIFE };
+        let life = if self.is_answered { SIGHTING_LIFE } else { ATTEMPT_TTL };
 
         now.saturating_duration_since(self.seen_at) <= life
     }
@@ -166,9 +166,7 @@
         self.watching
     }
 
-    /// `is_staying` tells whether this balancer goes on following the store, as far as it knows of others that do.
-    ///
-    /// Of 90 balancers that start together 84 begin to follow, and most stop within a second.
+    /// Returns whether this balancer goes on following the store, as far as it knows of others that do.
     #[must_use]
     pub fn is_staying(&self, has_zones: bool) -> bool {
         self.watching && self.is_chosen(has_zones)
@@ -246,17 +244,17 @@
 
         if state.is_complete && self.has_enough(state) {
             self.begin_at = None;
-            // One whom the store does not answer makes room whatever its address.
+            // A follower without a working connection to the store steps down regardless of its address.
             self.watching &= state.is_answering && self.is_chosen(state.has_zones);
         } else if self.watching {
-            self.try_on(state, now);
+            self.retry_or_yield(state, now);
         } else {
             self.consider(state, now);
         }
     }
 
-    /// Goes on, or lets others try.
-    fn try_on(&mut self, state: RoleState, now: Instant) {
+    /// Stops following the store once the attempt deadline has passed, so that another balancer can try.
+    fn retry_or_yield(&mut self, state: RoleState, now: Instant) {
         if state.is_answering {
             return;
         }
@@ -275,9 +273,9 @@
     fn consider(&mut self, state: RoleState, now: Instant) {
         let wanted = if state.is_complete { WANTED_TRIERS } else { WANTED_BEGINNERS };
         let trying = self.sightings.values().filter(|sighting| !sighting.is_answered).count();
-        // Where nobody knows anything and nobody tries, resting has no use for others.
-        let lets_others_try = state.is_complete || trying > 0;
-        let rests = lets_others_try && self.backoff_until.is_some_and(|until| until > now);
+        // Without any state in the cluster, backing off would only delay the first read.
+        let has_alternative = state.is_complete || trying > 0;
+        let rests = has_alternative && self.backoff_until.is_some_and(|until| until > now);
         if trying >= wanted || rests {
             self.begin_at = None;
             return;
