An end told at the position of the entry is learned

Cause: a balancer that reads the store after an entry went learns of that backend server from a peer and keeps its end at the position that the entry had (admit_obsolete). Who reads everything from it takes whatever is told for listed, the ends among them, and an end at the known position is no news. Ruled out: lost answers (each walk ended), the time to return (over), eras (none).

Change: what a peer tells of as gone does not count as listed; between two that are complete up to the same position its ends count. Tests: comparisons.rs, without network. Conclusion: the class is an end without a position of its own; it is closed for walks and comparisons.

--- a/crates/valvestage-policy/src/steering/knowledge/backend_directory.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/backend_directory.rs
@@ -313,23 +313,57 @@
         missing_until: Option<Instant>,
         now: Instant,
     ) -> Vec<InstanceId> {
-        let is_absent = |entry: &&BackendEntry| {
-            !entry.is_gone() && entry.position <= at && !listed.contains(&entry.instance)
-        };
-        let absent: Vec<_> =
-            self.entries.values().filter(is_absent).map(|entry| entry.instance).collect();
+        let absent = self.living_until(at, |instance| !listed.contains(&instance));
 
         for instance in self.superseded_names() {
             self.mark_gone(instance, at, now);
         }
         self.end_contested(|entry| !listed.contains(&entry.instance), at, now);
-        for instance in &absent {
+        self.end_absent(&absent, at, missing_until, now);
+        absent
+    }
+
+    /// Handles the entries that a peer tells of as gone which knows every change up to a position, too, and returns those that were
+    /// believed in: they are gone, or missing until the time given.
+    pub fn end_told(
+        &mut self,
+        gone: &HashSet<InstanceId>,
+        at: StorePosition,
+        missing_until: Option<Instant>,
+        now: Instant,
+    ) -> Vec<InstanceId> {
+        let absent = self.living_until(at, |instance| gone.contains(&instance));
+
+        self.end_absent(&absent, at, missing_until, now);
+        absent
+    }
+
+    /// The entries that are there, as of positions up to one, of the backend servers that are meant.
+    fn living_until(
+        &self,
+        at: StorePosition,
+        is_meant: impl Fn(InstanceId) -> bool,
+    ) -> Vec<InstanceId> {
+        let is_living = |entry: &&BackendEntry| {
+            !entry.is_gone() && entry.position <= at && is_meant(entry.instance)
+        };
+
+        self.entries.values().filter(is_living).map(|entry| entry.instance).collect()
+    }
+
+    fn end_absent(
+        &mut self,
+        absent: &[InstanceId],
+        at: StorePosition,
+        missing_until: Option<Instant>,
+        now: Instant,
+    ) {
+        for instance in absent {
             match missing_until {
                 Some(until) => self.mark_missing(*instance, until),
                 None => self.mark_gone(*instance, at, now),
             };
         }
-        absent
     }
 
     /// Returns whether entries are missing that may return.
--- a/crates/valvestage-policy/src/steering/peers/backend_walk.rs
+++ b/crates/valvestage-policy/src/steering/peers/backend_walk.rs
@@ -3,6 +3,7 @@
 //! Changes come in the order of their revisions, so what has come need not come again: the next answer goes on
 //! from there. Only at the end of the walk is everything known up to a revision.
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
@@ -15,6 +16,7 @@
 use super::peer_message::{BackendsPart, BackendsPull, PeerMessage, WalkScope};
 use crate::steering::decision::IncompleteAnswer;
 use crate::steering::knowledge::Knowledge;
+use crate::steering::knowledge::backend_entry::BackendEntry;
 use crate::steering::store::store_follower::StoreKind;
 
 /// A walk that has taken so long begins anew: what was told at its beginning may have gone, and be forgotten, 60 s
@@ -42,7 +44,33 @@
     told_until: Option<StorePosition>,
     /// Up to which revision its sender knows every change.
     complete_until: StorePosition,
-    told: Vec<InstanceId>,
+    told: ToldBackends,
+}
+
+/// `ToldBackends` are the backend servers that a peer told of.
+#[derive(Debug, Default)]
+struct ToldBackends {
+    /// Those that it believes in.
+    living: HashSet<InstanceId>,
+    /// Those whose entries are gone. It may tell of such an end at the position that the entry had while it was there.
+    gone: HashSet<InstanceId>,
+}
+
+impl ToldBackends {
+    fn of(entries: &[BackendEntry]) -> Self {
+        let mut told = Self::default();
+
+        for entry in entries {
+            let set = if entry.is_gone() { &mut told.gone } else { &mut told.living };
+            set.insert(entry.instance);
+        }
+        told
+    }
+
+    fn extend(&mut self, other: Self) {
+        self.living.extend(other.living);
+        self.gone.extend(other.gone);
+    }
 }
 
 /// `BackendWalk` reads what other balancers know of backend servers.
@@ -70,7 +98,7 @@
     /// The part of it that counts for every balancer: the peer knows every change up to here.
     certain_until: StorePosition,
     /// The backend servers that were told of.
-    told: HashSet<InstanceId>,
+    told: ToldBackends,
     /// Parts that came before those in front of them, by the revision that they begin after.
     early: BTreeMap<StorePosition, PartSpan>,
     /// Until when to go on from where it is.
@@ -85,7 +113,7 @@
             cursor: after,
             asked_from: after,
             certain_until: after,
-            told: HashSet::new(),
+            told: ToldBackends::default(),
             early: BTreeMap::new(),
             lasts_until: now + WALK_LIFE,
         }
@@ -209,7 +237,7 @@
         let BackendsPart { scope, after, told_until, complete_until, .. } = part;
         let number = part.part;
         let entries = entries_of(part, now);
-        let told = entries.iter().map(|entry| entry.instance).collect();
+        let told = ToldBackends::of(&entries);
         for entry in entries {
             let directory = &mut knowledge.directory;
             let changed = if directory.is_obsolete(&entry, now) {
@@ -286,9 +314,12 @@
 
         if walk.scope == WalkScope::Everything {
             self.has_history = true;
-            if until > directory.complete_until() {
-                changed = directory.retain_listed(&walk.told, until, missing_until, now);
-            }
+            let ToldBackends { living, gone } = &walk.told;
+            changed = match until.cmp(&directory.complete_until()) {
+                Ordering::Greater => directory.retain_listed(living, until, missing_until, now),
+                Ordering::Equal => directory.end_told(gone, until, missing_until, now),
+                Ordering::Less => Vec::new(),
+            };
         }
         directory.complete(until);
         changed
--- a/crates/valvestage-policy/tests/steering/comparisons.rs
+++ b/crates/valvestage-policy/tests/steering/comparisons.rs
@@ -3,8 +3,12 @@
 //! gone: nine seconds after the last fault, two of 15,000 simulated series of faults ended so.
 
 use valvestage_policy::steering::peers::backend_parts::backends_messages;
-use valvestage_policy::steering::peers::peer_message::{BackendsPull, WalkScope};
-use valvestage_policy::steering::{BackendDirectory, BackendEntry, BackendPhase, EntryPolicy};
+use valvestage_policy::steering::peers::peer_message::{
+    BackendsPull, HealthReport, PeerHeartbeat, WalkScope,
+};
+use valvestage_policy::steering::{
+    BackendDirectory, BackendEntry, BackendPhase, EntryPolicy, PeerMessage,
+};
 
 use crate::deployment::{Deployment, node_address};
 use crate::fixtures::{HOME, at, backend, millis, routes, start};
@@ -30,13 +34,47 @@
     teller.complete(revision);
     teller.mark_gone(instance, revision, now);
 
+    tell(deployment, node, &teller);
+}
+
+/// Tells a balancer what a directory knows, unasked.
+fn tell(deployment: &mut Deployment, node: usize, teller: &BackendDirectory) {
+    let now = deployment.now;
     let pull = BackendsPull { after: at(0), scope: WalkScope::Everything };
-    for message in backends_messages(&teller, pull, now) {
+
+    for message in backends_messages(teller, pull, now) {
         let policy = deployment.nodes[node].as_mut().expect("it runs");
         policy.on_message(node_address(5), message, now);
     }
 }
 
+/// Lets a balancer hear that a sixth one knows more, and ask it for everything.
+fn tell_everything(deployment: &mut Deployment, node: usize, teller: &BackendDirectory) {
+    let now = deployment.now;
+    let known = deployment.node(node).knowledge();
+    let heartbeat = PeerHeartbeat {
+        zone: HOME.to_owned(),
+        asks: false,
+        version: known.routes.version,
+        complete_until: teller.complete_until(),
+        changed_at: teller.changed_at(),
+        era_head: teller.era_head(),
+        living: teller.living_digest(),
+        age_ms: 0,
+        outage_age_ms: u32::MAX,
+        watchers: Vec::new(),
+        peers: Vec::new(),
+        health: HealthReport::default(),
+        evacuations: None,
+        demands: None,
+        wanted: Vec::new(),
+    };
+
+    let policy = deployment.nodes[node].as_mut().expect("it runs");
+    policy.on_message(node_address(5), PeerMessage::Heartbeat(heartbeat), now);
+    tell(deployment, node, teller);
+}
+
 fn believers(deployment: &Deployment, instance: u64) -> usize {
     let believes = |node: &&EntryPolicy| {
         let entry = node.knowledge().directory.get(instance);
@@ -126,3 +164,49 @@
     directory.admit_told(BackendEntry { position: at(60), ..backend(8, "core", HOME) }, start());
     assert!(directory.get(8).is_some_and(|entry| entry.missing_until.is_none()));
 }
+
+/// A directory that was told of a backend server which had gone before it read the store. It keeps the position that the entry had.
+fn late_reader(instance: u64, read_until: u64) -> BackendDirectory {
+    let mut directory = BackendDirectory::default();
+    directory.complete(at(read_until));
+    directory.admit_obsolete(backend(instance, "core", HOME), start());
+    directory
+}
+
+/// Pattern: an end is told at the position that the entry had while it was there, so that it looks like what is known already.
+#[test]
+fn an_end_at_the_position_of_the_entry_is_learned_from_one_that_knows_more() {
+    let mut deployment = settled(3);
+    let now = deployment.now;
+    let complete_until = deployment.node(0).knowledge().directory.complete_until();
+    let teller = late_reader(2, complete_until.revision + 5);
+
+    tell_everything(&mut deployment, 0, &teller);
+    let entry = deployment.node(0).knowledge().directory.get(2).expect("it was known");
+    assert!(entry.is_gone(), "{entry:?} at {now:?}");
+}
+
+#[test]
+fn an_end_at_the_position_of_the_entry_is_learned_from_one_that_knows_as_much() {
+    let mut directory = BackendDirectory::default();
+    for instance in 1..=3 {
+        directory.put(backend(instance, "core", HOME));
+    }
+    directory.complete(at(9));
+
+    let ended = directory.end_told(&[2].into(), at(9), None, start());
+    assert_eq!(ended, [2]);
+    assert!(directory.get(2).is_some_and(BackendEntry::is_gone));
+    assert!(directory.get(3).is_some_and(|entry| !entry.is_gone()));
+}
+
+#[test]
+fn such_an_end_waits_while_the_entry_may_return() {
+    let mut directory = BackendDirectory::default();
+    directory.put(backend(2, "core", HOME));
+    directory.complete(at(9));
+
+    directory.end_told(&[2].into(), at(9), Some(start() + millis(2_000)), start());
+    let entry = directory.get(2).expect("it is known");
+    assert!(!entry.is_gone() && entry.missing_until.is_some());
+}
