An unusable entry does not order the births of its name

Callers: flows of a new process were never placed, and a process that had died was believed in until the end of the series.

Cause: a new incarnation wrote its entry and another writer spoiled it before any balancer read it. A list shows that the name's entry is unusable, at a position later than the start, and does not say whose it is. Ruled out: lost messages; the same without silent calls.

Change: a directory keeps where an incarnation stood before its entry became unusable, and orders births by that; a birth that the unusable entry may belong to is not obsolete. Tests: three in rebirths.rs. Conclusion: only what a process wrote itself says when it was there.

--- a/crates/valvestage-policy/src/steering/knowledge/backend_births.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/backend_births.rs
@@ -64,11 +64,42 @@
         let is_comparable =
             |other: &BackendEntry| other.position.era == era || !self.is_unsettled(now);
         self.other_births(entry).any(|other| {
-            !other.is_gone() && other.position > entry.position && is_comparable(other)
+            !other.is_gone() && self.written_until(other) > entry.position && is_comparable(other)
                 || ended_at.is_some_and(|ended_at| ended_at <= other.position)
         })
     }
 
+    /// The position up to which an incarnation may have written its entry itself. While the entry is unusable another one may have
+    /// written it since.
+    fn written_until(&self, entry: &BackendEntry) -> StorePosition {
+        let before = self.positions_before_fault.get(&entry.instance);
+
+        before.copied().unwrap_or(entry.position)
+    }
+
+    /// Whether an unusable entry that was read under the name of another incarnation may be of this one.
+    pub(super) fn may_be_unnamed(&self, entry: &BackendEntry) -> bool {
+        self.other_births(entry).any(|other| {
+            let is_later = self.written_until(other) < entry.position;
+            other.phase == BackendPhase::Unusable && is_later && entry.position <= other.position
+        })
+    }
+
+    /// Records which phase an incarnation is about to have, for the order of births.
+    pub(super) fn note_fault(&mut self, instance: InstanceId, phase: BackendPhase) {
+        let known = self.entries.get(&instance);
+
+        match (phase, known) {
+            (BackendPhase::Unusable, Some(known)) if known.phase != BackendPhase::Unusable => {
+                self.positions_before_fault.insert(instance, known.position);
+            }
+            (BackendPhase::Unusable, _) => {}
+            _ => {
+                self.positions_before_fault.remove(&instance);
+            }
+        }
+    }
+
     /// Whether an entry is of a service that neither the configuration names nor those have whose name or address it has.
     pub(super) fn is_stranger(&self, entry: &BackendEntry) -> bool {
         let is_named =
--- a/crates/valvestage-policy/src/steering/knowledge/backend_directory.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/backend_directory.rs
@@ -49,6 +49,8 @@
     pub(super) contested: BTreeMap<InstanceId, BackendEntry>,
     /// Entries that went since they were last taken.
     pub(super) newly_gone: Vec<InstanceId>,
+    /// Where each incarnation stood before its entry became unusable. Such an entry does not say which incarnation wrote it last.
+    pub(super) positions_before_fault: HashMap<InstanceId, StorePosition>,
 }
 
 impl BackendDirectory {
@@ -198,6 +200,7 @@
         entry.missing_until = None;
         if let BackendPhase::Gone { end, .. } = &mut entry.phase {
             let known = self.entries.get(&entry.instance);
+        self.note_fault(entry.instance, entry.phase);
             *end = known.map_or(*end, BackendEntry::end_of_phase);
             self.newly_gone.push(entry.instance);
         }
@@ -222,13 +225,15 @@
     /// Records that the entry of an incarnation names no backend server to use since a position; false if
     /// that is old news.
     pub fn mark_unusable(&mut self, instance: InstanceId, at: StorePosition) -> bool {
-        let Some(entry) = self.entries.get_mut(&instance) else { return false };
+        let Some(entry) = self.entries.get(&instance) else { return false };
         if entry.is_gone() && !entry.has_lapsed() || entry.position >= at {
             return false;
         }
 
         entry.phase = BackendPhase::Unusable;
         entry.position = at;
+        self.note_fault(instance, BackendPhase::Unusable);
+        let Some(entry) = self.entries.get_mut(&instance) else { return false };
         entry.missing_until = None;
         self.note_change(at);
         true
@@ -245,6 +250,7 @@
             && !self.entries.contains_key(&entry.instance)
     }
 
+            && !self.may_be_unnamed(entry)
     /// Records that an entry went at a position; false if that is old news.
     pub fn mark_gone(&mut self, instance: InstanceId, at: StorePosition, now: Instant) -> bool {
         let Some(entry) = self.entries.get_mut(&instance) else {
@@ -416,6 +422,7 @@
         let entries = &self.entries;
         self.tokens.retain(|_, instance| entries.contains_key(instance));
         self.names.retain(|_, births| {
+        self.positions_before_fault.retain(|instance, _| entries.contains_key(instance));
             births.retain(|birth| entries.contains_key(birth));
             !births.is_empty()
         });
--- a/crates/valvestage-policy/tests/simulation/seeds/stale_beliefs.rs
+++ b/crates/valvestage-policy/tests/simulation/seeds/stale_beliefs.rs
@@ -39,3 +39,19 @@
 fn a_start_under_a_former_name_is_learned() {
     assert_hold(&[2_203_988]);
 }
+
+/// An entry lapses in a cut, and a balancer that starts meanwhile learns of it as of one that was gone before: at the position that the
+/// entry had while it was there. Another one misses the entry, reads everything from the first again and again, and takes what it is told
+/// of as gone for what is there. `Asked` from the start stands once a second until the end.
+#[test]
+fn an_end_that_is_told_at_the_position_of_the_entry_is_learned() {
+    assert_hold(&[2_300_643, 2_302_693, 2_303_151]);
+}
+
+/// A new incarnation writes its entry, and another writer spoils it before any balancer reads it. A list of the store shows that the
+/// entry of the name cannot be used, at a later position than the start, which was taken for older than the process before.
+/// `BackendChanged` with the phase unusable stands before that of the new incarnation, which ends as superseded.
+#[test]
+fn a_start_whose_entry_is_spoiled_is_learned() {
+    assert_hold(&[2_203_988, 1_100_903]);
+}
--- a/crates/valvestage-policy/tests/steering/rebirths.rs
+++ b/crates/valvestage-policy/tests/steering/rebirths.rs
@@ -302,3 +302,38 @@
     assert_eq!(verdict, PacketVerdict::Reset(ResetReason::NoBackend));
     assert!(!site.known.directory.mark_unusable(FIRST, at(1_050)), "older news");
 }
+
+/// Pattern: an entry that cannot be read does not say which incarnation wrote it last, so that its position orders no births.
+#[test]
+fn a_birth_before_the_entry_became_unusable_is_newer_than_the_one_known() {
+    let mut directory = directory();
+    directory.mark_gone(FIRST, at(1_050), start());
+    directory.mark_unusable(FIRST, at(1_200));
+
+    directory.admit(birth(SECOND, 1_100), start());
+    assert_superseded(&directory, FIRST);
+    assert_eq!(directory.living(name_of(NAME)), [SECOND]);
+}
+
+#[test]
+fn an_older_birth_is_not_newer_than_one_whose_entry_became_unusable() {
+    let mut directory = directory();
+    directory.mark_unusable(FIRST, at(1_200));
+
+    directory.admit(birth(SECOND, 400), start());
+    assert_eq!(directory.living(name_of(NAME)), [FIRST]);
+}
+
+/// The store was read while the entry was unusable, and a peer tells of the birth that it belongs to.
+#[test]
+fn a_birth_that_an_unusable_entry_may_belong_to_has_not_gone_long_ago() {
+    let mut directory = directory();
+    directory.mark_unusable(FIRST, at(1_200));
+    directory.complete(at(1_300));
+    let told = BackendEntry { phase: BackendPhase::Unusable, ..birth(SECOND, 1_200) };
+
+    assert!(!directory.is_obsolete(&told, start()));
+    directory.admit_told(told, start());
+    assert_eq!(directory.living(name_of(NAME)), [SECOND]);
+    assert!(directory.is_obsolete(&birth(SECOND + (1 << 40), 450), start()));
+}
