Contests of a restored store last while it fails again, and their end is told at once

Callers: flows placed on a process that had ended, up to 13 s after its successor had started.

Change: failures after the first list of an era extend its contests as they extend the time to return; whoever admits contested entries tells others at once. Conclusion: times in which entries may return do not run while the store is away, of whichever kind they are.

--- a/crates/valvestage-policy/src/steering/keeper/knowledge_keeper.rs
+++ b/crates/valvestage-policy/src/steering/keeper/knowledge_keeper.rs
@@ -168,11 +168,14 @@
         }
     }
 
-    /// Believes in backend servers that a restored store still shows once it has settled.
+    /// Believes in backend servers that a restored store still shows once it has settled, and tells others: they wait for the same
+    /// confirmation of the store, and have it by this word.
     fn settle_contests(&mut self, knowledge: &mut Knowledge, now: Instant) {
         let confirmed_at = knowledge.confirmed_at();
+        let admitted = knowledge.directory.settle_contests(confirmed_at, now);
 
-        for instance in knowledge.directory.settle_contests(confirmed_at, now) {
+        self.news.tell_if(!admitted.is_empty());
+        for instance in admitted {
             self.news.note_backend(knowledge, instance, NewsSource::Store);
         }
     }
@@ -180,8 +183,9 @@
     /// Entries that are missing have time to return from the store's last failure on: it may have gone
     /// away again before it could take them back.
     fn postpone_missing(&self, knowledge: &mut Knowledge) {
-        if let Some(at) = self.store.settles_at() {
+        if let (Some(failed_at), Some(at)) = (self.store.last_failure(), self.store.settles_at()) {
             knowledge.settle_at(at);
+            knowledge.directory.extend_contests(failed_at, at);
         }
     }
 
--- a/crates/valvestage-policy/src/steering/knowledge/backend_directory.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/backend_directory.rs
@@ -43,14 +43,16 @@
     pub(super) settles_at: Option<Instant>,
     /// Where the store stood when it was first listed in its present era: what it shows up to here may be of the copy.
     pub(super) era_head: StorePosition,
-    /// When the store shows no entry any more that is only of the copy; none: it was never restored.
+    /// When it was listed so, here; none: it was never restored.
+    pub(super) era_listed_at: Option<Instant>,
+    /// When the store shows no entry any more that is only of the copy; none: it was never restored. Not before `era_listed_at`.
     pub(super) era_settles_at: Option<Instant>,
     /// Entries of the copy that speak against what is known of a former era.
     pub(super) contested: BTreeMap<InstanceId, BackendEntry>,
-    /// Entries that went since they were last taken.
-    pub(super) newly_gone: Vec<InstanceId>,
     /// Where each incarnation stood before its entry became unusable. Such an entry does not say which incarnation wrote it last.
     pub(super) positions_before_fault: HashMap<InstanceId, StorePosition>,
+    /// Entries that went since they were last taken.
+    pub(super) newly_gone: Vec<InstanceId>,
 }
 
 impl BackendDirectory {
@@ -198,9 +200,9 @@
         }
 
         entry.missing_until = None;
+        self.note_fault(entry.instance, entry.phase);
         if let BackendPhase::Gone { end, .. } = &mut entry.phase {
             let known = self.entries.get(&entry.instance);
-        self.note_fault(entry.instance, entry.phase);
             *end = known.map_or(*end, BackendEntry::end_of_phase);
             self.newly_gone.push(entry.instance);
         }
@@ -230,10 +232,10 @@
             return false;
         }
 
-        entry.phase = BackendPhase::Unusable;
-        entry.position = at;
         self.note_fault(instance, BackendPhase::Unusable);
         let Some(entry) = self.entries.get_mut(&instance) else { return false };
+        entry.phase = BackendPhase::Unusable;
+        entry.position = at;
         entry.missing_until = None;
         self.note_change(at);
         true
@@ -248,9 +250,9 @@
             && !self.contested.contains_key(&entry.instance)
             && entry.position <= self.complete_until
             && !self.entries.contains_key(&entry.instance)
+            && !self.may_be_unnamed(entry)
     }
 
-            && !self.may_be_unnamed(entry)
     /// Records that an entry went at a position; false if that is old news.
     pub fn mark_gone(&mut self, instance: InstanceId, at: StorePosition, now: Instant) -> bool {
         let Some(entry) = self.entries.get_mut(&instance) else {
@@ -420,9 +422,9 @@
 
         self.remembers_from = forgotten;
         let entries = &self.entries;
+        self.positions_before_fault.retain(|instance, _| entries.contains_key(instance));
         self.tokens.retain(|_, instance| entries.contains_key(instance));
         self.names.retain(|_, births| {
-        self.positions_before_fault.retain(|instance, _| entries.contains_key(instance));
             births.retain(|birth| entries.contains_key(birth));
             !births.is_empty()
         });
--- a/crates/valvestage-policy/tests/simulation/seeds/restored_stores.rs
+++ b/crates/valvestage-policy/tests/simulation/seeds/restored_stores.rs
@@ -22,3 +22,10 @@
 fn an_entry_of_an_older_copy_is_not_believed_in_after_a_cut() {
     assert_hold(&[5_005_953]);
 }
+
+/// The store fails again while entries of the copy are contested. Neither do they lapse meanwhile, nor can the others be written, and they
+/// were believed in when the time was over.
+#[test]
+fn contests_last_while_the_store_fails_again() {
+    assert_hold(&[5_100_443]);
+}
