--- a/crates/valvestage-policy/tests/simulation/seeds/living_flows.rs
+++ b/crates/valvestage-policy/tests/simulation/seeds/living_flows.rs
@@ -25,3 +25,10 @@
 fn a_flow_that_comes_to_one_that_saw_nothing_stays() {
     assert_hold(&[24_229, 3_013_017, 3_032_110, 3_036_505]);
 }
+
+/// A flow moves to a balancer whose zone is cut off from its backend server. Its packet is lost in the cut, and the copy comes 26 ms after the
+/// end of the cut, when no balancer of the other zone has been heard again.
+#[test]
+fn a_flow_that_moves_in_a_cut_and_sends_just_after_it_stays() {
+    assert_hold(&[2_300_695]);
+}
