Experiment: a whole fleet of entry VMs in one process

valvestage-experiment fleet 100 300 1000: the real policy around a small store, without a network: a first start, quiet seconds, a new configuration, 200 backend servers that leave, a store that turns a third away, a zone cut, all killed; messages, bytes, processor time, calls and times to half, 99 of 100 and all balancers, with the exponent of each by the number of balancers.

--- /dev/null
+++ b/crates/valvestage-experiment/src/fleet.rs
@@ -0,0 +1,70 @@
+//! A whole fleet of entry VMs in one process: the real policy around a small store, in simulated time.
+//!
+//! It shows what grows with the fleet. Processor time is that of the policy's calls on this machine; the rest is the same on each
+//! run.
+//!
+//! | module | contents |
+//! |---|---|
+//! | `store` | the platform's store, as far as balancers follow it |
+//! | `world` | balancers, datagrams and calls in simulated time |
+//! | `usage` | what the balancers use in a span of time |
+//! | `scenes` | what happens to the fleet, and how long it takes to be known |
+
+mod scenes;
+mod store;
+mod usage;
+mod world;
+
+use self::scenes::SceneReport;
+use crate::table::Table;
+
+/// Backend servers for each balancer.
+const BACKENDS_EACH: usize = 10;
+
+/// Prints a table of each scene, with a column for each size and the exponent between the last two.
+pub fn print_tables(sizes: &[usize]) {
+    let reports: Vec<_> =
+        sizes.iter().map(|size| scenes::play(*size, size * BACKENDS_EACH)).collect();
+
+    for scene in 0..reports.first().map_or(0, Vec::len) {
+        let of_scene: Vec<_> = reports.iter().map(|report| &report[scene]).collect();
+        print_scene(sizes, &of_scene);
+    }
+}
+
+fn print_scene(sizes: &[usize], reports: &[&SceneReport]) {
+    let [.., last] = reports else { return };
+    let mut names = vec!["measure".to_owned()];
+    names.extend(sizes.iter().map(|size| format!("{size} balancers")));
+    names.push("exponent".to_owned());
+    let names: Vec<_> = names.iter().map(String::as_str).collect();
+    let mut table = Table::new(&names);
+
+    for (row, (measure, _)) in last.rows.iter().enumerate() {
+        let values: Vec<_> = reports.iter().map(|report| report.rows[row].1).collect();
+        let mut cells = vec![(*measure).to_owned()];
+        cells.extend(values.iter().map(|value| format_value(*value)));
+        cells.push(exponent(sizes, &values));
+        table.row(&cells);
+    }
+    table.print(last.name);
+}
+
+/// The power of the number of balancers with which a value grows, from the first size to the last.
+fn exponent(sizes: &[usize], values: &[f64]) -> String {
+    let (&[first_size, .., last_size], &[first, .., last]) = (sizes, values) else {
+        return "-".to_owned();
+    };
+    if first <= 0.0 || last <= 0.0 {
+        return "-".to_owned();
+    }
+
+    // Sizes are small enough to be exact.
+    #[allow(clippy::cast_precision_loss)]
+    let ratio = last_size as f64 / first_size as f64;
+    format!("{:.2}", (last / first).ln() / ratio.ln())
+}
+
+fn format_value(value: f64) -> String {
+    if value >= 100.0 { format!("{value:.0}") } else { format!("{value:.3}") }
+}
--- /dev/null
+++ b/crates/valvestage-experiment/src/fleet/store.rs
@@ -0,0 +1,158 @@
+//! The platform's store, as far as balancers follow it.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use valvestage_core::StorePosition;
+use valvestage_policy::steering::{
+    BackendEntry, BackendName, BackendNews, BackendPhase, EntryChange, RouteMap, RouteTarget,
+    StoreCall, StoreKind, StoreReply,
+};
+
+/// Objects of one page of a list.
+const PAGE: usize = 500;
+
+/// Services, and the share of the backend servers that run the first one: four of five.
+const SERVICES: [&str; 2] = ["core", "photos"];
+const FIRST_SERVICE_OF: usize = 5;
+
+/// Addresses of the configuration.
+const ADDRESSES: u16 = 250;
+
+/// `StoreAnswer` is the answer to a call of one kind.
+pub enum StoreAnswer {
+    Routes(StoreReply<RouteMap>),
+    Backends(StoreReply<BackendNews>),
+}
+
+/// `FleetStore` keeps a configuration and the entries of backend servers, with their history.
+pub struct FleetStore {
+    revision: u64,
+    routes: RouteMap,
+    route_changes: Vec<(u64, RouteMap)>,
+    /// In the order of their names.
+    entries: Vec<BackendEntry>,
+    entry_changes: Vec<BackendNews>,
+}
+
+impl FleetStore {
+    /// Creates a store with a configuration and so many backend servers, spread over the zones.
+    pub fn new(backends: usize, zones: &[String]) -> Self {
+        let mut store = Self {
+            revision: 1,
+            routes: RouteMap::default(),
+            route_changes: Vec::new(),
+            entries: Vec::with_capacity(backends),
+            entry_changes: Vec::new(),
+        };
+
+        for number in 0..backends {
+            store.revision += 1;
+            let position = StorePosition::new(0, store.revision);
+            store.entries.push(entry(number, &zones[number % zones.len()], position));
+        }
+        store.change_routes();
+        store
+    }
+
+    /// Writes the next version of the configuration, and returns it.
+    pub fn change_routes(&mut self) -> u64 {
+        let version = self.routes.version + 3;
+        let targets = |port: u16| {
+            let service = SERVICES[usize::from(port) % SERVICES.len()].to_owned();
+            vec![RouteTarget { service, weight: 1 }]
+        };
+        let routes = (0..ADDRESSES).map(|port| {
+            (SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 1_000 + port), targets(port))
+        });
+
+        self.revision += 1;
+        self.routes = RouteMap {
+            version,
+            routes: routes.collect(),
+            idle_timeout_ms: 15_000,
+            ..Default::default()
+        };
+        self.route_changes.push((self.revision, self.routes.clone()));
+        version
+    }
+
+    /// Marks so many backend servers as leaving, spread over all, and returns the last one's number.
+    pub fn drain(&mut self, count: usize) -> u64 {
+        let step = (self.entries.len() / count).max(1);
+        let mut last = 0;
+
+        for place in (0..self.entries.len()).step_by(step).take(count) {
+            self.revision += 1;
+            let entry = &mut self.entries[place];
+            entry.phase = BackendPhase::Draining;
+            entry.position = StorePosition::new(0, self.revision);
+            last = entry.instance;
+            self.entry_changes.push(written(&entry.clone()));
+        }
+        last
+    }
+
+    /// Returns the answer to a call, if there is something to say or its wait is over.
+    pub fn answer(&self, kind: StoreKind, call: &StoreCall, is_over: bool) -> Option<StoreAnswer> {
+        let position = StorePosition::new(0, self.revision);
+
+        match (kind, call) {
+            (StoreKind::Configuration, StoreCall::List { .. }) => {
+                let objects = vec![self.routes.clone()];
+                Some(StoreAnswer::Routes(StoreReply::Page { objects, next_after: None, position }))
+            }
+            (StoreKind::Configuration, StoreCall::Watch { revision, .. }) => {
+                let news = self.route_changes.iter().filter(|(at, _)| at > revision);
+                let objects: Vec<_> = news.map(|(_, routes)| routes.clone()).collect();
+                (is_over || !objects.is_empty())
+                    .then_some(StoreAnswer::Routes(StoreReply::Changes { objects, position }))
+            }
+            (_, StoreCall::List { after, .. }) => Some(StoreAnswer::Backends(self.page(after))),
+            (_, StoreCall::Watch { revision, .. }) => {
+                let after = StorePosition::new(0, *revision);
+                let first = self.entry_changes.partition_point(|news| news.position <= after);
+                let objects = self.entry_changes[first..].to_vec();
+                (is_over || !objects.is_empty())
+                    .then_some(StoreAnswer::Backends(StoreReply::Changes { objects, position }))
+            }
+        }
+    }
+
+    fn page(&self, after: &Option<String>) -> StoreReply<BackendNews> {
+        let first = after.as_ref().and_then(|name| name.parse::<usize>().ok()).unwrap_or(0);
+        let end = (first + PAGE).min(self.entries.len());
+
+        StoreReply::Page {
+            objects: self.entries[first..end].iter().map(written).collect(),
+            next_after: (end < self.entries.len()).then(|| end.to_string()),
+            position: StorePosition::new(0, self.revision),
+        }
+    }
+}
+
+fn entry(number: usize, zone: &str, position: StorePosition) -> BackendEntry {
+    let instance = 0x10_0000 + u64::try_from(number).unwrap_or(u64::MAX);
+    let service = SERVICES[usize::from(number % FIRST_SERVICE_OF == 0)];
+    let [.., second, third, fourth] = (number + 1).to_be_bytes();
+
+    BackendEntry {
+        instance,
+        name: BackendName { digest: 0, number: instance },
+        position,
+        service: service.to_owned(),
+        address: SocketAddrV4::new(Ipv4Addr::new(10, second, third, fourth), 8_080),
+        zone: zone.to_owned(),
+        slots: 2,
+        cold_until: None,
+        phase: BackendPhase::Ready,
+        missing_until: None,
+    }
+}
+
+fn written(entry: &BackendEntry) -> BackendNews {
+    BackendNews {
+        name: entry.name,
+        position: entry.position,
+        change: EntryChange::Written(entry.clone()),
+    }
+}
--- /dev/null
+++ b/crates/valvestage-experiment/src/fleet/world.rs
@@ -0,0 +1,337 @@
+//! Balancers, datagrams and calls in simulated time.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::{Duration, Instant};
+
+use valvestage_policy::steering::{
+    EntryOptions, EntryPolicy, KeeperAction, PeerMessage, SteeringOptions, StoreCall, StoreKind,
+    StoreReply,
+};
+
+use super::store::{FleetStore, StoreAnswer};
+use super::usage::NodeUsage;
+
+/// Time of a datagram inside a zone, and to another one.
+const NEAR: Duration = Duration::from_micros(200);
+const FAR: Duration = Duration::from_micros(1_400);
+
+/// Time of an answer of the store.
+const STORE: Duration = Duration::from_millis(4);
+
+/// What balancers wait for an answer, beyond the wait of a watch.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Time between two looks of the store at waiting watches.
+const STORE_SCAN: Duration = Duration::from_millis(5);
+
+/// The link of a VM.
+const LINK_MBPS: f64 = 20.0;
+
+/// Ports of balancers.
+const PORT: u16 = 7_000;
+
+/// Zones over which the balancers are spread.
+const ZONES: [&str; 5] = ["zone-a", "zone-b", "zone-c", "zone-d", "zone-e"];
+
+/// What happens at a time.
+enum Event {
+    /// The policy of a balancer has something to do.
+    Wake(usize),
+    /// A datagram arrives.
+    Deliver(usize, usize, u64, PeerMessage),
+    /// The store looks at what it is asked.
+    Scan,
+}
+
+struct Timed {
+    at: Duration,
+    /// Order of events of one time.
+    number: u64,
+    event: Event,
+}
+
+impl PartialEq for Timed {
+    fn eq(&self, other: &Self) -> bool {
+        (self.at, self.number) == (other.at, other.number)
+    }
+}
+
+impl Eq for Timed {}
+
+impl PartialOrd for Timed {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Timed {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.number).cmp(&(other.at, other.number))
+    }
+}
+
+/// A call that waits for its answer.
+struct OpenCall {
+    node: usize,
+    life: u32,
+    kind: StoreKind,
+    call: StoreCall,
+    answer_at: Duration,
+    ends_at: Duration,
+}
+
+/// `FleetWorld` is a store and the balancers around it.
+pub struct FleetWorld {
+    base: Instant,
+    now: Duration,
+    number: u64,
+    queue: BinaryHeap<Reverse<Timed>>,
+    pub store: FleetStore,
+    pub nodes: Vec<Option<EntryPolicy>>,
+    lives: Vec<u32>,
+    wakes_at: Vec<Duration>,
+    places: HashMap<SocketAddrV4, usize>,
+    calls: Vec<OpenCall>,
+    /// Balancers that the store turns away.
+    pub refused: Vec<bool>,
+    /// A zone that is cut off from the others and from the store; none: all reach each other.
+    pub cut_zone: Option<usize>,
+    pub usage: Vec<NodeUsage>,
+}
+
+impl FleetWorld {
+    /// Creates a world in which no balancer runs yet.
+    pub fn new(balancers: usize, backends: usize) -> Self {
+        let zones: Vec<_> = ZONES.iter().map(|zone| (*zone).to_owned()).collect();
+        let mut world = Self {
+            base: Instant::now(),
+            now: Duration::ZERO,
+            number: 0,
+            queue: BinaryHeap::new(),
+            store: FleetStore::new(backends, &zones),
+            nodes: (0..balancers).map(|_| None).collect(),
+            lives: vec![0; balancers],
+            wakes_at: vec![Duration::MAX; balancers],
+            places: (0..balancers).map(|node| (node_address(node), node)).collect(),
+            calls: Vec::new(),
+            refused: vec![false; balancers],
+            cut_zone: None,
+            usage: vec![NodeUsage::default(); balancers],
+        };
+
+        world.add(STORE_SCAN, Event::Scan);
+        world
+    }
+
+    /// Returns the time since the beginning.
+    pub fn now(&self) -> Duration {
+        self.now
+    }
+
+    /// Starts a balancer, which knows nothing.
+    pub fn start(&mut self, node: usize, is_first_start: bool) {
+        let seeds = [0, 1, 2].map(|seed| node_address(seed * self.nodes.len() / 3));
+        let options = EntryOptions {
+            steering: SteeringOptions {
+                zone: ZONES[zone_of(node)].to_owned(),
+                ..Default::default()
+            },
+            peer_address: node_address(node),
+            seeds: seeds.to_vec(),
+            link_mbps: LINK_MBPS,
+            evacuable_zones: None,
+            is_first_start,
+            seed: 77 + u64::try_from(node).unwrap_or(0) + (u64::from(self.lives[node]) << 32),
+        };
+
+        self.nodes[node] = Some(EntryPolicy::new(options, self.instant()));
+        self.wakes_at[node] = self.now;
+        self.add(self.now, Event::Wake(node));
+    }
+
+    /// Kills a balancer.
+    pub fn stop(&mut self, node: usize) {
+        self.nodes[node] = None;
+        self.lives[node] += 1;
+        self.wakes_at[node] = Duration::MAX;
+        self.calls.retain(|call| call.node != node);
+    }
+
+    /// Plays a span of time.
+    pub fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+
+        while let Some(Reverse(next)) = self.queue.pop() {
+            if next.at > end {
+                self.queue.push(Reverse(next));
+                break;
+            }
+            self.now = next.at;
+            self.handle(next.event);
+        }
+        self.now = end;
+    }
+
+    /// Plays until so many balancers satisfy something, and returns the time that this took; none if they do not within a limit.
+    pub fn run_until(
+        &mut self,
+        enough: usize,
+        limit: Duration,
+        holds: impl Fn(&EntryPolicy) -> bool,
+    ) -> Option<Duration> {
+        let begin = self.now;
+
+        while self.nodes.iter().flatten().filter(|node| holds(node)).count() < enough {
+            if self.now - begin >= limit {
+                return None;
+            }
+            self.run(Duration::from_millis(20));
+        }
+        Some(self.now - begin)
+    }
+
+    fn instant(&self) -> Instant {
+        self.base + self.now
+    }
+
+    fn add(&mut self, at: Duration, event: Event) {
+        self.number += 1;
+        self.queue.push(Reverse(Timed { at, number: self.number, event }));
+    }
+
+    fn handle(&mut self, event: Event) {
+        let now = self.instant();
+
+        match event {
+            Event::Wake(node) if self.wakes_at[node] <= self.now => {
+                self.step(node, |policy| policy.on_tick(now));
+            }
+            Event::Wake(_) => {}
+            Event::Deliver(from, to, bytes, message) => {
+                if self.nodes[to].is_some() && self.is_joined(from, to) {
+                    self.usage[to].received_bytes += bytes;
+                    self.step(to, |policy| policy.on_message(node_address(from), message, now));
+                }
+            }
+            Event::Scan => self.scan(),
+        }
+    }
+
+    /// Lets a balancer do something, and does what it asks for.
+    fn step(&mut self, node: usize, act: impl FnOnce(&mut EntryPolicy) -> Vec<KeeperAction>) {
+        let Some(policy) = &mut self.nodes[node] else { return };
+        let begun_at = Instant::now();
+        let actions = act(policy);
+        drop(policy.take_decisions());
+        self.usage[node].busy += begun_at.elapsed();
+
+        let due = policy.next_due().saturating_duration_since(self.base);
+        let due = due.max(self.now + Duration::from_micros(100));
+        if due < self.wakes_at[node] || self.wakes_at[node] <= self.now {
+            self.wakes_at[node] = due;
+            self.add(due, Event::Wake(node));
+        }
+        for action in actions {
+            self.carry_out(node, action);
+        }
+    }
+
+    fn carry_out(&mut self, node: usize, action: KeeperAction) {
+        match action {
+            KeeperAction::Tell(peer, message) => {
+                let Some(to) = self.places.get(&peer).copied() else { return };
+                let bytes = postcard::experimental::serialized_size(&message).unwrap_or_default();
+                let bytes = u64::try_from(bytes).unwrap_or_default() + 1;
+                let is_near = zone_of(node) == zone_of(to);
+                let usage = &mut self.usage[node];
+                usage.sent += 1;
+                usage.sent_bytes += bytes;
+                usage.far_bytes += if is_near { 0 } else { bytes };
+                let delay = if is_near { NEAR } else { FAR };
+                self.add(self.now + delay, Event::Deliver(node, to, bytes, message));
+            }
+            KeeperAction::Call(kind, call) => {
+                self.usage[node].calls += 1;
+                let wait = match &call {
+                    StoreCall::List { .. } => Duration::ZERO,
+                    StoreCall::Watch { wait, .. } => *wait,
+                };
+                self.calls.push(OpenCall {
+                    node,
+                    life: self.lives[node],
+                    kind,
+                    call,
+                    answer_at: self.now + STORE,
+                    ends_at: self.now + wait,
+                });
+            }
+        }
+    }
+
+    /// Whether two balancers reach each other.
+    fn is_joined(&self, one: usize, other: usize) -> bool {
+        let is_cut = |node| Some(zone_of(node)) == self.cut_zone;
+
+        is_cut(one) == is_cut(other)
+    }
+
+    /// The store answers what it is asked.
+    fn scan(&mut self) {
+        self.add(self.now + STORE_SCAN, Event::Scan);
+
+        for call in std::mem::take(&mut self.calls) {
+            if call.life != self.lives[call.node] {
+                continue;
+            }
+            let is_cut = Some(zone_of(call.node)) == self.cut_zone;
+            let is_given_up = is_cut && call.ends_at + CALL_TIMEOUT <= self.now;
+            if call.answer_at > self.now || is_cut && !is_given_up {
+                self.calls.push(call);
+                continue;
+            }
+            let is_refused = is_given_up || self.refused[call.node];
+            let answer = if is_refused {
+                Some(failure(call.kind))
+            } else {
+                self.store.answer(call.kind, &call.call, call.ends_at <= self.now)
+            };
+            match answer {
+                Some(answer) => self.reply(call.node, answer),
+                None => self.calls.push(call),
+            }
+        }
+    }
+
+    fn reply(&mut self, node: usize, answer: StoreAnswer) {
+        let now = self.instant();
+
+        self.step(node, |policy| match answer {
+            StoreAnswer::Routes(reply) => policy.on_routes_reply(reply, now),
+            StoreAnswer::Backends(reply) => policy.on_backends_reply(reply, now),
+        });
+    }
+}
+
+fn failure(kind: StoreKind) -> StoreAnswer {
+    match kind {
+        StoreKind::Configuration => StoreAnswer::Routes(StoreReply::Failed),
+        _ => StoreAnswer::Backends(StoreReply::Failed),
+    }
+}
+
+/// The place of a balancer's zone.
+pub fn zone_of(node: usize) -> usize {
+    node % ZONES.len()
+}
+
+fn node_address(node: usize) -> SocketAddrV4 {
+    let [.., high, low] = node.to_be_bytes();
+
+    SocketAddrV4::new(Ipv4Addr::new(10, zone_octet(node), high, low), PORT)
+}
+
+fn zone_octet(node: usize) -> u8 {
+    u8::try_from(zone_of(node) + 1).unwrap_or(u8::MAX)
+}
--- a/crates/valvestage-experiment/src/main.rs
+++ b/crates/valvestage-experiment/src/main.rs
@@ -6,11 +6,13 @@
 //! | `placement` | ways to place flows where each balancer sees only its own |
 //! | `flows` | ways to keep flows on their backend servers through changes |
 //! | `capacity` | slopes of state, messages and processor time |
+//! | `fleet` | what grows with the number of entry VMs, up to a whole fleet |
 //! | `data-path` | packets a second against a bare relay, nanoseconds a decision |
 
 mod capacity;
 mod data_path;
 mod deployment;
+mod fleet;
 mod flows;
 mod placement;
 mod requests;
@@ -34,6 +36,13 @@
     /// Slopes for docs/CAPACITY.md
     #[bpaf(command)]
     Capacity,
+    /// What grows with the number of entry VMs
+    #[bpaf(command)]
+    Fleet {
+        /// Balancers of each fleet, each with ten backend servers
+        #[bpaf(positional("BALANCERS"))]
+        sizes: Vec<usize>,
+    },
     /// The data path of one balancer against a bare relay
     #[bpaf(command)]
     DataPath,
@@ -45,6 +54,7 @@
         Command::Placement => placement::print_tables(),
         Command::Flows => flows::print_tables(),
         Command::Capacity => capacity::print_tables(),
+        Command::Fleet { sizes } => fleet::print_tables(&sizes),
         Command::DataPath => data_path::print_tables(),
     }
 }
