A walk through all backend servers has its turn like a large configuration

Callers: after a restart of all, most balancers of a large fleet are ready at the same late moment.

Cause: questions of many balancers that walk through all backend servers had the same turns, a window each, so that all were done at the end and none could tell others before. That was mended for configurations only.

Change: such a question counts as large: one that has begun goes before others, and these wait until the link is idle.

--- a/crates/valvestage-experiment/src/fleet.rs
+++ b/crates/valvestage-experiment/src/fleet.rs
@@ -22,9 +22,9 @@
 const BACKENDS_EACH: usize = 10;
 
 /// Prints a table of each scene, with a column for each size and the exponent between the last two.
-pub fn print_tables(sizes: &[usize]) {
+pub fn print_tables(sizes: &[usize], starts_only: bool) {
     let reports: Vec<_> =
-        sizes.iter().map(|size| scenes::play(*size, size * BACKENDS_EACH)).collect();
+        sizes.iter().map(|size| scenes::play(*size, size * BACKENDS_EACH, starts_only)).collect();
 
     for scene in 0..reports.first().map_or(0, Vec::len) {
         let of_scene: Vec<_> = reports.iter().map(|report| &report[scene]).collect();
--- a/crates/valvestage-experiment/src/fleet/scenes.rs
+++ b/crates/valvestage-experiment/src/fleet/scenes.rs
@@ -31,13 +31,17 @@
     pub rows: Vec<(&'static str, f64)>,
 }
 
-/// Plays all scenes on one fleet, one after the other.
-pub fn play(balancers: usize, backends: usize) -> Vec<SceneReport> {
+/// Plays all scenes on one fleet, one after the other; or only those in which all start.
+pub fn play(balancers: usize, backends: usize, starts_only: bool) -> Vec<SceneReport> {
     eprintln!("{balancers} balancers, {backends} backend servers");
     let mut world = FleetWorld::new(balancers, backends);
+    let first = first_start(&mut world);
+    if starts_only {
+        return vec![first, kill_all(&mut world)];
+    }
 
     vec![
-        first_start(&mut world),
+        first,
         quiet(&mut world),
         configuration(&mut world),
         release(&mut world),
@@ -133,11 +137,17 @@
     FleetUsage::between(&before, &world.usage, span).rows()
 }
 
-/// Plays until all balancers satisfy something, and returns when half of them, 99 of 100 and all did.
+/// Plays until all balancers satisfy something, and returns when the first, a tenth, half, 99 of 100 and all did.
 fn times(world: &mut FleetWorld, holds: impl Fn(&EntryPolicy) -> bool) -> Vec<(&'static str, f64)> {
     let count = world.nodes.len();
     let begin = world.now();
-    let marks = [("half, ms", count / 2), ("99 of 100, ms", count * 99 / 100), ("all, ms", count)];
+    let marks = [
+        ("first, ms", 1),
+        ("a tenth, ms", count / 10),
+        ("half, ms", count / 2),
+        ("99 of 100, ms", count * 99 / 100),
+        ("all, ms", count),
+    ];
 
     marks
         .into_iter()
--- a/crates/valvestage-experiment/src/fleet/store.rs
+++ b/crates/valvestage-experiment/src/fleet/store.rs
@@ -24,6 +24,21 @@
     Backends(StoreReply<BackendNews>),
 }
 
+impl StoreAnswer {
+    /// Returns the bytes of its objects, with so many for each route and each entry.
+    pub fn objects(&self, route_bytes: usize, entry_bytes: usize) -> usize {
+        match self {
+            Self::Routes(
+                StoreReply::Page { objects, .. } | StoreReply::Changes { objects, .. },
+            ) => objects.iter().map(|map| map.routes.len() * route_bytes).sum(),
+            Self::Backends(
+                StoreReply::Page { objects, .. } | StoreReply::Changes { objects, .. },
+            ) => objects.len() * entry_bytes,
+            _ => 0,
+        }
+    }
+}
+
 /// `FleetStore` keeps a configuration and the entries of backend servers, with their history.
 pub struct FleetStore {
     revision: u64,
--- a/crates/valvestage-experiment/src/fleet/world.rs
+++ b/crates/valvestage-experiment/src/fleet/world.rs
@@ -17,17 +17,26 @@
 const NEAR: Duration = Duration::from_micros(200);
 const FAR: Duration = Duration::from_micros(1_400);
 
-/// Time of an answer of the store.
+/// Time of an answer of the store, without its way over links.
 const STORE: Duration = Duration::from_millis(4);
 
+/// Bytes of an entry as the store has it, and of a route.
+const ENTRY_BYTES: usize = 280;
+const ROUTE_BYTES: usize = 180;
+
+/// The store's link.
+const STORE_MBPS: f64 = 1_000.0;
+
 /// What balancers wait for an answer, beyond the wait of a watch.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Time between two looks of the store at waiting watches.
 const STORE_SCAN: Duration = Duration::from_millis(5);
 
-/// The link of a VM.
+/// The links of most VMs, and of one in twenty.
 const LINK_MBPS: f64 = 20.0;
+const WIDE_LINK_MBPS: f64 = 1_000.0;
+const WIDE_EVERY: usize = 20;
 
 /// Ports of balancers.
 const PORT: u16 = 7_000;
@@ -41,6 +50,8 @@
     Wake(usize),
     /// A datagram arrives.
     Deliver(usize, usize, u64, PeerMessage),
+    /// An answer of the store arrives at a life of a balancer.
+    Answer(usize, u32, StoreAnswer),
     /// The store looks at what it is asked.
     Scan,
 }
@@ -94,6 +105,8 @@
     wakes_at: Vec<Duration>,
     places: HashMap<SocketAddrV4, usize>,
     calls: Vec<OpenCall>,
+    /// When the store's link has sent all answers so far.
+    store_busy_until: Duration,
     /// Balancers that the store turns away.
     pub refused: Vec<bool>,
     /// A zone that is cut off from the others and from the store; none: all reach each other.
@@ -116,6 +129,7 @@
             wakes_at: vec![Duration::MAX; balancers],
             places: (0..balancers).map(|node| (node_address(node), node)).collect(),
             calls: Vec::new(),
+            store_busy_until: Duration::ZERO,
             refused: vec![false; balancers],
             cut_zone: None,
             usage: vec![NodeUsage::default(); balancers],
@@ -140,7 +154,7 @@
             },
             peer_address: node_address(node),
             seeds: seeds.to_vec(),
-            link_mbps: LINK_MBPS,
+            link_mbps: link_mbps(node),
             evacuable_zones: None,
             is_first_start,
             seed: 77 + u64::try_from(node).unwrap_or(0) + (u64::from(self.lives[node]) << 32),
@@ -215,6 +229,11 @@
                     self.step(to, |policy| policy.on_message(node_address(from), message, now));
                 }
             }
+            Event::Answer(node, life, answer) => {
+                if life == self.lives[node] {
+                    self.reply(node, answer);
+                }
+            }
             Event::Scan => self.scan(),
         }
     }
@@ -298,12 +317,22 @@
                 self.store.answer(call.kind, &call.call, call.ends_at <= self.now)
             };
             match answer {
-                Some(answer) => self.reply(call.node, answer),
+                Some(answer) => self.send_answer(&call, answer),
                 None => self.calls.push(call),
             }
         }
     }
 
+    /// Sends an answer over the store's link, and over that of the balancer.
+    fn send_answer(&mut self, call: &OpenCall, answer: StoreAnswer) {
+        let bytes = answer.objects(ROUTE_BYTES, ENTRY_BYTES);
+        let begins_at = self.store_busy_until.max(self.now);
+
+        self.store_busy_until = begins_at + transfer(bytes, STORE_MBPS);
+        let at = self.store_busy_until + transfer(bytes, link_mbps(call.node));
+        self.add(at, Event::Answer(call.node, call.life, answer));
+    }
+
     fn reply(&mut self, node: usize, answer: StoreAnswer) {
         let now = self.instant();
 
@@ -321,6 +350,17 @@
     }
 }
 
+/// The time that bytes take on a link.
+fn transfer(bytes: usize, mbps: f64) -> Duration {
+    const BITS: f64 = 8.0;
+
+    Duration::from_secs_f64(bytes as f64 * BITS / (mbps * 1e6))
+}
+
+fn link_mbps(node: usize) -> f64 {
+    if node.is_multiple_of(WIDE_EVERY) { WIDE_LINK_MBPS } else { LINK_MBPS }
+}
+
 /// The place of a balancer's zone.
 pub fn zone_of(node: usize) -> usize {
     node % ZONES.len()
--- a/crates/valvestage-experiment/src/main.rs
+++ b/crates/valvestage-experiment/src/main.rs
@@ -39,6 +39,9 @@
     /// What grows with the number of entry VMs
     #[bpaf(command)]
     Fleet {
+        /// Plays only a first start and a restart of all
+        #[bpaf(long("starts"))]
+        starts_only: bool,
         /// Balancers of each fleet, each with ten backend servers
         #[bpaf(positional("BALANCERS"))]
         sizes: Vec<usize>,
@@ -54,7 +57,7 @@
         Command::Placement => placement::print_tables(),
         Command::Flows => flows::print_tables(),
         Command::Capacity => capacity::print_tables(),
-        Command::Fleet { sizes } => fleet::print_tables(&sizes),
+        Command::Fleet { starts_only, sizes } => fleet::print_tables(&sizes, starts_only),
         Command::DataPath => data_path::print_tables(),
     }
 }
--- a/crates/valvestage-policy/src/steering/peers/answer_queue.rs
+++ b/crates/valvestage-policy/src/steering/peers/answer_queue.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
-use super::peer_message::{BackendsPull, ChunksPull, RoutesPull};
+use super::peer_message::{BackendsPull, ChunksPull, RoutesPull, WalkScope};
 
 /// The part of its link that a balancer gives to answers at most: callers' packets take the same link.
 const LINK_SHARE: f64 = 0.66;
@@ -39,7 +39,11 @@
 impl PeerQuestion {
     /// Whether a whole window of datagrams answers it, and more are asked for then.
     fn is_large(&self) -> bool {
-        matches!(self, Self::Chunks(_))
+        match self {
+            Self::Chunks(_) => true,
+            Self::Backends(pull) => pull.scope == WalkScope::Everything,
+            Self::Routes(_) => false,
+        }
     }
 
     /// Whether both are about the same kind of knowledge: one that asks again needs one answer.
--- a/crates/valvestage-policy/tests/steering/large_answers.rs
+++ b/crates/valvestage-policy/tests/steering/large_answers.rs
@@ -10,6 +10,7 @@
 
 use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
 
 use valvestage_policy::steering::{BackendEntry, BackendPhase, EntryPolicy, RouteMap};
 
@@ -23,6 +24,10 @@
 /// The longest that a new configuration may take until it is in force everywhere.
 const BOUND_MS: u64 = 3_000;
 
+/// Half of those that restart together are ready within this time: half of the two seconds over which service after a restart is
+/// measured.
+const HALF_READY_WITHIN: Duration = Duration::from_secs(1);
+
 /// A configuration of so many addresses.
 fn large_routes(version: u64, addresses: u16) -> RouteMap {
     let address = |number: u16| {
@@ -178,3 +183,28 @@
     assert!(took <= millis(BOUND_MS), "{took:?}");
     assert_eq!(deployment.node(5).knowledge().directory.iter().count(), 5_400);
 }
+
+/// Pattern: many balancers ask few others for all backend servers at once. If all had the same turns all would be done at the same late
+/// moment, and none could tell others before.
+#[test]
+fn a_herd_that_asks_few_for_many_backend_servers_is_ready_soon() {
+    const BALANCERS: usize = 40;
+    let mut deployment = Deployment::over_links(BALANCERS, 3, Some(SLOW_LINK));
+    deployment.store.put_routes(routes(3, &[(443, SERVICE)]));
+    for instance in 1..=3_000 {
+        deployment.store.put_backend(one_of_many(instance));
+    }
+    deployment.run(millis(6_000));
+    assert!(deployment.nodes.iter().flatten().all(EntryPolicy::is_ready));
+
+    deployment.store_down = true;
+    for node in 3..BALANCERS {
+        deployment.start(node);
+    }
+    let count_ready =
+        |now: &Deployment| now.nodes.iter().flatten().filter(|node| node.is_ready()).count();
+    let half = deployment.run_until(|now| count_ready(now) >= BALANCERS / 2);
+    assert!(half <= HALF_READY_WITHIN, "{half:?}");
+    let all = half + deployment.run_until(|now| count_ready(now) == BALANCERS);
+    assert!(all <= millis(BOUND_MS), "{all:?}");
+}
