A long list of the store is left to the four that read it fastest

Callers: after a restart of all, nobody is served for seconds in a large fleet.

Cause: the pause before a balancer begins to read the store (60 ms) and the rule that few do at once were made for a list that is read in that time. At 10,000 backend servers it has 20 pages; nobody knows it after a second, all balancers begin, and share the store's link. Ruled out: turns of the walk alone (at 1,000 balancers the first one was done after 3,120 ms, half after 4,360). Change: followers tell how long the last page of a long list took; one that knows nothing, hears nobody who does, and knows of four that read it faster leaves it to them, and so does one that is being told. A list of one page changes nothing. Messages have version 8. Tests: watch_role.rs.

--- a/crates/valvestage-entry/src/peer_codec.rs
+++ b/crates/valvestage-entry/src/peer_codec.rs
@@ -3,7 +3,7 @@
 use valvestage_policy::steering::PeerMessage;
 
 /// Version of the messages. A balancer of another version is not understood, and ignored.
-const VERSION: u8 = 7;
+const VERSION: u8 = 8;
 
 /// Room for the longest message.
 pub const MAX_DATAGRAM_BYTES: usize = 2_048;
--- a/crates/valvestage-entry/tests/peer_codec.rs
+++ b/crates/valvestage-entry/tests/peer_codec.rs
@@ -183,6 +183,7 @@
         zone: "a-zone-with-a-long-name".to_owned(),
         age_ms: u32::MAX,
         is_answered: true,
+        page_ms: None,
     };
     let heartbeat = PeerHeartbeat {
         zone: watcher.zone.clone(),
--- a/crates/valvestage-policy/src/steering/keeper/keeper_exchange.rs
+++ b/crates/valvestage-policy/src/steering/keeper/keeper_exchange.rs
@@ -34,6 +34,11 @@
         self.exchange.next_due()
     }
 
+    /// Returns whether another balancer has told some of what it knows a moment ago.
+    pub(in crate::steering) fn is_being_told(&self, now: Instant) -> bool {
+        self.exchange.is_being_told(now)
+    }
+
     /// `on_tick` asks again for what did not come, and answers those whose turn it is.
     pub(in crate::steering) fn on_tick(
         &mut self,
--- a/crates/valvestage-policy/src/steering/keeper/knowledge_keeper.rs
+++ b/crates/valvestage-policy/src/steering/keeper/knowledge_keeper.rs
@@ -48,6 +48,8 @@
     /// Whether the next heartbeats ask those that know more to answer at once.
     asks: bool,
     news: KeeperNews,
+    /// Whether a balancer was heard that knows everything.
+    hears_complete: bool,
     /// Until when packets are likely to wait at other balancers for entries that are not known here either.
     wanted_elsewhere_until: Option<Instant>,
 }
@@ -72,6 +74,7 @@
             next_heartbeat: now,
             asks: true,
             news: KeeperNews::default(),
+            hears_complete: false,
             wanted_elsewhere_until: None,
         }
     }
@@ -152,6 +155,9 @@
             is_failing: self.store.is_try_failing(),
             is_complete: knowledge.is_complete() || knowledge.is_certain(now),
             has_zones: knowledge.contacts.hears_others(TELL_WITHIN, now),
+            page_time: self.store.page_time(),
+            hears_complete: self.hears_complete,
+            is_being_told: self.exchange.is_being_told(now),
             // Asked for only by a follower that may give up.
             recent_peers: if was_watching { self.peers.recent_count(now) } else { 0 },
             draw: self.draw.unit(),
@@ -244,7 +250,11 @@
             living: knowledge.directory.living_digest(),
             age_ms: knowledge.confirmed_at().map_or(u32::MAX, |at| millis_since(at, now)),
             outage_age_ms: outage.map_or(u32::MAX, |at| millis_since(at, now)),
-            watchers: self.role.sightings(self.store.answering_since(now), now),
+            watchers: self.role.sightings(
+                self.store.answering_since(now),
+                self.store.page_time(),
+                now,
+            ),
             peers: self.peers.sample(PEERS_TOLD, draw, now),
             evacuations: knowledge.evacuated.report(),
             health: report.map(|report| report.health.clone()).unwrap_or_default(),
@@ -293,6 +303,7 @@
         self.store.merge_peer_failure(time_of_age(heartbeat.outage_age_ms, now));
         self.store.enter_era(heartbeat.era_head.era, now);
         knowledge.directory.note_listed(heartbeat.era_head, now);
+        self.hears_complete |= heartbeat.version > 0 && !heartbeat.complete_until.is_start();
         for peer in &heartbeat.peers {
             self.peers.on_told(*peer, now);
         }
@@ -407,9 +418,12 @@
         let was_complete = knowledge.directory.is_complete();
         let era = knowledge.directory.changed_at().era;
         let was_failing = self.store.is_kind_failing(StoreKind::Backends);
+        let had_page = self.store.page_time().is_some();
         let changed = self.store.on_backends_reply(knowledge, reply, now);
 
         self.note_link(StoreKind::Backends, was_failing);
+        // Others leave a long list to those that read it faster.
+        self.news.tell_if(!had_page && self.store.page_time().is_some());
         let is_complete_now = knowledge.directory.is_complete() != was_complete;
         let is_new_era = knowledge.directory.changed_at().era > era;
         self.news.tell_if(is_complete_now || is_new_era || !changed.is_empty());
--- a/crates/valvestage-policy/src/steering/peers/backend_walk.rs
+++ b/crates/valvestage-policy/src/steering/peers/backend_walk.rs
@@ -23,6 +23,9 @@
 /// later. The longest that was seen took under 1 s.
 const WALK_LIFE: Duration = Duration::from_secs(10);
 
+/// A walk that came further within this time goes on: an answer that does not come is asked for twice meanwhile.
+const PROGRESS_LIFE: Duration = Duration::from_millis(400);
+
 /// Time between two comparisons with others that believe in other backend servers: each tells all that there are.
 const COMPARE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -82,6 +85,8 @@
     /// The walk under way; none between two.
     walk: Option<Walk>,
     awaited: Option<AwaitedAnswer>,
+    /// When a walk last came further.
+    advanced_at: Option<Instant>,
     /// When to ask for everything again at the earliest, to compare.
     compares_from: Option<Instant>,
 }
@@ -152,6 +157,13 @@
         self.has_history
     }
 
+    /// Returns whether a walk is under way and came further a moment ago.
+    pub(in crate::steering) fn is_progressing(&self, now: Instant) -> bool {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < PROGRESS_LIFE;
+
+        self.walk.is_some() && self.advanced_at.is_some_and(is_recent)
+    }
+
     /// `pull` asks a balancer that knows more; none while another answer is under way.
     pub(in crate::steering) fn pull(
         &mut self,
@@ -252,10 +264,11 @@
         let cursor = walk.cursor;
         let ends_at = walk.take(after, PartSpan { told_until, complete_until, told });
         let has_more = number.index + 1 >= number.count && walk.cursor > walk.asked_from;
-        if walk.cursor > cursor
-            && let Some(awaited) = &mut self.awaited
-        {
-            awaited.on_part(now);
+        if walk.cursor > cursor {
+            self.advanced_at = Some(now);
+            if let Some(awaited) = &mut self.awaited {
+                awaited.on_part(now);
+            }
         }
         match ends_at {
             Some(until) => {
--- a/crates/valvestage-policy/src/steering/peers/peer_exchange.rs
+++ b/crates/valvestage-policy/src/steering/peers/peer_exchange.rs
@@ -59,6 +59,12 @@
         }
     }
 
+    /// Returns whether parts of an answer about backend servers came a moment ago.
+    #[must_use]
+    pub fn is_being_told(&self, now: Instant) -> bool {
+        self.backends.is_progressing(now)
+    }
+
     /// `knows_newer_routes` tells whether the sender of a heartbeat has a newer configuration.
     #[must_use]
     pub fn knows_newer_routes(&self, knowledge: &Knowledge, heartbeat: &PeerHeartbeat) -> bool {
--- a/crates/valvestage-policy/src/steering/peers/peer_message.rs
+++ b/crates/valvestage-policy/src/steering/peers/peer_message.rs
@@ -234,6 +234,8 @@
     pub age_ms: u32,
     /// Whether the store answers it.
     pub is_answered: bool,
+    /// How long the last page took of a long list that it is reading, milliseconds; none: it reads no such list.
+    pub page_ms: Option<u16>,
 }
 
 /// `RoutesPull` asks what a newer configuration consists of.
--- a/crates/valvestage-policy/src/steering/store/store_follower.rs
+++ b/crates/valvestage-policy/src/steering/store/store_follower.rs
@@ -155,6 +155,10 @@
     /// How old lists may be.
     freshness: ListFreshness,
     last_answer: Option<Instant>,
+    /// When the call under way, or the last one, was made.
+    called_at: Option<Instant>,
+    /// How long the last page took of a list that has more of them; none while no such list is being read.
+    page_time: Option<Duration>,
     /// The last era that was heard of; none before the first answer.
     era: Option<StoreEra>,
     /// When an answer is needed that watches are to end for.
@@ -194,6 +198,8 @@
             needs_list: false,
             freshness: ListFreshness::Current,
             last_answer: None,
+            called_at: None,
+            page_time: None,
             era: None,
             watch_due: None,
             decisions: Vec::new(),
@@ -217,6 +223,12 @@
         self.last_answer
     }
 
+    /// Returns how long the last page took of a list that is being read and has more of them; none if there is no such list.
+    #[must_use]
+    pub fn page_time(&self) -> Option<Duration> {
+        self.page_time
+    }
+
     /// Returns whether the last call failed.
     #[must_use]
     pub fn is_failing(&self) -> bool {
@@ -232,6 +244,7 @@
         }
 
         self.calling = true;
+        self.called_at = Some(now);
         self.era = self.era.max((!known_until.is_start()).then_some(known_until.era));
         // Others take this balancer for a follower by the age of its last answer.
         let age = self.last_answer.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
@@ -308,6 +321,8 @@
                 self.on_success(now);
                 let goes_on = self.goes_on_in(position);
                 self.enter_era(position);
+                let called_at = self.called_at.filter(|_| next_after.is_some());
+                self.page_time = called_at.map(|at| now.saturating_duration_since(at));
                 if goes_on {
                     (objects, self.on_page(next_after, position))
                 } else {
@@ -386,6 +401,7 @@
 
         self.failures += 1;
         self.was_away = true;
+        self.page_time = None;
         self.not_before = Some(now + pause.min(LONGEST_PAUSE));
         self.restart_list();
     }
--- a/crates/valvestage-policy/src/steering/store/store_link.rs
+++ b/crates/valvestage-policy/src/steering/store/store_link.rs
@@ -127,6 +127,12 @@
         self.answered_at().filter(is_recent).filter(|_| !self.is_failing())
     }
 
+    /// Returns how long the last page took of a list of backend servers that is being read and has more of them.
+    #[must_use]
+    pub fn page_time(&self) -> Option<Duration> {
+        self.backends.page_time()
+    }
+
     /// Returns when the store last failed to answer this balancer or another one, or was restored.
     #[must_use]
     pub fn last_failure(&self) -> Option<Instant> {
--- a/crates/valvestage-policy/src/steering/store/watch_role.rs
+++ b/crates/valvestage-policy/src/steering/store/watch_role.rs
@@ -82,6 +82,12 @@
     pub is_complete: bool,
     /// Whether balancers of more than one availability zone are known.
     pub has_zones: bool,
+    /// How long the last page took of a long list that this balancer is reading; none: it reads no such list.
+    pub page_time: Option<Duration>,
+    /// Whether a balancer was heard that knows everything, and can be asked.
+    pub hears_complete: bool,
+    /// Whether another balancer is telling this one what it knows.
+    pub is_being_told: bool,
     /// Balancers that were heard lately.
     pub recent_peers: u32,
     /// A draw between 0 and 1.
@@ -94,9 +100,21 @@
     /// When the store last answered it, or when it was trying.
     seen_at: Instant,
     is_answered: bool,
+    /// How long the last page took of a long list that it is reading.
+    page_ms: Option<u16>,
     zone: ZoneName,
 }
 
+/// `ReaderRank` orders balancers that read a long list: the faster ones first, and those that are about as fast by address.
+type ReaderRank = (u32, SocketAddrV4);
+
+/// The rank of a balancer that reads a long list, or has not begun. Times of pages differ by chance, so only their magnitude counts.
+fn reader_rank(page_ms: Option<u16>, peer: SocketAddrV4) -> ReaderRank {
+    let magnitude = page_ms.map_or(u32::MAX, |time| time.max(1).ilog2());
+
+    (magnitude, peer)
+}
+
 impl Sighting {
     fn is_alive(&self, now: Instant) -> bool {
         let life = if self.is_answered { SIGHTING_LIFE } else { ATTEMPT_TTL };
@@ -181,7 +199,12 @@
     /// `on_sighting` takes in that a balancer follows the store; true if others should hear it now.
     pub fn on_sighting(&mut self, told: &WatcherSighting, now: Instant) -> bool {
         let Some(seen_at) = time_of_age(told.age_ms, now) else { return false };
-        let sighting = Sighting { seen_at, is_answered: told.is_answered, zone: told.zone.clone() };
+        let sighting = Sighting {
+            seen_at,
+            is_answered: told.is_answered,
+            page_ms: told.page_ms,
+            zone: told.zone.clone(),
+        };
         if told.peer == self.own || !sighting.is_alive(now) {
             return false;
         }
@@ -192,7 +215,9 @@
         }
         let is_news = match known {
             Some(known) => {
-                seen_at - known.seen_at >= NEWS_STEP || known.is_answered != told.is_answered
+                seen_at - known.seen_at >= NEWS_STEP
+                    || known.is_answered != told.is_answered
+                    || known.page_ms.is_none() && told.page_ms.is_some()
             }
             // In a herd that starts at once many follow for a moment; some are enough to tell of.
             None => self.sightings.len() < MAX_TOLD,
@@ -215,18 +240,25 @@
     /// `sightings` gives those that follow the store, for heartbeats. `answered_at` is when the store
     /// last answered this balancer; none while it does not.
     #[must_use]
-    pub fn sightings(&self, answered_at: Option<Instant>, now: Instant) -> Vec<WatcherSighting> {
+    pub fn sightings(
+        &self,
+        answered_at: Option<Instant>,
+        page_time: Option<Duration>,
+        now: Instant,
+    ) -> Vec<WatcherSighting> {
         let own = WatcherSighting {
             peer: self.own,
             zone: self.zone.clone(),
             age_ms: answered_at.map_or(0, |at| millis_since(at, now)),
             is_answered: answered_at.is_some(),
+            page_ms: page_time.map(whole_millis),
         };
         let others = self.sightings.iter().map(|(peer, sighting)| WatcherSighting {
             peer: *peer,
             zone: sighting.zone.clone(),
             age_ms: millis_since(sighting.seen_at, now),
             is_answered: sighting.is_answered,
+            page_ms: sighting.page_ms,
         });
         let own = self.watching.then_some(own);
 
@@ -255,6 +287,10 @@
 
     /// Stops following the store once the attempt deadline has passed, so that another balancer can try.
     fn retry_or_yield(&mut self, state: RoleState, now: Instant) {
+        if !state.is_complete && (state.is_being_told || self.is_outranked(state)) {
+            self.watching = false;
+            return;
+        }
         if state.is_answering {
             return;
         }
@@ -276,7 +312,8 @@
         // Without any state in the cluster, backing off would only delay the first read.
         let has_alternative = state.is_complete || trying > 0;
         let rests = has_alternative && self.backoff_until.is_some_and(|until| until > now);
-        if trying >= wanted || rests {
+        let is_served = !state.is_complete && (state.is_being_told || self.is_outranked(state));
+        if trying >= wanted || rests || is_served {
             self.begin_at = None;
             return;
         }
@@ -289,6 +326,18 @@
         }
     }
 
+    /// Whether enough others that come before this balancer are reading what nobody knows yet. A long list takes longer than any
+    /// pause that lets others begin first, and all that read it share the store's link.
+    fn is_outranked(&self, state: RoleState) -> bool {
+        let own = reader_rank(state.page_time.map(whole_millis), self.own);
+        let is_before = |(peer, sighting): &(&SocketAddrV4, &Sighting)| {
+            sighting.page_ms.is_some() && reader_rank(sighting.page_ms, **peer) < own
+        };
+        let before = self.sightings.iter().filter(is_before).count();
+
+        !state.hears_complete && before >= WANTED_BEGINNERS
+    }
+
     /// Whether the store answers enough others: two, and not both in one zone where there are more.
     fn has_enough(&self, state: RoleState) -> bool {
         let answered = self.answered();
@@ -320,9 +369,13 @@
     }
 }
 
-/// Puts the two that stay before all others: whoever hears of one zone only goes on following, and in a
-/// herd one zone alone may have more followers than are told of.
+/// Puts the two that stay before all others: a balancer that hears of one zone only goes on following, and in a
+/// herd one zone alone may have more followers than are told of. While long lists are read, those that come first in it do.
 fn staying_first(mut sightings: Vec<WatcherSighting>) -> Vec<WatcherSighting> {
+    if sightings.iter().any(|sighting| sighting.page_ms.is_some()) {
+        sightings.sort_by_key(|sighting| reader_rank(sighting.page_ms, sighting.peer));
+        return sightings;
+    }
     sightings.sort_by_key(|sighting| (!sighting.is_answered, sighting.peer));
 
     let elsewhere = sightings.first().and_then(|first| {
@@ -353,6 +406,10 @@
     now.checked_sub(Duration::from_millis(age_ms.into()) + HOP_AGE)
 }
 
+fn whole_millis(time: Duration) -> u16 {
+    u16::try_from(time.as_millis()).unwrap_or(u16::MAX)
+}
+
 pub(in crate::steering) fn millis_since(time: Instant, now: Instant) -> u32 {
     let age = now.saturating_duration_since(time).as_millis();
 
--- a/crates/valvestage-policy/tests/steering/late_messages.rs
+++ b/crates/valvestage-policy/tests/steering/late_messages.rs
@@ -23,6 +23,7 @@
         zone: AWAY.to_owned(),
         age_ms: SENT_AGE_MS,
         is_answered: true,
+        page_ms: None,
     };
 
     PeerHeartbeat {
--- a/crates/valvestage-policy/tests/steering/watch_role.rs
+++ b/crates/valvestage-policy/tests/steering/watch_role.rs
@@ -13,6 +13,7 @@
         zone: zone_of(last).to_owned(),
         age_ms,
         is_answered: true,
+        page_ms: None,
     }
 }
 
@@ -27,6 +28,9 @@
         is_failing: false,
         is_complete: true,
         has_zones: true,
+        page_time: None,
+        hears_complete: false,
+        is_being_told: false,
         recent_peers: 7,
         draw,
     }
@@ -281,7 +285,79 @@
         role.on_sighting(&sighting(other, 0), later);
     }
     role.step(state(true, 0.5), later);
-    let told: Vec<_> = role.sightings(None, later).iter().map(|told| told.peer).collect();
+    let told: Vec<_> = role.sightings(None, None, later).iter().map(|told| told.peer).collect();
     assert!(told.contains(&address(1, 7_000)), "{told:?}");
     assert!(told.contains(&address(24, 7_000)), "{told:?}");
 }
+
+/// A reader of a long list, whose last page took so long.
+fn reader(last: u8, page_ms: u16) -> WatcherSighting {
+    WatcherSighting { page_ms: Some(page_ms), ..sighting(last, 0) }
+}
+
+/// A balancer that knows nothing yet, and reads a long list itself if a time of its last page is given.
+fn unknowing(page_ms: Option<u64>) -> RoleState {
+    RoleState { is_complete: false, page_time: page_ms.map(millis), ..state(true, 0.0) }
+}
+
+/// Pattern: all balancers of a large fleet start at once, and the list of backend servers takes longer than the pause before each begins
+/// to read it. All of them shared the store's link, and the first one was done seconds later.
+#[test]
+fn a_long_list_is_left_to_four_that_read_it_faster() {
+    let now = Instant::now();
+    let mut role = watching(100, now);
+
+    for last in 2..=4 {
+        role.on_sighting(&reader(last, 6), now);
+    }
+    role.step(unknowing(Some(60)), now);
+    assert!(role.is_watching());
+    role.on_sighting(&reader(5, 6), now);
+    role.step(unknowing(Some(60)), now);
+    assert!(!role.is_watching());
+    role.step(unknowing(None), now + millis(700));
+    assert!(!role.is_watching());
+}
+
+#[test]
+fn the_fastest_reader_goes_on_whatever_its_address_is() {
+    let now = Instant::now();
+    let mut role = watching(100, now);
+
+    for last in 2..=9 {
+        role.on_sighting(&reader(last, 60), now);
+    }
+    role.step(unknowing(Some(6)), now);
+    assert!(role.is_watching());
+}
+
+#[test]
+fn readers_that_fall_silent_are_waited_for_no_longer() {
+    let now = Instant::now();
+    let mut role = watching(100, now);
+    for last in 2..=5 {
+        role.on_sighting(&reader(last, 6), now);
+    }
+    role.step(unknowing(Some(60)), now);
+    assert!(!role.is_watching());
+
+    let later = now + millis(2_300);
+    role.step(unknowing(None), later);
+    role.step(unknowing(None), later + millis(600));
+    assert!(role.is_watching());
+}
+
+/// Where somebody knows everything there is nothing to wait for: either it answers, or the store is read.
+#[test]
+fn nobody_waits_for_readers_where_one_that_knows_everything_is_heard() {
+    let now = Instant::now();
+    let mut role = watching(100, now);
+    for last in 2..=9 {
+        role.on_sighting(&reader(last, 6), now);
+    }
+
+    role.step(RoleState { hears_complete: true, ..unknowing(Some(60)) }, now);
+    assert!(role.is_watching());
+    role.step(RoleState { is_being_told: true, ..unknowing(Some(60)) }, now);
+    assert!(!role.is_watching());
+}
