Times of entries follow from the heartbeat of the backend servers

Callers: open flows reset while their backend servers live, where heartbeats are longer than 0.8 s (seven deployments have 1.2 s, the fleet 2 s).

Cause: constants made for heartbeats of 0.8 s: what counts as silence before a lapse (2 s), the time in which a birth is known (5.4 s) and in which a restored store settles (2.3 s). With 2 s an entry lapses after 6 s; a backend server that answered 4.8 s before its entry lapsed counted as silent. Ruled out: the time to return, which the users give as two seconds whatever the heartbeat. Change: EntryTimes derives them from heartbeat_ms (100 to 10,000, 770 if missing; another value is refused at the start with its name and bounds). At 770 ms: 2.00, 5.38 and 2.31 s. Tests at 0.3, 0.77, 1.2, 2 and 5 s in lapses.rs (those at 1.2 s and more fail with the constants), entry_settings.rs.

--- a/crates/valvestage-core/src/settings/entry.rs
+++ b/crates/valvestage-core/src/settings/entry.rs
@@ -13,6 +13,9 @@
 /// The slowest link that entry VMs have.
 const DEFAULT_LINK_MBPS: f64 = 10.0;
 
+/// Time between two heartbeats of a backend server where the settings do not tell it, milliseconds.
+const DEFAULT_HEARTBEAT_MS: u64 = 770;
+
 /// `RawEntrySettings` is the settings file as written, unchecked.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -43,6 +46,8 @@
     pub advertised_ip: Option<Ipv4Addr>,
     /// What the link of this VM sends, megabits a second.
     pub link_mbps: Option<f64>,
+    /// Time between two heartbeats of a backend server, milliseconds.
+    pub heartbeat_ms: Option<u64>,
     /// Whether the whole deployment starts for the first time.
     #[serde(default)]
     pub first_start: bool,
@@ -82,6 +87,8 @@
     pub advertised_address: SocketAddrV4,
     /// What the link of this VM sends, megabits a second; 1 to 1,000,000.
     pub link_mbps: f64,
+    /// Time between two heartbeats of a backend server; 100 ms to 10 s.
+    pub heartbeat: Duration,
     /// Whether the whole deployment starts for the first time.
     pub is_first_start: bool,
     /// Peer addresses of some VMs that may be up, without this one.
@@ -144,6 +151,11 @@
             return refuse("link_mbps", link_mbps.to_string(), "1 to 1000000");
         }
 
+        let heartbeat_ms = raw.heartbeat_ms.unwrap_or(DEFAULT_HEARTBEAT_MS);
+        if !(100..=10_000).contains(&heartbeat_ms) {
+            return refuse("heartbeat_ms", heartbeat_ms.to_string(), "100 to 10000");
+        }
+
         let cold_over = raw.cold_over.unwrap_or(1.0);
         if !(cold_over > 0.0 && cold_over <= 1_000.0) {
             return refuse("cold_over", cold_over.to_string(), "above 0, at most 1000");
@@ -171,6 +183,7 @@
             peer_address: SocketAddrV4::new(own_ip, raw.peer_port),
             advertised_address: SocketAddrV4::new(advertised_ip, raw.peer_port),
             link_mbps,
+            heartbeat: Duration::from_millis(heartbeat_ms),
             is_first_start: raw.first_start,
             seeds: seeds.map(|ip| SocketAddrV4::new(ip, raw.peer_port)).collect(),
             store_address: raw.store_address,
--- a/crates/valvestage-core/tests/entry_settings.rs
+++ b/crates/valvestage-core/tests/entry_settings.rs
@@ -73,3 +73,17 @@
     let none = RawEntrySettings { link_mbps: Some(0.0), ..toml::from_str(COMMON).unwrap() };
     assert!(EntrySettings::try_from((Path::new("entry.toml"), none)).is_err());
 }
+
+#[test]
+fn the_heartbeat_of_backend_servers_is_the_one_given_within_bounds() {
+    assert_eq!(read("").heartbeat.as_millis(), 770);
+    assert_eq!(read("heartbeat_ms = 2000\n").heartbeat.as_millis(), 2_000);
+
+    for refused in [0, 99, 10_001] {
+        let raw =
+            RawEntrySettings { heartbeat_ms: Some(refused), ..toml::from_str(COMMON).unwrap() };
+        let error = EntrySettings::try_from((Path::new("entry.toml"), raw)).unwrap_err();
+        let text = error.to_string();
+        assert!(text.contains("heartbeat_ms") && text.contains("100 to 10000"), "{text}");
+    }
+}
--- a/crates/valvestage-entry/src/process.rs
+++ b/crates/valvestage-entry/src/process.rs
@@ -13,7 +13,9 @@
 use mio::{Poll, Waker};
 use tokio::sync::{mpsc, oneshot};
 use valvestage_core::settings::EntrySettings;
-use valvestage_policy::steering::{ColdLimit, EntryOptions, EntryPolicy, SteeringOptions};
+use valvestage_policy::steering::{
+    ColdLimit, EntryOptions, EntryPolicy, EntryTimes, SteeringOptions,
+};
 
 use crate::control_thread::ControlThread;
 use crate::data_thread::{DataLinks, DataThread, UPDATES};
@@ -103,6 +105,7 @@
         cold_limit: settings
             .cold_limit
             .map(|limit| ColdLimit { over: limit.over, slack: limit.slack }),
+        entry_times: EntryTimes::new(settings.heartbeat),
         ..Default::default()
     };
     // Differs between VMs, and between two starts of one.
--- a/crates/valvestage-policy/src/steering.rs
+++ b/crates/valvestage-policy/src/steering.rs
@@ -48,6 +48,7 @@
 pub use knowledge::backend_entry::{BackendEnd, BackendEntry, BackendPhase};
 pub use knowledge::backend_name::{BackendName, BirthMillis};
 pub use knowledge::cold_rate::ColdRate;
+pub use knowledge::entry_times::EntryTimes;
 pub use knowledge::evacuated_zones::EvacuationReport;
 pub use knowledge::route_map::{RouteMap, RouteTarget};
 pub use knowledge::zone_contacts::{ZoneContacts, ZoneReach};
--- a/crates/valvestage-policy/src/steering/entry_policy.rs
+++ b/crates/valvestage-policy/src/steering/entry_policy.rs
@@ -97,6 +97,7 @@
     pub fn new(options: EntryOptions, now: Instant) -> Self {
         let mut knowledge = Knowledge::default();
         knowledge.see_from(now);
+        knowledge.set_entry_times(options.steering.entry_times);
         if options.evacuable_zones.is_some() {
             knowledge.await_evacuations();
         }
--- a/crates/valvestage-policy/src/steering/knowledge.rs
+++ b/crates/valvestage-policy/src/steering/knowledge.rs
@@ -8,6 +8,7 @@
 //! | [`backend_entry`] | what is known of one backend server |
 //! | [`backend_directory`] | all backend servers, the gone ones among them |
 //! | `entry_table` | their entries, with what is kept of them by each change |
+//! | [`entry_times`] | how soon entries lapse and are written again |
 //! | [`ready_backends`] | those that take new flows, by service and availability zone |
 //! | `backend_births` | which of them follow each other, at one address and under one name |
 //! | `store_restores` | what stays known of them when the store is restored |
@@ -21,6 +22,7 @@
 pub mod backend_name;
 pub mod cold_rate;
 mod entry_table;
+pub mod entry_times;
 pub mod evacuated_zones;
 pub(in crate::steering) mod lapse;
 pub mod ready_backends;
@@ -33,8 +35,9 @@
 use valvestage_core::ids::ZoneName;
 
 use self::backend_directory::BackendDirectory;
+use self::entry_times::EntryTimes;
 use self::evacuated_zones::EvacuatedZones;
-use self::lapse::{RETURN_TIME, SHORTEST_LAPSE};
+use self::lapse::RETURN_TIME;
 use self::route_map::RouteMap;
 use self::zone_contacts::ZoneContacts;
 
@@ -91,13 +94,29 @@
     pub fn confirm(&mut self, at: Option<Instant>) {
         let Some(at) = at else { return };
 
-        if let Some(before) = self.confirmed_at.filter(|before| could_lapse(*before, at)) {
+        if let Some(before) = self.confirmed_at.filter(|before| self.could_lapse(*before, at)) {
             self.lost_at = Some(before);
             self.regained_at = Some(at);
         }
         self.confirmed_at = self.confirmed_at.max(Some(at));
     }
 
+    /// Sets how soon entries lapse and are written again.
+    pub fn set_entry_times(&mut self, times: EntryTimes) {
+        self.directory.set_times(times);
+    }
+
+    /// Returns how soon entries lapse and are written again.
+    #[must_use]
+    pub fn entry_times(&self) -> EntryTimes {
+        self.directory.times()
+    }
+
+    /// Whether entries could lapse unseen between two confirmations.
+    fn could_lapse(&self, before: Instant, after: Instant) -> bool {
+        after.saturating_duration_since(before) >= self.entry_times().shortest_lapse()
+    }
+
     /// `settle_at` takes in when entries have returned that lapsed before the store last failed to answer.
     pub fn settle_at(&mut self, at: Instant) {
         self.settles_at = self.settles_at.max(Some(at));
@@ -125,7 +144,7 @@
     /// return, may have happened while this balancer did not hear from the store.
     #[must_use]
     pub fn was_out_of_touch(&self, learned_at: Instant) -> bool {
-        let is_out = self.confirmed_at.is_some_and(|at| could_lapse(at, learned_at));
+        let is_out = self.confirmed_at.is_some_and(|at| self.could_lapse(at, learned_at));
         let was_out = self
             .regained_at
             .is_some_and(|at| learned_at.saturating_duration_since(at) <= RETURN_TIME);
@@ -137,7 +156,7 @@
     pub(in crate::steering) fn heard_before(&self, learned_at: Instant) -> Instant {
         let is_near = |at: Instant| learned_at.saturating_duration_since(at) <= CERTAIN_FOR;
         let lost_at = self.lost_at.filter(|_| self.regained_at.is_some_and(is_near));
-        let unconfirmed = self.confirmed_at.filter(|at| could_lapse(*at, learned_at));
+        let unconfirmed = self.confirmed_at.filter(|at| self.could_lapse(*at, learned_at));
 
         [lost_at, unconfirmed].into_iter().flatten().fold(learned_at, Instant::min)
     }
@@ -224,8 +243,3 @@
         self.routes.version > 0 && self.directory.is_complete() && self.knows_evacuations()
     }
 }
-
-/// Whether entries could lapse unseen between two confirmations.
-fn could_lapse(before: Instant, after: Instant) -> bool {
-    after.saturating_duration_since(before) >= SHORTEST_LAPSE
-}
--- a/crates/valvestage-policy/src/steering/knowledge/backend_directory.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/backend_directory.rs
@@ -10,6 +10,7 @@
 use super::backend_name::BackendName;
 use super::entry_table::EntryTable;
 pub use super::entry_table::LivingDigest;
+use super::entry_times::EntryTimes;
 use super::lapse::RETURN_TIME;
 use super::ready_backends::ReadyBackends;
 
@@ -50,6 +51,8 @@
     pub(super) contested: BTreeMap<InstanceId, BackendEntry>,
     /// Where each incarnation stood before its entry became unusable. Such an entry does not say which incarnation wrote it last.
     pub(super) positions_before_fault: HashMap<InstanceId, StorePosition>,
+    /// How soon entries lapse and are written again.
+    times: EntryTimes,
     /// Entries that went since they were last taken.
     pub(super) newly_gone: Vec<InstanceId>,
 }
@@ -65,6 +68,17 @@
         ShortToken::try_from(hash).unwrap_or(ShortToken::MAX).max(1)
     }
 
+    /// Sets how soon entries lapse and are written again.
+    pub fn set_times(&mut self, times: EntryTimes) {
+        self.times = times;
+    }
+
+    /// Returns how soon entries lapse and are written again.
+    #[must_use]
+    pub fn times(&self) -> EntryTimes {
+        self.times
+    }
+
     /// Returns the position up to which every change is known.
     #[must_use]
     pub fn complete_until(&self) -> StorePosition {
--- a/crates/valvestage-policy/src/steering/knowledge/lapse.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/lapse.rs
@@ -17,14 +17,6 @@
 /// that is missing after that is gone. Confirmations take up to 0.3 s more.
 pub(in crate::steering) const RETURN_TIME: Duration = Duration::from_millis(2_300);
 
-/// Entries lapse after three heartbeats of some 0.8 s, so a dead backend server was silent for longer.
-pub(in crate::steering) const SHORTEST_LAPSE: Duration = Duration::from_secs(2);
-
-/// A start of a backend server is known within this time, but for times in which the store was not heard. It may not reach the store for
-/// 2.3 s before the former entry lapses; it writes its own within a heartbeat of 0.8 s, which is read within 1.9 s, and told on
-/// within 0.4 s.
-const BIRTH_LEARNED_WITHIN: Duration = Duration::from_millis(5_400);
-
 /// `LapseJudge` tells lapses from ends, by what is known at one moment.
 pub(in crate::steering) struct LapseJudge<'a> {
     /// Availability zone of this balancer.
@@ -92,7 +84,7 @@
             ZoneReach::Unknown => false,
             ZoneReach::Silent => true,
             ZoneReach::Since(joined_at) => {
-                let was_cut = joined_at > silent_from(lapsed_at);
+                let was_cut = joined_at > self.silent_from(lapsed_at);
                 was_cut && !self.knowledge.has_confirmed_for(RETURN_TIME, joined_at)
             }
         }
@@ -119,8 +111,8 @@
         };
         let has_heir = directory.heir(instance).is_some();
         let heard_before = self.knowledge.heard_before(since);
-        let seen_before =
-            has_heir.then(|| heard_before.checked_sub(BIRTH_LEARNED_WITHIN)).flatten();
+        let known_within = self.knowledge.entry_times().birth_known_within();
+        let seen_before = has_heir.then(|| heard_before.checked_sub(known_within)).flatten();
 
         EndedBackend { instance, seen_before }
     }
@@ -134,13 +126,20 @@
 
     /// Whether a backend server may live although its entry has lapsed.
     fn may_live(&self, entry: &BackendEntry, lapsed_at: Instant) -> bool {
-        let alive_from = silent_from(lapsed_at);
+        let alive_from = self.silent_from(lapsed_at);
         let was_alive = self.health.shows_life_since(entry.instance, alive_from);
         let shared_cut = entry.zone == *self.own_zone && self.knowledge.was_out_of_touch(lapsed_at);
 
         was_alive || shared_cut || self.is_open_question(entry, alive_from)
     }
 
+    /// From when on a backend server was silent whose entry lapsed at a time, if it is dead.
+    fn silent_from(&self, lapsed_at: Instant) -> Instant {
+        let silence = self.knowledge.entry_times().shortest_lapse();
+
+        lapsed_at.checked_sub(silence).unwrap_or(lapsed_at)
+    }
+
     /// Whether nothing speaks for or against the life of a backend server: its entry cannot return now, since the store is
     /// away, or this balancer started too late to see whether it was silent before the lapse. A flow that has just come from
     /// another balancer goes on with its first packet; the first copy of it that its caller sends shows the end, 200 ms later.
@@ -151,8 +150,3 @@
         is_unseen && !(knowledge.is_settled(self.now) && knowledge.has_seen_since(alive_from))
     }
 }
-
-/// From when on a backend server was silent whose entry lapsed at a time, if it is dead.
-fn silent_from(lapsed_at: Instant) -> Instant {
-    lapsed_at.checked_sub(SHORTEST_LAPSE).unwrap_or(lapsed_at)
-}
--- a/crates/valvestage-policy/src/steering/knowledge/store_restores.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/store_restores.rs
@@ -16,7 +16,6 @@
 use super::backend_directory::BackendDirectory;
 use super::backend_entry::{BackendEnd, BackendEntry, BackendPhase};
 use super::backend_name::BackendName;
-use super::lapse::RETURN_TIME;
 
 impl BackendDirectory {
     /// Returns where the store stood when it was first listed in its present era, as far as is known.
@@ -31,7 +30,7 @@
             self.era_head = position;
             self.contested.clear();
             self.era_listed_at = Some(now);
-            self.era_settles_at = Some(now + RETURN_TIME);
+            self.era_settles_at = Some(now + self.times().copy_settles_within());
         } else if position.era == self.era_head.era && position < self.era_head {
             self.era_head = position;
         }
--- a/crates/valvestage-policy/src/steering/placement/steering_options.rs
+++ b/crates/valvestage-policy/src/steering/placement/steering_options.rs
@@ -6,6 +6,7 @@
 use valvestage_core::ids::{RegionName, ZoneName};
 
 use super::cold_shares::ColdLimit;
+use crate::steering::knowledge::entry_times::EntryTimes;
 
 /// `SteeringOptions` are the limits and weights of steering.
 #[derive(Debug, Clone)]
@@ -18,6 +19,8 @@
     pub zone_regions: BTreeMap<ZoneName, RegionName>,
     /// What all balancers together may ask of a cold backend server whose service has a rate for it; none: no such limit.
     pub cold_limit: Option<ColdLimit>,
+    /// How soon entries of backend servers lapse and are written again.
+    pub entry_times: EntryTimes,
     /// Flows remembered at most. A record has some 100 bytes; the size to design for has 6,200 flows
     /// a balancer.
     pub max_flows: usize,
@@ -48,6 +51,7 @@
             far_zones: BTreeSet::new(),
             zone_regions: BTreeMap::new(),
             cold_limit: None,
+            entry_times: EntryTimes::default(),
             max_flows: 200_000,
             resting_flow_load: 0.05,
             zone_preference: 1.5,
--- a/crates/valvestage-policy/src/steering/store/store_link.rs
+++ b/crates/valvestage-policy/src/steering/store/store_link.rs
@@ -15,7 +15,7 @@
 use crate::steering::knowledge::backend_entry::BackendEntry;
 use crate::steering::knowledge::backend_name::BackendName;
 use crate::steering::knowledge::evacuated_zones::EvacuationReport;
-use crate::steering::knowledge::lapse::{RETURN_TIME, SHORTEST_LAPSE};
+use crate::steering::knowledge::lapse::RETURN_TIME;
 use crate::steering::knowledge::route_map::RouteMap;
 
 /// A failed call is followed by another one within 0.8 s, so that the store has returned by then if it
@@ -171,7 +171,8 @@
     /// have been away.
     pub fn begin(&mut self, knowledge: &Knowledge, now: Instant) {
         self.has_failed_since_begin = false;
-        let is_old = |at: Instant| now.saturating_duration_since(at) >= SHORTEST_LAPSE;
+        let shortest_lapse = knowledge.entry_times().shortest_lapse();
+        let is_old = |at: Instant| now.saturating_duration_since(at) >= shortest_lapse;
 
         if knowledge.confirmed_at().is_some_and(is_old) {
             self.backends.assume_outage();
--- a/crates/valvestage-policy/tests/steering/lapses.rs
+++ b/crates/valvestage-policy/tests/steering/lapses.rs
@@ -8,8 +8,8 @@
 use valvestage_policy::steering::peers::backend_parts::{backends_messages, entries_of};
 use valvestage_policy::steering::peers::peer_message::{BackendsPull, WalkScope};
 use valvestage_policy::steering::{
-    BackendDirectory, BackendEntry, BackendPhase, CallerPacket, Knowledge, PacketVerdict,
-    PeerMessage, ResetReason, SteeringOptions, SteeringPolicy,
+    BackendDirectory, BackendEntry, BackendPhase, CallerPacket, EntryTimes, Knowledge,
+    PacketVerdict, PeerMessage, ResetReason, SteeringOptions, SteeringPolicy,
 };
 
 use crate::fixtures::{AWAY, HOME, at, backend, data, flow, knowledge, millis, opening, start};
@@ -328,3 +328,48 @@
     site.wait(millis(200));
     assert_ends(site.request());
 }
+
+/// Heartbeats of backend servers of small and large deployments, milliseconds.
+const HEARTBEATS_MS: [u64; 5] = [300, 770, 1_200, 2_000, 5_000];
+
+/// A balancer whose backend server was silent for a share of the time in which its entry lapses.
+fn silent_for(heartbeat_ms: u64, share: f64) -> Site {
+    let mut site = Site::with_open_flow(HOME);
+    let times = EntryTimes::new(millis(heartbeat_ms));
+    site.known.set_entry_times(times);
+
+    let silence = times.lapse().mul_f64(share);
+    for _ in 0..40 {
+        site.wait(silence / 40);
+        site.known.confirm(Some(site.now));
+    }
+    site.lapse();
+    site.wait(millis(50));
+    site
+}
+
+/// Pattern: times of entries that are made for one heartbeat. With a longer one a backend server may live that answered nothing for some
+/// seconds before its entry lapsed.
+#[test]
+fn signs_of_life_count_that_are_younger_than_a_lapse() {
+    for heartbeat_ms in HEARTBEATS_MS {
+        assert_stays(silent_for(heartbeat_ms, 0.8).request());
+    }
+}
+
+#[test]
+fn a_silence_as_long_as_a_lapse_shows_an_end() {
+    for heartbeat_ms in HEARTBEATS_MS {
+        assert_ends(silent_for(heartbeat_ms, 1.0).request());
+    }
+}
+
+#[test]
+fn a_birth_is_known_after_a_lapse_and_a_heartbeat() {
+    for heartbeat_ms in HEARTBEATS_MS {
+        let times = EntryTimes::new(millis(heartbeat_ms));
+        assert!(times.birth_known_within() > times.lapse() + millis(heartbeat_ms));
+        assert!(times.copy_settles_within() >= times.lapse());
+        assert!(times.shortest_lapse() < times.lapse());
+    }
+}
