--- a/crates/valvestage-policy/src/steering/knowledge/entry_times.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/entry_times.rs
@@ -40,9 +40,10 @@
     /// Returns the silence that there was at least before a lapse: heartbeats are not exact.
     #[must_use]
     pub fn shortest_lapse(self) -> Duration {
-        const SHARE: f64 = 0.866;
+        /// Share of a lapse that is certain.
+        const CERTAIN_SHARE: f64 = 0.866;
 
-        self.lapse().mul_f64(SHARE)
+        self.lapse().mul_f64(CERTAIN_SHARE)
     }
 
     /// Returns in which time a start of a backend server is known, but for times in which the store was not heard. It may not reach the
--- a/crates/valvestage-policy/src/steering/placement/flow_placer.rs
+++ b/crates/valvestage-policy/src/steering/placement/flow_placer.rs
@@ -18,9 +18,9 @@
 use crate::steering::packets::flow_tracker::FlowTracker;
 use crate::steering::seeded_draw::unit_of;
 
-/// Which availability zones are looked at.
+/// `ZoneChoice` is which availability zones are looked at.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Zones {
+enum ZoneChoice {
     /// The one in which a flow is to stay.
     Home,
     /// All but that one.
@@ -54,15 +54,15 @@
         // Ties are drawn by other bits of it.
         let drawn_zone = self.demand.drawn_zone(service, unit_of(mix(draw, 0)));
         let home = drawn_zone.unwrap_or(&self.options.zone);
-        let candidates_in = |zones: Zones| {
+        let candidates_in = |zones: ZoneChoice| {
             let entries = self.ready_entries(service, home, zones).filter(may_take);
             let candidates = entries.map(|entry| self.candidate(entry, home, instead_of, median));
             candidates.collect::<Vec<_>>()
         };
-        let mut candidates = candidates_in(Zones::Home);
+        let mut candidates = candidates_in(ZoneChoice::Home);
         let is_short = self.demand.is_short(service);
         if is_short || !self.is_best_at_home(&candidates) {
-            candidates.extend(candidates_in(Zones::Others));
+            candidates.extend(candidates_in(ZoneChoice::Others));
         }
         if is_short {
             self.prefer_cold(&mut candidates);
@@ -91,10 +91,10 @@
         &self,
         service: &str,
         home: &ZoneName,
-        zones: Zones,
+        zones: ZoneChoice,
     ) -> impl Iterator<Item = &BackendEntry> {
         let directory = &self.knowledge.directory;
-        let is_meant = move |zone: &ZoneName| (zone == home) == (zones == Zones::Home);
+        let is_meant = move |zone: &ZoneName| (zone == home) == (zones == ZoneChoice::Home);
         let backends = directory.ready().of_service(service);
         let backends = backends.filter(move |(zone, _)| is_meant(zone));
 
