--- a/crates/valvestage-policy/src/steering/store/watch_role.rs
+++ b/crates/valvestage-policy/src/steering/store/watch_role.rs
@@ -327,7 +327,7 @@
     }
 
     /// Whether enough others that come before this balancer are reading what nobody knows yet. A long list takes longer than any
-    /// pause that lets others begin first, and all that read it share the store's link.
+    /// pause before the next ones begin, and all that read it share the store's link.
     fn is_outranked(&self, state: RoleState) -> bool {
         let own = reader_rank(state.page_time.map(whole_millis), self.own);
         let is_before = |(peer, sighting): &(&SocketAddrV4, &Sighting)| {
