Review: an entry without born ends the flows of a living backend server

Cause: an entry by another writer that lacks only the field born is taken for a usable one of another start, which ends the living process for good.

--- a/review/standin/backend.rs
+++ b/review/standin/backend.rs
@@ -44,6 +44,9 @@
 /// Flows that backends hold open, for the judge.
 pub type OpenFlows = Arc<Mutex<HashMap<FlowKey, u8>>>;
 
+/// Opening packets that a backend took for the first time, for the judge: the backend and the time.
+pub type Openings = Arc<Mutex<Vec<(u8, Instant)>>>;
+
 pub struct Backend {
     number: u8,
     id: u32,
@@ -52,6 +55,7 @@
     flows: HashMap<FlowKey, Flow>,
     jobs: Vec<Job>,
     open_flows: OpenFlows,
+    openings: Openings,
     record: Record,
     random: u32,
 }
@@ -71,6 +75,7 @@
         site: Site,
         number: u8,
         open_flows: OpenFlows,
+        openings: Openings,
         record: Record,
     ) -> Result<(), String> {
         let socket = UdpSocket::bind((site.backend(number), site.backend_port()));
@@ -84,6 +89,7 @@
             flows: HashMap::new(),
             jobs: Vec::new(),
             open_flows,
+            openings,
             record,
             random: 0x9e37_79b9 ^ u32::from(number) << 7,
         };
@@ -123,6 +129,10 @@
 
         if packet.flags & SYN != 0 {
             let start = self.draw() | 0x1000_0000;
+            if !self.flows.contains_key(&key) {
+                self.openings.lock().unwrap().push((self.number, Instant::now()));
+                self.record.line(&format!("backend {} takes the flow {key:?}", self.number));
+            }
             let flow = self.flows.entry(key).or_insert_with(|| Flow {
                 is_open: false,
                 echo: packet.echo,
--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::packet::{ACK, Packet, RST, SYN};
+use crate::packet::{ACK, FIN, Packet, RST, SYN};
 use crate::record::Record;
 use crate::router::Router;
 use crate::site::Site;
@@ -37,6 +37,8 @@
     /// Shortest pause between two requests of a flow, and the length that chance adds at most.
     pub pause: (Duration, Duration),
     pub route: (Ipv4Addr, u16),
+    /// Whether each request has a flow of its own.
+    pub has_flow_each: bool,
 }
 
 enum Phase {
@@ -319,6 +321,12 @@
             self.answers.lock().unwrap().1 += 1;
             let pause = self.pause();
             self.flows[place].next_request_at = now + pause;
+            if self.options.has_flow_each {
+                let flow = &self.flows[place];
+                self.send(flow, FIN | ACK, flow.next_seq, flow.expected, flow.echo, Vec::new());
+                self.flows[place].phase = Phase::Closed { retry_at: now + pause };
+                return;
+            }
         }
         if is_second {
             self.acknowledge(place);
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -8,12 +8,14 @@
 mod backend;
 mod balancer;
 mod client;
+mod deployment;
 mod packet;
 mod record;
 mod router;
 mod site;
 mod store;
 
+mod foreign_entry;
 mod idle_flows;
 
 use std::path::PathBuf;
@@ -30,6 +32,8 @@
 
     let outcome = match case.as_str() {
         "idle-flows" => idle_flows::play(&folder, has_trouble),
+        "foreign-entry" => foreign_entry::play(&folder, has_trouble),
+        "foreign-entry-drain" => foreign_entry::play_drain(&folder, has_trouble),
         other => Err(format!("unknown case {other}")),
     };
     match outcome {
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -64,6 +64,19 @@
         changed.notify_all();
     }
 
+    /// Writes an object unless it already has this value. Returns whether it was written.
+    pub fn put_if_changed(&self, kind: &str, name: &str, spec: &str) -> bool {
+        let is_same = {
+            let state = self.state.0.lock().unwrap();
+            let object = state.objects.get(&(kind.to_owned(), name.to_owned()));
+            object.is_some_and(|object| object.contains(&format!("\"spec\":{spec},\"status\"")))
+        };
+        if !is_same {
+            self.put(kind, name, spec);
+        }
+        !is_same
+    }
+
     fn serve(&self, stream: TcpStream, record: &Record) -> Option<()> {
         let mut reader = BufReader::new(stream.try_clone().ok()?);
         let mut writer = stream;
