Review: a machine that just joined resets open flows on the newest route

Cause: a balancer without the route of an open flow resets it while its own configuration counts as current, and makes no watch in its first 1.2 s.

--- a/review/standin/balancer.rs
+++ b/review/standin/balancer.rs
@@ -13,10 +13,18 @@
 
 impl Balancer {
     /// Starts balancer `number` (from 1 on) with the settings that the template `deploy/entry.toml`
-    /// gives for a small deployment.
-    pub fn start(site: &Site, number: u8, zone: &str, folder: &Path) -> Result<Self, String> {
+    /// gives for a small deployment. `seeds` are the numbers of the balancers that they name.
+    pub fn start(
+        site: &Site,
+        number: u8,
+        zone: &str,
+        folder: &Path,
+        seeds: [u8; 3],
+        is_first_start: bool,
+    ) -> Result<Self, String> {
         let settings = folder.join(format!("balancer-{number}.toml"));
-        fs::write(&settings, settings_text(site, number, zone)).map_err(|e| e.to_string())?;
+        let text = settings_text(site, number, zone, seeds, is_first_start);
+        fs::write(&settings, text).map_err(|error| error.to_string())?;
         let log = File::create(folder.join(format!("balancer-{number}.log")));
         let log = log.map_err(|error| error.to_string())?;
         let program = PathBuf::from("target/release/valvestage-entry");
@@ -32,7 +40,13 @@
         Ok(Self { child })
     }
 
-    /// Whether the process has ended by itself.
+    /// Sends SIGTERM, as the platform does.
+    pub fn terminate(&self) {
+        let command = format!("kill -TERM {}", self.child.id());
+        let _ = Command::new("sh").args(["-c", &command]).status();
+    }
+
+    /// Whether the process has ended.
     pub fn has_ended(&mut self) -> bool {
         !matches!(self.child.try_wait(), Ok(None))
     }
@@ -45,9 +59,15 @@
     }
 }
 
-fn settings_text(site: &Site, number: u8, zone: &str) -> String {
+fn settings_text(
+    site: &Site,
+    number: u8,
+    zone: &str,
+    seeds: [u8; 3],
+    is_first_start: bool,
+) -> String {
     let ip = site.balancer(number);
-    let seeds: Vec<String> = [1, 4, 7]
+    let seeds: Vec<String> = seeds
         .iter()
         .map(|seed| format!("\"{}:{}\"", site.balancer(*seed), site.control_port()))
         .collect();
@@ -56,7 +76,7 @@
     format!(
         "name = \"front-{zone}-{number}\"\nzone = \"{zone}\"\n\
          data_address = \"{ip}:{}\"\nready_address = \"{ip}:{}\"\ncontrol_address = \"{ip}:{}\"\n\
-         peer_port = {}\nlink_mbps = 1000.0\nfirst_start = true\nheartbeat_ms = 770\n\
+         peer_port = {}\nlink_mbps = 1000.0\nfirst_start = {is_first_start}\nheartbeat_ms = 770\n\
          seeds = [{}]\nstore_address = \"{}:{}\"\nstop_within_s = 6\npace_sharing = true\n\n\
          [zone_regions]\n{}\n\n[admission]\n",
         site.data_port,
--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -29,14 +29,18 @@
     pub idle: Duration,
 }
 
-#[derive(Clone, Copy)]
+/// The route that clients are to use, with a number that rises with each change.
+pub type CurrentRoute = Arc<Mutex<(u32, (Ipv4Addr, u16))>>;
+
+#[derive(Clone)]
 pub struct ClientOptions {
     pub number: u8,
     pub zone: &'static str,
     pub flows: u16,
     /// Shortest pause between two requests of a flow, and the length that chance adds at most.
     pub pause: (Duration, Duration),
-    pub route: (Ipv4Addr, u16),
+    /// Whenever it changes, each flow is ended and another one opened on the new route.
+    pub route: CurrentRoute,
     /// Whether each request has a flow of its own.
     pub has_flow_each: bool,
 }
@@ -49,6 +53,7 @@
 
 struct Flow {
     port: u16,
+    route: (u32, (Ipv4Addr, u16)),
     phase: Phase,
     echo: u32,
     next_seq: u32,
@@ -148,6 +153,7 @@
         self.next_port += 1;
         Flow {
             port: self.next_port,
+            route: *self.options.route.lock().unwrap(),
             phase: Phase::Closed { retry_at: at },
             echo: 0,
             next_seq: 0,
@@ -179,7 +185,7 @@
 
     fn send(&self, flow: &Flow, flags: u8, seq: u32, ack: u32, echo: u32, data: Vec<u8>) {
         let src = (self.site.client(self.options.number), flow.port);
-        let dst = self.options.route;
+        let dst = flow.route.1;
         let packet = Packet { flags, echo, seq, ack, src, dst, data, is_sound: true };
         let key = (src.0, src.1, dst.0, dst.1);
         if let Some(balancer) = self.router.pick(self.options.zone, key) {
@@ -217,6 +223,13 @@
     }
 
     fn step_open(&mut self, place: usize, now: Instant) {
+        let newest = self.options.route.lock().unwrap().0;
+        let flow = &self.flows[place];
+        if flow.route.0 != newest && flow.request.is_none() {
+            self.send(flow, FIN | ACK, flow.next_seq, flow.expected, flow.echo, Vec::new());
+            self.flows[place].phase = Phase::Closed { retry_at: now };
+            return;
+        }
         if self.flows[place].ack_due.is_some_and(|due| due <= now) {
             self.acknowledge(place);
         }
@@ -350,7 +363,7 @@
         ));
         if is_open && is_systems {
             let client = (self.site.client(number), flow.port);
-            let reset = SystemReset { client: number, flow: (client, self.options.route), idle };
+            let reset = SystemReset { client: number, flow: (client, flow.route.1), idle };
             self.resets.lock().unwrap().push(reset);
         }
         let retry_at = now + Duration::from_millis(100) + self.pause() / 4;
--- a/review/standin/deployment.rs
+++ b/review/standin/deployment.rs
@@ -16,7 +16,7 @@
 use crate::store::Store;
 
 /// Balancers with their zones, as on the sheet.
-const BALANCERS: [(u8, usize); 8] =
+pub const BALANCERS: [(u8, usize); 8] =
     [(1, 0), (2, 0), (3, 0), (4, 1), (5, 1), (6, 1), (7, 2), (8, 2)];
 
 /// Zones of the backends of `rencontre-core` (5, 5, 4) and of `photo-store` (2, 1, 1), as on the
@@ -27,6 +27,9 @@
 /// Number of the only backend of `photo-store` in `quimper-b`.
 pub const PHOTO_BACKEND: u8 = 17;
 
+/// Balancers that the settings of the first ones name.
+const SEEDS: [u8; 3] = [1, 4, 7];
+
 const READY_WITHIN: Duration = Duration::from_secs(20);
 
 pub struct Deployment {
@@ -36,8 +39,10 @@
     pub router: Router,
     pub open_flows: OpenFlows,
     pub openings: Openings,
-    balancers: Vec<Balancer>,
-    logs: PathBuf,
+    /// The running balancers with their numbers.
+    pub balancers: Vec<(u8, Balancer)>,
+    /// Folder of their settings and logs.
+    pub logs: PathBuf,
 }
 
 impl Deployment {
@@ -47,7 +52,7 @@
         let site = Site::choose()?;
         record.say(&format!("addresses: {site:?}; trouble: {has_trouble}"));
         let store = Store::start(&site, record.clone())?;
-        write_configuration(&site, &store);
+        write_configuration(&site, &store, 7, 0);
         for number in 1..=18 {
             store.put("servers", &name_of(number), &entry_of(&site, number, born, "ready"));
         }
@@ -61,7 +66,10 @@
         let logs = std::env::temp_dir().join(format!("valvestage-review-{}", std::process::id()));
         std::fs::create_dir_all(&logs).map_err(|error| error.to_string())?;
         let nodes = BALANCERS.map(|(number, zone)| (number, ZONES[zone]));
-        let started = nodes.iter().map(|(number, zone)| Balancer::start(&site, *number, zone, &logs));
+        let start = |number: u8, zone: &str| {
+            Balancer::start(&site, number, zone, &logs, SEEDS, true).map(|started| (number, started))
+        };
+        let started = nodes.iter().map(|(number, zone)| start(*number, zone));
         let balancers = started.collect::<Result<Vec<_>, _>>()?;
         let router = Router::start(site, &nodes);
         let began = Instant::now();
@@ -109,7 +117,7 @@
         let counted = clients.iter().map(|client| *client.answers.lock().unwrap());
         let (sent, answered) = counted.fold((0, 0), |sum, more| (sum.0 + more.0, sum.1 + more.1));
         self.record.say(&format!("requests: {sent} sent, {answered} answered"));
-        let own_ends = self.balancers.iter_mut().filter_map(|b| b.has_ended().then_some(())).count();
+        let own_ends = self.balancers.iter_mut().filter_map(|(_, b)| b.has_ended().then_some(())).count();
         self.record.say(&format!("balancers that ended by themselves: {own_ends}"));
         self.balancers.clear();
         if std::env::var("KEEP_LOGS").is_err() {
@@ -142,10 +150,15 @@
     )
 }
 
-fn write_configuration(site: &Site, store: &Store) {
-    let route = |name: &str, number: u8, service: &str| {
+/// Port of the routes.
+pub const ROUTE_PORT: u16 = 8443;
+
+/// Writes a configuration with `added` further routes to `rencontre-core`: route 3 of the site at the
+/// ports after [`ROUTE_PORT`].
+pub fn write_configuration(site: &Site, store: &Store, version: u32, added: u16) {
+    let route = |name: &str, number: u8, port: u16, service: &str| {
         format!(
-            "{{\"name\":\"{name}\",\"host\":\"{}\",\"path_prefix\":\"/8443/\",\
+            "{{\"name\":\"{name}\",\"host\":\"{}\",\"path_prefix\":\"/{port}/\",\
              \"route_type\":\"idempotent\",\"timeout_ms\":3000,\"target_latency_ms\":500,\
              \"priority\":2,\"service\":\"{service}\",\"max_attempts\":2}}",
             site.route(number)
@@ -158,15 +171,21 @@
         )
     };
 
+    let mut routes = vec![
+        route("r-feed", 1, ROUTE_PORT, "rencontre-core"),
+        route("r-photo", 2, ROUTE_PORT, "photo-store"),
+    ];
+    routes.extend(
+        (1..=added).map(|n| route(&format!("r-{n}"), 3, ROUTE_PORT + n, "rencontre-core")),
+    );
     store.put(
         "config",
         "main",
         &format!(
-            "{{\"version\":7,\"routes\":[{},{}],\"services\":[{},{}],\"limits\":\
+            "{{\"version\":{version},\"routes\":[{}],\"services\":[{},{}],\"limits\":\
              {{\"max_header_bytes\":16384,\"max_body_bytes\":262144,\"header_timeout_ms\":3000,\
              \"idle_timeout_ms\":15000}}}}",
-            route("r-feed", 1, "rencontre-core"),
-            route("r-photo", 2, "photo-store"),
+            routes.join(","),
             service("rencontre-core"),
             service("photo-store"),
         ),
--- a/review/standin/idle_flows.rs
+++ b/review/standin/idle_flows.rs
@@ -2,11 +2,12 @@
 
 use std::path::Path;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex};
 use std::thread::sleep;
 use std::time::Duration;
 
 use crate::client::{Client, ClientHandle, ClientOptions};
-use crate::deployment::Deployment;
+use crate::deployment::{Deployment, ROUTE_PORT};
 use crate::site::ZONES;
 
 /// Zone of the clients; `photo-store` has one backend there.
@@ -69,7 +70,7 @@
 ) -> Result<ClientHandle, String> {
     let Deployment { site, router, record, .. } = deployment;
     let pause = (Duration::from_secs_f64(pause.0), Duration::from_secs_f64(pause.1));
-    let route = (site.route(2), 8443);
+    let route = Arc::new(Mutex::new((0, (site.route(2), ROUTE_PORT))));
     let zone = CLIENT_ZONE;
     let options = ClientOptions { number, zone, flows, pause, route, has_flow_each };
 
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -17,6 +17,7 @@
 
 mod foreign_entry;
 mod idle_flows;
+mod new_routes;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -34,6 +35,7 @@
         "idle-flows" => idle_flows::play(&folder, has_trouble),
         "foreign-entry" => foreign_entry::play(&folder, has_trouble),
         "foreign-entry-drain" => foreign_entry::play_drain(&folder, has_trouble),
+        "new-routes" => new_routes::play(&folder, has_trouble),
         other => Err(format!("unknown case {other}")),
     };
     match outcome {
--- a/review/standin/router.rs
+++ b/review/standin/router.rs
@@ -25,27 +25,36 @@
 
 impl Router {
     pub fn start(site: Site, balancers: &[(u8, &'static str)]) -> Self {
-        let nodes = balancers.iter().map(|(number, zone)| Node {
-            address: site.balancer(*number),
-            zone,
-            is_in: false,
-            misses: 0,
-        });
-        let router = Self { nodes: Arc::new(Mutex::new(nodes.collect())) };
-
-        for place in 0..balancers.len() {
-            let probing = router.clone();
-            thread::spawn(move || probing.probe(site, place));
+        let router = Self { nodes: Arc::default() };
+        for (number, zone) in balancers {
+            router.add(site, site.balancer(*number), zone, Duration::ZERO);
         }
         router
     }
 
-    fn probe(&self, site: Site, place: usize) {
+    /// Adds a balancer, which is asked for its readiness for the first time after `first_probe`.
+    pub fn add(&self, site: Site, address: Ipv4Addr, zone: &'static str, first_probe: Duration) {
+        self.nodes.lock().unwrap().push(Node { address, zone, is_in: false, misses: 0 });
+        let probing = self.clone();
+        thread::spawn(move || {
+            thread::sleep(first_probe);
+            probing.probe(site, address);
+        });
+    }
+
+    /// Removes a balancer that was taken away.
+    pub fn remove(&self, address: Ipv4Addr) {
+        self.nodes.lock().unwrap().retain(|node| node.address != address);
+    }
+
+    fn probe(&self, site: Site, address: Ipv4Addr) {
         loop {
-            let address = self.nodes.lock().unwrap()[place].address;
             let is_ready = is_ready(SocketAddrV4::new(address, site.ready_port()));
             {
-                let node = &mut self.nodes.lock().unwrap()[place];
+                let mut nodes = self.nodes.lock().unwrap();
+                let Some(node) = nodes.iter_mut().find(|node| node.address == address) else {
+                    return;
+                };
                 node.misses = if is_ready { 0 } else { node.misses + 1 };
                 node.is_in = is_ready || node.is_in && node.misses < MISSES_TO_LEAVE;
             }
