--- a/review/standin/deployment.rs
+++ b/review/standin/deployment.rs
@@ -16,7 +16,7 @@
 use crate::store::Store;
 
 /// Balancers with their zones, as on the sheet.
-pub const BALANCERS: [(u8, usize); 8] =
+const BALANCERS: [(u8, usize); 8] =
     [(1, 0), (2, 0), (3, 0), (4, 1), (5, 1), (6, 1), (7, 2), (8, 2)];
 
 /// Zones of the backends of `rencontre-core` (5, 5, 4) and of `photo-store` (2, 1, 1), as on the
