Log from what a balancer concludes that backend servers are gone

Cause: the log showed a backend server as gone with the peer that told of it, not whether that peer told of a removal, or the balancer concluded it from a list without the entry or from an entry that it did not know; and the pulls of a comparison were not logged. Change: a line removals_concluded with the basis, the count and the position, and a line asked for each pull of a comparison. No decision changes.

--- a/crates/valvestage-entry/src/decision_log.rs
+++ b/crates/valvestage-entry/src/decision_log.rs
@@ -125,6 +125,7 @@
         Decision::Asked { .. } => "asked",
         Decision::Answered { .. } => "answered",
         Decision::AnswerIncomplete(_) => "answer_incomplete",
+        Decision::RemovalsConcluded { .. } => "removals_concluded",
         Decision::Paused { .. } => "paused",
     }
 }
@@ -307,6 +308,12 @@
             line.put("datagrams", *datagrams);
         }
         Decision::AnswerIncomplete(answer) => fill_incomplete(line, answer),
+        Decision::RemovalsConcluded { source, removals } => {
+            line.put("basis", removals.basis.name());
+            line.put("count", removals.count);
+            line.put_position("revision", removals.position);
+            line.put_source(*source);
+        }
         Decision::Paused { time } => line.put_time("paused_ms", *time),
     }
 }
--- a/crates/valvestage-policy/src/steering/decision.rs
+++ b/crates/valvestage-policy/src/steering/decision.rs
@@ -249,6 +249,13 @@
     },
     /// An answer of another balancer was not complete in time. The rest may be pulled again.
     AnswerIncomplete(IncompleteAnswer),
+    /// It was concluded that backend servers were removed, though no removal of them was read.
+    RemovalsConcluded {
+        /// Where the knowledge that shows it came from.
+        source: UpdateSource,
+        /// What shows it.
+        removals: ConcludedRemovals,
+    },
     /// The process was paused.
     Paused {
         /// Length of the pause.
@@ -351,6 +358,41 @@
     pub waited: Duration,
 }
 
+/// What shows that backend servers were removed whose removals were not read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RemovalBasis {
+    /// A list of all backend servers does not contain them.
+    AbsentFromList,
+    /// A balancer that knows the same changes reports them as gone.
+    ReportedGone,
+    /// A balancer reports them at a position up to which all backend servers are known here, and
+    /// they are not.
+    UnknownHere,
+}
+
+impl RemovalBasis {
+    /// Returns the name of the basis that appears in logs.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::AbsentFromList => "absent_from_list",
+            Self::ReportedGone => "reported_gone",
+            Self::UnknownHere => "unknown_here",
+        }
+    }
+}
+
+/// Backend servers that were concluded to be removed, or to be missing while they may return.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConcludedRemovals {
+    /// What shows the removals.
+    pub basis: RemovalBasis,
+    /// Position up to which every change is known with the knowledge that shows them.
+    pub position: StorePosition,
+    /// Number of backend servers, at least 1.
+    pub count: usize,
+}
+
 /// Whether operators have begun or ended the evacuation of an availability zone.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EvacuationPhase {
--- a/crates/valvestage-policy/src/steering/keeper/keeper_exchange.rs
+++ b/crates/valvestage-policy/src/steering/keeper/keeper_exchange.rs
@@ -88,10 +88,14 @@
     pub(in crate::steering) fn compare(
         &mut self,
         knowledge: &Knowledge,
+        updates: &mut KeeperUpdates,
         (sender, heartbeat): (SocketAddrV4, &PeerHeartbeat),
         now: Instant,
-    ) -> Option<PeerMessage> {
-        self.exchange.compare_backends(knowledge, sender, heartbeat, now)
+    ) -> Option<KeeperAction> {
+        let pull = self.exchange.compare_backends(knowledge, sender, heartbeat, now)?;
+
+        record_pull(knowledge, updates, sender, &pull);
+        Some(send_action((sender, pull)))
     }
 
     /// Handles a pull or an answer. Entries that the answer reports as gone may return until
@@ -190,6 +194,12 @@
             knowledge.note_caught_up();
             updates.notify_if(std::mem::take(&mut self.has_unannounced_changes));
         }
+        for removals in step.removals {
+            updates.record(Decision::RemovalsConcluded {
+                source: UpdateSource::Peer(sender),
+                removals,
+            });
+        }
         for instance in step.changed {
             updates.record_backend(knowledge, instance, UpdateSource::Peer(sender));
         }
--- a/crates/valvestage-policy/src/steering/keeper/knowledge_keeper.rs
+++ b/crates/valvestage-policy/src/steering/keeper/knowledge_keeper.rs
@@ -378,8 +378,7 @@
             return actions;
         }
 
-        let compares = exchange.compare(knowledge, (sender, heartbeat), now);
-        actions.extend(compares.map(|message| KeeperAction::Send(sender, message)));
+        actions.extend(exchange.compare(knowledge, updates, (sender, heartbeat), now));
         // The peer knows no change that is not known here, so the knowledge here is complete up to
         // the same position as the peer's.
         let directory = &mut knowledge.directory;
--- a/crates/valvestage-policy/src/steering/peers/backend_walk.rs
+++ b/crates/valvestage-policy/src/steering/peers/backend_walk.rs
@@ -14,7 +14,7 @@
 use super::awaited_answer::AwaitedAnswer;
 use super::backend_parts::entries_of;
 use super::peer_message::{BackendsPart, BackendsPull, PeerMessage, WalkScope};
-use crate::steering::decision::IncompleteAnswer;
+use crate::steering::decision::{ConcludedRemovals, IncompleteAnswer, RemovalBasis};
 use crate::steering::knowledge::Knowledge;
 use crate::steering::knowledge::backend_entry::BackendEntry;
 use crate::steering::store::store_follower::StoreKind;
@@ -41,6 +41,23 @@
     pub next_pull: Option<(SocketAddrV4, PeerMessage)>,
     /// Whether everything that the peer knows has arrived.
     pub is_walk_complete: bool,
+    /// What was concluded from the part about backend servers that it does not report as removed.
+    pub removals: Vec<ConcludedRemovals>,
+}
+
+impl WalkUpdate {
+    /// Adds backend servers that were concluded to be removed. Nothing is added if there are none.
+    fn add_removals(
+        &mut self,
+        basis: RemovalBasis,
+        position: StorePosition,
+        removed: Vec<InstanceId>,
+    ) {
+        if !removed.is_empty() {
+            self.removals.push(ConcludedRemovals { basis, position, count: removed.len() });
+        }
+        self.changed.extend(removed);
+    }
 }
 
 /// A part that has arrived.
@@ -260,15 +277,17 @@
         let number = part.part;
         let entries = entries_of(part, now);
         let reported = ReportedBackends::of(&entries);
+        let mut obsolete = Vec::new();
         for entry in entries {
             let directory = &mut knowledge.directory;
-            let changed = if directory.is_obsolete(&entry, now) {
-                directory.apply_obsolete_entry(entry, now)
+            if directory.is_obsolete(&entry, now) {
+                obsolete.extend(directory.apply_obsolete_entry(entry, now));
             } else {
-                directory.apply_peer_entry(entry, now)
-            };
-            update.changed.extend(changed);
+                update.changed.extend(directory.apply_peer_entry(entry, now));
+            }
         }
+        let known_until = knowledge.directory.complete_until();
+        update.add_removals(RemovalBasis::UnknownHere, known_until, obsolete);
 
         let Some(walk) = self.walk_of(sender, scope, after, now) else { return update };
         let cursor = walk.cursor;
@@ -282,7 +301,10 @@
         }
         match ends_at {
             Some(until) => {
-                update.changed.extend(self.finish_walk(knowledge, until, missing_until, now));
+                let ended = self.finish_walk(knowledge, until, missing_until, now);
+                if let Some((basis, removed)) = ended {
+                    update.add_removals(basis, until, removed);
+                }
                 update.is_walk_complete = true;
             }
             None if has_more => update.next_pull = Some((sender, self.next_pull(sender, now))),
@@ -323,29 +345,35 @@
     }
 
     /// Completes the walk: all is known up to a position. Returns the backend servers that are
-    /// shown to be gone.
+    /// shown to be gone, and by what; `None` if the walk shows nothing about removals.
     fn finish_walk(
         &mut self,
         knowledge: &mut Knowledge,
         until: StorePosition,
         missing_until: Option<Instant>,
         now: Instant,
-    ) -> Vec<InstanceId> {
+    ) -> Option<(RemovalBasis, Vec<InstanceId>)> {
         self.awaited = None;
-        let Some(walk) = self.walk.take() else { return Vec::new() };
+        let walk = self.walk.take()?;
         let directory = &mut knowledge.directory;
-        let mut changed = Vec::new();
+        let mut removals = None;
 
         if walk.scope == WalkScope::Everything {
             self.has_history = true;
             let ReportedBackends { live, gone } = &walk.reported;
-            changed = match until.cmp(&directory.complete_until()) {
-                Ordering::Greater => directory.retain_listed(live, until, missing_until, now),
-                Ordering::Equal => directory.apply_peer_removals(gone, until, missing_until, now),
-                Ordering::Less => Vec::new(),
+            removals = match until.cmp(&directory.complete_until()) {
+                Ordering::Greater => {
+                    let absent = directory.retain_listed(live, until, missing_until, now);
+                    Some((RemovalBasis::AbsentFromList, absent))
+                }
+                Ordering::Equal => {
+                    let gone = directory.apply_peer_removals(gone, until, missing_until, now);
+                    Some((RemovalBasis::ReportedGone, gone))
+                }
+                Ordering::Less => None,
             };
         }
         directory.complete(until);
-        changed
+        removals
     }
 }
