Add failing tests of living backend servers that are taken for gone

40 balancers to which 500 backend servers a tenth of a second register, over links that lose one datagram in twenty: after eight batches they take 1,200 of them for gone, summed over the balancers, and stay so for 8 s without a change. 90 balancers with half a second between batches: 30 after the second one.

--- /dev/null
+++ b/crates/valvestage-policy/tests/steering/lost_answers.rs
@@ -0,0 +1,71 @@
+//! Guards against backend servers that balancers consider gone although nothing removed them,
+//! because datagrams of answers about them were lost or came from different moments.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use valvestage_policy::steering::{BackendEntry, EntryPolicy};
+
+use crate::deployment::Deployment;
+use crate::fixtures::{OWN_ZONE, backend, millis, routes};
+use crate::links::LinkLimits;
+
+/// Backend servers that register at once; their entries take a whole answer of a balancer.
+const BATCH: u64 = 500;
+
+const BATCHES: u64 = 8;
+
+/// A link of 20 Mbit/s that loses one datagram in twenty.
+const LOSSY_LINK: LinkLimits =
+    LinkLimits { bytes_per_s: 2_500_000, queue_bytes: 64 << 10, loss: 0.05 };
+
+/// Returns one of many backend servers, each with an address of its own.
+fn numbered_backend(instance: u64) -> BackendEntry {
+    let [.., high, low] = instance.to_be_bytes();
+    let address = SocketAddrV4::new(Ipv4Addr::new(10, 1, high, low), 8_080);
+
+    BackendEntry { address, ..backend(instance, "core", OWN_ZONE) }
+}
+
+/// Returns the number of backend servers that balancers consider gone, over all balancers.
+fn count_gone_views(deployment: &Deployment) -> usize {
+    let gone = |node: &EntryPolicy| {
+        node.knowledge().directory.iter().filter(|entry| entry.is_gone()).count()
+    };
+
+    deployment.nodes.iter().flatten().map(gone).sum()
+}
+
+/// Registers backend servers in batches, and checks that no balancer considers any of them gone and
+/// that all balancers know all of them in the end.
+fn check_registrations(balancers: usize, batch_interval_ms: u64) {
+    let mut deployment = Deployment::over_links(balancers, 3, Some(LOSSY_LINK));
+    deployment.store.put_routes(routes(3, &[(443, "core")]));
+    deployment.run(millis(2_000));
+
+    for batch in 0..BATCHES {
+        for instance in batch * BATCH + 1..=(batch + 1) * BATCH {
+            deployment.store.put_backend(numbered_backend(instance));
+        }
+        deployment.run(millis(batch_interval_ms));
+        assert_eq!(count_gone_views(&deployment), 0, "after batch {batch}");
+    }
+    deployment.run(millis(8_000));
+    assert_eq!(count_gone_views(&deployment), 0, "in the end");
+    for node in deployment.nodes.iter().flatten() {
+        let known = node.knowledge().directory.iter().count();
+        assert_eq!(u64::try_from(known).unwrap(), BATCHES * BATCH);
+    }
+}
+
+/// Guards against removals concluded from answers with gaps: while backend servers register,
+/// balancers answer others from what they know in part, and datagrams are lost.
+#[test]
+fn backend_servers_that_register_while_datagrams_are_lost_are_not_gone() {
+    check_registrations(40, 100);
+}
+
+/// As above, with updates that have nearly reached all balancers when the next one comes.
+#[test]
+fn backend_servers_that_register_slowly_while_datagrams_are_lost_are_not_gone() {
+    check_registrations(90, 500);
+}
--- a/crates/valvestage-policy/tests/steering/main.rs
+++ b/crates/valvestage-policy/tests/steering/main.rs
@@ -21,6 +21,7 @@
 mod late_messages;
 mod links;
 mod load;
+mod lost_answers;
 mod outliers;
 mod pace;
 mod pace_baseline;
