Take no knowledge with gaps for complete, and conclude no removal from it

Cause: a balancer reads the entries of others in parts. It took the position that the sender of the last part knew completely for the one up to which it now knew everything, also where an earlier part had come when its sender had gaps itself, or from another sender. The entries in the gap counted as removed: those reported later by others as obsolete, those known here as absent from the list; and every balancer that compared itself with this one took over the ends. An entry that does not change is not read again, so nothing took them back. Change: each part says up to where its sender knows every change, and the latest change that it knows. A walk counts as complete up to where parts cover the positions without a gap, each only as far as its sender knew everything; backend servers are gone for being absent only if no sender knew a change beyond that. Why it holds: an entry whose latest change is covered was in the part that covers it, unless that part's sender knew a later change; that one is covered, too, or nothing is concluded.

--- a/crates/valvestage-entry/tests/peer_codec.rs
+++ b/crates/valvestage-entry/tests/peer_codec.rs
@@ -120,6 +120,7 @@
             after: store_position(0),
             covers_until: None,
             complete_until: store_position(u64::MAX),
+            changed_at: store_position(u64::MAX),
             names: vec!["core".to_owned()],
             changes: changes.to_vec(),
         }),
--- a/crates/valvestage-policy/src/steering/peers.rs
+++ b/crates/valvestage-policy/src/steering/peers.rs
@@ -13,6 +13,7 @@
 //! | `route_transfer` | fetching a newer configuration |
 //! | [`backend_parts`] | encoding of backend servers in datagrams |
 //! | `backend_walk` | reading the backend servers that a peer knows, window by window |
+//! | `part_coverage` | what the parts of answers about backend servers show together |
 //! | [`part_assembly`] | reassembly of values that are split over several datagrams |
 //! | [`report_budget`] | limit on the size of the observations in a heartbeat |
 //! | `name_list` | names that are listed once in a datagram |
@@ -23,6 +24,7 @@
 pub(in crate::steering) mod backend_walk;
 pub(in crate::steering) mod name_list;
 pub mod part_assembly;
+mod part_coverage;
 pub mod peer_exchange;
 pub mod peer_message;
 pub mod peer_table;
--- a/crates/valvestage-policy/src/steering/peers/backend_parts.rs
+++ b/crates/valvestage-policy/src/steering/peers/backend_parts.rs
@@ -19,8 +19,13 @@
 /// some small fields.
 const CHANGE_BYTES: usize = 45;
 
-/// Number of changes in one datagram. The names of a part fit into the rest of it.
-const CHANGES_PER_DATAGRAM: usize = (MAX_MESSAGE_BYTES - 40) / CHANGE_BYTES;
+/// Bytes of a part without its changes and names: four positions of up to 11 bytes, and some small
+/// fields.
+const PART_BYTES: usize = 51;
+
+/// Number of changes in one datagram. The names of a part fit into what the changes leave, since
+/// few of them take as many bytes as they may.
+const CHANGES_PER_DATAGRAM: usize = (MAX_MESSAGE_BYTES - PART_BYTES) / CHANGE_BYTES;
 
 /// Number of changes in one answer.
 const CHANGES_PER_ANSWER: usize = CHANGES_PER_DATAGRAM * ANSWER_WINDOW;
@@ -61,6 +66,7 @@
             after: begin,
             covers_until: end,
             complete_until: directory.complete_until(),
+            changed_at: directory.changed_at(),
             names,
             changes,
         }));
@@ -88,6 +94,7 @@
             after: StorePosition::START,
             covers_until: None,
             complete_until: directory.complete_until(),
+            changed_at: directory.changed_at(),
             names,
             changes,
         })
--- a/crates/valvestage-policy/src/steering/peers/backend_walk.rs
+++ b/crates/valvestage-policy/src/steering/peers/backend_walk.rs
@@ -2,6 +2,9 @@
 //!
 //! Changes arrive in the order of their revisions, so what has arrived is not sent again: the next
 //! answer continues from there. Only at the end of the walk is everything known up to a position.
+//!
+//! The parts of a walk are given at different moments, by balancers that may have gaps in what they
+//! know. See [`PartCoverage`] for what they show together.
 
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, HashSet};
@@ -13,9 +16,11 @@
 
 use super::awaited_answer::AwaitedAnswer;
 use super::backend_parts::entries_of;
+use super::part_coverage::{PartCoverage, PartRange};
 use super::peer_message::{BackendsPart, BackendsPull, PeerMessage, WalkScope};
 use crate::steering::decision::{ConcludedRemovals, IncompleteAnswer, RemovalBasis};
 use crate::steering::knowledge::Knowledge;
+use crate::steering::knowledge::backend_directory::BackendDirectory;
 use crate::steering::knowledge::backend_entry::BackendEntry;
 use crate::steering::store::store_follower::StoreKind;
 
@@ -62,11 +67,8 @@
 
 /// A part that has arrived.
 #[derive(Debug)]
-struct PartSpan {
-    /// With this part, everything up to this position has arrived; `None` if it is the last part.
-    covers_until: Option<StorePosition>,
-    /// Its sender knows every change up to this position.
-    complete_until: StorePosition,
+struct ArrivedPart {
+    range: PartRange,
     reported: ReportedBackends,
 }
 
@@ -95,6 +97,30 @@
         self.live.extend(other.live);
         self.gone.extend(other.gone);
     }
+
+    /// Removes the backend servers that a list of everything up to a position shows to be gone.
+    /// Returns these, and what shows it; `None` if more is known here.
+    fn apply_removals(
+        &self,
+        directory: &mut BackendDirectory,
+        until: StorePosition,
+        missing_until: Option<Instant>,
+        now: Instant,
+    ) -> Option<(RemovalBasis, Vec<InstanceId>)> {
+        let Self { live, gone } = self;
+
+        match until.cmp(&directory.complete_until()) {
+            Ordering::Greater => {
+                let absent = directory.retain_listed(live, until, missing_until, now);
+                Some((RemovalBasis::AbsentFromList, absent))
+            }
+            Ordering::Equal => {
+                let ended = directory.apply_peer_removals(gone, until, missing_until, now);
+                Some((RemovalBasis::ReportedGone, ended))
+            }
+            Ordering::Less => None,
+        }
+    }
 }
 
 /// Reads the backend servers that other balancers know.
@@ -122,12 +148,12 @@
     /// Where the answer in progress begins. If it does not advance the cursor, no further pull
     /// follows it.
     pulled_from: StorePosition,
-    /// The cursor as far as the peer knows every change, which is valid for other peers too.
-    certain_until: StorePosition,
+    /// What the parts up to the cursor show together.
+    coverage: PartCoverage,
     /// The backend servers that were reported.
     reported: ReportedBackends,
     /// Parts that arrived before their predecessors, by the position after which they begin.
-    out_of_order: BTreeMap<StorePosition, PartSpan>,
+    out_of_order: BTreeMap<StorePosition, ArrivedPart>,
     /// When the walk expires.
     expires_at: Instant,
 }
@@ -139,7 +165,7 @@
             scope,
             cursor: after,
             pulled_from: after,
-            certain_until: after,
+            coverage: PartCoverage::new(after),
             reported: ReportedBackends::default(),
             out_of_order: BTreeMap::new(),
             expires_at: now + WALK_TIMEOUT,
@@ -151,26 +177,26 @@
     fn continue_with(&mut self, peer: SocketAddrV4) {
         if self.peer != peer {
             self.peer = peer;
-            self.cursor = self.cursor.min(self.certain_until);
+            self.cursor = self.cursor.min(self.coverage.certain_until());
             self.out_of_order.clear();
         }
     }
 
-    /// Adds a part. Returns the position up to which everything is known if all parts have arrived.
-    fn apply_part(&mut self, after: StorePosition, span: PartSpan) -> Option<StorePosition> {
-        self.out_of_order.insert(after, span);
+    /// Adds a part. Returns whether all parts have arrived.
+    fn apply_part(&mut self, part: ArrivedPart) -> bool {
+        self.out_of_order.insert(part.range.after, part);
 
         while let Some(first) = self.out_of_order.first_entry() {
             if *first.key() > self.cursor {
-                return None;
+                return false;
             }
-            let span = first.remove();
-            self.reported.extend(span.reported);
-            let Some(until) = span.covers_until else { return Some(span.complete_until) };
+            let ArrivedPart { range, reported } = first.remove();
+            self.reported.extend(reported);
+            self.coverage.add(&range, self.peer);
+            let Some(until) = range.covers_until else { return true };
             self.cursor = self.cursor.max(until);
-            self.certain_until = self.certain_until.max(self.cursor.min(span.complete_until));
         }
-        None
+        false
     }
 }
 
@@ -208,6 +234,7 @@
         walk.continue_with(peer);
         if walk.scope == WalkScope::Changes {
             walk.cursor = walk.cursor.max(known_until);
+            walk.coverage.advance(known_until);
         }
         Some(self.next_pull(peer, now))
     }
@@ -273,8 +300,8 @@
         now: Instant,
     ) -> WalkUpdate {
         let mut update = WalkUpdate::default();
-        let BackendsPart { scope, after, covers_until, complete_until, .. } = part;
-        let number = part.part;
+        let (scope, number) = (part.scope, part.part);
+        let range = PartRange::of(&part);
         let entries = entries_of(part, now);
         let reported = ReportedBackends::of(&entries);
         let mut obsolete = Vec::new();
@@ -289,9 +316,9 @@
         let known_until = knowledge.directory.complete_until();
         update.add_removals(RemovalBasis::UnknownHere, known_until, obsolete);
 
-        let Some(walk) = self.walk_of(sender, scope, after, now) else { return update };
+        let Some(walk) = self.walk_of(sender, scope, range.after, now) else { return update };
         let cursor = walk.cursor;
-        let ends_at = walk.apply_part(after, PartSpan { covers_until, complete_until, reported });
+        let is_walk_complete = walk.apply_part(ArrivedPart { range, reported });
         let has_more = number.index + 1 >= number.count && walk.cursor > walk.pulled_from;
         if walk.cursor > cursor {
             self.advanced_at = Some(now);
@@ -299,16 +326,10 @@
                 awaited.on_part(now);
             }
         }
-        match ends_at {
-            Some(until) => {
-                let ended = self.finish_walk(knowledge, until, missing_until, now);
-                if let Some((basis, removed)) = ended {
-                    update.add_removals(basis, until, removed);
-                }
-                update.is_walk_complete = true;
-            }
-            None if has_more => update.next_pull = Some((sender, self.next_pull(sender, now))),
-            None => {}
+        if is_walk_complete {
+            self.finish_walk(knowledge, &mut update, missing_until, now);
+        } else if has_more {
+            update.next_pull = Some((sender, self.next_pull(sender, now)));
         }
         update
     }
@@ -344,36 +365,31 @@
         PeerMessage::BackendsPull(BackendsPull { after, scope })
     }
 
-    /// Completes the walk: all is known up to a position. Returns the backend servers that are
-    /// shown to be gone, and by what; `None` if the walk shows nothing about removals.
+    /// Ends the walk, with what its parts show together: up to which position all is known, and
+    /// which backend servers are gone.
     fn finish_walk(
         &mut self,
         knowledge: &mut Knowledge,
-        until: StorePosition,
+        update: &mut WalkUpdate,
         missing_until: Option<Instant>,
         now: Instant,
-    ) -> Option<(RemovalBasis, Vec<InstanceId>)> {
+    ) {
+        update.is_walk_complete = true;
         self.awaited = None;
-        let walk = self.walk.take()?;
+        let Some(walk) = self.walk.take() else { return };
         let directory = &mut knowledge.directory;
-        let mut removals = None;
+        let Some(until) = walk.coverage.complete_until() else { return };
 
         if walk.scope == WalkScope::Everything {
             self.has_history = true;
-            let ReportedBackends { live, gone } = &walk.reported;
-            removals = match until.cmp(&directory.complete_until()) {
-                Ordering::Greater => {
-                    let absent = directory.retain_listed(live, until, missing_until, now);
-                    Some((RemovalBasis::AbsentFromList, absent))
-                }
-                Ordering::Equal => {
-                    let gone = directory.apply_peer_removals(gone, until, missing_until, now);
-                    Some((RemovalBasis::ReportedGone, gone))
-                }
-                Ordering::Less => None,
-            };
+            let removals = walk
+                .coverage
+                .shows_absence()
+                .then(|| walk.reported.apply_removals(directory, until, missing_until, now));
+            if let Some((basis, removed)) = removals.flatten() {
+                update.add_removals(basis, until, removed);
+            }
         }
         directory.complete(until);
-        removals
     }
 }
--- a/crates/valvestage-policy/src/steering/peers/peer_message.rs
+++ b/crates/valvestage-policy/src/steering/peers/peer_message.rs
@@ -516,6 +516,9 @@
     pub covers_until: Option<StorePosition>,
     /// The sender knows every change up to this position.
     pub complete_until: StorePosition,
+    /// The sender knows no change after this position. What it knows between the two positions may
+    /// have gaps.
+    pub changed_at: StorePosition,
     /// Names of services and availability zones, which the changes refer to by index.
     pub names: Vec<String>,
     /// The changes.
