--- a/crates/valvestage-policy/tests/steering/comparisons.rs
+++ b/crates/valvestage-policy/tests/steering/comparisons.rs
@@ -4,16 +4,18 @@
 //! requests nothing more. Without comparisons, two of 15,000 simulated series of faults end in this
 //! state, nine seconds after the last fault.
 
+use std::time::Instant;
+
 use valvestage_policy::steering::peers::backend_parts::backends_messages;
 use valvestage_policy::steering::peers::peer_message::{
-    BackendsPull, HealthReport, PeerHeartbeat, WalkScope,
+    BackendsPart, BackendsPull, HealthReport, PeerHeartbeat, WalkScope,
 };
 use valvestage_policy::steering::{
     BackendDirectory, BackendEntry, BackendPhase, EntryPolicy, PeerMessage,
 };
 
 use crate::deployment::{Deployment, node_address};
-use crate::fixtures::{OWN_ZONE, at, backend, millis, routes, start};
+use crate::fixtures::{OWN_ZONE, at, backend, millis, name_of, routes, start};
 
 fn settled(count: usize) -> Deployment {
     let mut deployment = Deployment::new(count);
@@ -51,13 +53,8 @@
     }
 }
 
-/// Sends a balancer the heartbeat of a peer that knows more, so that it requests everything, and
-/// then the contents of that peer's directory.
-fn announce_and_send_directory(
-    deployment: &mut Deployment,
-    node: usize,
-    sender: &BackendDirectory,
-) {
+/// Sends a balancer the heartbeat of a peer that knows what a directory contains.
+fn announce_directory(deployment: &mut Deployment, node: usize, sender: &BackendDirectory) {
     let now = deployment.now;
     let known = deployment.node(node).knowledge();
     let heartbeat = PeerHeartbeat {
@@ -81,6 +78,16 @@
 
     let policy = deployment.nodes[node].as_mut().expect("the balancer runs");
     policy.on_message(node_address(5), PeerMessage::Heartbeat(heartbeat), now);
+}
+
+/// Sends a balancer the heartbeat of a peer that knows more, so that it requests everything, and
+/// then the contents of that peer's directory.
+fn announce_and_send_directory(
+    deployment: &mut Deployment,
+    node: usize,
+    sender: &BackendDirectory,
+) {
+    announce_directory(deployment, node, sender);
     send_directory(deployment, node, sender);
 }
 
@@ -231,3 +238,52 @@
     let entry = directory.get(2).expect("entry 2 is known");
     assert!(!entry.is_gone() && entry.missing_until.is_some());
 }
+
+/// Returns the only part of an answer with everything that a directory contains.
+fn whole_part(directory: &BackendDirectory, now: Instant) -> BackendsPart {
+    let pull = BackendsPull { after: at(0), scope: WalkScope::Everything };
+
+    match backends_messages(directory, pull, now).pop() {
+        Some(PeerMessage::Backends(part)) => part,
+        other => panic!("{other:?} is no part"),
+    }
+}
+
+/// Guards against removals concluded from an answer whose first part was sent when its sender had a
+/// gap in what it knew, and whose last part was sent after it had learned the rest.
+#[test]
+fn an_entry_that_a_sender_did_not_know_yet_is_not_gone() {
+    let mut deployment = settled(3);
+    let now = deployment.now;
+    let known_until = deployment.node(0).knowledge().directory.complete_until();
+    let mut sender = BackendDirectory::default();
+    for entry in deployment.node(0).knowledge().directory.iter() {
+        sender.put(entry.clone());
+    }
+    sender.complete(known_until);
+    let mut partial = BackendDirectory::default();
+    partial.put(backend(9, "core", OWN_ZONE));
+    partial.complete(known_until);
+    announce_directory(&mut deployment, 0, &partial);
+
+    // Entry 1 has the lowest position, and the sender knew the later ones only.
+    let later = at(known_until.revision + 5);
+    let mut first = whole_part(&sender, now);
+    first.changes.retain(|change| change.name != name_of(1));
+    first.covers_until = Some(known_until);
+    first.complete_until = at(1);
+    first.changed_at = later;
+    first.part.count = 2;
+    let mut last = BackendsPart { changes: Vec::new(), ..first.clone() };
+    (last.after, last.covers_until, last.complete_until) = (known_until, None, later);
+    last.part.index = 1;
+    let policy = deployment.nodes[0].as_mut().expect("the balancer runs");
+    for part in [first, last] {
+        policy.on_message(node_address(5), PeerMessage::Backends(part), now);
+    }
+
+    let directory = &deployment.node(0).knowledge().directory;
+    let entry = directory.get(1).expect("entry 1 is known");
+    assert!(!entry.is_gone(), "{entry:?}");
+    assert!(directory.complete_until() < later);
+}
