Judge a shortage by at least the slots of one backend server

Cause: while requests count as rejected, the load per slot was the requests in flight over the rate of answers times the time of one, and the capacity of the shortage was the rate of answers. Where little is asked that rate is near zero.

Change: the slots that answer are at least those of one backend server, for the load per slot and for the capacity. `ServiceLoad` has the number of usable backend servers for it. In a shortage the backend servers that are left are full, so the bound changes nothing.

Conclusion: mended for few flows.

--- a/crates/valvestage-policy/src/steering/admission/admission_shares.rs
+++ b/crates/valvestage-policy/src/steering/admission/admission_shares.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::shortage::load_per_slot;
+use super::shortage::{answering_slots, load_per_slot};
 use crate::steering::knowledge::request_class::RoutePriority;
 use crate::steering::load::service_load::{ClassLoad, ServiceLoad};
 
@@ -112,13 +112,15 @@
 }
 
 /// Returns the requests per second that the slots can process. With a queue at most backend servers,
-/// that is the rate of their answers. With a shorter one, some slots are free, and the rate follows
-/// from the time that a request takes.
+/// that is the rate of their answers, or that of one backend server if it is higher. With a shorter
+/// one, some slots are free, and the rate follows from the time that a request takes.
 fn capacity(load: &ServiceLoad, per_slot: f64) -> f64 {
-    let by_slots = load.service_time.map_or(0.0, |seconds| load.slots / seconds);
+    let Some(service_time) = load.service_time else { return load.completed };
+    let answered = answering_slots(load, service_time) / service_time;
+    let by_slots = load.slots / service_time;
     let free_part = (LEAST_TARGET_LOAD - per_slot).clamp(0.0, 1.0);
 
-    load.completed + (by_slots - load.completed).max(0.0) * free_part
+    answered + (by_slots - answered).max(0.0) * free_part
 }
 
 /// Returns the requests in flight per slot to aim at. The longer callers may wait, the fewer slots
--- a/crates/valvestage-policy/src/steering/admission/shortage.rs
+++ b/crates/valvestage-policy/src/steering/admission/shortage.rs
@@ -80,12 +80,13 @@
 /// the lack of backend servers.
 ///
 /// For seconds after backend servers have crashed, slots are counted that no longer exist. The more
-/// requests full backend servers reject, the more the load is therefore taken from the time that
-/// requests spend at backend servers, as a multiple of the time without a wait.
+/// requests full backend servers reject, the more the load is therefore taken from the slots that
+/// answer, which is the time that requests spend at backend servers as a multiple of the time
+/// without a wait.
 #[must_use]
 pub fn load_per_slot(load: &ServiceLoad) -> Option<f64> {
     let ratio = load.in_flight / load.slots;
-    let by_time = load.service_time.map(|seconds| load.in_flight / (load.completed * seconds));
+    let by_time = load.service_time.map(|seconds| load.in_flight / answering_slots(load, seconds));
     let by_time = by_time.filter(|by_time| by_time.is_finite()).unwrap_or(ratio);
     let rejected = load.rejected / (load.rejected + load.completed).max(f64::MIN_POSITIVE);
     let trust = (rejected / FULL_REJECTED_SHARE).min(1.0);
@@ -93,3 +94,15 @@
     let ratio = ratio + (by_time - ratio).max(0.0) * trust;
     (load.is_usable && load.slots > 0.0 && ratio.is_finite()).then_some(ratio)
 }
+
+/// Returns the slots that answer, given the seconds that a request takes: those in use for the
+/// requests which are answered, but at least those of one backend server.
+///
+/// A service that still answers has a backend server, with all of its slots. Where little is asked,
+/// most of them are free, and those in use are no measure of those that are there.
+pub(super) fn answering_slots(load: &ServiceLoad, service_time: f64) -> f64 {
+    let in_use = load.completed * service_time;
+    let of_one = if load.backends > 0.0 { load.slots / load.backends } else { 0.0 };
+
+    in_use.max(of_one)
+}
--- a/crates/valvestage-policy/src/steering/load/fleet_load.rs
+++ b/crates/valvestage-policy/src/steering/load/fleet_load.rs
@@ -275,6 +275,7 @@
 
     ServiceLoad {
         slots,
+        backends,
         connections: connection_limit.map(|limit| f64::from(limit) * backends),
         is_usable: load.is_usable && slots > 0.0,
         ..load
--- a/crates/valvestage-policy/src/steering/load/service_load.rs
+++ b/crates/valvestage-policy/src/steering/load/service_load.rs
@@ -25,6 +25,8 @@
     /// Number of requests that the usable backend servers can process concurrently. Those that are
     /// cold or slow count less.
     pub slots: f64,
+    /// Number of usable backend servers.
+    pub backends: f64,
     /// Number of connections that the usable backend servers take together; `None` if that is not
     /// configured.
     pub connections: Option<f64>,
