Soak: hold ports with the protocol and the addresses that use them

Seen: runs of the soak's tests ended with NotReady; in one run two tests with 1 and 2 of 3 balancers ready, in another one with 0 of 3 and "listen for readiness: Address already in use".

Cause: `SitePlan::new` took four UDP ports of 127.0.0.1, which were free again at once. They are used for TCP listeners and UDP sockets of other addresses, which are the same for all sites of a process. Two tests that run at the same time can get the same port, and each address of it goes to the first that binds it.

Change: `HeldPort` takes a port that is free for its protocol at all addresses that use it, and holds it at an address of the network that nothing else uses, as long as the plan exists, that is also while a balancer restarts. No other site of the network can get it, nor a socket that the kernel binds to all addresses.

--- a/crates/valvestage-soak/src/lib.rs
+++ b/crates/valvestage-soak/src/lib.rs
@@ -12,7 +12,7 @@
 //! | [`fault_kind`], [`fault_plan`] | the injected faults, drawn from a seed |
 //! | [`promise`], [`promise_checker`], [`ground_truth`] | promises, their checks, and the ground truth |
 //! | [`observation`] | events that callers and backend servers observe |
-//! | [`soak_site`], [`site_plan`], [`balancer_process`] | threads, addresses, processes |
+//! | [`soak_site`], [`site_plan`], [`held_port`], [`balancer_process`] | threads, addresses, ports, processes |
 //! | [`site_store`], [`store_relay`] | the store, and connections to it |
 //! | [`peer_relay`], [`link_table`] | messages between balancers, and faults on datagram links |
 //! | [`router_table`] | health checks of balancers, and the choice of a balancer for each flow |
@@ -32,6 +32,7 @@
 pub mod fault_kind;
 pub mod fault_plan;
 pub mod ground_truth;
+pub mod held_port;
 pub mod link_table;
 pub mod observation;
 pub mod peer_relay;
--- a/crates/valvestage-soak/src/site_plan.rs
+++ b/crates/valvestage-soak/src/site_plan.rs
@@ -2,7 +2,10 @@
 
 use std::collections::BTreeMap;
 use std::io;
-use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddrV4, TcpListener};
+use std::sync::Arc;
+
+use crate::held_port::{HeldPort, Transport};
 
 /// Number of availability zones.
 pub const ZONES: usize = 3;
@@ -40,8 +43,18 @@
     if service == SERVICES[0] { SERVICES[1] } else { SERVICES[0] }
 }
 
-/// Address plan of a run. Each run has a loopback network of its own, so that concurrent runs do
-/// not interfere. The kernel chooses the ports, which are the same for all simulated VMs.
+// The kind of an address is the third octet of its lowest numbers.
+const BALANCERS: u8 = 0;
+const RELAYS: u8 = 10;
+const BACKENDS: u8 = 20;
+const CALLERS: u8 = 40;
+
+/// Kind of the address at which ports are held; nothing else uses it.
+const HOLDERS: u8 = 60;
+
+/// Address plan of a run. Runs of one process share a loopback network, as some processes do, and
+/// are told apart by their ports. The kernel chooses the ports, which are the same for all simulated
+/// VMs, and are held until the last copy of the plan is dropped.
 #[derive(Debug, Clone)]
 pub struct SitePlan {
     /// Second octet of all addresses.
@@ -58,6 +71,8 @@
     pub control_port: u16,
     /// UDP port for messages between balancers.
     pub peer_port: u16,
+    /// Keep the ports from all sockets but those of the site.
+    _held_ports: Arc<[HeldPort]>,
 }
 
 impl SitePlan {
@@ -65,23 +80,32 @@
     /// id.
     pub fn new(balancers: usize, backends: usize) -> io::Result<Self> {
         const NETWORKS: u32 = 250;
-        let network = std::process::id() % NETWORKS + 1;
-        // All sockets are open at the same time, so that the kernel chooses distinct ports.
-        let held: Vec<UdpSocket> =
-            (0..4).map(|_| UdpSocket::bind("127.0.0.1:0")).collect::<io::Result<_>>()?;
-        let ports: Vec<u16> = held
-            .iter()
-            .map(|socket| socket.local_addr().map(|address| address.port()))
-            .collect::<io::Result<_>>()?;
+        let network = u8::try_from(std::process::id() % NETWORKS + 1).unwrap_or(1);
+        let ips = |kind, count| (0..count).map(move |number| address(network, kind, number));
+        let take = |transport, users: &[Ipv4Addr]| {
+            HeldPort::take(transport, address(network, HOLDERS, 0), users)
+        };
+
+        let vms: Vec<_> = ips(BALANCERS, balancers).collect();
+        let senders: Vec<_> = ips(BALANCERS, balancers)
+            .chain(ips(BACKENDS, backends))
+            .chain(ips(CALLERS, ZONES))
+            .collect();
+        let peers: Vec<_> = ips(BALANCERS, balancers).chain(ips(RELAYS, balancers)).collect();
+        let data = take(Transport::Udp, &senders)?;
+        let ready = take(Transport::Tcp, &vms)?;
+        let control = take(Transport::Tcp, &vms)?;
+        let peer = take(Transport::Udp, &peers)?;
 
         Ok(Self {
-            network: u8::try_from(network).unwrap_or(1),
+            network,
             balancers,
             backends,
-            data_port: ports[0],
-            ready_port: ports[1],
-            control_port: ports[2],
-            peer_port: ports[3],
+            data_port: data.port(),
+            ready_port: ready.port(),
+            control_port: control.port(),
+            peer_port: peer.port(),
+            _held_ports: [data, ready, control, peer].into(),
         })
     }
 
@@ -100,26 +124,26 @@
     /// Returns the IP address that a balancer binds.
     #[must_use]
     pub fn balancer(&self, number: usize) -> Ipv4Addr {
-        self.address(0, number)
+        self.address(BALANCERS, number)
     }
 
     /// Returns the IP address of a balancer's peer relay, which the balancer advertises to the
     /// others.
     #[must_use]
     pub fn relay(&self, number: usize) -> Ipv4Addr {
-        self.address(10, number)
+        self.address(RELAYS, number)
     }
 
     /// Returns the address of a backend server.
     #[must_use]
     pub fn backend(&self, number: usize) -> SocketAddrV4 {
-        SocketAddrV4::new(self.address(20, number), self.data_port)
+        SocketAddrV4::new(self.address(BACKENDS, number), self.data_port)
     }
 
     /// Returns the address at which the callers of a zone receive answers.
     #[must_use]
     pub fn caller(&self, zone: usize) -> SocketAddrV4 {
-        SocketAddrV4::new(self.address(40, zone), self.data_port)
+        SocketAddrV4::new(self.address(CALLERS, zone), self.data_port)
     }
 
     /// Returns the number of the balancer with an IP address, or `None` if no balancer has it.
@@ -129,14 +153,18 @@
     }
 
     fn address(&self, kind: u8, number: usize) -> Ipv4Addr {
-        const HOSTS: usize = 250;
-        let high = u8::try_from(number / HOSTS).unwrap_or(u8::MAX);
-        let low = u8::try_from(number % HOSTS + 1).unwrap_or(u8::MAX);
-
-        Ipv4Addr::new(127, self.network, kind + high, low)
+        address(self.network, kind, number)
     }
 }
 
+fn address(network: u8, kind: u8, number: usize) -> Ipv4Addr {
+    const HOSTS: usize = 250;
+    let high = u8::try_from(number / HOSTS).unwrap_or(u8::MAX);
+    let low = u8::try_from(number % HOSTS + 1).unwrap_or(u8::MAX);
+
+    Ipv4Addr::new(127, network, kind + high, low)
+}
+
 /// Binds a TCP listener on loopback, at a port that the kernel chooses, and returns it with its
 /// address.
 pub fn bind_listener() -> io::Result<(TcpListener, SocketAddrV4)> {
