Wait until the settings were read in the test of their reload

Cause: after each SIGHUP the test waited for readiness, which the balancer shows whether it has read the file or not. Where the task that reads settings gets its turn late, the test has replaced the invalid file by the good one, and nothing is left to be told as invalid; signals that arrive together count as one, too.

Ruled out: a reload that does not happen: both signals were followed by "reloaded" in the trial.

Change: the test waits for the line "the settings in force stay" after the first signal and for "reloaded" after the second one, then goes on as before; all checks are unchanged. `Balancer::wait_for_line` reads the log as it is written; tests that do not call it leave the log unread, as before.

--- a/crates/valvestage-entry/tests/process/main.rs
+++ b/crates/valvestage-entry/tests/process/main.rs
@@ -121,17 +121,21 @@
     assert!(log.contains("stopped"), "{log}");
 }
 
+/// The test waits for each file to be read before it goes on: signals that arrive together count as
+/// one, and the balancer is ready whether it has read the file or not.
 #[test]
 fn settings_are_reloaded_and_invalid_ones_are_ignored() {
     let site = Site::configured();
-    let balancer = site.ready_balancer("one", &[]);
+    let mut balancer = site.ready_balancer("one", &[]);
 
     let good = fs::read_to_string(&balancer.file).unwrap();
     fs::write(&balancer.file, "zone = 3\n").unwrap();
     balancer.signal(Signal::SIGHUP);
+    balancer.wait_for_line("the settings in force stay");
     wait_until("the balancer is ready", || balancer.is_ready());
     fs::write(&balancer.file, good.replace("seeds = []", "seeds = [\"127.9.9.9:1\"]")).unwrap();
     balancer.signal(Signal::SIGHUP);
+    balancer.wait_for_line("reloaded");
     wait_until("the balancer is ready", || balancer.is_ready());
     balancer.signal(Signal::SIGTERM);
     let (status, log) = balancer.wait();
--- a/crates/valvestage-entry/tests/process/site.rs
+++ b/crates/valvestage-entry/tests/process/site.rs
@@ -2,11 +2,12 @@
 //! program.
 
 use std::fs;
-use std::io::Read;
+use std::io::{BufRead, BufReader, Read};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::{Child, ChildStdout, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::mpsc::{Receiver, channel};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -173,7 +174,7 @@
             .stdout(Stdio::piped())
             .spawn()
             .unwrap();
-        Balancer { ip, ports: self.ports, file, child }
+        Balancer { ip, ports: self.ports, file, child, lines: None, log: String::new() }
     }
 
     /// Starts a balancer and waits until it is ready.
@@ -209,6 +210,10 @@
     ports: [u16; 4],
     pub file: PathBuf,
     child: Child,
+    /// Lines of the log that are still to be read; `None` while nothing reads the log.
+    lines: Option<Receiver<String>>,
+    /// The part of the log that was read.
+    log: String,
 }
 
 impl Balancer {
@@ -255,15 +260,52 @@
         kill(Pid::from_raw(id), signal).unwrap();
     }
 
+    /// Waits for the next line of the log that contains a text. Panics after the time limit.
+    pub fn wait_for_line(&mut self, text: &str) {
+        let stdout = self.child.stdout.take();
+        let lines = self.lines.get_or_insert_with(|| read_lines(stdout.unwrap()));
+        let give_up = Instant::now() + WAIT_TIMEOUT;
+
+        loop {
+            let time_left = give_up.saturating_duration_since(Instant::now());
+            let line = lines.recv_timeout(time_left);
+            let line = line.unwrap_or_else(|error| panic!("no line with {text:?}: {error}"));
+            self.log += &line;
+            self.log.push('\n');
+            if line.contains(text) {
+                return;
+            }
+        }
+    }
+
     /// Waits for the process to end. Returns its status and its standard output.
     pub fn wait(mut self) -> (ExitStatus, String) {
-        let mut text = String::new();
-        self.child.stdout.take().unwrap().read_to_string(&mut text).unwrap();
+        let mut text = std::mem::take(&mut self.log);
+        match self.lines.take() {
+            Some(lines) => lines.iter().for_each(|line| text = format!("{text}{line}\n")),
+            None => {
+                self.child.stdout.take().unwrap().read_to_string(&mut text).unwrap();
+            }
+        }
 
         (self.child.wait().unwrap(), text)
     }
 }
 
+/// Returns the lines of a process's standard output as they are written.
+fn read_lines(stdout: ChildStdout) -> Receiver<String> {
+    let (sender, lines) = channel();
+
+    thread::spawn(move || {
+        for line in BufReader::new(stdout).lines() {
+            if sender.send(line.unwrap()).is_err() {
+                return;
+            }
+        }
+    });
+    lines
+}
+
 impl Drop for Balancer {
     fn drop(&mut self) {
         let _ = self.child.kill();
