Soak: keep seeds that failed at few flows

Seeds 700000 to 700002 broke NoFalseRefusal at four flows a second (docs/incidents/refusals-with-free-slots.md). The list of known seeds has the rate of new flows, where it was not the usual one, so that `valvestage-soak known` plays them as they failed. docs/SOAK.md has the runs.

--- a/crates/valvestage-soak/src/main.rs
+++ b/crates/valvestage-soak/src/main.rs
@@ -192,13 +192,14 @@
     clean
 }
 
-/// Runs all known seeds, each with the numbers of balancers and fault kinds of its recorded
+/// Runs all known seeds, each with the numbers of balancers, fault kinds and flows of its recorded
 /// failure, and continues after a failure. Returns whether all of them were clean.
 fn run_known(known: &[seed_list::KnownSeed], shape: &Shape, stop: &Arc<AtomicBool>) -> bool {
     let mut clean = true;
 
     for seed in known {
-        let shape = Shape { balancers: seed.balancers, kinds: seed.kinds, ..shape.clone() };
+        let flows = seed.flows.unwrap_or(shape.flows);
+        let shape = Shape { balancers: seed.balancers, kinds: seed.kinds, flows, ..shape.clone() };
         clean &= run_seed(seed.seed, &shape, stop);
     }
     clean
--- a/crates/valvestage-soak/src/seed_list.rs
+++ b/crates/valvestage-soak/src/seed_list.rs
@@ -17,6 +17,8 @@
     /// Number of kinds of faults of the failed run, counted from the start of
     /// [`crate::FaultKind::ALL`].
     pub kinds: usize,
+    /// New flows per second of the failed run; `None` if these were the usual ones.
+    pub flows: Option<u32>,
     /// Cause of the failure, in one line.
     pub cause: String,
 }
