Take entries that lack a birth as unusable where processes tell theirs

Cause: another writer leaves `born` out of one entry. It was read as the entry of another incarnation, that of the name alone, and so as a start that ends the living process under its name: all its flows were reset at all balancers, and as a superseded incarnation never returned, what the process wrote afterwards, its drain too, was ignored. The class: what an entry lacks counted as knowledge of another process. A null or another type was refused all along.

Where most of the known processes that may be alive tell their births, an entry without one names no backend server, ends nobody at its name or address, and the next sound entry and its drain hold. Most decide, not one, so that one entry of another writer takes nothing from a deployment without births. A balancer that has just started judges by the other entries of the page. What such an entry superseded nevertheless lives again with its next own entry. New log line `birth_missing`.

The birth makes a change of a backend server 8 bytes larger at most. Parts are now sized by what is in them, 30 changes at most as before; a property test encodes the largest entries.

--- a/crates/valvestage-entry/src/decision_log.rs
+++ b/crates/valvestage-entry/src/decision_log.rs
@@ -115,6 +115,7 @@
         Decision::ZoneReturned { .. } => "zone_returned",
         Decision::Isolated { .. } => "isolated",
         Decision::BackendMissing { .. } => "backend_missing",
+        Decision::BirthMissing { .. } => "birth_missing",
         Decision::WatchRole { .. } => "watch_role",
         Decision::StoreLink { .. } => "store_link",
         Decision::StoreEra { .. } => "store_era",
@@ -250,6 +251,10 @@
         Decision::Cleared { instance } | Decision::BackendMissing { instance } => {
             line.put_backend(*instance);
         }
+        Decision::BirthMissing { name, position } => {
+            line.put_instance("backend", name.number);
+            line.put_position("revision", *position);
+        }
         Decision::RoutesInForce { version, former, addresses, source } => {
             line.put("version", *version);
             line.put("former_version", *former);
--- a/crates/valvestage-entry/tests/load_metrics.rs
+++ b/crates/valvestage-entry/tests/load_metrics.rs
@@ -50,6 +50,7 @@
     let entry = BackendEntry {
         instance: number.into(),
         name,
+        born: None,
         position,
         service: service(number),
         address: address(8_080),
--- a/crates/valvestage-entry/tests/peer_codec.rs
+++ b/crates/valvestage-entry/tests/peer_codec.rs
@@ -15,6 +15,7 @@
 use valvestage_policy::steering::load::fleet_load::MAX_LOAD_BYTES;
 use valvestage_policy::steering::packets::flow_record::{AnswerSignal, LivenessSignal};
 use valvestage_policy::steering::packets::flow_tracker::FlowObservation;
+use valvestage_policy::steering::peers::backend_parts::backends_messages;
 use valvestage_policy::steering::peers::peer_message::{
     AvoidanceReport, BackendChange, BackendRecord, BackendsPart, BackendsPull, BalancerReport,
     ChunksPull, ClassLoadReport, HealthReport, LifeReport, MAX_MESSAGE_BYTES, MessagePart,
@@ -25,8 +26,9 @@
 use valvestage_policy::steering::peers::report_budget::{REPORT_BYTES, fit_report};
 use valvestage_policy::steering::peers::route_chunk::{ChunkEntry, RouteChunk};
 use valvestage_policy::steering::{
-    BackendEntry, BackendName, BackendPhase, EntryOptions, EntryPolicy, EvacuationReport,
-    FlowAddresses, Knowledge, PeerMessage, RequestClass, RequestKind, SteeringOptions,
+    BackendDirectory, BackendEntry, BackendName, BackendPhase, EntryOptions, EntryPolicy,
+    EvacuationReport, FlowAddresses, Knowledge, PeerMessage, RequestClass, RequestKind,
+    SteeringOptions,
 };
 
 /// Returns a position in the first era of the store.
@@ -82,6 +84,7 @@
     let changes = changes.map(|record| BackendChange {
         name,
         incarnation_digest: 0xff_ffff,
+        born: Some(u64::MAX),
         position: store_position(u64::MAX),
         record,
     });
@@ -235,6 +238,7 @@
     BackendEntry {
         instance,
         name: BackendName { digest: u32::MAX, number: instance },
+        born: None,
         position: store_position(instance),
         service: "core".to_owned(),
         address: address(9),
@@ -399,3 +403,47 @@
 
     seeded().quickcheck(property as fn(usize, usize, u8, Vec<u8>) -> bool);
 }
+
+/// Guards against parts that exceed a datagram, which the link drops each time they are sent, so
+/// that what they hold never arrives: entries with start times and long names are larger.
+#[test]
+fn changes_of_the_largest_entries_fit_into_datagrams() {
+    fn property(names: Vec<String>, count: u8, born: Option<u64>) -> bool {
+        let now = Instant::now();
+        let mut directory = BackendDirectory::default();
+        for instance in 1..=u64::from(count) * 8 {
+            let name =
+                |salt: u64| names.get(usize::try_from(instance + salt).unwrap() % 7).cloned();
+            directory.put(BackendEntry {
+                name: BackendName { digest: u32::MAX, number: u64::MAX - instance },
+                instance: u64::MAX - instance,
+                born,
+                service: name(0).unwrap_or_default(),
+                zone: name(3).unwrap_or_default(),
+                slots: u32::MAX,
+                cold_until: Some(now + Duration::from_secs(600)),
+                ..entry(instance)
+            });
+        }
+
+        let mut after = store_position(0);
+        let mut seen = Vec::new();
+        loop {
+            let pull = BackendsPull { after, scope: WalkScope::Everything };
+            let mut next = None;
+            for message in backends_messages(&directory, pull, now) {
+                assert!(encode(&message).unwrap().len() <= MAX_MESSAGE_BYTES);
+                let PeerMessage::Backends(part) = message else { panic!("not a part of backends") };
+                next = part.covers_until;
+                seen.extend(part.changes.into_iter().map(|change| change.name.number));
+            }
+            let Some(until) = next else { break };
+            after = until;
+        }
+        let all: Vec<_> = directory.iter().map(|entry| entry.name.number).collect();
+        seen == all
+    }
+
+    // Each case encodes up to 2,040 entries.
+    seeded().tests(100).quickcheck(property as fn(Vec<String>, u8, Option<u64>) -> bool);
+}
--- a/crates/valvestage-entry/tests/suspicion_traffic.rs
+++ b/crates/valvestage-entry/tests/suspicion_traffic.rs
@@ -55,6 +55,7 @@
         let entry = BackendEntry {
             instance: FIRST + number,
             name,
+            born: None,
             position,
             service: "core".to_owned(),
             address: SocketAddrV4::new(Ipv4Addr::new(10, 0, 2, u8::try_from(number).unwrap()), 80),
--- a/crates/valvestage-experiment/src/fleet/store.rs
+++ b/crates/valvestage-experiment/src/fleet/store.rs
@@ -211,6 +211,7 @@
     BackendEntry {
         instance,
         name: BackendName { digest: 0, number: instance },
+        born: None,
         position,
         service: service.to_owned(),
         address: SocketAddrV4::new(Ipv4Addr::new(10, second, third, fourth), 8_080),
--- a/crates/valvestage-policy/src/steering/decision.rs
+++ b/crates/valvestage-policy/src/steering/decision.rs
@@ -11,6 +11,7 @@
 use crate::steering::admission::admission_shares::AdmissionShares;
 use crate::steering::health::outcome_count::OutcomeCount;
 use crate::steering::knowledge::backend_entry::BackendPhase;
+use crate::steering::knowledge::backend_name::BackendName;
 use crate::steering::knowledge::request_class::RoutePriority;
 use crate::steering::load::service_load::ServiceLoad;
 use crate::steering::packets::caller_packet::{DropReason, FlowAddresses, ResetReason};
@@ -180,6 +181,14 @@
         /// The backend server without an entry.
         instance: InstanceId,
     },
+    /// The store shows an entry that does not say when its process was born, although the
+    /// deployment's processes do. It names no backend server to use.
+    BirthMissing {
+        /// Name of the entry.
+        name: BackendName,
+        /// Position of the entry.
+        position: StorePosition,
+    },
     /// This balancer has begun or ceased to follow the store.
     WatchRole {
         /// Whether it follows the store now.
--- a/crates/valvestage-policy/src/steering/knowledge.rs
+++ b/crates/valvestage-policy/src/steering/knowledge.rs
@@ -12,6 +12,7 @@
 //! | [`entry_times`] | how soon entries lapse and are written again |
 //! | [`ready_backends`] | backend servers that take new flows, by service and availability zone |
 //! | `incarnation_order` | the order of incarnations at one address and under one name |
+//! | `births` | entries that do not say when their processes were born |
 //! | `store_restores` | what stays known after the store is restored from a backup |
 //! | [`evacuated_zones`] | availability zones that get no new flows at the operator's request |
 //! | [`zone_contacts`] | since when the other availability zones have been heard from |
@@ -20,6 +21,7 @@
 pub mod backend_directory;
 pub mod backend_entry;
 pub mod backend_name;
+mod births;
 pub mod cold_rate;
 mod entry_table;
 pub mod entry_times;
--- a/crates/valvestage-policy/src/steering/knowledge/backend_directory.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/backend_directory.rs
@@ -124,6 +124,15 @@
     /// Applies the state of an entry at its position, with what a new incarnation at a known name
     /// or address implies for the others. Returns the incarnations whose known state changed.
     pub fn apply_entry(&mut self, entry: BackendEntry, now: Instant) -> Vec<InstanceId> {
+        if self.is_unusable_without_birth(&entry) {
+            return self.apply_unusable(entry.name, entry.position);
+        }
+
+        self.apply_sound_entry(entry, now)
+    }
+
+    /// Applies an entry that names a backend server.
+    fn apply_sound_entry(&mut self, entry: BackendEntry, now: Instant) -> Vec<InstanceId> {
         let Some(mut entry) = self.reconcile_eras(entry, now) else { return Vec::new() };
         // The time in which a known entry may return counts from when this balancer learns that it
         // is gone.
@@ -179,7 +188,11 @@
             None if self.may_be_written_again(&entry, now) => self.settles_at,
             None => is_absent.then(|| now + RETURN_TIME),
         };
-        let changed = self.apply_entry(entry, now);
+        let changed = if self.lacks_birth(&entry) && self.contradicts_birth(&entry) {
+            self.apply_unusable(entry.name, position)
+        } else {
+            self.apply_sound_entry(entry, now)
+        };
         let stays_missing = missing_until.filter(|_| position <= self.read_until);
         if let Some(until) = stays_missing {
             self.mark_missing(instance, until);
@@ -245,6 +258,18 @@
         self.changed_at = self.changed_at.max(at);
     }
 
+    /// Records that the entry of a name has named no usable backend server since a position. Returns
+    /// the incarnations whose known state changed.
+    pub fn apply_unusable(&mut self, name: BackendName, at: StorePosition) -> Vec<InstanceId> {
+        let live = self.live_of(name);
+        // If the entry had lapsed, it exists again: it may have been usable meanwhile, and others
+        // may have seen that.
+        let mut incarnations = if live.is_empty() { self.incarnations(name) } else { live };
+
+        incarnations.retain(|instance| self.mark_unusable(*instance, at));
+        incarnations
+    }
+
     /// Records that the entry of an incarnation has named no usable backend server since a
     /// position. Returns false if newer state is known.
     pub fn mark_unusable(&mut self, instance: InstanceId, at: StorePosition) -> bool {
--- a/crates/valvestage-policy/src/steering/knowledge/backend_entry.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/backend_entry.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 use std::time::Instant;
 
-use super::backend_name::BackendName;
+use super::backend_name::{BackendName, StartMillis};
 use valvestage_core::StorePosition;
 use valvestage_core::ids::{InstanceId, ServiceName, ZoneName};
 
@@ -50,6 +50,8 @@
     pub instance: InstanceId,
     /// Name under which the entry is stored.
     pub name: BackendName,
+    /// When the incarnation started, by its own clock. `None` if its entry does not say when.
+    pub born: Option<StartMillis>,
     /// Store position of the last change. The highest known one wins.
     pub position: StorePosition,
     /// The service that the backend server runs.
@@ -96,6 +98,15 @@
         )
     }
 
+    /// Reports whether the incarnation never returns, whatever the store shows later.
+    #[must_use]
+    pub fn has_ended_for_good(&self) -> bool {
+        matches!(
+            self.phase,
+            BackendPhase::Gone { end: BackendEnd::Left | BackendEnd::Superseded, .. }
+        )
+    }
+
     /// Reports whether two entries agree in everything but their position.
     #[must_use]
     pub fn is_same(&self, other: &Self) -> bool {
--- a/crates/valvestage-policy/src/steering/knowledge/entry_table.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/entry_table.rs
@@ -18,6 +18,27 @@
 /// Digest of a set of backend servers, the same at every balancer.
 pub type LiveDigest = u64;
 
+/// Counts of entries that say when their processes were born, and of those that don't.
+#[derive(Debug, Default, Clone, Copy)]
+pub(super) struct BirthCount {
+    told: usize,
+    untold: usize,
+}
+
+impl BirthCount {
+    /// Reports whether most entries say when their processes were born.
+    pub(super) fn is_mostly_told(self) -> bool {
+        self.told > self.untold
+    }
+
+    /// Returns the count to which an entry belongs; `None` if its process has ended for good.
+    fn count_of(&mut self, entry: &BackendEntry) -> Option<&mut usize> {
+        let count = if entry.born.is_some() { &mut self.told } else { &mut self.untold };
+
+        (!entry.has_ended_for_good()).then_some(count)
+    }
+}
+
 /// The entries by incarnation, with their indexes.
 #[derive(Debug, Default)]
 pub(super) struct EntryTable {
@@ -34,6 +55,8 @@
     ready: ReadyBackends,
     /// Exclusive or of a hash of each incarnation that is not gone.
     live_digest: LiveDigest,
+    /// Which of the entries that may be of living processes say when these were born.
+    births: BirthCount,
     /// Number of entries that were visited one by one, in total.
     visits: Cell<u64>,
 }
@@ -87,6 +110,9 @@
             self.live_digest ^= mix(instance, 0);
         }
         self.missing.remove(&instance);
+        if let Some(count) = self.births.count_of(&entry) {
+            *count -= 1;
+        }
         if entry.phase == BackendPhase::Ready {
             self.ready.remove(&entry);
         }
@@ -106,6 +132,9 @@
         if entry.missing_until.is_some() {
             self.missing.insert(instance);
         }
+        if let Some(count) = self.births.count_of(entry) {
+            *count += 1;
+        }
         if entry.phase == BackendPhase::Ready {
             self.ready.insert(entry);
         }
@@ -116,6 +145,11 @@
         self.live_digest
     }
 
+    /// Returns how many entries that may be of living processes say when these were born.
+    pub(super) fn births(&self) -> BirthCount {
+        self.births
+    }
+
     /// Returns the backend servers that take new flows.
     pub(super) fn ready(&self) -> &ReadyBackends {
         &self.ready
--- a/crates/valvestage-policy/src/steering/knowledge/incarnation_order.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/incarnation_order.rs
@@ -83,7 +83,9 @@
             self.is_written_since_restore(entry) && !self.is_written_since_restore(other)
         };
         let ends = |other: &BackendEntry| {
-            ended_at.is_some_and(|ended_at| ended_at <= other.position) && !is_after_backup(other)
+            ended_at.is_some_and(|ended_at| ended_at <= other.position)
+                && !is_after_backup(other)
+                && !entry.outweighs(other)
         };
         let is_comparable =
             |other: &BackendEntry| other.position.era == era || !self.is_unsettled(now);
--- a/crates/valvestage-policy/src/steering/knowledge/store_restores.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/store_restores.rs
@@ -134,7 +134,7 @@
         let Some(known) = self.entries.get(reported.instance) else { return false };
         let is_from_backup =
             reported.position.era < known.position.era || reported.position == known.position;
-        let departs = reported.phase == BackendPhase::Draining || has_ended_for_good(reported);
+        let departs = reported.phase == BackendPhase::Draining || reported.has_ended_for_good();
         if !is_from_backup || !departs || known.phase != BackendPhase::Ready {
             return false;
         }
@@ -183,7 +183,7 @@
         let is_former = |known: &BackendEntry| known.position.era < entry.position.era;
         let known = self.entries.get(entry.instance).filter(|known| is_former(known));
         match known {
-            Some(known) if has_ended_for_good(known) => return true,
+            Some(known) if known.has_ended_for_good() => return true,
             Some(known) if !known.is_gone() => return false,
             _ => {}
         }
@@ -191,8 +191,3 @@
             .any(|other| other.instance != entry.instance && is_former(other) && !other.is_gone())
     }
 }
-
-/// Reports whether an incarnation never takes flows again, whatever a backup shows.
-fn has_ended_for_good(entry: &BackendEntry) -> bool {
-    matches!(entry.phase, BackendPhase::Gone { end: BackendEnd::Left | BackendEnd::Superseded, .. })
-}
--- a/crates/valvestage-policy/src/steering/peers.rs
+++ b/crates/valvestage-policy/src/steering/peers.rs
@@ -12,6 +12,7 @@
 //! | [`route_catalogue`] | a configuration in chunks |
 //! | `route_transfer` | fetching a newer configuration |
 //! | [`backend_parts`] | encoding of backend servers in datagrams |
+//! | `part_size` | how many backend servers go into one datagram |
 //! | `backend_walk` | reading the backend servers that a peer knows, window by window |
 //! | [`part_assembly`] | reassembly of values that are split over several datagrams |
 //! | [`report_budget`] | limit on the size of the observations in a heartbeat |
@@ -23,6 +24,7 @@
 pub(in crate::steering) mod backend_walk;
 pub(in crate::steering) mod name_list;
 pub mod part_assembly;
+mod part_size;
 pub mod peer_exchange;
 pub mod peer_message;
 pub mod peer_table;
--- a/crates/valvestage-policy/src/steering/peers/backend_parts.rs
+++ b/crates/valvestage-policy/src/steering/peers/backend_parts.rs
@@ -6,24 +6,17 @@
 use valvestage_core::ids::ShortToken;
 
 use super::name_list::index_of_name;
+use super::part_size::{CHANGES_PER_PART, split_into_parts};
 use super::peer_message::{
-    ANSWER_WINDOW, BackendChange, BackendRecord, BackendsPart, BackendsPull, MAX_MESSAGE_BYTES,
-    MessagePart, PeerMessage, RecordedPhase, WalkScope,
+    ANSWER_WINDOW, BackendChange, BackendRecord, BackendsPart, BackendsPull, MessagePart,
+    PeerMessage, RecordedPhase, WalkScope,
 };
 use crate::steering::knowledge::backend_directory::BackendDirectory;
 use crate::steering::knowledge::backend_entry::{BackendEnd, BackendEntry, BackendPhase};
 use crate::steering::store::watch_role::millis_since;
 
-/// Bytes of one change of a backend server in the codec's encoding: a name whose digest and number
-/// take up to 5 and 9 bytes, an incarnation digest of 4, a position of 11, an address of 7, and
-/// some small fields.
-const CHANGE_BYTES: usize = 45;
-
-/// Number of changes in one datagram. The names of a part fit into the rest of it.
-const CHANGES_PER_DATAGRAM: usize = (MAX_MESSAGE_BYTES - 40) / CHANGE_BYTES;
-
 /// Number of changes in one answer.
-const CHANGES_PER_ANSWER: usize = CHANGES_PER_DATAGRAM * ANSWER_WINDOW;
+const CHANGES_PER_ANSWER: usize = CHANGES_PER_PART * ANSWER_WINDOW;
 
 /// Returns the next changes that another balancer does not know, in the order of their positions.
 /// If not all changes after its position are remembered, returns the first of all backend servers
@@ -39,10 +32,11 @@
     let (after, scope) =
         if is_forgotten { (StorePosition::START, WalkScope::Everything) } else { (after, scope) };
 
-    let (changes, next_position) = next_changes(directory, after);
-    let mut parts: Vec<_> = changes.chunks(CHANGES_PER_DATAGRAM).collect();
-    if parts.is_empty() {
-        parts.push(&[]);
+    let (changes, mut next_position) = next_changes(directory, after);
+    let mut parts = split_into_parts(&changes);
+    if let Some(rest) = parts.get(ANSWER_WINDOW) {
+        next_position = rest.first().map(|entry| entry.position);
+        parts.truncate(ANSWER_WINDOW);
     }
     let count = u16::try_from(parts.len()).unwrap_or(u16::MAX);
     // Each part ends before the first position of the next one, since several entries may have the
@@ -76,10 +70,10 @@
     tokens: &[ShortToken],
     now: Instant,
 ) -> Option<PeerMessage> {
-    let known = tokens.iter().filter_map(|token| directory.by_token(*token));
+    let known: Vec<_> = tokens.iter().filter_map(|token| directory.by_token(*token)).collect();
+    let part = *split_into_parts(&known).first()?;
     let mut names = Vec::new();
-    let changes: Vec<_> =
-        known.take(CHANGES_PER_DATAGRAM).map(|entry| change_of(entry, &mut names, now)).collect();
+    let changes: Vec<_> = part.iter().map(|entry| change_of(entry, &mut names, now)).collect();
 
     (!changes.is_empty()).then(|| {
         PeerMessage::Backends(BackendsPart {
@@ -125,6 +119,7 @@
     BackendChange {
         name: entry.name,
         incarnation_digest: entry.name.incarnation_digest(entry.instance),
+        born: entry.born,
         position: entry.position,
         record: BackendRecord {
             service: index_of_name(names, &entry.service),
@@ -146,7 +141,7 @@
 }
 
 fn entry_of(change: BackendChange, names: &[String], now: Instant) -> Option<BackendEntry> {
-    let BackendChange { name, incarnation_digest, position, record } = change;
+    let BackendChange { name, incarnation_digest, born, position, record } = change;
     let cold_for = Duration::from_millis(record.cold_for_ms.into());
     let phase = match record.phase {
         RecordedPhase::Ready => BackendPhase::Ready,
@@ -162,6 +157,7 @@
     Some(BackendEntry {
         instance: name.with_digest(incarnation_digest),
         name,
+        born,
         position,
         service: names.get(usize::from(record.service))?.clone(),
         address: record.address,
--- a/crates/valvestage-policy/src/steering/peers/peer_message.rs
+++ b/crates/valvestage-policy/src/steering/peers/peer_message.rs
@@ -19,7 +19,7 @@
 use super::route_chunk::{ChunkDigest, RouteChunk};
 use crate::steering::health::outcome_count::OutcomeCount;
 use crate::steering::knowledge::backend_directory::LiveDigest;
-use crate::steering::knowledge::backend_name::{BackendName, IncarnationDigest};
+use crate::steering::knowledge::backend_name::{BackendName, IncarnationDigest, StartMillis};
 use crate::steering::knowledge::evacuated_zones::EvacuationReport;
 use crate::steering::knowledge::request_class::RoutePriority;
 
@@ -529,6 +529,8 @@
     pub name: BackendName,
     /// Digest that distinguishes the incarnations of that name.
     pub incarnation_digest: IncarnationDigest,
+    /// When that incarnation started, if its entry says so.
+    pub born: Option<StartMillis>,
     /// The store's position at the change.
     pub position: StorePosition,
     /// The entry after the change.
@@ -573,7 +575,12 @@
 
 /// Returns the size of a number in the codec's encoding, which stores seven bits per byte.
 pub(super) fn varint_bytes(number: u32) -> usize {
-    let bits = usize::try_from(u32::BITS - number.leading_zeros()).unwrap_or(0);
+    number_bytes(number.into())
+}
+
+/// As [`varint_bytes`], for larger numbers.
+pub(super) fn number_bytes(number: u64) -> usize {
+    let bits = usize::try_from(u64::BITS - number.leading_zeros()).unwrap_or(0);
 
     bits.div_ceil(7).max(1)
 }
--- a/crates/valvestage-policy/src/steering/store/store_link.rs
+++ b/crates/valvestage-policy/src/steering/store/store_link.rs
@@ -45,6 +45,13 @@
     pub change: EntryChange,
 }
 
+impl BackendUpdate {
+    /// Reports whether the entry does not say when its process was born.
+    fn lacks_birth(&self) -> bool {
+        matches!(&self.change, EntryChange::Written(entry) if entry.born.is_none())
+    }
+}
+
 /// State of an entry after a change.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum EntryChange {
@@ -75,6 +82,8 @@
     has_failed_since_begin: bool,
     /// When this balancer started.
     started_at: Instant,
+    /// What was decided on entries since the last call of [`Self::take_decisions`].
+    decisions: Vec<Decision>,
 }
 
 impl StoreLink {
@@ -92,6 +101,7 @@
             last_failure: None,
             has_failed_since_begin: false,
             started_at: now,
+            decisions: Vec::new(),
         }
     }
 
@@ -107,7 +117,8 @@
 
     /// Returns the decisions made since the last call.
     pub fn take_decisions(&mut self) -> Vec<Decision> {
-        let mut decisions = self.routes.take_decisions();
+        let mut decisions = std::mem::take(&mut self.decisions);
+        decisions.extend(self.routes.take_decisions());
         decisions.extend(self.backends.take_decisions());
         decisions.extend(self.evacuations.iter_mut().flat_map(EvacuationFollower::take_decisions));
         decisions
@@ -312,8 +323,12 @@
         now: Instant,
     ) -> Vec<InstanceId> {
         self.note_reply(&reply, now);
-        if let StoreReply::Page { position, .. } = &reply {
+        let mut reply = reply;
+        if let StoreReply::Page { position, objects, .. } = &mut reply {
             knowledge.directory.record_list_position(*position, now);
+            // Whether the deployment's processes tell their births is known from the other entries
+            // of the page, where nothing was known before.
+            objects.sort_by_key(BackendUpdate::lacks_birth);
         }
         let FollowerUpdate { objects, completes } = self.backends.on_reply(reply, now);
         let begins = matches!(
@@ -338,7 +353,7 @@
     /// Applies the change of one backend server's entry. Returns the backend servers whose known
     /// state has changed.
     fn apply_backend_update(
-        &self,
+        &mut self,
         knowledge: &mut Knowledge,
         update: BackendUpdate,
         now: Instant,
@@ -354,15 +369,13 @@
         };
 
         match (change, self.missing_until(now)) {
-            (EntryChange::Written(entry), _) => return directory.apply_entry(entry, now),
-            (EntryChange::Unusable, _) => {
-                // If the entry had lapsed, it exists again: it may have been usable meanwhile, and
-                // others may have seen that.
-                let incarnations =
-                    if live.is_empty() { directory.incarnations(name) } else { live };
-                live = incarnations;
-                live.retain(|instance| directory.mark_unusable(*instance, position));
+            (EntryChange::Written(entry), _) => {
+                if directory.is_unusable_without_birth(&entry) {
+                    self.decisions.push(Decision::BirthMissing { name, position });
+                }
+                return directory.apply_entry(entry, now);
             }
+            (EntryChange::Unusable, _) => return directory.apply_unusable(name, position),
             (EntryChange::Deleted, Some(until)) => {
                 live.retain(|instance| directory.mark_missing(*instance, until));
                 live.extend(directory.mark_superseded_gone(name, position, now));
--- a/crates/valvestage-policy/tests/simulation/backends.rs
+++ b/crates/valvestage-policy/tests/simulation/backends.rs
@@ -6,7 +6,7 @@
 
 use valvestage_core::StorePosition;
 use valvestage_core::ids::InstanceId;
-use valvestage_policy::steering::{BackendEntry, BackendName, BackendPhase};
+use valvestage_policy::steering::{BackendEntry, BackendName, BackendPhase, StartMillis};
 
 use crate::events::{FlowNumber, Millis};
 use crate::site::{SERVICES, ZONES};
@@ -104,6 +104,7 @@
         BackendEntry {
             instance: self.instance,
             name: self.name,
+            born: Some(born_of(self.instance)),
             position: StorePosition::START,
             service: SERVICES[self.service].to_owned(),
             address: self.address,
@@ -124,6 +125,13 @@
     BackendName { digest: 0, number: instance & ((1 << NAME_BITS) - 1) }
 }
 
+/// Returns the start time that an incarnation tells, in milliseconds since 1970.
+fn born_of(instance: InstanceId) -> StartMillis {
+    const FIRST_BORN: StartMillis = 1_796_000_000_000;
+
+    FIRST_BORN + (instance >> NAME_BITS)
+}
+
 /// Returns the id of the next incarnation under the same name.
 pub fn next_incarnation(instance: InstanceId) -> InstanceId {
     instance + (1 << NAME_BITS)
--- a/crates/valvestage-policy/tests/steering/fixtures.rs
+++ b/crates/valvestage-policy/tests/steering/fixtures.rs
@@ -58,6 +58,7 @@
     BackendEntry {
         instance,
         name: name_of(instance),
+        born: None,
         position: at(instance),
         service: service.to_owned(),
         address: address(u8::try_from(instance % 250).unwrap(), 8_080),
--- a/crates/valvestage-policy/tests/steering/main.rs
+++ b/crates/valvestage-policy/tests/steering/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod backend_health;
 mod backend_restarts;
+mod births;
 mod cold_backends;
 mod comparisons;
 mod deployment;
