Leave out entries with an earlier birth until they are confirmed

Cause: the same conclusion as from a missing birth was drawn from a birth before the one held (a late write of the process before, or another writer's entry): by its position alone it counted as a start and ended the living process under its name, or at its address, for good. And no end that was concluded from another entry ever healed.

Ruled out: refusing such entries for good (a start after the clock of its machine went back would never be known); comparing births with the time of day (it jumps here, and a balancer whose clock went back would hold each start for one of the future); the largest birth seen as a bound (each true start is later than it). So a birth in the future is judged only by its range.

Change: an entry with an earlier birth than the process at its name or address ends nothing, and is left out as the conflicting entries of a backup are, each with a time of its own. If it stands for three heartbeats by the steady clock and the store confirms that, it is applied: a living process has overwritten it by then. At an address it waits until the other process is gone. The order in which births are learned, from the store or from peers, does not matter. A process that writes its entry again after it seemed to be superseded lives again, its drain with it.

Conclusion: what contradicts a living process is confirmed before it ends anything. Remains: a later birth by another writer looks like a start.

--- a/crates/valvestage-policy/src/steering/keeper/knowledge_keeper.rs
+++ b/crates/valvestage-policy/src/steering/keeper/knowledge_keeper.rs
@@ -209,7 +209,7 @@
         }
     }
 
-    /// Applies the conflicting entries that a restored store still shows once it has settled, and
+    /// Applies the conflicting entries that the store still shows once their time is over, and
     /// notifies other balancers. They wait for the same confirmation by the store, and receive it
     /// with the heartbeat that notifies them.
     fn resolve_conflicts(&mut self, knowledge: &mut Knowledge, now: Instant) {
--- a/crates/valvestage-policy/src/steering/knowledge.rs
+++ b/crates/valvestage-policy/src/steering/knowledge.rs
@@ -12,7 +12,7 @@
 //! | [`entry_times`] | how soon entries lapse and are written again |
 //! | [`ready_backends`] | backend servers that take new flows, by service and availability zone |
 //! | `incarnation_order` | the order of incarnations at one address and under one name |
-//! | `births` | entries that do not say when their processes were born |
+//! | `births` | what the births of processes say about entries |
 //! | `store_restores` | what stays known after the store is restored from a backup |
 //! | [`evacuated_zones`] | availability zones that get no new flows at the operator's request |
 //! | [`zone_contacts`] | since when the other availability zones have been heard from |
--- a/crates/valvestage-policy/src/steering/knowledge/backend_directory.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/backend_directory.rs
@@ -13,6 +13,7 @@
 use super::entry_times::EntryTimes;
 use super::lapse::RETURN_TIME;
 use super::ready_backends::ReadyBackends;
+use super::store_restores::ConflictingEntry;
 
 /// All known backend servers, by incarnation and by token.
 ///
@@ -49,8 +50,9 @@
     /// When the store has no entry left that stems only from the backup. `None` if the store was
     /// never restored.
     pub(super) era_settles_at: Option<Instant>,
-    /// Entries from the backup that conflict with what is known from an earlier era.
-    pub(super) conflicting: BTreeMap<InstanceId, BackendEntry>,
+    /// Entries that are left out for now: from the backup, if they conflict with what is known from
+    /// an earlier era, and those with an earlier birth than the process that is known.
+    pub(super) conflicting: BTreeMap<InstanceId, ConflictingEntry>,
     /// Last position of each incarnation before its entry became unusable. An unusable entry does
     /// not say which incarnation wrote it last.
     pub(super) positions_before_unusable: HashMap<InstanceId, StorePosition>,
@@ -133,7 +135,26 @@
 
     /// Applies an entry that names a backend server.
     fn apply_sound_entry(&mut self, entry: BackendEntry, now: Instant) -> Vec<InstanceId> {
-        let Some(mut entry) = self.reconcile_eras(entry, now) else { return Vec::new() };
+        let conflicts_until = self.conflicting.get(&entry.instance).map(|it| it.resolves_at);
+        let Some(entry) = self.reconcile_eras(entry, now) else { return Vec::new() };
+        if self.has_doubtful_birth(&entry) {
+            let resolves_at = conflicts_until.unwrap_or(now + self.times().lapse());
+            return self.apply_doubtful_entry(entry, resolves_at);
+        }
+        let rivals = self.doubtful_rivals(&entry);
+        if !rivals.is_empty() {
+            return self.displace_rivals(entry, rivals, now);
+        }
+
+        self.apply_reconciled_entry(entry, now)
+    }
+
+    /// Applies an entry that contradicts nothing of what is known, or has stood for long enough.
+    pub(super) fn apply_reconciled_entry(
+        &mut self,
+        mut entry: BackendEntry,
+        now: Instant,
+    ) -> Vec<InstanceId> {
         // The time in which a known entry may return counts from when this balancer learns that it
         // is gone.
         if let BackendPhase::Gone { since, .. } = &mut entry.phase
@@ -298,6 +319,7 @@
             && entry.position <= self.complete_until
             && !self.entries.contains(entry.instance)
             && !self.may_own_unusable_entry(entry)
+            && self.doubtful_rivals(entry).is_empty()
     }
 
     /// Records that an entry was removed at a position. Returns false if that or newer state is
--- a/crates/valvestage-policy/src/steering/knowledge/backend_name.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/backend_name.rs
@@ -9,7 +9,8 @@
 use crate::steering::text_digest::text_digest;
 
 /// Start time of a backend server by its own clock, in milliseconds since 1970. The clock may jump
-/// back between two starts, so this shows only whether two starts are the same.
+/// back between two starts, so this shows whether two starts are the same, and not for certain which
+/// is later.
 pub type StartMillis = u64;
 
 /// 24-bit digest that distinguishes the incarnations of one name.
--- a/crates/valvestage-policy/src/steering/knowledge/incarnation_order.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/incarnation_order.rs
@@ -85,7 +85,7 @@
         let ends = |other: &BackendEntry| {
             ended_at.is_some_and(|ended_at| ended_at <= other.position)
                 && !is_after_backup(other)
-                && !entry.outweighs(other)
+                && !self.is_own_later_write(entry, other)
         };
         let is_comparable =
             |other: &BackendEntry| other.position.era == era || !self.is_unsettled(now);
@@ -99,7 +99,7 @@
 
     /// Returns the last position at which an incarnation may have written its entry itself. While
     /// the entry is unusable, another writer may have written it since.
-    fn last_own_position(&self, entry: &BackendEntry) -> StorePosition {
+    pub(super) fn last_own_position(&self, entry: &BackendEntry) -> StorePosition {
         let before = self.positions_before_unusable.get(&entry.instance);
 
         before.copied().unwrap_or(entry.position)
--- a/crates/valvestage-policy/src/steering/knowledge/store_restores.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/store_restores.rs
@@ -19,6 +19,14 @@
 use super::backend_entry::{BackendEnd, BackendEntry, BackendPhase};
 use super::backend_name::BackendName;
 
+/// An entry that contradicts what is known, and is left out until a time.
+#[derive(Debug, Clone)]
+pub(super) struct ConflictingEntry {
+    pub(super) entry: BackendEntry,
+    /// When the entry is applied if it is still there.
+    pub(super) resolves_at: Instant,
+}
+
 impl BackendDirectory {
     /// Returns the lowest known position of the store at a list in its present era.
     #[must_use]
@@ -37,30 +45,39 @@
         }
     }
 
-    /// Applies the entries that are still conflicting once the store has settled and has confirmed
+    /// Applies the entries that still conflict once their time is over and the store has confirmed
     /// the knowledge since. Returns the incarnations whose known state changed.
     pub fn resolve_conflicts(
         &mut self,
         confirmed_at: Option<Instant>,
         now: Instant,
     ) -> Vec<InstanceId> {
-        let is_confirmed = self.era_settles_at.is_none_or(|at| confirmed_at >= Some(at));
-        if self.conflicting.is_empty() || self.is_unsettled(now) || !is_confirmed {
+        if self.conflicting.is_empty() || self.is_unsettled(now) {
             return Vec::new();
         }
 
-        let conflicting = std::mem::take(&mut self.conflicting);
-        conflicting.into_values().flat_map(|entry| self.apply_entry(entry, now)).collect()
+        let is_due = |conflict: &&ConflictingEntry| {
+            conflict.resolves_at <= now && confirmed_at >= Some(conflict.resolves_at)
+        };
+        let due: Vec<_> = self.conflicting.values().filter(is_due).cloned().collect();
+        due.into_iter().flat_map(|conflict| self.resolve_conflict(conflict.entry, now)).collect()
     }
 
     /// Returns the conflicting entries, which are left out for now.
     pub fn conflicting(&self) -> impl Iterator<Item = &BackendEntry> {
-        self.conflicting.values()
+        self.conflicting.values().map(|conflict| &conflict.entry)
+    }
+
+    /// Reports whether a known entry is left out as conflicting at the same position.
+    pub(in crate::steering) fn is_left_out(&self, entry: &BackendEntry) -> bool {
+        let conflict = self.conflicting.get(&entry.instance);
+
+        conflict.is_some_and(|conflict| conflict.entry.position == entry.position)
     }
 
     /// Returns the incarnations of a name that have conflicting entries.
     pub fn conflicting_incarnations(&self, name: BackendName) -> impl Iterator<Item = InstanceId> {
-        let of_name = self.conflicting.values().filter(move |entry| entry.name == name);
+        let of_name = self.conflicting().filter(move |entry| entry.name == name);
 
         of_name.map(|entry| entry.instance)
     }
@@ -75,8 +92,8 @@
     ) -> Vec<InstanceId> {
         let is_selected = |entry: &BackendEntry| has_gone(entry) && entry.position <= at;
         let ended: Vec<_> =
-            self.conflicting.values().filter(|entry| is_selected(entry)).cloned().collect();
-        self.conflicting.retain(|_, entry| !is_selected(entry));
+            self.conflicting().filter(|entry| is_selected(entry)).cloned().collect();
+        self.conflicting.retain(|_, conflict| !is_selected(&conflict.entry));
 
         let instances = ended.iter().map(|entry| entry.instance).collect();
         for entry in ended {
@@ -100,8 +117,8 @@
             return Some(entry);
         }
         if self.is_unsettled(now) && self.is_conflicting(&entry) {
-            self.record_change(entry.position);
-            self.conflicting.insert(entry.instance, entry);
+            let resolves_at = self.era_settles_at.unwrap_or(now);
+            self.add_conflict(entry, resolves_at);
             return None;
         }
 
@@ -143,10 +160,19 @@
         true
     }
 
-    /// Returns when the conflicts are resolved. `None` if no entry is conflicting.
+    /// Leaves out an entry for now that contradicts what is known. It is applied if it is still
+    /// there after a time.
+    pub(super) fn add_conflict(&mut self, entry: BackendEntry, resolves_at: Instant) {
+        self.record_change(entry.position);
+        self.conflicting.insert(entry.instance, ConflictingEntry { entry, resolves_at });
+    }
+
+    /// Returns when the next conflict is resolved. `None` if no entry is conflicting.
     #[must_use]
     pub fn conflicts_resolve_at(&self) -> Option<Instant> {
-        self.era_settles_at.filter(|_| !self.conflicting.is_empty())
+        let next = self.conflicting.values().map(|conflict| conflict.resolves_at).min();
+
+        next.max(self.era_settles_at.filter(|_| next.is_some()))
     }
 
     /// Reports whether the store may still show entries that stem only from the backup.
@@ -164,7 +190,7 @@
             is_in_place && conflicting.position < entry.position
         };
 
-        self.conflicting.retain(|_, conflicting| !is_followed(conflicting));
+        self.conflicting.retain(|_, conflict| !is_followed(&conflict.entry));
     }
 
     /// Reports whether an entry was written after the store was first listed in its present era, so
--- a/crates/valvestage-policy/src/steering/peers/backend_parts.rs
+++ b/crates/valvestage-policy/src/steering/peers/backend_parts.rs
@@ -95,7 +95,9 @@
     after: StorePosition,
 ) -> (Vec<&BackendEntry>, Option<StorePosition>) {
     let conflicting = directory.conflicting().filter(|entry| entry.position > after);
-    let first = directory.after(after).take(CHANGES_PER_ANSWER + 1);
+    // What a balancer concluded from a conflict is left to each of the others.
+    let concluded = |entry: &&BackendEntry| !directory.is_left_out(entry);
+    let first = directory.after(after).filter(concluded).take(CHANGES_PER_ANSWER + 1);
     let mut entries: Vec<_> = first.chain(conflicting).collect();
 
     entries.sort_unstable_by_key(|entry| (entry.position, entry.instance));
