List a flow whose packets are dropped while its entry is spoiled

Balancers restart while the entry of the flow's backend server is spoiled, and list the store in that time. By the trace they hold packets with its token and never learn the entry from those that know it as unusable, while the store is silent. Not traced further.

--- a/crates/valvestage-policy/tests/simulation/seeds/dropped_packets.rs
+++ b/crates/valvestage-policy/tests/simulation/seeds/dropped_packets.rs
@@ -30,3 +30,11 @@
 fn packets_for_backend_servers_that_one_balancer_knows_are_not_dropped() {
     assert_no_violations(&[3_023_681]);
 }
+
+/// Balancers 6 to 8 restart while the entry of the flow's backend server is spoiled, and list the
+/// store in that time. They hold a packet with its token (`Held`) and never learn the entry from
+/// those that know it as unusable, while the store is silent.
+#[test]
+fn a_flow_goes_on_at_balancers_that_listed_the_store_while_its_entry_was_spoiled() {
+    assert_no_violations(&[1_303_859]);
+}
