--- a/crates/valvestage-story/src/sentences.rs
+++ b/crates/valvestage-story/src/sentences.rs
@@ -117,6 +117,12 @@
             "The entry of backend server {} is missing after an outage of the store; it may return.",
             text("backend")
         ),
+        "birth_missing" => format!(
+            "The entry of backend server {} at revision {} does not say when its process was born, \
+             as other entries do, and is not used.",
+            text("backend"),
+            text("revision")
+        ),
         "routes_in_force" => format!(
             "Configuration {} with {} addresses came into force after {} (told by {}).",
             text("version"),
