--- a/crates/valvestage-policy/src/steering/knowledge/backend_directory.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/backend_directory.rs
@@ -13,6 +13,7 @@
 use super::entry_times::EntryTimes;
 use super::lapse::RETURN_TIME;
 use super::ready_backends::ReadyBackends;
+use super::store_restores::ConflictingEntry;
 
 /// All known backend servers, by incarnation and by token.
 ///
@@ -49,8 +50,9 @@
     /// When the store has no entry left that stems only from the backup. `None` if the store was
     /// never restored.
     pub(super) era_settles_at: Option<Instant>,
-    /// Entries from the backup that conflict with what is known from an earlier era.
-    pub(super) conflicting: BTreeMap<InstanceId, BackendEntry>,
+    /// Entries that are left out for now: from the backup, if they conflict with what is known from
+    /// an earlier era, and those with an earlier birth than the process that is known.
+    pub(super) conflicting: BTreeMap<InstanceId, ConflictingEntry>,
     /// Last position of each incarnation before its entry became unusable. An unusable entry does
     /// not say which incarnation wrote it last.
     pub(super) positions_before_unusable: HashMap<InstanceId, StorePosition>,
@@ -124,7 +126,35 @@
     /// Applies the state of an entry at its position, with what a new incarnation at a known name
     /// or address implies for the others. Returns the incarnations whose known state changed.
     pub fn apply_entry(&mut self, entry: BackendEntry, now: Instant) -> Vec<InstanceId> {
-        let Some(mut entry) = self.reconcile_eras(entry, now) else { return Vec::new() };
+        if self.is_unusable_without_birth(&entry) {
+            return self.apply_unusable(entry.name, entry.position);
+        }
+
+        self.apply_sound_entry(entry, now)
+    }
+
+    /// Applies an entry that names a backend server.
+    fn apply_sound_entry(&mut self, entry: BackendEntry, now: Instant) -> Vec<InstanceId> {
+        let conflicts_until = self.conflicting.get(&entry.instance).map(|it| it.resolves_at);
+        let Some(entry) = self.reconcile_eras(entry, now) else { return Vec::new() };
+        if self.has_doubtful_birth(&entry) {
+            let resolves_at = conflicts_until.unwrap_or(now + self.times().lapse());
+            return self.apply_doubtful_entry(entry, resolves_at);
+        }
+        let rivals = self.doubtful_rivals(&entry);
+        if !rivals.is_empty() {
+            return self.displace_rivals(entry, rivals, now);
+        }
+
+        self.apply_reconciled_entry(entry, now)
+    }
+
+    /// Applies an entry that contradicts nothing of what is known, or has stood for long enough.
+    pub(super) fn apply_reconciled_entry(
+        &mut self,
+        mut entry: BackendEntry,
+        now: Instant,
+    ) -> Vec<InstanceId> {
         // The time in which a known entry may return counts from when this balancer learns that it
         // is gone.
         if let BackendPhase::Gone { since, .. } = &mut entry.phase
@@ -179,7 +209,11 @@
             None if self.may_be_written_again(&entry, now) => self.settles_at,
             None => is_absent.then(|| now + RETURN_TIME),
         };
-        let changed = self.apply_entry(entry, now);
+        let changed = if self.lacks_birth(&entry) && self.contradicts_birth(&entry) {
+            self.apply_unusable(entry.name, position)
+        } else {
+            self.apply_sound_entry(entry, now)
+        };
         let stays_missing = missing_until.filter(|_| position <= self.read_until);
         if let Some(until) = stays_missing {
             self.mark_missing(instance, until);
@@ -245,6 +279,18 @@
         self.changed_at = self.changed_at.max(at);
     }
 
+    /// Records that the entry of a name has named no usable backend server since a position. Returns
+    /// the incarnations whose known state changed.
+    pub fn apply_unusable(&mut self, name: BackendName, at: StorePosition) -> Vec<InstanceId> {
+        let live = self.live_of(name);
+        // If the entry had lapsed, it exists again: it may have been usable meanwhile, and others
+        // may have seen that.
+        let mut incarnations = if live.is_empty() { self.incarnations(name) } else { live };
+
+        incarnations.retain(|instance| self.mark_unusable(*instance, at));
+        incarnations
+    }
+
     /// Records that the entry of an incarnation has named no usable backend server since a
     /// position. Returns false if newer state is known.
     pub fn mark_unusable(&mut self, instance: InstanceId, at: StorePosition) -> bool {
@@ -273,6 +319,7 @@
             && entry.position <= self.complete_until
             && !self.entries.contains(entry.instance)
             && !self.may_own_unusable_entry(entry)
+            && self.doubtful_rivals(entry).is_empty()
     }
 
     /// Records that an entry was removed at a position. Returns false if that or newer state is
