Order changes of backend servers by position and incarnation

Cause: parts of an answer began and ended at positions. Balancers conclude the ends of all entries that a list lacks at one position, so that several parts of an answer began at the same one. They replaced each other while they waited for the first one; a lost one went unnoticed; and of more entries at one position than an answer holds the rest was never sent, so that the walk went on for ever. Change: ChangeCursor, a position and an incarnation, in pulls, parts and walks.

--- a/crates/valvestage-entry/tests/peer_codec.rs
+++ b/crates/valvestage-entry/tests/peer_codec.rs
@@ -18,8 +18,8 @@
 use valvestage_policy::steering::peers::backend_parts::backends_messages;
 use valvestage_policy::steering::peers::peer_message::{
     AvoidanceReport, BackendChange, BackendRecord, BackendsPart, BackendsPull, BalancerReport,
-    ChunksPull, ClassLoadReport, HealthReport, LifeReport, MAX_MESSAGE_BYTES, MessagePart,
-    OutcomeReport, PaceReport, PeerHeartbeat, RecordedPhase, RoutesIndex, RoutesPull,
+    ChangeCursor, ChunksPull, ClassLoadReport, HealthReport, LifeReport, MAX_MESSAGE_BYTES,
+    MessagePart, OutcomeReport, PaceReport, PeerHeartbeat, RecordedPhase, RoutesIndex, RoutesPull,
     ServiceDemand, ServiceLoadReport, SuspicionQuery, SuspicionRefutation, WalkScope,
     WatcherSighting,
 };
@@ -114,14 +114,14 @@
         PeerMessage::ChunksPull(ChunksPull { digests: vec![[u8::MAX; 8]; 16] }),
         PeerMessage::RoutesChunk(chunk),
         PeerMessage::BackendsPull(BackendsPull {
-            after: store_position(u64::MAX),
+            after: ChangeCursor::after(store_position(u64::MAX)),
             scope: WalkScope::Changes,
         }),
         PeerMessage::Backends(BackendsPart {
             part,
             scope: WalkScope::Everything,
-            after: store_position(0),
-            covers_until: None,
+            after: ChangeCursor::after(store_position(u64::MAX)),
+            covers_until: Some(ChangeCursor::after(store_position(u64::MAX))),
             complete_until: store_position(u64::MAX),
             changed_at: store_position(u64::MAX),
             names: vec!["core".to_owned()],
@@ -427,7 +427,7 @@
             });
         }
 
-        let mut after = store_position(0);
+        let mut after = ChangeCursor::START;
         let mut seen = Vec::new();
         loop {
             let pull = BackendsPull { after, scope: WalkScope::Everything };
--- a/crates/valvestage-policy/src/steering/knowledge/backend_directory.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/backend_directory.rs
@@ -396,7 +396,7 @@
         missing_until: Option<Instant>,
         now: Instant,
     ) -> Vec<InstanceId> {
-        let absent = self.live_until(at, |instance| !listed.contains(&instance));
+        let absent = self.live_until(at, |entry| !listed.contains(&entry.instance));
 
         for instance in self.superseded_without_successor() {
             self.mark_gone(instance, at, now);
@@ -406,17 +406,17 @@
         absent
     }
 
-    /// Applies the entries that a peer reports as gone, if both balancers know every change up to
-    /// the same position. Returns those that were known as live: they are now gone, or missing if a
+    /// Applies the entries that a peer reports as gone, with the positions of their ends, if both
+    /// balancers know every change up to the same position. Returns those that were known as live: they are now gone, or missing if a
     /// time is given until which they may return.
     pub fn apply_peer_removals(
         &mut self,
-        gone: &HashSet<InstanceId>,
+        gone: &HashMap<InstanceId, StorePosition>,
         at: StorePosition,
         missing_until: Option<Instant>,
         now: Instant,
     ) -> Vec<InstanceId> {
-        let absent = self.live_until(at, |instance| gone.contains(&instance));
+        let absent = self.live_until(at, |entry| gone.contains_key(&entry.instance));
 
         self.end_absent(&absent, at, missing_until, now);
         absent
@@ -426,11 +426,10 @@
     fn live_until(
         &self,
         at: StorePosition,
-        is_selected: impl Fn(InstanceId) -> bool,
+        is_selected: impl Fn(&BackendEntry) -> bool,
     ) -> Vec<InstanceId> {
-        let is_live = |entry: &&BackendEntry| {
-            !entry.is_gone() && entry.position <= at && is_selected(entry.instance)
-        };
+        let is_live =
+            |entry: &&BackendEntry| !entry.is_gone() && entry.position <= at && is_selected(entry);
 
         self.entries.all().filter(is_live).map(|entry| entry.instance).collect()
     }
@@ -543,9 +542,14 @@
         self.entries.all()
     }
 
-    /// Returns the entries with positions after the given one, in order.
-    pub fn after(&self, position: StorePosition) -> impl Iterator<Item = &BackendEntry> {
-        self.entries.after(position)
+    /// Returns the entries with later positions, or with higher incarnations at the same position,
+    /// in this order.
+    pub fn after(
+        &self,
+        position: StorePosition,
+        instance: InstanceId,
+    ) -> impl Iterator<Item = &BackendEntry> {
+        self.entries.after(position, instance)
     }
 
     /// Returns the entries that are missing and may return.
--- a/crates/valvestage-policy/src/steering/knowledge/entry_table.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/entry_table.rs
@@ -160,9 +160,14 @@
         self.visited(self.by_position.iter().map(|(_, instance)| instance))
     }
 
-    /// Returns the entries with positions after the given one, in order.
-    pub(super) fn after(&self, position: StorePosition) -> impl Iterator<Item = &BackendEntry> {
-        let begin = Bound::Excluded((position, InstanceId::MAX));
+    /// Returns the entries with later positions, or with higher incarnations at the same position,
+    /// in this order.
+    pub(super) fn after(
+        &self,
+        position: StorePosition,
+        instance: InstanceId,
+    ) -> impl Iterator<Item = &BackendEntry> {
+        let begin = Bound::Excluded((position, instance));
         let later = self.by_position.range((begin, Bound::Unbounded));
 
         self.visited(later.map(|(_, instance)| instance))
--- a/crates/valvestage-policy/src/steering/peers/backend_parts.rs
+++ b/crates/valvestage-policy/src/steering/peers/backend_parts.rs
@@ -2,14 +2,13 @@
 
 use std::time::{Duration, Instant};
 
-use valvestage_core::StorePosition;
 use valvestage_core::ids::ShortToken;
 
 use super::name_list::index_of_name;
 use super::part_size::{CHANGES_PER_PART, split_into_parts};
 use super::peer_message::{
-    ANSWER_WINDOW, BackendChange, BackendRecord, BackendsPart, BackendsPull, MessagePart,
-    PeerMessage, RecordedPhase, WalkScope,
+    ANSWER_WINDOW, BackendChange, BackendRecord, BackendsPart, BackendsPull, ChangeCursor,
+    MessagePart, PeerMessage, RecordedPhase, WalkScope,
 };
 use crate::steering::knowledge::backend_directory::BackendDirectory;
 use crate::steering::knowledge::backend_entry::{BackendEnd, BackendEntry, BackendPhase};
@@ -28,25 +27,22 @@
     now: Instant,
 ) -> Vec<PeerMessage> {
     let BackendsPull { after, scope } = pull;
-    let is_forgotten = scope == WalkScope::Changes && !directory.knows_changes_after(after);
+    let is_forgotten =
+        scope == WalkScope::Changes && !directory.knows_changes_after(after.whole_until());
     let (after, scope) =
-        if is_forgotten { (StorePosition::START, WalkScope::Everything) } else { (after, scope) };
+        if is_forgotten { (ChangeCursor::START, WalkScope::Everything) } else { (after, scope) };
 
-    let (changes, mut next_position) = next_changes(directory, after);
+    let (changes, mut has_more) = next_changes(directory, after);
     let mut parts = split_into_parts(&changes);
-    if let Some(rest) = parts.get(ANSWER_WINDOW) {
-        next_position = rest.first().map(|entry| entry.position);
-        parts.truncate(ANSWER_WINDOW);
-    }
+    has_more |= parts.len() > ANSWER_WINDOW;
+    parts.truncate(ANSWER_WINDOW);
     let count = u16::try_from(parts.len()).unwrap_or(u16::MAX);
-    // Each part ends before the first position of the next one, since several entries may have the
-    // same position.
-    let ends = parts.iter().skip(1).map(|part| part.first().map(|entry| entry.position.before()));
-    let ends: Vec<_> = ends.chain([next_position.map(StorePosition::before)]).collect();
 
     let mut begin = after;
     let mut messages = Vec::with_capacity(parts.len());
-    for ((index, entries), end) in (0..count).zip(parts).zip(ends) {
+    for (index, entries) in (0..count).zip(parts) {
+        let is_last = !has_more && index + 1 == count;
+        let end = entries.last().filter(|_| !is_last).map(|entry| cursor_of(entry));
         let mut names = Vec::new();
         let changes = entries.iter().map(|entry| change_of(entry, &mut names, now)).collect();
         messages.push(PeerMessage::Backends(BackendsPart {
@@ -80,7 +76,7 @@
         PeerMessage::Backends(BackendsPart {
             part: MessagePart { index: 0, count: 1 },
             scope: WalkScope::UnresolvedTokens,
-            after: StorePosition::START,
+            after: ChangeCursor::START,
             covers_until: None,
             complete_until: directory.complete_until(),
             changed_at: directory.changed_at(),
@@ -90,22 +86,25 @@
     })
 }
 
-/// Returns the entries after a position, as many as go into one answer, and the position of the
-/// entry that follows them.
-fn next_changes(
-    directory: &BackendDirectory,
-    after: StorePosition,
-) -> (Vec<&BackendEntry>, Option<StorePosition>) {
-    let conflicting = directory.conflicting().filter(|entry| entry.position > after);
+fn cursor_of(entry: &BackendEntry) -> ChangeCursor {
+    ChangeCursor { position: entry.position, instance: entry.instance }
+}
+
+/// Returns the entries after a place, as many as go into one answer, and whether more follow.
+fn next_changes(directory: &BackendDirectory, after: ChangeCursor) -> (Vec<&BackendEntry>, bool) {
+    let conflicting = directory.conflicting().filter(|entry| cursor_of(entry) > after);
     // What a balancer concluded from a conflict is left to each of the others.
     let concluded = |entry: &&BackendEntry| !directory.is_left_out(entry);
-    let first = directory.after(after).filter(concluded).take(CHANGES_PER_ANSWER + 1);
+    let first = directory
+        .after(after.position, after.instance)
+        .filter(concluded)
+        .take(CHANGES_PER_ANSWER + 1);
     let mut entries: Vec<_> = first.chain(conflicting).collect();
 
-    entries.sort_unstable_by_key(|entry| (entry.position, entry.instance));
-    let next_position = entries.get(CHANGES_PER_ANSWER).map(|entry| entry.position);
+    entries.sort_unstable_by_key(|entry| cursor_of(entry));
+    let has_more = entries.len() > CHANGES_PER_ANSWER;
     entries.truncate(CHANGES_PER_ANSWER);
-    (entries, next_position)
+    (entries, has_more)
 }
 
 fn change_of(entry: &BackendEntry, names: &mut Vec<String>, now: Instant) -> BackendChange {
--- a/crates/valvestage-policy/src/steering/peers/backend_walk.rs
+++ b/crates/valvestage-policy/src/steering/peers/backend_walk.rs
@@ -7,7 +7,7 @@
 //! know. See [`PartCoverage`] for what they show together.
 
 use std::cmp::Ordering;
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
@@ -17,7 +17,7 @@
 use super::awaited_answer::AwaitedAnswer;
 use super::backend_parts::entries_of;
 use super::part_coverage::{PartCoverage, PartRange};
-use super::peer_message::{BackendsPart, BackendsPull, PeerMessage, WalkScope};
+use super::peer_message::{BackendsPart, BackendsPull, ChangeCursor, PeerMessage, WalkScope};
 use crate::steering::decision::{ConcludedRemovals, IncompleteAnswer, RemovalBasis};
 use crate::steering::knowledge::Knowledge;
 use crate::steering::knowledge::backend_directory::BackendDirectory;
@@ -77,9 +77,9 @@
 struct ReportedBackends {
     /// Those that it counts as live.
     live: HashSet<InstanceId>,
-    /// Those whose entries are gone. The peer may report such an end at the position that the entry
-    /// had while it existed.
-    gone: HashSet<InstanceId>,
+    /// Those whose entries are gone, with the positions of their ends. The peer may report such an
+    /// end at the position that the entry had while it existed.
+    gone: HashMap<InstanceId, StorePosition>,
 }
 
 impl ReportedBackends {
@@ -87,8 +87,11 @@
         let mut reported = Self::default();
 
         for entry in entries {
-            let set = if entry.is_gone() { &mut reported.gone } else { &mut reported.live };
-            set.insert(entry.instance);
+            if entry.is_gone() {
+                reported.gone.insert(entry.instance, entry.position);
+            } else {
+                reported.live.insert(entry.instance);
+            }
         }
         reported
     }
@@ -143,23 +146,23 @@
 struct Walk {
     peer: SocketAddrV4,
     scope: WalkScope,
-    /// Everything up to this position has arrived; initially the position at which the walk began.
-    cursor: StorePosition,
+    /// Everything up to here has arrived; initially the beginning of the walk.
+    cursor: ChangeCursor,
     /// Where the answer in progress begins. If it does not advance the cursor, no further pull
     /// follows it.
-    pulled_from: StorePosition,
+    pulled_from: ChangeCursor,
     /// What the parts up to the cursor show together.
     coverage: PartCoverage,
     /// The backend servers that were reported.
     reported: ReportedBackends,
-    /// Parts that arrived before their predecessors, by the position after which they begin.
-    out_of_order: BTreeMap<StorePosition, ArrivedPart>,
+    /// Parts that arrived before their predecessors, by their beginnings.
+    out_of_order: BTreeMap<ChangeCursor, ArrivedPart>,
     /// When the walk expires.
     expires_at: Instant,
 }
 
 impl Walk {
-    fn new(peer: SocketAddrV4, scope: WalkScope, after: StorePosition, now: Instant) -> Self {
+    fn new(peer: SocketAddrV4, scope: WalkScope, after: ChangeCursor, now: Instant) -> Self {
         Self {
             peer,
             scope,
@@ -226,14 +229,15 @@
 
         let known_until = knowledge.directory.complete_until();
         let asks_all = !self.has_history || self.should_pull_everything(knowledge, now);
-        let begin = if asks_all { StorePosition::START } else { known_until };
+        let known_cursor = ChangeCursor::after(known_until);
+        let begin = if asks_all { ChangeCursor::START } else { known_cursor };
         let scope =
-            if begin > StorePosition::START { WalkScope::Changes } else { WalkScope::Everything };
+            if begin > ChangeCursor::START { WalkScope::Changes } else { WalkScope::Everything };
         self.walk = self.walk.take().filter(|walk| walk.expires_at > now);
         let walk = self.walk.get_or_insert_with(|| Walk::new(peer, scope, begin, now));
         walk.continue_with(peer);
         if walk.scope == WalkScope::Changes {
-            walk.cursor = walk.cursor.max(known_until);
+            walk.cursor = walk.cursor.max(known_cursor);
             walk.coverage.advance(known_until);
         }
         Some(self.next_pull(peer, now))
@@ -266,7 +270,7 @@
         }
 
         self.next_compare_at = Some(now + COMPARE_INTERVAL);
-        self.walk = Some(Walk::new(peer, WalkScope::Everything, StorePosition::START, now));
+        self.walk = Some(Walk::new(peer, WalkScope::Everything, ChangeCursor::START, now));
         Some(self.next_pull(peer, now))
     }
 
@@ -279,7 +283,7 @@
     ) -> Option<(IncompleteAnswer, Option<(SocketAddrV4, PeerMessage)>)> {
         let awaited = self.awaited.as_ref().filter(|awaited| awaited.is_timed_out(now))?;
         let (peer, may_ask) = (awaited.peer(), awaited.can_retry());
-        let cursor = self.walk.as_ref().map_or(0, |walk| walk.cursor.revision);
+        let cursor = self.walk.as_ref().map_or(0, |walk| walk.cursor.position.revision);
         let incomplete = awaited.incomplete(StoreKind::Backends, cursor, now);
 
         let next_message = may_ask.then(|| self.pull(knowledge, peer, now)).flatten();
@@ -339,14 +343,17 @@
         &mut self,
         sender: SocketAddrV4,
         scope: WalkScope,
-        after: StorePosition,
+        after: ChangeCursor,
         now: Instant,
     ) -> Option<&mut Walk> {
         let walk = self.walk.as_mut().filter(|walk| walk.peer == sender)?;
 
         // The peer does not remember all changes that were asked for, and begins with everything.
-        if scope == WalkScope::Everything && walk.scope == WalkScope::Changes && after.is_start() {
-            *walk = Walk::new(sender, WalkScope::Everything, StorePosition::START, now);
+        if scope == WalkScope::Everything
+            && walk.scope == WalkScope::Changes
+            && after == ChangeCursor::START
+        {
+            *walk = Walk::new(sender, WalkScope::Everything, ChangeCursor::START, now);
         }
         Some(walk).filter(|walk| walk.scope == scope)
     }
@@ -359,7 +366,7 @@
                 walk.pulled_from = walk.cursor;
                 (walk.cursor, walk.scope)
             }
-            None => (StorePosition::START, WalkScope::Everything),
+            None => (ChangeCursor::START, WalkScope::Everything),
         };
 
         PeerMessage::BackendsPull(BackendsPull { after, scope })
--- a/crates/valvestage-policy/src/steering/peers/part_coverage.rs
+++ b/crates/valvestage-policy/src/steering/peers/part_coverage.rs
@@ -4,15 +4,15 @@
 
 use valvestage_core::StorePosition;
 
-use super::peer_message::BackendsPart;
+use super::peer_message::{BackendsPart, ChangeCursor};
 
-/// The positions that a part is about, and how much its sender knew when it sent the part.
+/// The changes that a part is about, and how much its sender knew when it sent the part.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct PartRange {
-    /// The part begins after this position.
-    pub(super) after: StorePosition,
-    /// The part ends with this position; `None` if it is the last one.
-    pub(super) covers_until: Option<StorePosition>,
+    /// The part begins here.
+    pub(super) after: ChangeCursor,
+    /// The part ends here; `None` if it is the last one.
+    pub(super) covers_until: Option<ChangeCursor>,
     /// The sender knew every change up to this position.
     pub(super) complete_until: StorePosition,
     /// The sender knew no change after this position.
@@ -30,13 +30,15 @@
         }
     }
 
-    /// Returns the position up to which the part contains every change after its beginning.
-    fn certain_until(&self) -> StorePosition {
-        self.covers_until.map_or(self.complete_until, |until| until.min(self.complete_until))
+    /// Returns up to where the part contains every change after its beginning.
+    fn certain_until(&self) -> ChangeCursor {
+        let known_until = ChangeCursor::after(self.complete_until);
+
+        self.covers_until.map_or(known_until, |until| until.min(known_until))
     }
 }
 
-/// The positions that the parts of a walk cover together without a gap.
+/// The changes that the parts of a walk cover together without a gap.
 ///
 /// A part shows every entry in its range only up to the position up to which its sender knew every
 /// change. Parts of different moments or senders may miss an entry that has moved: one sender has
@@ -45,8 +47,8 @@
 /// what is covered in the end, or if one sender gave all parts in the order in which it learned.
 #[derive(Debug)]
 pub(super) struct PartCoverage {
-    /// Every change after the beginning of the walk up to this position is contained.
-    certain_until: StorePosition,
+    /// Every change after the beginning of the walk up to here is contained.
+    certain_until: ChangeCursor,
     /// The latest change that a sender knew.
     changed_at: StorePosition,
     /// The sender of the latest part; `None` before the first one.
@@ -56,8 +58,8 @@
 }
 
 impl PartCoverage {
-    /// Creates the coverage of a walk that begins after a position.
-    pub(super) fn new(after: StorePosition) -> Self {
+    /// Creates the coverage of a walk that begins at a place.
+    pub(super) fn new(after: ChangeCursor) -> Self {
         Self {
             certain_until: after,
             changed_at: StorePosition::START,
@@ -66,14 +68,14 @@
         }
     }
 
-    /// Returns the position up to which every change after the beginning of the walk is contained.
-    pub(super) fn certain_until(&self) -> StorePosition {
+    /// Returns up to where every change after the beginning of the walk is contained.
+    pub(super) fn certain_until(&self) -> ChangeCursor {
         self.certain_until
     }
 
     /// Records that every change up to a position has become known otherwise.
     pub(super) fn advance(&mut self, until: StorePosition) {
-        self.certain_until = self.certain_until.max(until);
+        self.certain_until = self.certain_until.max(ChangeCursor::after(until));
     }
 
     /// Adds a part.
@@ -91,11 +93,11 @@
     /// Returns the position up to which all changes are known with the parts, if they have all
     /// arrived. `None` if an entry may be missing.
     pub(super) fn complete_until(&self) -> Option<StorePosition> {
-        (self.is_consistent || self.shows_absence()).then_some(self.certain_until)
+        (self.is_consistent || self.shows_absence()).then(|| self.certain_until.whole_until())
     }
 
     /// Reports whether a backend server that no part contains is gone, if all parts have arrived.
     pub(super) fn shows_absence(&self) -> bool {
-        self.certain_until >= self.changed_at
+        self.certain_until.whole_until() >= self.changed_at
     }
 }
--- a/crates/valvestage-policy/src/steering/peers/part_size.rs
+++ b/crates/valvestage-policy/src/steering/peers/part_size.rs
@@ -7,9 +7,9 @@
 pub(super) const CHANGES_PER_PART: usize = 30;
 
 /// Maximum size in bytes of what a datagram holds beside names and changes: the version byte, the
-/// kind, two counts of 3 bytes, a scope, four positions of 20 bytes and their option byte, and two
-/// lengths of 2 bytes.
-const HEADER_BYTES: usize = 94;
+/// kind, two counts of 3 bytes, a scope, four positions of 20 bytes, of which two have an
+/// incarnation of 10 and one an option byte, and two lengths of 2 bytes.
+const HEADER_BYTES: usize = 114;
 
 /// Size in bytes of the fields of a change whose size does not vary: two indexes of names, of which
 /// a part has less than 128, an address of 7 bytes, and the option byte of the start time.
--- a/crates/valvestage-policy/src/steering/peers/peer_exchange.rs
+++ b/crates/valvestage-policy/src/steering/peers/peer_exchange.rs
@@ -274,7 +274,8 @@
 /// report.
 fn answer_backends(knowledge: &Knowledge, pull: BackendsPull, now: Instant) -> Vec<PeerMessage> {
     let directory = &knowledge.directory;
-    let is_requested = pull.scope == WalkScope::Everything || directory.changed_at() > pull.after;
+    let is_requested =
+        pull.scope == WalkScope::Everything || directory.changed_at() > pull.after.whole_until();
     if !directory.is_complete() || !is_requested {
         return Vec::new();
     }
--- a/crates/valvestage-policy/src/steering/peers/peer_message.rs
+++ b/crates/valvestage-policy/src/steering/peers/peer_message.rs
@@ -476,12 +476,42 @@
 /// Asks for changes of backend servers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BackendsPull {
-    /// Changes up to this position are known, or were reported in this walk.
-    pub after: StorePosition,
+    /// Changes up to here are known, or were reported in this walk.
+    pub after: ChangeCursor,
     /// What the sender of the pull is reading.
     pub scope: WalkScope,
 }
 
+/// Place in the order of changes, which are ordered by position and, at one position, by
+/// incarnation.
+///
+/// Several changes may have one position: balancers conclude that backend servers are gone at the
+/// position that they have read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ChangeCursor {
+    /// Position of the last change before this place.
+    pub position: StorePosition,
+    /// Incarnation of that change; the highest one if all changes at the position come before.
+    pub instance: InstanceId,
+}
+
+impl ChangeCursor {
+    /// The place before all changes.
+    pub const START: Self = Self::after(StorePosition::START);
+
+    /// Returns the place after all changes at a position.
+    #[must_use]
+    pub const fn after(position: StorePosition) -> Self {
+        Self { position, instance: InstanceId::MAX }
+    }
+
+    /// Returns the last position at which all changes come before this place.
+    #[must_use]
+    pub fn whole_until(self) -> StorePosition {
+        if self.instance == InstanceId::MAX { self.position } else { self.position.before() }
+    }
+}
+
 /// The backend servers that a pull asks for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum WalkScope {
@@ -509,11 +539,10 @@
     pub part: MessagePart,
     /// The scope of the pull that this answers.
     pub scope: WalkScope,
-    /// The changes begin after this position.
-    pub after: StorePosition,
-    /// With this part, all changes up to this position have been sent; `None` if no further ones
-    /// follow.
-    pub covers_until: Option<StorePosition>,
+    /// The changes begin here.
+    pub after: ChangeCursor,
+    /// With this part, all changes up to here have been sent; `None` if no further ones follow.
+    pub covers_until: Option<ChangeCursor>,
     /// The sender knows every change up to this position.
     pub complete_until: StorePosition,
     /// The sender knows no change after this position. What it knows between the two positions may
--- a/crates/valvestage-policy/tests/steering/backend_restarts.rs
+++ b/crates/valvestage-policy/tests/steering/backend_restarts.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use valvestage_policy::steering::peers::backend_parts::{backends_messages, entries_of};
-use valvestage_policy::steering::peers::peer_message::{BackendsPull, WalkScope};
+use valvestage_policy::steering::peers::peer_message::{BackendsPull, ChangeCursor, WalkScope};
 use valvestage_policy::steering::{
     BackendDirectory, BackendEnd, BackendEntry, BackendName, BackendPhase, Knowledge,
     PacketVerdict, PeerMessage, ResetReason, SteeringOptions, SteeringPolicy,
@@ -118,7 +118,7 @@
     sender.complete(at(1_100));
 
     let mut receiver = BackendDirectory::default();
-    let pull = BackendsPull { after: at(0), scope: WalkScope::Everything };
+    let pull = BackendsPull { after: ChangeCursor::START, scope: WalkScope::Everything };
     for message in backends_messages(&sender, pull, now) {
         let PeerMessage::Backends(part) = message else { panic!("not a part of backends") };
         for entry in entries_of(part, now) {
--- a/crates/valvestage-policy/tests/steering/births.rs
+++ b/crates/valvestage-policy/tests/steering/births.rs
@@ -7,7 +7,7 @@
 
 use quickcheck::{Arbitrary, Gen};
 use valvestage_policy::steering::peers::backend_parts::{backends_messages, entries_of};
-use valvestage_policy::steering::peers::peer_message::{BackendsPull, WalkScope};
+use valvestage_policy::steering::peers::peer_message::{BackendsPull, ChangeCursor, WalkScope};
 use valvestage_policy::steering::{
     BackendDirectory, BackendEntry, BackendName, BackendPhase, BackendUpdate, EntryChange,
     Knowledge, PacketVerdict, PeerMessage, SteeringOptions, SteeringPolicy, StoreLink, StoreReply,
@@ -248,7 +248,7 @@
 
 /// Tells one balancer all that another one knows.
 fn exchange(sender: &BackendDirectory, receiver: &mut BackendDirectory, now: Instant) {
-    let pull = BackendsPull { after: at(0), scope: WalkScope::Everything };
+    let pull = BackendsPull { after: ChangeCursor::START, scope: WalkScope::Everything };
 
     for message in backends_messages(sender, pull, now) {
         let PeerMessage::Backends(part) = message else { panic!("not a part of backends") };
--- a/crates/valvestage-policy/tests/steering/comparisons.rs
+++ b/crates/valvestage-policy/tests/steering/comparisons.rs
@@ -8,7 +8,7 @@
 
 use valvestage_policy::steering::peers::backend_parts::backends_messages;
 use valvestage_policy::steering::peers::peer_message::{
-    BackendsPart, BackendsPull, HealthReport, PeerHeartbeat, WalkScope,
+    BackendsPart, BackendsPull, ChangeCursor, HealthReport, PeerHeartbeat, WalkScope,
 };
 use valvestage_policy::steering::{
     BackendDirectory, BackendEntry, BackendPhase, EntryPolicy, PeerMessage,
@@ -45,7 +45,7 @@
 /// Sends a balancer the contents of a directory without a request.
 fn send_directory(deployment: &mut Deployment, node: usize, sender: &BackendDirectory) {
     let now = deployment.now;
-    let pull = BackendsPull { after: at(0), scope: WalkScope::Everything };
+    let pull = BackendsPull { after: ChangeCursor::START, scope: WalkScope::Everything };
 
     for message in backends_messages(sender, pull, now) {
         let policy = deployment.nodes[node].as_mut().expect("the balancer runs");
@@ -222,7 +222,7 @@
     }
     directory.complete(at(9));
 
-    let ended = directory.apply_peer_removals(&[2].into(), at(9), None, start());
+    let ended = directory.apply_peer_removals(&[(2, at(9))].into(), at(9), None, start());
     assert_eq!(ended, [2]);
     assert!(directory.get(2).is_some_and(BackendEntry::is_gone));
     assert!(directory.get(3).is_some_and(|entry| !entry.is_gone()));
@@ -234,14 +234,19 @@
     directory.put(backend(2, "core", OWN_ZONE));
     directory.complete(at(9));
 
-    directory.apply_peer_removals(&[2].into(), at(9), Some(start() + millis(2_000)), start());
+    directory.apply_peer_removals(
+        &[(2, at(9))].into(),
+        at(9),
+        Some(start() + millis(2_000)),
+        start(),
+    );
     let entry = directory.get(2).expect("entry 2 is known");
     assert!(!entry.is_gone() && entry.missing_until.is_some());
 }
 
 /// Returns the only part of an answer with everything that a directory contains.
 fn whole_part(directory: &BackendDirectory, now: Instant) -> BackendsPart {
-    let pull = BackendsPull { after: at(0), scope: WalkScope::Everything };
+    let pull = BackendsPull { after: ChangeCursor::START, scope: WalkScope::Everything };
 
     match backends_messages(directory, pull, now).pop() {
         Some(PeerMessage::Backends(part)) => part,
@@ -270,12 +275,13 @@
     let later = at(known_until.revision + 5);
     let mut first = whole_part(&sender, now);
     first.changes.retain(|change| change.name != name_of(1));
-    first.covers_until = Some(known_until);
+    first.covers_until = Some(ChangeCursor::after(known_until));
     first.complete_until = at(1);
     first.changed_at = later;
     first.part.count = 2;
     let mut last = BackendsPart { changes: Vec::new(), ..first.clone() };
-    (last.after, last.covers_until, last.complete_until) = (known_until, None, later);
+    (last.after, last.covers_until, last.complete_until) =
+        (ChangeCursor::after(known_until), None, later);
     last.part.index = 1;
     let policy = deployment.nodes[0].as_mut().expect("the balancer runs");
     for part in [first, last] {
--- /dev/null
+++ b/crates/valvestage-policy/tests/steering/ends_at_one_position.rs
@@ -0,0 +1,186 @@
+//! Guards against answers about many backend servers with one position: balancers conclude the ends
+//! of all that a list lacks at the position of the list.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use valvestage_policy::steering::peers::backend_parts::backends_messages;
+use valvestage_policy::steering::peers::peer_message::{
+    BackendsPull, ChangeCursor, HealthReport, PeerHeartbeat, WalkScope,
+};
+use valvestage_policy::steering::{BackendDirectory, BackendEntry, EntryPolicy, PeerMessage};
+
+use crate::deployment::{Deployment, node_address};
+use crate::fixtures::{OWN_ZONE, at, backend, millis, routes, start};
+use crate::links::{LinkLimits, LinkTable};
+
+/// Links with room for everything.
+const WIDE_LINK: LinkLimits =
+    LinkLimits { bytes_per_s: 125_000_000, queue_bytes: 4 << 20, loss: 0.0 };
+
+/// Returns one of many backend servers, each with an address of its own.
+fn numbered(instance: u64, position: u64) -> BackendEntry {
+    let [.., high, low] = instance.to_be_bytes();
+    let address = SocketAddrV4::new(Ipv4Addr::new(10, 1, high, low), 8_080);
+
+    BackendEntry { address, position: at(position), ..backend(instance, "core", OWN_ZONE) }
+}
+
+fn heartbeat_of(sender: &BackendDirectory) -> PeerMessage {
+    PeerMessage::Heartbeat(PeerHeartbeat {
+        zone: OWN_ZONE.to_owned(),
+        wants_answer: false,
+        version: 0,
+        complete_until: sender.complete_until(),
+        changed_at: sender.changed_at(),
+        era_head: sender.era_head(),
+        live_digest: sender.live_digest(),
+        age_ms: 0,
+        outage_age_ms: u32::MAX,
+        watchers: Vec::new(),
+        peers: Vec::new(),
+        health: HealthReport::default(),
+        evacuations: None,
+        demands: None,
+        loads: Vec::new(),
+        unresolved_tokens: Vec::new(),
+    })
+}
+
+/// Delivers a message of another balancer.
+fn deliver(deployment: &mut Deployment, message: PeerMessage) {
+    let now = deployment.now;
+
+    deployment.nodes[0].as_mut().expect("it runs").on_message(node_address(5), message, now);
+}
+
+fn answer(
+    sender: &BackendDirectory,
+    after: ChangeCursor,
+    deployment: &Deployment,
+) -> Vec<PeerMessage> {
+    backends_messages(sender, BackendsPull { after, scope: WalkScope::Everything }, deployment.now)
+}
+
+fn is_gone(deployment: &Deployment, instance: u64) -> Option<bool> {
+    deployment.node(0).knowledge().directory.get(instance).map(BackendEntry::is_gone)
+}
+
+/// Returns a balancer whose calls to the store are not answered, and have not failed yet.
+fn alone() -> Deployment {
+    let mut deployment = Deployment::new(1);
+    deployment.disconnected_from_store = vec![0];
+    deployment.run(millis(500));
+    deployment
+}
+
+/// Returns a directory with a datagram of live entries, and then one live entry and 70 ends at
+/// position 100.
+fn ends_at_one_position() -> BackendDirectory {
+    let mut sender = BackendDirectory::default();
+    for instance in 1..=30 {
+        sender.put(numbered(instance, instance));
+    }
+    sender.put(numbered(100, 100));
+    for instance in 200..270 {
+        sender.put(numbered(instance, 30));
+        sender.mark_gone(instance, at(100), start());
+    }
+    sender.complete(at(100));
+    sender
+}
+
+/// Guards against parts that replace each other while they wait for the first one, since they begin
+/// at the same position.
+#[test]
+fn parts_that_wait_for_the_first_one_are_all_applied() {
+    let mut deployment = alone();
+    let sender = ends_at_one_position();
+    deliver(&mut deployment, heartbeat_of(&sender));
+
+    let parts = answer(&sender, ChangeCursor::START, &deployment);
+    assert!(parts.len() > 3, "{} parts", parts.len());
+    for part in parts.iter().skip(1).chain(&parts) {
+        deliver(&mut deployment, part.clone());
+    }
+    assert_eq!(deployment.node(0).knowledge().directory.complete_until(), at(100));
+    assert_eq!(is_gone(&deployment, 100), Some(false));
+}
+
+/// Guards against a lost part that goes unnoticed since the next one begins at the same position.
+#[test]
+fn a_lost_part_among_ends_at_one_position_is_noticed() {
+    for lost in 0..4 {
+        let mut deployment = alone();
+        let sender = ends_at_one_position();
+        deliver(&mut deployment, heartbeat_of(&sender));
+
+        let parts = answer(&sender, ChangeCursor::START, &deployment);
+        for (_, part) in parts.into_iter().enumerate().filter(|(index, _)| *index != lost) {
+            deliver(&mut deployment, part);
+        }
+        assert!(deployment.node(0).knowledge().directory.complete_until() < at(100), "{lost}");
+    }
+}
+
+/// Returns four balancers that have found all entries from `ended` missing after an outage of the
+/// store, and so ended them at one position. `last` is written at that position.
+fn after_outage(live: u64, ended: u64, last: u64) -> Deployment {
+    let mut deployment = Deployment::over_links(4, 1, Some(WIDE_LINK));
+    deployment.store.put_routes(routes(3, &[(443, "core")]));
+    for instance in (last + 1..=live).chain(1_001..=1_000 + ended) {
+        deployment.store.put_backend(numbered(instance, 0));
+    }
+    deployment.run(millis(4_000));
+    deployment.store_down = true;
+    deployment.run(millis(1_000));
+    for instance in 1_001..=1_000 + ended {
+        deployment.store.delete_backend(instance);
+    }
+    deployment.store.put_backend(numbered(last, 0));
+    deployment.store_down = false;
+    deployment.run(millis(12_000));
+    deployment
+}
+
+fn count_gone(node: &EntryPolicy, is_counted: impl Fn(u64) -> bool) -> usize {
+    let entries = node.knowledge().directory.iter();
+
+    entries.filter(|entry| entry.is_gone() && is_counted(entry.instance)).count()
+}
+
+/// Guards against living backend servers that count as gone, where only balancers tell each other:
+/// one that cannot reach the store starts again and again, and datagrams are lost.
+#[test]
+fn starts_with_losses_end_no_living_backend_server() {
+    for loss in [0.02, 0.05, 0.1] {
+        let mut deployment = after_outage(61, 200, 1);
+        deployment.links = Some(LinkTable::new(4, LinkLimits { loss, ..WIDE_LINK }));
+        deployment.disconnected_from_store = vec![3];
+
+        for round in 0..30 {
+            deployment.start(3);
+            deployment.run(millis(3_000));
+            for node in deployment.nodes.iter().flatten() {
+                assert_eq!(count_gone(node, |id| id < 1_000), 0, "start {round}, loss {loss}");
+            }
+        }
+    }
+}
+
+/// Guards against balancers that read the ends at one position again and again, since more of them
+/// have this position than an answer holds.
+#[test]
+fn more_ends_at_one_position_than_an_answer_holds_are_learned() {
+    let mut deployment = after_outage(100, 600, 1);
+
+    for node in deployment.nodes.iter().flatten() {
+        assert_eq!(count_gone(node, |_| true), 600);
+    }
+    deployment.start(3);
+    deployment.run(millis(5_000));
+    let messages = deployment.messages;
+    deployment.run(millis(5_000));
+    // Each balancer sends at most four heartbeats each 400 ms, and further ones that announce
+    // confirmations by the store.
+    assert!(deployment.messages - messages <= 4 * 4 * 20, "{}", deployment.messages - messages);
+}
--- a/crates/valvestage-policy/tests/steering/lapses.rs
+++ b/crates/valvestage-policy/tests/steering/lapses.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use valvestage_policy::steering::peers::backend_parts::{backends_messages, entries_of};
-use valvestage_policy::steering::peers::peer_message::{BackendsPull, WalkScope};
+use valvestage_policy::steering::peers::peer_message::{BackendsPull, ChangeCursor, WalkScope};
 use valvestage_policy::steering::{
     BackendDirectory, BackendEntry, BackendPhase, CallerPacket, EntryTimes, Knowledge,
     PacketVerdict, PeerMessage, ResetReason, SteeringOptions, SteeringPolicy,
@@ -241,7 +241,7 @@
     sender.mark_gone(9, at(2_000), site.now);
     site.now += ago;
 
-    let pull = BackendsPull { after: at(0), scope: WalkScope::Everything };
+    let pull = BackendsPull { after: ChangeCursor::START, scope: WalkScope::Everything };
     for message in backends_messages(&sender, pull, site.now) {
         let PeerMessage::Backends(part) = message else { panic!("not a part of backends") };
         for entry in entries_of(part, site.now) {
--- a/crates/valvestage-policy/tests/steering/main.rs
+++ b/crates/valvestage-policy/tests/steering/main.rs
@@ -9,6 +9,7 @@
 mod deployment;
 mod directory;
 mod ended_flows;
+mod ends_at_one_position;
 mod evacuations;
 mod fixtures;
 mod fleet;
--- a/crates/valvestage-policy/tests/steering/peers.rs
+++ b/crates/valvestage-policy/tests/steering/peers.rs
@@ -3,7 +3,7 @@
 use valvestage_policy::steering::peers::backend_parts::backends_messages;
 use valvestage_policy::steering::peers::part_assembly::PartAssembly;
 use valvestage_policy::steering::peers::peer_message::{
-    BackendsPull, MAX_MESSAGE_BYTES, MessagePart, PeerMessage, RoutesIndex, WalkScope,
+    BackendsPull, ChangeCursor, MAX_MESSAGE_BYTES, MessagePart, PeerMessage, RoutesIndex, WalkScope,
 };
 use valvestage_policy::steering::peers::peer_table::PeerTable;
 use valvestage_policy::steering::peers::route_catalogue::RouteCatalogue;
@@ -218,7 +218,7 @@
     }
     directory.complete(at(9));
     let reported_count = |directory: &BackendDirectory, after| {
-        let pull = BackendsPull { after, scope: WalkScope::Changes };
+        let pull = BackendsPull { after: ChangeCursor::after(after), scope: WalkScope::Changes };
         let messages = backends_messages(directory, pull, now);
         let parts = messages.into_iter().map(|message| match message {
             PeerMessage::Backends(part) => part.changes.len(),
