Apply no end of an entry that has returned since

Cause: of two balancers that know the same changes, one takes over the ends that the other reports in a walk. A part that was sent before an entry returned reports its end, and the position of the end was not compared with that of the entry. Change: an end counts only if the entry is not known at a later position.

--- a/crates/valvestage-policy/src/steering/knowledge/backend_directory.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/backend_directory.rs
@@ -416,7 +416,11 @@
         missing_until: Option<Instant>,
         now: Instant,
     ) -> Vec<InstanceId> {
-        let absent = self.live_until(at, |entry| gone.contains_key(&entry.instance));
+        // An entry that is known at a later position than its end has returned since.
+        let is_ended = |entry: &BackendEntry| {
+            gone.get(&entry.instance).is_some_and(|end| *end >= entry.position)
+        };
+        let absent = self.live_until(at, is_ended);
 
         self.end_absent(&absent, at, missing_until, now);
         absent
--- a/crates/valvestage-policy/tests/steering/ends_at_one_position.rs
+++ b/crates/valvestage-policy/tests/steering/ends_at_one_position.rs
@@ -122,6 +122,53 @@
     }
 }
 
+/// Guards against an end that is applied although the entry has returned: one part of a walk reports
+/// the entry as gone, and it returns before the last part.
+#[test]
+fn an_entry_that_returns_during_a_walk_is_not_gone() {
+    let mut deployment = Deployment::new(1);
+    deployment.store.put_routes(routes(3, &[(443, "core")]));
+    for instance in 1..=40 {
+        deployment.store.put_backend(numbered(instance, 0));
+    }
+    deployment.run(millis(3_000));
+    deployment.store.delete_backend(2);
+    for instance in 41..=80 {
+        deployment.store.put_backend(numbered(instance, 0));
+    }
+    deployment.run(millis(1_500));
+    assert_eq!(is_gone(&deployment, 2), Some(true));
+
+    // The peer has read the same from the store.
+    let mut sender = BackendDirectory::default();
+    sender.put(numbered(2, 3));
+    sender.mark_gone(2, at(42), start());
+    for entry in deployment.store.backends.values() {
+        sender.put(entry.clone());
+    }
+    sender.complete(at(deployment.store.revision));
+    deliver(&mut deployment, heartbeat_of(&sender));
+    let mut parts = answer(&sender, ChangeCursor::START, &deployment);
+    parts.pop();
+    let mut cursor = ChangeCursor::START;
+    for part in parts {
+        if let PeerMessage::Backends(part) = &part {
+            cursor = part.covers_until.expect("further parts follow");
+        }
+        deliver(&mut deployment, part);
+    }
+
+    deployment.store.put_backend(numbered(2, 0));
+    let returned = deployment.store.backends[&2].clone();
+    deployment.run(millis(600));
+    sender.apply_entry(returned, start());
+    sender.complete(at(deployment.store.revision));
+    for part in answer(&sender, cursor, &deployment) {
+        deliver(&mut deployment, part);
+    }
+    assert_eq!(is_gone(&deployment, 2), Some(false));
+}
+
 /// Returns four balancers that have found all entries from `ended` missing after an outage of the
 /// store, and so ended them at one position. `last` is written at that position.
 fn after_outage(live: u64, ended: u64, last: u64) -> Deployment {
