Count callers, not flows, as evidence that a backend server is dead

Cause: retransmissions were evidence about the backend server alone. Three flows of one caller ended all resting flows; two made a suspicion, which other balancers took for a confirmation although it came from the same caller, or from opening packets. All flows of one address share the links that lead to it, so they are one piece of evidence.

Ruled out: refutations that came late (no balancer had an answer to refute with); resting flows as evidence (they were never counted); a longer wait (a link may be away for longer); more flows (a caller may have any number of them); an own probe of the health path (a slot, and a request that is dear on some sheets).

Change: a suspicion takes two callers, an end of open flows three that miss answers on open flows. Reports of suspicions name up to three callers by a digest of a byte, so that balancers count each caller once; callers of opening packets are not named. Two silent flows of one caller make only its own new flows go elsewhere. Reports that exceed their budget give up counts of outcomes last; the report of many failures had 275 bytes of 260 without that.

Tests changed: the fixture `flow` gave all flows one caller address, so that tests of independent silence were cases of this fault; now each has its own (the same in `suspicion_traffic`). Suspicions that tests make up name callers that the receiver does not see. No bound, time or assertion is weaker. In `full_backends` two balancers that know of openings only report no callers.

A dead backend server with callers enough is noticed as before; with one or two callers its entry tells.

--- a/crates/valvestage-entry/tests/peer_codec.rs
+++ b/crates/valvestage-entry/tests/peer_codec.rs
@@ -19,8 +19,8 @@
     AvoidanceReport, BackendChange, BackendRecord, BackendsPart, BackendsPull, BalancerReport,
     ChunksPull, ClassLoadReport, HealthReport, LifeReport, MAX_MESSAGE_BYTES, MessagePart,
     OutcomeReport, PaceReport, PeerHeartbeat, RecordedPhase, RoutesIndex, RoutesPull,
-    ServiceDemand, ServiceLoadReport, SuspicionQuery, SuspicionRefutation, WalkScope,
-    WatcherSighting,
+    ServiceDemand, ServiceLoadReport, SuspicionQuery, SuspicionRefutation, SuspicionReport,
+    WalkScope, WatcherSighting,
 };
 use valvestage_policy::steering::peers::report_budget::{REPORT_BYTES, fit_report};
 use valvestage_policy::steering::peers::route_chunk::{ChunkEntry, RouteChunk};
@@ -124,13 +124,18 @@
             changes: changes.to_vec(),
         }),
         PeerMessage::SuspicionQuery(SuspicionQuery {
-            suspects: vec![u64::MAX; MAX_QUERIED],
+            suspects: vec![suspicion(u64::MAX); MAX_QUERIED],
             doubted: vec![u64::MAX; MAX_QUERIED],
         }),
         PeerMessage::Refutation(SuspicionRefutation { alive: lives(MAX_QUERIED) }),
     ]
 }
 
+/// Returns the largest possible report of a suspicion of a backend server.
+fn suspicion(instance: u64) -> SuspicionReport {
+    SuspicionReport { instance, callers: vec![u8::MAX; 3] }
+}
+
 /// Returns the largest possible signs of life of some backend servers.
 fn lives(count: usize) -> Vec<LifeReport> {
     vec![LifeReport { instance: u64::MAX, answered_ago_ms: u32::MAX }; count]
@@ -192,7 +197,7 @@
             observe_answer(&mut observer, &knowledge, FIRST + number, usual * 7, later);
         }
     }
-    let suspects: Vec<_> = (FIRST..FIRST + 40).collect();
+    let suspects: Vec<_> = (FIRST..FIRST + 40).map(suspicion).collect();
     observer.on_suspicions(address(3), &suspects, later);
     observer.report(later)
 }
@@ -313,7 +318,7 @@
     let instance = |number: u64| u64::MAX - number;
     let health = HealthReport {
         // Senders report at most eight suspects and signs of life together, and eight avoidances.
-        suspects: (0..8).map(instance).collect(),
+        suspects: (0..8).map(instance).map(suspicion).collect(),
         outcomes: (0..16).map(|number| OutcomeReport::new(instance(number), &count)).collect(),
         avoided: (0..8)
             .map(|number| AvoidanceReport { instance: instance(number), left_ms: u32::MAX })
--- a/crates/valvestage-entry/tests/suspicion_traffic.rs
+++ b/crates/valvestage-entry/tests/suspicion_traffic.rs
@@ -7,7 +7,7 @@
 use valvestage_core::StorePosition;
 use valvestage_entry::peer_codec::encode;
 use valvestage_policy::steering::peers::peer_message::{
-    HealthReport, PeerHeartbeat, SuspicionQuery,
+    HealthReport, PeerHeartbeat, SuspicionQuery, SuspicionReport,
 };
 use valvestage_policy::steering::{
     BackendDirectory, BackendEntry, BackendName, BackendPhase, BackendUpdate, CallerPacket,
@@ -41,13 +41,21 @@
     SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, number), 7_000)
 }
 
+/// Returns the flow of a caller that has no other one.
 fn flow(port: u16) -> FlowAddresses {
+    let [high, low] = port.to_be_bytes();
+
     FlowAddresses {
-        caller: SocketAddrV4::new(Ipv4Addr::new(10, 0, 1, 1), 10_000 + port),
+        caller: SocketAddrV4::new(Ipv4Addr::new(10, 1, high, low), 10_000 + port),
         service: SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443),
     }
 }
 
+/// Returns the report of a suspicion with as many callers as balancers report.
+fn suspicion(instance: u64) -> SuspicionReport {
+    SuspicionReport { instance, callers: vec![1, 2, 3] }
+}
+
 fn backends() -> Vec<BackendUpdate> {
     let position = StorePosition::new(0, 5);
     let entry = |number: u64| {
@@ -152,7 +160,7 @@
     }
 
     /// Handles a heartbeat of another balancer.
-    fn hear(&mut self, number: u8, suspects: Vec<u64>) {
+    fn hear(&mut self, number: u8, suspects: Vec<SuspicionReport>) {
         let position = StorePosition::new(0, 5);
         let heartbeat = PeerHeartbeat {
             zone: "zone-a".to_owned(),
@@ -251,7 +259,7 @@
             if steps.is_multiple_of(10) {
                 let number = u8::try_from(steps % u64::from(PEERS)).unwrap() + 1;
                 let suspects = (0..8).map(|next| FIRST + (steps + 2 * next + 1) % BACKENDS);
-                let suspects: Vec<_> = suspects.collect();
+                let suspects: Vec<_> = suspects.map(suspicion).collect();
                 balancer.hear(number, suspects.clone());
                 let query = SuspicionQuery { suspects, doubted: Vec::new() };
                 balancer.receive(number + 1, PeerMessage::SuspicionQuery(query));
--- a/crates/valvestage-policy/src/steering/health.rs
+++ b/crates/valvestage-policy/src/steering/health.rs
@@ -4,6 +4,7 @@
 //! |---|---|
 //! | [`backend_observer`] | entry point that feeds all detectors |
 //! | [`backend_health`] | detection of backend servers that seem dead |
+//! | [`caller_digest`] | identification of callers in messages about suspicions |
 //! | `health_record` | state of one backend server for that detection |
 //! | [`refutation_queue`] | questions to other balancers about suspicions, and the answers |
 //! | `byte_budget` | limit on the bytes of these messages |
@@ -26,6 +27,7 @@
 pub mod backend_observer;
 pub mod backend_pace;
 mod byte_budget;
+pub mod caller_digest;
 pub mod fleet_pace;
 pub mod flow_request;
 mod health_record;
--- a/crates/valvestage-policy/src/steering/health/backend_health.rs
+++ b/crates/valvestage-policy/src/steering/health/backend_health.rs
@@ -1,17 +1,18 @@
 //! Detection of backend servers that seem dead, from retransmissions of callers.
 //!
 //! Answers bypass the balancers. A caller that retransmits a packet shows that an answer is
-//! missing; one that acknowledges more than before shows that the backend server lives. One missing
-//! answer may be a lost datagram, so a backend server is suspected only if several flows miss
-//! answers and no flow got one meanwhile.
+//! missing; one that acknowledges more than before shows that the backend server lives. What one
+//! caller misses may have been lost on a link of its own, so a backend server is suspected only if
+//! several callers miss answers and no flow got one meanwhile.
 //!
-//! New flows leave a suspected backend server at once. Its open flows end only if open flows miss
-//! answers and no other balancer refutes the suspicion: a full backend server is silent to new
-//! flows, and among a hundred balancers each sees about one answer in a hundred.
+//! New flows leave a suspected backend server at once. Its open flows end only if three callers miss
+//! answers on open flows, here or at other balancers that suspect it, and no other balancer refutes
+//! that: a full backend server is silent to new flows, and among a hundred balancers each sees about
+//! one answer in a hundred.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, HashMap};
-use std::net::SocketAddrV4;
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::{Duration, Instant};
 
 use valvestage_core::ids::InstanceId;
@@ -23,7 +24,7 @@
 use crate::steering::decision::Decision;
 use crate::steering::packets::caller_packet::FlowAddresses;
 use crate::steering::packets::flow_record::LivenessSignal;
-use crate::steering::peers::peer_message::LifeReport;
+use crate::steering::peers::peer_message::{LifeReport, SuspicionReport};
 
 /// Maximum number of suspects and signs of life reported in a heartbeat, the latest first. More
 /// suspects mean that the fault is elsewhere, and together with counts and avoidances this limit
@@ -91,10 +92,16 @@
 
     /// Records that another balancer suspects a backend server, and refutes that if a sign of life
     /// is known.
-    pub fn on_peer_suspicion(&mut self, peer: SocketAddrV4, instance: InstanceId, now: Instant) {
+    pub fn on_peer_suspicion(
+        &mut self,
+        peer: SocketAddrV4,
+        report: &SuspicionReport,
+        now: Instant,
+    ) {
+        let instance = report.instance;
         let record = self.records.entry(instance).or_default();
         let had_evidence = record.evidence_since(false, now).is_some();
-        record.on_peer_suspicion(peer, now);
+        record.on_peer_suspicion(peer, &report.callers, now);
 
         if record.evidence_since(false, now).is_some() && !had_evidence {
             self.refutations.ask(instance);
@@ -149,9 +156,9 @@
     }
 
     /// Records that another balancer was told of suspicions, which it is to be told the end of.
-    pub fn on_told(&mut self, peer: SocketAddrV4, suspects: &[InstanceId], now: Instant) {
-        for instance in suspects {
-            self.refutations.on_told(peer, *instance, now);
+    pub fn on_told(&mut self, peer: SocketAddrV4, suspects: &[SuspicionReport], now: Instant) {
+        for instance in suspects.iter().map(|suspicion| suspicion.instance) {
+            self.refutations.on_told(peer, instance, now);
         }
     }
 
@@ -203,11 +210,12 @@
 
     /// Returns the questions and refutations to send now.
     pub fn take_messages(&mut self, now: Instant) -> SuspicionMessages {
-        let is_suspect = |instance: &InstanceId| {
-            self.records.get(instance).is_some_and(|record| record.is_own_suspect(now))
+        let suspicion = |instance: InstanceId| {
+            let record = self.records.get(&instance)?;
+            record.is_own_suspect(now).then(|| suspicion_report(instance, record, now))
         };
 
-        self.refutations.take_messages(is_suspect, now)
+        self.refutations.take_messages(suspicion, now)
     }
 
     /// Returns the signs of life of backend servers that other balancers suspect, the latest first.
@@ -237,6 +245,18 @@
         suspects.into_iter().map(|(_, instance)| instance).collect()
     }
 
+    /// Returns the reports of the latest suspicions, the latest first, at most `count`.
+    #[must_use]
+    pub fn suspicions(&self, count: usize, now: Instant) -> Vec<SuspicionReport> {
+        let suspects = self.suspects(now).into_iter().take(count);
+        let record = |instance| Some((instance, self.records.get(&instance)?));
+
+        suspects
+            .filter_map(record)
+            .map(|(instance, record)| suspicion_report(instance, record, now))
+            .collect()
+    }
+
     /// Returns the backend servers that are suspected from packets seen here or by reports of other
     /// balancers, in no particular order.
     pub fn all_suspects(&self, now: Instant) -> impl Iterator<Item = InstanceId> {
@@ -249,7 +269,13 @@
         self.records.get(&instance).is_some_and(|record| record.is_suspect(now))
     }
 
-    /// Reports whether so many flows miss an answer that the flows of a backend server would be
+    /// Reports whether a backend server seems not to answer a caller, whatever the cause.
+    #[must_use]
+    pub fn is_silent_to(&self, instance: InstanceId, caller: Ipv4Addr, now: Instant) -> bool {
+        self.records.get(&instance).is_some_and(|record| record.is_silent_to(caller, now))
+    }
+
+    /// Reports whether so many callers miss an answer that the flows of a backend server would be
     /// ended if nobody refuted that. Flows that miss the answer to their opening packets count only
     /// if `counts_openings`.
     #[must_use]
@@ -259,7 +285,7 @@
         record.is_some_and(|record| record.evidence_since(counts_openings, now).is_some())
     }
 
-    /// Reports whether the flows of a backend server are to be ended: enough of them miss an
+    /// Reports whether the flows of a backend server are to be ended: enough callers miss an
     /// answer, and nobody has refuted that. See [`Self::is_in_doubt`] for `counts_openings`.
     #[must_use]
     pub fn is_considered_dead(
@@ -312,3 +338,7 @@
         self.refutations.forget(now);
     }
 }
+
+fn suspicion_report(instance: InstanceId, record: &HealthRecord, now: Instant) -> SuspicionReport {
+    SuspicionReport { instance, callers: record.reported_callers(now) }
+}
--- a/crates/valvestage-policy/src/steering/health/backend_observer.rs
+++ b/crates/valvestage-policy/src/steering/health/backend_observer.rs
@@ -19,7 +19,9 @@
 use crate::steering::packets::flow_ends::counts_openings;
 use crate::steering::packets::flow_record::LivenessSignal;
 use crate::steering::packets::flow_tracker::{FlowObservation, FlowTracker};
-use crate::steering::peers::peer_message::{HealthReport, LifeReport, PaceReport, SuspicionQuery};
+use crate::steering::peers::peer_message::{
+    HealthReport, LifeReport, PaceReport, SuspicionQuery, SuspicionReport,
+};
 
 /// Detects the backend servers that seem dead, fail too many requests, or are slow.
 #[derive(Debug)]
@@ -106,7 +108,7 @@
     /// Returns the observations to report to other balancers.
     #[must_use]
     pub fn report(&self, now: Instant) -> HealthReport {
-        let mut suspects = self.health.suspects(now);
+        let mut suspects = self.health.suspicions(MAX_REPORTED_STATES, now);
         let mut alive = self.health.lives(now);
 
         alive.truncate(MAX_REPORTED_STATES - suspects.len().min(MAX_REPORTED_STATES / 2));
@@ -131,9 +133,14 @@
     }
 
     /// Records that another balancer suspects some backend servers.
-    pub fn on_suspicions(&mut self, peer: SocketAddrV4, suspects: &[InstanceId], now: Instant) {
-        for instance in suspects {
-            self.health.on_peer_suspicion(peer, *instance, now);
+    pub fn on_suspicions(
+        &mut self,
+        peer: SocketAddrV4,
+        suspects: &[SuspicionReport],
+        now: Instant,
+    ) {
+        for report in suspects {
+            self.health.on_peer_suspicion(peer, report, now);
         }
     }
 
@@ -159,7 +166,7 @@
     }
 
     /// Records that another balancer was told of suspicions.
-    pub fn on_told(&mut self, peer: SocketAddrV4, suspects: &[InstanceId], now: Instant) {
+    pub fn on_told(&mut self, peer: SocketAddrV4, suspects: &[SuspicionReport], now: Instant) {
         self.health.on_told(peer, suspects, now);
     }
 
--- a/crates/valvestage-policy/src/steering/health/health_record.rs
+++ b/crates/valvestage-policy/src/steering/health/health_record.rs
@@ -1,21 +1,33 @@
 //! Signs of life and missing answers of one backend server.
+//!
+//! A missing answer is evidence about the links of its caller as much as about the backend server,
+//! however many flows of that caller miss one. Therefore callers are counted, not flows.
 
-use std::net::SocketAddrV4;
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::{Duration, Instant};
 
+use super::caller_digest::{CallerDigest, caller_digest};
 use crate::steering::packets::caller_packet::FlowAddresses;
 use crate::steering::placement::flow_placer::MAX_ANSWER_TIME;
 
-/// Number of flows that have to miss an answer before their backend server is suspected. A single
-/// flow may have lost datagrams.
-const FLOWS_TO_SUSPECT: usize = 2;
+/// Number of callers that have to miss an answer before a backend server is suspected.
+const CALLERS_TO_SUSPECT: usize = 2;
 
-/// Number of flows that have to miss an answer before open flows are ended. Resetting a flow whose
-/// backend server lives is worse than a wait, so this takes more than a suspicion.
-const FLOWS_TO_GIVE_UP: usize = 3;
+/// Number of callers that have to miss an answer on an open flow before open flows are ended. The
+/// callers that other balancers report count, but each caller once. Resetting a flow whose backend
+/// server lives is worse than a wait, so this takes more than a suspicion.
+const CALLERS_TO_GIVE_UP: usize = 3;
 
-/// As [`FLOWS_TO_GIVE_UP`], while another balancer reports the suspicion as well.
-const FLOWS_TO_CONFIRM: usize = 1;
+/// Number of flows of one caller that have to miss an answer before its own new flows avoid the
+/// backend server. A single flow may have lost datagrams.
+const FLOWS_TO_AVOID: usize = 2;
+
+/// Maximum number of callers that are reported with a suspicion. With one that the receiver has
+/// seen itself, two would be enough if no caller used both balancers.
+pub(in crate::steering) const MAX_REPORTED_CALLERS: usize = CALLERS_TO_GIVE_UP;
+
+/// Maximum number of balancers whose suspicions of one backend server are kept, the latest ones.
+const MAX_PEER_SUSPICIONS: usize = 4;
 
 /// Duration of a suspicion, after which a new flow tries the backend server again. The entry of a
 /// dead backend server disappears after some 2.3 s.
@@ -46,15 +58,16 @@
     repeated_at: Instant,
 }
 
-/// Suspicion of other balancers.
-#[derive(Debug, Clone, Copy)]
+/// Suspicion of another balancer.
+#[derive(Debug, Clone)]
 struct PeerSuspicion {
-    /// When it was first reported, without a gap of [`PEER_REPORT_TTL`] since.
-    since: Instant,
     /// When it was last reported.
     reported_at: Instant,
-    /// The balancer that last reported it.
+    /// The balancer that reported it.
     reported_by: SocketAddrV4,
+    /// The callers that miss answers on open flows there, each with the time at which it was first
+    /// reported, without a gap of [`PEER_REPORT_TTL`] since.
+    callers: Vec<(CallerDigest, Instant)>,
 }
 
 /// What a balancer knows about the liveness of one backend server.
@@ -69,8 +82,10 @@
     suspect_until: Option<Instant>,
     /// Start of the current or latest uninterrupted suspicion; kept after its end.
     suspect_since: Option<Instant>,
-    peer_suspicion: Option<PeerSuspicion>,
-    /// Time until which the backend server is considered dead, as long as enough flows miss an
+    /// Suspicions of other balancers, one each, the latest report last; at most
+    /// [`MAX_PEER_SUSPICIONS`].
+    peer_suspicions: Vec<PeerSuspicion>,
+    /// Time until which the backend server is considered dead, as long as enough callers miss an
     /// answer.
     dead_until: Option<Instant>,
 }
@@ -84,7 +99,7 @@
         self.last_answer = Some(now);
         self.misses.clear();
         self.suspect_until = None;
-        self.peer_suspicion = None;
+        self.peer_suspicions.clear();
         self.dead_until = None;
         was_suspect
     }
@@ -99,26 +114,28 @@
         let was_suspect = self.is_suspect(now);
         self.reported_answer = Some(at);
         self.misses.retain(|miss| miss.since > at);
-        if self.misses.len() < FLOWS_TO_SUSPECT {
+        if !have_callers(self.misses.iter(), CALLERS_TO_SUSPECT) {
             self.suspect_until = None;
         }
-        if self.peer_suspicion.is_some_and(|suspicion| refutes(at, suspicion.reported_at)) {
-            self.peer_suspicion = None;
-        }
+        self.peer_suspicions.retain(|suspicion| !refutes(at, suspicion.reported_at));
         self.drop_conclusion(now);
         was_suspect && !self.is_suspect(now)
     }
 
     /// Records that another balancer no longer suspects the backend server.
     pub(super) fn on_retraction(&mut self, peer: SocketAddrV4, now: Instant) {
-        if self.peer_suspicion.is_some_and(|suspicion| suspicion.reported_by == peer) {
-            self.peer_suspicion = None;
-            self.drop_conclusion(now);
-        }
+        self.peer_suspicions.retain(|suspicion| suspicion.reported_by != peer);
+        self.drop_conclusion(now);
     }
 
-    /// Records that another balancer suspects the backend server.
-    pub(super) fn on_peer_suspicion(&mut self, peer: SocketAddrV4, now: Instant) {
+    /// Records that another balancer suspects the backend server, and of which callers open flows
+    /// miss answers there.
+    pub(super) fn on_peer_suspicion(
+        &mut self,
+        peer: SocketAddrV4,
+        callers: &[CallerDigest],
+        now: Instant,
+    ) {
         /// A sign of life seen here within this time takes precedence over reports of others.
         const ANSWER_PRECEDENCE: Duration = Duration::from_millis(500);
 
@@ -126,9 +143,29 @@
         if has_answered || self.reported_answer.is_some_and(|life| refutes(life, now)) {
             return;
         }
-        let since = self.peer_suspicion.filter(|suspicion| suspicion.counts(now));
-        let since = since.map_or(now, |suspicion| suspicion.since);
-        self.peer_suspicion = Some(PeerSuspicion { since, reported_at: now, reported_by: peer });
+        let former = self.take_peer_suspicion(peer, now);
+        let callers = callers.iter().take(MAX_REPORTED_CALLERS).map(|caller| {
+            let known = former.iter().find(|(known, _)| known == caller);
+            (*caller, known.map_or(now, |(_, since)| *since))
+        });
+        let callers = callers.collect();
+        self.peer_suspicions.push(PeerSuspicion { reported_at: now, reported_by: peer, callers });
+        if self.peer_suspicions.len() > MAX_PEER_SUSPICIONS {
+            self.peer_suspicions.remove(0);
+        }
+    }
+
+    /// Removes the suspicions that no longer count and that of a balancer, and returns the callers
+    /// of the latter if it still counted.
+    fn take_peer_suspicion(
+        &mut self,
+        peer: SocketAddrV4,
+        now: Instant,
+    ) -> Vec<(CallerDigest, Instant)> {
+        self.peer_suspicions.retain(|suspicion| suspicion.counts(now));
+        let place = self.peer_suspicions.iter().position(|it| it.reported_by == peer);
+
+        place.map(|place| self.peer_suspicions.remove(place).callers).unwrap_or_default()
     }
 
     /// Records that a flow misses an answer since a time. Returns whether a suspicion begins.
@@ -149,7 +186,7 @@
         let noticed_at = former.map_or(now, |miss| miss.noticed_at);
         self.misses.retain(|miss| miss.flow != flow && miss.counts(now));
         self.misses.push(MissingAnswer { flow, is_opening, since, noticed_at, repeated_at: now });
-        if self.misses.len() < FLOWS_TO_SUSPECT {
+        if !have_callers(self.misses.iter(), CALLERS_TO_SUSPECT) {
             return false;
         }
         let is_new = !self.is_own_suspect(now);
@@ -160,22 +197,20 @@
         is_new
     }
 
-    /// Returns since when enough flows have missed an answer for the flows of the backend server to
-    /// be ended; `None` if they are too few. Missing answers to opening packets count only if
-    /// `counts_openings`.
+    /// Returns since when enough callers have missed an answer, one of them at this balancer, for
+    /// the flows of the backend server to be ended; `None` if they are too few. Missing answers to
+    /// opening packets count only if `counts_openings`.
     pub(super) fn evidence_since(&self, counts_openings: bool, now: Instant) -> Option<Instant> {
         let counting =
             |miss: &&MissingAnswer| miss.counts(now) && (counts_openings || !miss.is_opening);
-        let noticed = earliest(self.misses.iter().filter(counting).map(|miss| miss.noticed_at));
-
-        let by_itself = noticed[FLOWS_TO_GIVE_UP - 1];
-        let suspicion = self.peer_suspicion.filter(|suspicion| suspicion.counts(now));
-        let confirmed = suspicion
-            .and_then(|suspicion| noticed[FLOWS_TO_CONFIRM - 1].map(|at| suspicion.since.max(at)));
-        match (by_itself, confirmed) {
-            (Some(by_itself), Some(confirmed)) => Some(by_itself.min(confirmed)),
-            (by_itself, confirmed) => by_itself.or(confirmed),
-        }
+        let seen = || self.misses.iter().filter(counting);
+        let first_seen = seen().map(|miss| miss.noticed_at).min()?;
+
+        let seen = seen().map(|miss| (caller_digest(miss.caller()), miss.noticed_at));
+        let suspicions = self.peer_suspicions.iter().filter(|suspicion| suspicion.counts(now));
+        let reported = suspicions.flat_map(|suspicion| suspicion.callers.iter().copied());
+        let callers = first_callers(seen.chain(reported));
+        callers.get(CALLERS_TO_GIVE_UP - 1).map(|(_, since)| first_seen.max(*since))
     }
 
     /// No longer considers the backend server dead if the evidence for that is gone, so that others
@@ -208,6 +243,16 @@
         self.dead_until > Some(now) && self.evidence_since(counts_openings, now).is_some()
     }
 
+    /// Returns the callers that miss an answer on an open flow, the first ones first, at most
+    /// [`MAX_REPORTED_CALLERS`].
+    pub(super) fn reported_callers(&self, now: Instant) -> Vec<CallerDigest> {
+        let misses = self.misses.iter().filter(|miss| miss.counts(now) && !miss.is_opening);
+        let seen = misses.map(|miss| (caller_digest(miss.caller()), miss.noticed_at));
+
+        let callers = first_callers(seen).into_iter().map(|(caller, _)| caller);
+        callers.take(MAX_REPORTED_CALLERS).collect()
+    }
+
     /// Returns the open flows that miss an answer.
     pub(super) fn waiting_flows(&self) -> impl Iterator<Item = FlowAddresses> {
         self.misses.iter().filter(|miss| !miss.is_opening).map(|miss| miss.flow)
@@ -226,7 +271,16 @@
     /// Reports whether this balancer or another one suspects the backend server.
     pub(super) fn is_suspect(&self, now: Instant) -> bool {
         self.is_own_suspect(now)
-            || self.peer_suspicion.is_some_and(|suspicion| suspicion.counts(now))
+            || self.peer_suspicions.iter().any(|suspicion| suspicion.counts(now))
+    }
+
+    /// Reports whether so many flows of a caller miss an answer that its further flows had better
+    /// go elsewhere, whether the fault is at the backend server or on a link between the two.
+    pub(super) fn is_silent_to(&self, caller: Ipv4Addr, now: Instant) -> bool {
+        let misses = self.misses.iter().filter(|miss| miss.caller() == caller);
+        let is_recent = |miss: &&MissingAnswer| miss.repeated_at + SUSPECT_FOR > now;
+
+        misses.filter(is_recent).count() >= FLOWS_TO_AVOID
     }
 
     /// Returns the number of flows that miss an answer.
@@ -251,6 +305,10 @@
 }
 
 impl MissingAnswer {
+    fn caller(&self) -> Ipv4Addr {
+        *self.flow.caller.ip()
+    }
+
     fn counts(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.repeated_at) <= MISS_WINDOW
     }
@@ -262,19 +320,39 @@
     }
 }
 
-/// Returns the earliest times in order, as many as there are.
-fn earliest(times: impl Iterator<Item = Instant>) -> [Option<Instant>; FLOWS_TO_GIVE_UP] {
-    let mut earliest = [None; FLOWS_TO_GIVE_UP];
+/// Reports whether the missing answers are those of `count` callers or more.
+fn have_callers<'a>(misses: impl Iterator<Item = &'a MissingAnswer>, count: usize) -> bool {
+    let mut callers = Vec::with_capacity(count);
+
+    for caller in misses.map(MissingAnswer::caller) {
+        if !callers.contains(&caller) {
+            callers.push(caller);
+        }
+        if callers.len() >= count {
+            return true;
+        }
+    }
+    false
+}
+
+/// Returns the first [`CALLERS_TO_GIVE_UP`] callers, each with its earliest time.
+fn first_callers(
+    times: impl Iterator<Item = (CallerDigest, Instant)>,
+) -> Vec<(CallerDigest, Instant)> {
+    let mut firsts: Vec<(CallerDigest, Instant)> = Vec::with_capacity(CALLERS_TO_GIVE_UP + 1);
 
-    for time in times {
-        let mut later = Some(time);
-        for place in &mut earliest {
-            if place.is_none_or(|other| later.is_some_and(|time| time < other)) {
-                std::mem::swap(place, &mut later);
+    for (caller, at) in times {
+        if let Some(place) = firsts.iter().position(|(known, _)| *known == caller) {
+            if firsts[place].1 <= at {
+                continue;
             }
+            firsts.remove(place);
         }
+        let place = firsts.partition_point(|(_, first)| *first <= at);
+        firsts.insert(place, (caller, at));
+        firsts.truncate(CALLERS_TO_GIVE_UP);
     }
-    earliest
+    firsts
 }
 
 /// Reports whether an answer refutes a suspicion that was reported at a time. The answers that the
--- a/crates/valvestage-policy/src/steering/health/refutation_queue.rs
+++ b/crates/valvestage-policy/src/steering/health/refutation_queue.rs
@@ -11,8 +11,8 @@
 use valvestage_core::ids::InstanceId;
 
 use super::byte_budget::ByteBudget;
-use super::health_record::PEER_REPORT_TTL;
-use crate::steering::peers::peer_message::{LifeReport, SuspicionQuery};
+use super::health_record::{MAX_REPORTED_CALLERS, PEER_REPORT_TTL};
+use crate::steering::peers::peer_message::{LifeReport, SuspicionQuery, SuspicionReport};
 
 /// Number of balancers that are asked about a suspicion.
 pub const BALANCERS_TO_ASK: u8 = 8;
@@ -44,6 +44,10 @@
 /// Maximum number of bytes of a backend server with or without the age of its sign of life.
 const ITEM_BYTES: u32 = 9;
 
+/// Maximum number of bytes of the callers of a suspicion, with their number.
+#[allow(clippy::cast_possible_truncation)]
+const CALLERS_BYTES: u32 = 1 + MAX_REPORTED_CALLERS as u32;
+
 /// Balancer that has asked, and until when it is told of a sign of life.
 #[derive(Debug, Clone, Copy)]
 struct WaitingPeer {
@@ -64,8 +68,7 @@
     /// Returns the maximum size of the datagrams of these messages in bytes.
     #[must_use]
     pub fn bytes(&self) -> u32 {
-        let items = |query: &SuspicionQuery| query.suspects.len() + query.doubted.len();
-        let query = self.query.as_ref().map_or(0, |query| query_bytes(items(query)));
+        let query = self.query.as_ref().map_or(0, query_bytes);
         let refutations = self.refutations.iter().map(|(_, lives)| message_bytes(lives.len()));
 
         query + refutations.sum::<u32>()
@@ -189,20 +192,23 @@
 
     /// Returns the messages to send now, as far as their budgets allow. The latest suspicions go
     /// first, and those that do not fit are dropped, since heartbeats report them as well;
-    /// refutations wait until they fit. `is_suspect` reports whether this balancer itself suspects a
-    /// backend server.
+    /// refutations wait until they fit. `suspicion` returns the report of this balancer's own
+    /// suspicion of a backend server, if there is one.
     pub(super) fn take_messages(
         &mut self,
-        is_suspect: impl Fn(&InstanceId) -> bool,
+        suspicion: impl Fn(InstanceId) -> Option<SuspicionReport>,
         now: Instant,
     ) -> SuspicionMessages {
         let mut messages = SuspicionMessages::default();
 
         if !self.suspects.is_empty() && self.query_budget.is_open(now) {
-            let suspects = latest(std::mem::take(&mut self.suspects));
-            self.query_budget.spend(query_bytes(suspects.len()), now);
-            let (suspects, doubted) = suspects.into_iter().partition(is_suspect);
-            messages.query = Some(SuspicionQuery { suspects, doubted });
+            let asked = latest(std::mem::take(&mut self.suspects));
+            let suspects: Vec<_> = asked.iter().copied().filter_map(&suspicion).collect();
+            let is_doubted = |instance: &InstanceId| suspicion(*instance).is_none();
+            let doubted = asked.into_iter().filter(is_doubted).collect();
+            let query = SuspicionQuery { suspects, doubted };
+            self.query_budget.spend(query_bytes(&query), now);
+            messages.query = Some(query);
         }
         while self.refutation_budget.is_open(now)
             && let Some((peer, lives)) = self.refutations.pop_first()
@@ -247,8 +253,11 @@
 }
 
 /// Returns the size of a query to all balancers that are asked.
-fn query_bytes(items: usize) -> u32 {
-    message_bytes(items) * u32::from(BALANCERS_TO_ASK)
+fn query_bytes(query: &SuspicionQuery) -> u32 {
+    let items = message_bytes(query.suspects.len() + query.doubted.len());
+    let suspects = u32::try_from(query.suspects.len()).unwrap_or(u32::MAX);
+
+    (items + CALLERS_BYTES * suspects) * u32::from(BALANCERS_TO_ASK)
 }
 
 fn message_bytes(items: usize) -> u32 {
--- a/crates/valvestage-policy/src/steering/packets/steering_policy.rs
+++ b/crates/valvestage-policy/src/steering/packets/steering_policy.rs
@@ -24,7 +24,7 @@
 use crate::steering::load::usable_slots::usable_slots;
 use crate::steering::peers::peer_message::{
     BalancerReport, HealthReport, LifeReport, PaceReport, ServiceDemand, ServiceLoadReport,
-    SuspicionQuery,
+    SuspicionQuery, SuspicionReport,
 };
 use crate::steering::peers::peer_table::FORGET_AFTER;
 use crate::steering::peers::report_budget::fit_report;
@@ -296,7 +296,7 @@
     }
 
     /// Records that another balancer is being told of suspicions.
-    pub fn on_told(&mut self, peer: SocketAddrV4, suspects: &[InstanceId], now: Instant) {
+    pub fn on_told(&mut self, peer: SocketAddrV4, suspects: &[SuspicionReport], now: Instant) {
         self.backends.on_told(peer, suspects, now);
     }
 
--- a/crates/valvestage-policy/src/steering/peers/peer_message.rs
+++ b/crates/valvestage-policy/src/steering/peers/peer_message.rs
@@ -17,6 +17,7 @@
 use valvestage_core::ids::{ConfigurationVersion, InstanceId, ShortToken, ZoneName};
 
 use super::route_chunk::{ChunkDigest, RouteChunk};
+use crate::steering::health::caller_digest::CallerDigest;
 use crate::steering::health::outcome_count::OutcomeCount;
 use crate::steering::knowledge::backend_directory::LiveDigest;
 use crate::steering::knowledge::backend_name::{BackendName, IncarnationDigest};
@@ -297,7 +298,7 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HealthReport {
     /// Backend servers that are suspected to be dead.
-    pub suspects: Vec<InstanceId>,
+    pub suspects: Vec<SuspicionReport>,
     /// Outcomes of requests at backend servers that seem to fail more of them than others do.
     pub outcomes: Vec<OutcomeReport>,
     /// Backend servers that it has begun to avoid on its own observation.
@@ -309,6 +310,26 @@
     pub paces: Vec<PaceReport>,
 }
 
+/// Report that a backend server is suspected to be dead.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspicionReport {
+    /// The backend server.
+    pub instance: InstanceId,
+    /// Some callers that miss answers on open flows at the sender. The receiver may see flows of
+    /// the same callers, which prove nothing further.
+    pub callers: Vec<CallerDigest>,
+}
+
+impl SuspicionReport {
+    /// Returns the size of the report in the codec's encoding.
+    pub(super) fn bytes(&self) -> usize {
+        /// Size of the number of callers, of which there are few.
+        const COUNT_BYTES: usize = 1;
+
+        long_varint_bytes(self.instance) + COUNT_BYTES + self.callers.len()
+    }
+}
+
 /// Report that a backend server has answered, which refutes the suspicion that it is dead.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LifeReport {
@@ -322,7 +343,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspicionQuery {
     /// The backend servers that the sender has begun to suspect.
-    pub suspects: Vec<InstanceId>,
+    pub suspects: Vec<SuspicionReport>,
     /// Backend servers that others suspect, and of which a flow misses an answer at the sender. That
     /// is no suspicion of its own, or a single one would spread to all balancers.
     pub doubted: Vec<InstanceId>,
@@ -577,3 +598,10 @@
 
     bits.div_ceil(7).max(1)
 }
+
+/// Returns the size of a 64-bit number in the codec's encoding.
+pub(super) fn long_varint_bytes(number: u64) -> usize {
+    let bits = usize::try_from(u64::BITS - number.leading_zeros()).unwrap_or(0);
+
+    bits.div_ceil(7).max(1)
+}
--- a/crates/valvestage-policy/src/steering/peers/report_budget.rs
+++ b/crates/valvestage-policy/src/steering/peers/report_budget.rs
@@ -1,23 +1,26 @@
 //! Limit on the size of the observations in a heartbeat.
 
-use super::peer_message::{BalancerReport, HealthReport, ServiceDemand, varint_bytes};
+use super::peer_message::{
+    BalancerReport, HealthReport, ServiceDemand, SuspicionReport, long_varint_bytes, varint_bytes,
+};
 
 /// Maximum size of the observations in a heartbeat that reports load or paces, in bytes: a VM may send 4 KB
 /// of control traffic per second in some ten heartbeats, of which the rest and the headers take 140
 /// bytes each.
 pub const REPORT_BYTES: usize = 4_000 / 10 - 140;
 
-/// Shortens a report that contains load or paces to [`REPORT_BYTES`]. Beside load, the counts of
-/// outcomes go first, since in a shortage full backend servers reject requests as well as faulty
-/// ones, then paces, then the load of all services but the first. A report without load and paces
-/// stays as it is.
+/// Shortens a report to [`REPORT_BYTES`]. Beside load, the counts of outcomes go first, since in a
+/// shortage full backend servers reject requests as well as faulty ones, then paces, then the load of
+/// all services but the first. Without load, the counts of outcomes go last. Suspicions, signs of
+/// life, avoidances, demand and the load of the first service always stay.
 pub fn fit_report(report: &mut BalancerReport) {
     let has_load = !report.loads.is_empty();
 
     while report_bytes(report) > REPORT_BYTES {
         let is_shorter = has_load && report.health.outcomes.pop().is_some()
             || report.health.paces.pop().is_some()
-            || report.loads.len() > 1 && report.loads.pop().is_some();
+            || report.loads.len() > 1 && report.loads.pop().is_some()
+            || report.health.outcomes.pop().is_some();
         if !is_shorter {
             return;
         }
@@ -39,7 +42,7 @@
 }
 
 fn health_bytes(health: &HealthReport) -> usize {
-    let suspects = health.suspects.iter().map(|instance| long_varint_bytes(*instance));
+    let suspects = health.suspects.iter().map(SuspicionReport::bytes);
     let outcomes = health.outcomes.iter().map(|report| {
         let counts = [report.answered_tenths, report.poor_tenths, report.expected_tenths];
         let counts = counts.into_iter().map(|count| varint_bytes(count.into()));
@@ -64,10 +67,3 @@
 
     suspects.chain(outcomes).chain(avoided).chain(alive).chain(paces).sum()
 }
-
-/// Returns the size of a 64-bit number in the codec's encoding.
-fn long_varint_bytes(number: u64) -> usize {
-    let bits = usize::try_from(u64::BITS - number.leading_zeros()).unwrap_or(0);
-
-    bits.div_ceil(7).max(1)
-}
--- a/crates/valvestage-policy/src/steering/placement/flow_placer.rs
+++ b/crates/valvestage-policy/src/steering/placement/flow_placer.rs
@@ -1,5 +1,6 @@
 //! Choice of a backend server for a new flow.
 
+use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
 use valvestage_core::ids::{InstanceId, ZoneName};
@@ -66,7 +67,8 @@
         let home = drawn_zone.unwrap_or(&self.options.zone);
         let candidates_in = |zones: ZoneChoice| {
             let entries = self.ready_entries(service, home, zones).filter(may_take);
-            let candidates = entries.map(|entry| self.candidate(entry, home, instead_of, &pace));
+            let doubt = |entry: &BackendEntry| self.doubt(entry, *flow.caller.ip(), instead_of);
+            let candidates = entries.map(|entry| self.candidate(entry, home, doubt(entry), &pace));
             candidates.collect::<Vec<_>>()
         };
         let mut candidates = candidates_in(ZoneChoice::Home);
@@ -185,7 +187,7 @@
         &self,
         entry: &'a BackendEntry,
         home: &ZoneName,
-        instead_of: Option<InstanceId>,
+        doubt: ChoiceDoubt,
         pace: &PaceSource<'_>,
     ) -> ChoiceCandidate<'a> {
         let requests = self.flows.load(entry.instance).in_requests(self.options.idle_flow_load);
@@ -212,7 +214,7 @@
             load: load_at(pace.max(cold_factor)),
             fast_load: load_at(cold_factor),
             pace,
-            doubt: self.doubt(entry, instead_of),
+            doubt,
         }
     }
 
@@ -228,8 +230,15 @@
         }
     }
 
-    fn doubt(&self, entry: &BackendEntry, instead_of: Option<InstanceId>) -> ChoiceDoubt {
-        let is_silent = self.backends.health().is_suspect(entry.instance, self.now)
+    fn doubt(
+        &self,
+        entry: &BackendEntry,
+        caller: Ipv4Addr,
+        instead_of: Option<InstanceId>,
+    ) -> ChoiceDoubt {
+        let health = self.backends.health();
+        let is_silent = health.is_suspect(entry.instance, self.now)
+            || health.is_silent_to(entry.instance, caller, self.now)
             || instead_of == Some(entry.instance);
 
         match (entry.missing_until, is_silent) {
--- a/crates/valvestage-policy/tests/steering/backend_health.rs
+++ b/crates/valvestage-policy/tests/steering/backend_health.rs
@@ -7,7 +7,7 @@
 use valvestage_policy::steering::packets::flow_record::{AnswerSignal, LivenessSignal};
 use valvestage_policy::steering::peers::peer_message::LifeReport;
 
-use crate::fixtures::{address, flow, millis, start};
+use crate::fixtures::{address, flow, millis, start, suspicion};
 
 const SERVER: u64 = 7;
 
@@ -99,7 +99,7 @@
 fn a_suspicion_reported_by_another_balancer_counts_for_a_while() {
     let (mut health, now) = (BackendHealth::default(), start());
 
-    health.on_peer_suspicion(peer(), SERVER, now);
+    health.on_peer_suspicion(peer(), &suspicion(SERVER, &[flow(8), flow(9)]), now);
     assert!(health.is_suspect(SERVER, now + millis(100)));
     assert!(!health.is_suspect(SERVER, now + millis(2_000)));
     // It is not passed on: reports of other balancers are never repeated to further ones.
@@ -111,7 +111,7 @@
     let (mut health, now) = (BackendHealth::default(), start());
 
     health.observe(SERVER, flow(1), ALIVE, now);
-    health.on_peer_suspicion(peer(), SERVER, now + millis(100));
+    health.on_peer_suspicion(peer(), &suspicion(SERVER, &[flow(8), flow(9)]), now + millis(100));
     assert!(!health.is_suspect(SERVER, now + millis(101)));
 }
 
@@ -134,7 +134,7 @@
 fn fewer_flows_are_enough_when_another_balancer_reports_the_suspicion() {
     let (mut health, now) = (BackendHealth::default(), start());
 
-    health.on_peer_suspicion(peer(), SERVER, now + millis(190));
+    health.on_peer_suspicion(peer(), &suspicion(SERVER, &[flow(8), flow(9)]), now + millis(190));
     assert!(
         !is_dead(&mut health, now + millis(399)),
         "a report of another balancer alone ends no flow"
--- a/crates/valvestage-policy/tests/steering/fixtures.rs
+++ b/crates/valvestage-policy/tests/steering/fixtures.rs
@@ -5,6 +5,8 @@
 
 use quickcheck::{Gen, QuickCheck};
 use valvestage_core::StorePosition;
+use valvestage_policy::steering::health::caller_digest::caller_digest;
+use valvestage_policy::steering::peers::peer_message::SuspicionReport;
 use valvestage_policy::steering::{
     BackendEntry, BackendName, BackendPhase, CallerPacket, FlowAddresses, Knowledge, RouteMap,
     RouteTarget,
@@ -34,8 +36,21 @@
     SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), port)
 }
 
+/// Returns the flow from a port of the caller with the same number. No two of these flows have a
+/// caller in common, so what they miss is independent.
 pub fn flow(caller_port: u16) -> FlowAddresses {
-    FlowAddresses { caller: address(200, caller_port), service: service_address(443) }
+    let [high, low] = caller_port.to_be_bytes();
+    let caller = SocketAddrV4::new(Ipv4Addr::new(10, 1, high, low), caller_port);
+
+    FlowAddresses { caller, service: service_address(443) }
+}
+
+/// Returns the report of a balancer that suspects a backend server, since some callers miss answers
+/// on open flows there.
+pub fn suspicion(instance: u64, callers: &[FlowAddresses]) -> SuspicionReport {
+    let callers = callers.iter().map(|flow| caller_digest(*flow.caller.ip()));
+
+    SuspicionReport { instance, callers: callers.collect() }
 }
 
 pub fn target(service: &str, weight: u32) -> RouteTarget {
--- a/crates/valvestage-policy/tests/steering/full_backends.rs
+++ b/crates/valvestage-policy/tests/steering/full_backends.rs
@@ -13,6 +13,7 @@
 
 use crate::fixtures::{
     OTHER_ZONE, OWN_ZONE, address, backend, data, flow, knowledge, millis, opening, start,
+    suspicion,
 };
 
 /// The only backend server of these tests.
@@ -104,7 +105,9 @@
     }
 
     fn hear_suspicion(&mut self) {
-        self.hear(&HealthReport { suspects: vec![SERVER], ..Default::default() });
+        let suspects = vec![suspicion(SERVER, &[flow(81), flow(82)])];
+
+        self.hear(&HealthReport { suspects, ..Default::default() });
     }
 
     fn hear_life(&mut self, answered_ago_ms: u32) {
@@ -136,7 +139,7 @@
         balancer.miss_openings(&[11, 12]);
     }
     let reports = balancers.each_ref().map(|balancer| balancer.policy.report(balancer.now).health);
-    assert!(reports.iter().all(|report| report.suspects == [SERVER]));
+    assert!(reports.iter().all(|report| report.suspects == [suspicion(SERVER, &[])]));
     balancers[0].hear(&reports[1]);
     balancers[1].hear(&reports[0]);
     for (balancer, port) in balancers.iter_mut().zip([1, 2]) {
--- a/crates/valvestage-policy/tests/steering/main.rs
+++ b/crates/valvestage-policy/tests/steering/main.rs
@@ -36,6 +36,7 @@
 mod restarts;
 mod restored_store;
 mod shared_pace;
+mod silent_callers;
 mod silent_connections;
 mod slow_fleet;
 mod slow_store;
--- a/crates/valvestage-policy/tests/steering/refutations.rs
+++ b/crates/valvestage-policy/tests/steering/refutations.rs
@@ -8,10 +8,14 @@
 use valvestage_policy::steering::health::backend_health::BackendHealth;
 use valvestage_policy::steering::health::refutation_queue::{MAX_QUERIED, SuspicionMessages};
 use valvestage_policy::steering::packets::flow_record::{AnswerSignal, LivenessSignal};
-use valvestage_policy::steering::peers::peer_message::{LifeReport, SuspicionQuery};
+use valvestage_policy::steering::peers::peer_message::{
+    LifeReport, SuspicionQuery, SuspicionReport,
+};
 
 use crate::deployment::{Deployment, node_address};
-use crate::fixtures::{OWN_ZONE, address, backend, flow, millis, opening, routes, start};
+use crate::fixtures::{
+    OWN_ZONE, address, backend, flow, millis, opening, routes, start, suspicion,
+};
 
 const SERVER: u64 = 7;
 
@@ -29,7 +33,17 @@
 }
 
 fn query_of(messages: &SuspicionMessages) -> Vec<u64> {
-    messages.query.iter().flat_map(|query| [&query.suspects[..], &query.doubted].concat()).collect()
+    let suspects = |query: &SuspicionQuery| {
+        let suspects = query.suspects.iter().map(|suspicion| suspicion.instance);
+        suspects.chain(query.doubted.iter().copied()).collect::<Vec<_>>()
+    };
+
+    messages.query.iter().flat_map(suspects).collect()
+}
+
+/// Returns the suspicion of another balancer, where two callers miss answers.
+fn reported() -> SuspicionReport {
+    suspicion(SERVER, &[flow(8), flow(9)])
 }
 
 fn life(answered_ago_ms: u32) -> LifeReport {
@@ -57,10 +71,10 @@
     let (mut health, now) = (BackendHealth::default(), start());
     health.observe(SERVER, flow(1), ALIVE, now);
 
-    health.on_peer_suspicion(peer(2), SERVER, now + millis(999));
+    health.on_peer_suspicion(peer(2), &reported(), now + millis(999));
     let messages = health.take_messages(now + millis(999));
     assert_eq!(messages.refutations, [(peer(2), vec![life(999)])]);
-    health.on_peer_suspicion(peer(3), SERVER, now + millis(1_000));
+    health.on_peer_suspicion(peer(3), &reported(), now + millis(1_000));
     assert_eq!(health.take_messages(now + millis(1_000)), SuspicionMessages::default());
 }
 
@@ -68,7 +82,7 @@
 fn a_balancer_that_asked_is_told_of_the_next_sign_of_life() {
     let (mut health, now) = (BackendHealth::default(), start());
 
-    health.on_peer_suspicion(peer(2), SERVER, now);
+    health.on_peer_suspicion(peer(2), &reported(), now);
     assert_eq!(health.take_messages(now), SuspicionMessages::default());
     for (answered_at, told) in [(150, true), (160, false)] {
         let at = now + millis(answered_at);
@@ -84,7 +98,7 @@
 fn a_reported_sign_of_life_ends_the_suspicion_and_spreads() {
     let (mut health, now) = (BackendHealth::default(), start());
     miss(&mut health, &[1, 2], now, now + millis(200));
-    health.on_peer_suspicion(peer(3), SERVER, now + millis(210));
+    health.on_peer_suspicion(peer(3), &reported(), now + millis(210));
 
     let decision = health.on_peer_life(peer(2), life(50), now + millis(250));
     let age = millis(50);
@@ -107,7 +121,7 @@
 fn a_doubt_about_what_another_balancer_suspects_is_not_reported_as_a_suspicion() {
     let (mut health, now) = (BackendHealth::default(), start());
 
-    health.on_peer_suspicion(peer(2), SERVER, now + millis(100));
+    health.on_peer_suspicion(peer(2), &reported(), now + millis(100));
     miss(&mut health, &[1], now, now + millis(200));
     let query = health.take_messages(now + millis(200)).query.unwrap();
     assert_eq!((query.suspects, query.doubted), (vec![], vec![SERVER]));
@@ -123,9 +137,9 @@
 fn a_refuted_suspicion_is_withdrawn_where_it_was_told() {
     let (mut health, now) = (BackendHealth::default(), start());
     miss(&mut health, &[1, 2], now, now + millis(200));
-    health.on_told(peer(3), &[SERVER], now + millis(200));
+    health.on_told(peer(3), &[reported()], now + millis(200));
     let mut told = BackendHealth::default();
-    told.on_peer_suspicion(peer(1), SERVER, now + millis(200));
+    told.on_peer_suspicion(peer(1), &reported(), now + millis(200));
     miss(&mut told, &[3], now + millis(100), now + millis(300));
 
     health.on_peer_life(peer(2), life(200), now + millis(250));
@@ -221,7 +235,10 @@
 #[test]
 fn a_query_about_unknown_backend_servers_is_harmless() {
     let mut deployment = Deployment::new(2);
-    let query = SuspicionQuery { suspects: vec![u64::MAX; 500], doubted: vec![u64::MAX - 1; 500] };
+    let query = SuspicionQuery {
+        suspects: vec![SuspicionReport { instance: u64::MAX, callers: vec![9; 500] }; 500],
+        doubted: vec![u64::MAX - 1; 500],
+    };
 
     let now = deployment.now;
     let policy = deployment.nodes[0].as_mut().unwrap();
--- a/crates/valvestage-policy/tests/steering/slow_fleet.rs
+++ b/crates/valvestage-policy/tests/steering/slow_fleet.rs
@@ -9,7 +9,9 @@
 
 use valvestage_policy::steering::health::backend_health::BackendHealth;
 use valvestage_policy::steering::packets::flow_record::{AnswerSignal, LivenessSignal};
-use valvestage_policy::steering::peers::peer_message::{LifeReport, SuspicionQuery};
+use valvestage_policy::steering::peers::peer_message::{
+    LifeReport, SuspicionQuery, SuspicionReport,
+};
 use valvestage_policy::steering::seeded_draw::SeededDraw;
 
 use crate::fixtures::{address, flow, millis, start};
@@ -187,7 +189,7 @@
 
         let peer = address(u8::try_from(sender).unwrap(), 7_000);
         for suspect in &query.suspects {
-            self.balancers[receiver].on_peer_suspicion(peer, *suspect, self.now);
+            self.balancers[receiver].on_peer_suspicion(peer, suspect, self.now);
         }
         for doubted in &query.doubted {
             self.balancers[receiver].on_question(peer, *doubted, self.now);
@@ -195,7 +197,7 @@
         self.tell(sender, receiver, &query.suspects);
     }
 
-    fn tell(&mut self, sender: usize, receiver: usize, suspects: &[u64]) {
+    fn tell(&mut self, sender: usize, receiver: usize, suspects: &[SuspicionReport]) {
         let peer = address(u8::try_from(receiver).unwrap(), 7_000);
 
         self.balancers[sender].on_told(peer, suspects, self.now);
@@ -206,7 +208,7 @@
     }
 
     fn heartbeat(&mut self, sender: usize) {
-        let suspects = self.balancers[sender].suspects(self.now);
+        let suspects = self.balancers[sender].suspicions(usize::MAX, self.now);
         let lives = self.balancers[sender].lives(self.now);
 
         for _ in 0..4 {
@@ -220,7 +222,7 @@
             self.tell(sender, receiver, &suspects);
             let peer = address(u8::try_from(sender).unwrap(), 7_000);
             for suspect in &suspects {
-                self.balancers[receiver].on_peer_suspicion(peer, *suspect, self.now);
+                self.balancers[receiver].on_peer_suspicion(peer, suspect, self.now);
             }
         }
     }
