End only its own flow when one caller gets no answer after an unseen lapse

Where nothing was known of a backend server whose entry had lapsed (the store silent, or a balancer that had just started), the first retransmission of one caller ended all its flows, also those that rested.

One missing answer was taken for knowledge that the backend server was silent, and may be the loss of that caller's link.

Ruled out: the rule for lapses in a cut, which judges each flow by its own packets.

Change: such a lapse is judged like one in a cut, by a probe on each flow: the same flow ends at the same retransmission as before. All flows end when three callers miss answers, or when the entry can no longer return.

Evidence: `a_retransmission_of_one_caller_ends_no_other_flow_of_an_unseen_backend_server` failed before (the resting flow was reset) and passes; `retransmissions_of_several_callers_end_the_flows_of_an_unseen_backend_server` passed before, too.

--- a/crates/valvestage-policy/src/steering/health/backend_health.rs
+++ b/crates/valvestage-policy/src/steering/health/backend_health.rs
@@ -323,13 +323,14 @@
         self.records.get(&instance).and_then(HealthRecord::last_life)
     }
 
-    /// Reports whether at or after a time a backend server has answered any flow, or a flow has
-    /// shown that it misses an answer.
+    /// Reports whether at or after a time a backend server has answered any flow, or enough callers
+    /// have shown that they miss an answer for its flows to be ended.
     #[must_use]
     pub fn has_signal_since(&self, instance: InstanceId, since: Instant) -> bool {
-        let misses = |record: &HealthRecord| record.has_miss_since(since);
+        let was_silent = |record: &HealthRecord| record.was_silent_since(since);
 
-        self.has_answered_since(instance, since) || self.records.get(&instance).is_some_and(misses)
+        self.has_answered_since(instance, since)
+            || self.records.get(&instance).is_some_and(was_silent)
     }
 
     /// Removes the records of all backend servers for which `keep` returns false.
--- a/crates/valvestage-policy/src/steering/health/health_record.rs
+++ b/crates/valvestage-policy/src/steering/health/health_record.rs
@@ -288,9 +288,12 @@
         self.misses.len()
     }
 
-    /// Reports whether a flow has shown at or after a time that it misses an answer.
-    pub(super) fn has_miss_since(&self, since: Instant) -> bool {
-        self.misses.iter().any(|miss| miss.repeated_at >= since)
+    /// Reports whether enough callers have shown at or after a time that they miss an answer for
+    /// the flows of the backend server to be ended.
+    pub(super) fn was_silent_since(&self, since: Instant) -> bool {
+        let misses = self.misses.iter().filter(|miss| miss.repeated_at >= since);
+
+        have_callers(misses, CALLERS_TO_GIVE_UP)
     }
 
     /// Returns when a flow of this balancer last got an answer.
--- a/crates/valvestage-policy/src/steering/knowledge/lapse.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/lapse.rs
@@ -61,18 +61,29 @@
     }
 
     /// Reports whether the entry of a backend server has lapsed and nothing can be concluded from
-    /// that.
+    /// that, so that each flow is to be judged by its own packets.
     pub(in crate::steering) fn has_inconclusive_lapse(&self, instance: InstanceId) -> bool {
         let entry = self.knowledge.directory.get(instance);
 
         entry.is_some_and(|entry| match entry.phase {
-            BackendPhase::Gone { since, .. } => {
-                entry.has_lapsed() && self.is_inconclusive(entry, since)
+            BackendPhase::Gone { since, end: BackendEnd::Lapsed } => {
+                self.is_inconclusive(entry, since) || self.is_unseen_lapse(entry, since)
+            }
+            BackendPhase::Gone { since, end: BackendEnd::LapsedUnseen } => {
+                self.is_inconclusive(entry, since)
             }
             _ => false,
         })
     }
 
+    /// Reports whether a backend server may be alive although its entry has lapsed, only because
+    /// nothing speaks for or against it.
+    fn is_unseen_lapse(&self, entry: &BackendEntry, lapsed_at: Instant) -> bool {
+        self.may_return(lapsed_at)
+            && !self.shared_partition(entry, lapsed_at)
+            && self.is_undetermined(entry, self.silent_since(lapsed_at))
+    }
+
     /// Reports whether nothing can be concluded from the lapse of an entry, however long ago it
     /// was. The backend server may go on serving callers through other balancers, including callers
     /// of flows that this balancer served before.
@@ -136,12 +147,17 @@
     fn may_be_alive(&self, entry: &BackendEntry, lapsed_at: Instant) -> bool {
         let alive_from = self.silent_since(lapsed_at);
         let was_alive = self.health.has_answered_since(entry.instance, alive_from);
-        let shared_partition =
-            entry.zone == *self.own_zone && self.knowledge.was_disconnected_from_store(lapsed_at);
+        let shared_partition = self.shared_partition(entry, lapsed_at);
 
         was_alive || shared_partition || self.is_undetermined(entry, alive_from)
     }
 
+    /// Reports whether a backend server was cut off from the store together with this balancer when
+    /// its entry lapsed.
+    fn shared_partition(&self, entry: &BackendEntry, lapsed_at: Instant) -> bool {
+        entry.zone == *self.own_zone && self.knowledge.was_disconnected_from_store(lapsed_at)
+    }
+
     /// Returns since when a backend server whose entry lapsed at a time has been silent, if it is
     /// dead.
     fn silent_since(&self, lapsed_at: Instant) -> Instant {
@@ -154,7 +170,9 @@
     /// was seen, and either its entry cannot return now because the store is unavailable, or this
     /// balancer started too late to see whether the backend server was silent before the lapse. The
     /// first packet of a flow that has just moved here from another balancer is forwarded. If the
-    /// backend server is dead, the caller's first retransmission shows it 200 ms later.
+    /// backend server is dead, the caller's first retransmission shows it 200 ms later, but only for
+    /// that flow: the answer may have been lost on a link of the caller. The retransmissions of
+    /// several callers speak against the backend server.
     fn is_undetermined(&self, entry: &BackendEntry, alive_from: Instant) -> bool {
         let is_unseen = !self.health.has_signal_since(entry.instance, alive_from);
         let knowledge = self.knowledge;
--- a/crates/valvestage-policy/tests/steering/lapses.rs
+++ b/crates/valvestage-policy/tests/steering/lapses.rs
@@ -222,6 +222,39 @@
     assert_ends(request_on_unseen(&mut site));
 }
 
+/// The answers to one caller may be lost on its own link. Its first retransmission ended all flows.
+#[test]
+fn a_retransmission_of_one_caller_ends_no_other_flow_of_an_unseen_backend_server() {
+    let mut site = after_an_unseen_lapse();
+    let rest = |port| data(flow(port), BackendDirectory::token_of(3), 1_001, 0, 501);
+
+    site.send(&rest(4));
+    request_on_unseen(&mut site);
+    site.wait(millis(200));
+    assert_ends(request_on_unseen(&mut site));
+    site.policy.reset_ended_flows(&mut site.known, site.now);
+    assert_eq!(site.policy.take_resets(), []);
+    let verdict = site.send(&rest(4));
+    assert!(matches!(verdict, PacketVerdict::Forward { instance: 3, .. }), "{verdict:?}");
+}
+
+#[test]
+fn retransmissions_of_several_callers_end_the_flows_of_an_unseen_backend_server() {
+    let mut site = after_an_unseen_lapse();
+    let request = |port| data(flow(port), BackendDirectory::token_of(3), 1_001, 100, 501);
+
+    site.send(&data(flow(4), BackendDirectory::token_of(3), 1_001, 0, 501));
+    for _ in 0..2 {
+        for port in [5, 6, 7] {
+            site.send(&request(port));
+        }
+        site.wait(millis(200));
+    }
+    site.policy.reset_ended_flows(&mut site.known, site.now);
+    let resets = site.policy.take_resets();
+    assert!(resets.iter().any(|reset| reset.flow == flow(4)), "{resets:?}");
+}
+
 #[test]
 fn an_unseen_backend_server_is_gone_once_the_store_has_answered_for_long_enough() {
     let mut site = after_an_unseen_lapse();
