Give the soak's callers eight addresses in each zone

All callers of a zone had one address, so that no balancer ever had the evidence of several callers that ends the flows of a silent backend server: since callers count instead of flows, the soak would play these decisions no more.

--- a/crates/valvestage-soak/src/caller_load.rs
+++ b/crates/valvestage-soak/src/caller_load.rs
@@ -14,7 +14,9 @@
 
 use crate::observation::{Observation, ObservedEvent, StallDetector};
 use crate::router_table::RouterTable;
-use crate::site_plan::{INTERMITTENT, STEADY, SWITCHING, SitePlan, URGENT, ZONES};
+use crate::site_plan::{
+    CALLERS_PER_ZONE, INTERMITTENT, STEADY, SWITCHING, SitePlan, URGENT, ZONES,
+};
 use crate::soak_options::{InjectedDefect, SoakOptions};
 use valvestage_standins::packets::caller_flow::{CallerFlow, FlowEvent, FlowStep};
 use valvestage_standins::packets::flow_packet::{FlowPacket, flags};
@@ -83,7 +85,7 @@
 }
 
 impl CallerLoad {
-    /// Binds the callers' addresses, one in each zone.
+    /// Binds the callers' addresses, [`CALLERS_PER_ZONE`] in each zone.
     pub fn bind(
         plan: SitePlan,
         router: RouterTable,
@@ -91,7 +93,8 @@
         load_percent: Arc<AtomicU32>,
         options: &SoakOptions,
     ) -> io::Result<Self> {
-        let callers: Vec<SocketAddrV4> = (0..ZONES).map(|zone| plan.caller(zone)).collect();
+        let caller = |socket| plan.caller(socket / CALLERS_PER_ZONE, socket % CALLERS_PER_ZONE);
+        let callers: Vec<SocketAddrV4> = (0..ZONES * CALLERS_PER_ZONE).map(caller).collect();
 
         Ok(Self {
             sockets: SocketSet::bind(&callers)?,
@@ -168,8 +171,9 @@
     ) {
         self.flow_count += 1;
         let port = usize::from(CALLER_PORTS.start) + self.flow_count % CALLER_PORTS.len();
-        let caller =
-            SocketAddrV4::new(*self.plan.caller(zone).ip(), u16::try_from(port).unwrap_or(1));
+        let number = self.flow_count % CALLERS_PER_ZONE;
+        let address = *self.plan.caller(zone, number).ip();
+        let caller = SocketAddrV4::new(address, u16::try_from(port).unwrap_or(1));
         let flow = FlowAddresses { caller, service };
         let sequence = u32::try_from(self.rng.next_u64() >> 32).unwrap_or(0);
         let session = CallerSession {
@@ -191,7 +195,7 @@
     fn send(&self, zone: usize, packet: &FlowPacket) {
         if let Some(number) = self.router.pick(zone, &packet.flow()) {
             let balancer = SocketAddrV4::new(self.plan.balancer(number), self.plan.data_port);
-            self.sockets.send(zone, balancer, &packet.encode());
+            self.sockets.send(zone * CALLERS_PER_ZONE, balancer, &packet.encode());
         }
     }
 
--- a/crates/valvestage-soak/src/site_plan.rs
+++ b/crates/valvestage-soak/src/site_plan.rs
@@ -7,6 +7,10 @@
 /// Number of availability zones.
 pub const ZONES: usize = 3;
 
+/// Number of caller addresses in each zone. Balancers need several callers that miss answers to
+/// conclude that a backend server is dead.
+pub const CALLERS_PER_ZONE: usize = 8;
+
 /// Service address whose route never changes.
 pub const STEADY: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
 
@@ -116,10 +120,10 @@
         SocketAddrV4::new(self.address(20, number), self.data_port)
     }
 
-    /// Returns the address at which the callers of a zone receive answers.
+    /// Returns the address at which a caller of a zone receives answers.
     #[must_use]
-    pub fn caller(&self, zone: usize) -> SocketAddrV4 {
-        SocketAddrV4::new(self.address(40, zone), self.data_port)
+    pub fn caller(&self, zone: usize, number: usize) -> SocketAddrV4 {
+        SocketAddrV4::new(self.address(40, zone * CALLERS_PER_ZONE + number), self.data_port)
     }
 
     /// Returns the number of the balancer with an IP address, or `None` if no balancer has it.
