--- a/crates/valvestage-soak/src/site_plan.rs
+++ b/crates/valvestage-soak/src/site_plan.rs
@@ -10,6 +10,10 @@
 /// Number of availability zones.
 pub const ZONES: usize = 3;
 
+/// Number of caller addresses in each zone. Balancers need several callers that miss answers to
+/// conclude that a backend server is dead.
+pub const CALLERS_PER_ZONE: usize = 8;
+
 /// Service address whose route never changes.
 pub const STEADY: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
 
@@ -89,7 +93,7 @@
         let vms: Vec<_> = ips(BALANCERS, balancers).collect();
         let senders: Vec<_> = ips(BALANCERS, balancers)
             .chain(ips(BACKENDS, backends))
-            .chain(ips(CALLERS, ZONES))
+            .chain(ips(CALLERS, ZONES * CALLERS_PER_ZONE))
             .collect();
         let peers: Vec<_> = ips(BALANCERS, balancers).chain(ips(RELAYS, balancers)).collect();
         let data = take(Transport::Udp, &senders)?;
@@ -140,10 +144,10 @@
         SocketAddrV4::new(self.address(BACKENDS, number), self.data_port)
     }
 
-    /// Returns the address at which the callers of a zone receive answers.
+    /// Returns the address at which a caller of a zone receives answers.
     #[must_use]
-    pub fn caller(&self, zone: usize) -> SocketAddrV4 {
-        SocketAddrV4::new(self.address(CALLERS, zone), self.data_port)
+    pub fn caller(&self, zone: usize, number: usize) -> SocketAddrV4 {
+        SocketAddrV4::new(self.address(CALLERS, zone * CALLERS_PER_ZONE + number), self.data_port)
     }
 
     /// Returns the number of the balancer with an IP address, or `None` if no balancer has it.
--- a/crates/valvestage-soak/tests/ports.rs
+++ b/crates/valvestage-soak/tests/ports.rs
@@ -5,7 +5,7 @@
 use std::io::{self, ErrorKind};
 use std::net::{Ipv4Addr, TcpListener, UdpSocket};
 
-use valvestage_soak::site_plan::{SitePlan, ZONES};
+use valvestage_soak::site_plan::{CALLERS_PER_ZONE, SitePlan, ZONES};
 
 const BALANCERS: usize = 3;
 const BACKENDS: usize = 12;
@@ -45,7 +45,10 @@
         UdpSocket::bind((plan.relay(number), plan.peer_port)).unwrap();
     }
     (0..BACKENDS).for_each(|number| drop(UdpSocket::bind(plan.backend(number)).unwrap()));
-    (0..ZONES).for_each(|zone| drop(UdpSocket::bind(plan.caller(zone)).unwrap()));
+    for zone in 0..ZONES {
+        (0..CALLERS_PER_ZONE)
+            .for_each(|number| drop(UdpSocket::bind(plan.caller(zone, number)).unwrap()));
+    }
 }
 
 /// Guards against two runs of one test process, whose balancers have the same addresses, that get
