Forward open flows on unknown routes by their token

Cause: no knowledge taken for knowledge. on_established reset a flow whose route the own configuration lacks, before it looked at the token; within 5 s of a confirmation any number of newer configurations may exist. A balancer whose seeds had left made no watch for 1.2 s, though it knew of nobody to leave watches to. Readiness asked for any configuration.

Ruled out: wrong tokens or services (they named living backend servers), a route that was known and lost again (versions never go back).

Change: an open flow goes to the backend server of its token; where neither token nor route is known, the packet is dropped. Only a flow that had a packet here under a configuration with its route, which the one in force lacks, is reset for its route, so that a route that was dropped and added again ends nothing either. New flows are refused as before, but not while a peer names a newer version, and copies of opening packets are dropped. A balancer that knows of no other watches from its start. After its start a balancer is not ready before it has the newest version that peers name, for 0.7 s at most.

--- a/crates/valvestage-policy/src/steering/entry_policy.rs
+++ b/crates/valvestage-policy/src/steering/entry_policy.rs
@@ -9,9 +9,9 @@
 use crate::steering::decision::{AnswerTime, Decision};
 use crate::steering::keeper::keeper_action::KeeperAction;
 use crate::steering::keeper::knowledge_keeper::KnowledgeKeeper;
-use crate::steering::knowledge::Knowledge;
 use crate::steering::knowledge::lapse::RETURN_TIME;
 use crate::steering::knowledge::route_map::RouteMap;
+use crate::steering::knowledge::{CATCH_UP_TIME, Knowledge};
 use crate::steering::packets::caller_packet::{CallerPacket, PacketVerdict};
 use crate::steering::packets::flow_reset::FlowReset;
 use crate::steering::packets::steering_policy::SteeringPolicy;
@@ -88,6 +88,11 @@
     next_tick: Instant,
     next_cleaning: Instant,
     last_tick: Instant,
+    /// When enough was first known to place flows.
+    complete_since: Option<Instant>,
+    /// Whether this balancer has had the newest configuration that its peers reported, or has waited
+    /// for it long enough.
+    has_caught_up: bool,
     /// Whether a stall since the last tick has been noted already.
     is_gap_noted: bool,
     /// The latest interval in which the process was stalled.
@@ -119,6 +124,8 @@
             next_tick: now,
             next_cleaning: now + CLEANING_INTERVAL,
             last_tick: now,
+            complete_since: None,
+            has_caught_up: false,
             is_gap_noted: false,
             stall: None,
             report: BalancerReport::default(),
@@ -126,10 +133,24 @@
         }
     }
 
-    /// Reports whether enough is known to place flows.
+    /// Reports whether enough is known to place flows. After the start, the configuration also has to
+    /// be as new as the newest one that a peer has reported.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.knowledge.is_complete()
+        self.knowledge.is_complete() && self.has_caught_up
+    }
+
+    /// Updates whether this balancer has caught up with its peers since its start. It does not wait
+    /// for a newer configuration for longer than it takes to pull one: the peer may have gone, and
+    /// while configurations follow each other, a newer one is reported again and again.
+    fn update_caught_up(&mut self, now: Instant) {
+        if self.has_caught_up || !self.knowledge.is_complete() {
+            return;
+        }
+
+        let complete_since = *self.complete_since.get_or_insert(now);
+        self.has_caught_up =
+            self.knowledge.has_newest_routes(now) || complete_since + CATCH_UP_TIME <= now;
     }
 
     /// Returns the decisions made since the last call.
@@ -394,6 +415,7 @@
     fn step_keeper(&mut self, now: Instant) -> Vec<KeeperAction> {
         let actions = self.keeper.on_tick(&mut self.knowledge, &self.report, now);
 
+        self.update_caught_up(now);
         self.note_told(&actions, now);
         actions
     }
--- a/crates/valvestage-policy/src/steering/keeper/knowledge_keeper.rs
+++ b/crates/valvestage-policy/src/steering/keeper/knowledge_keeper.rs
@@ -22,7 +22,7 @@
 use crate::steering::seeded_draw::SeededDraw;
 use crate::steering::store::evacuation_follower::EvacuationUpdate;
 use crate::steering::store::store_follower::{StoreKind, StoreReply};
-use crate::steering::store::store_link::{BackendUpdate, StoreLink};
+use crate::steering::store::store_link::{BackendUpdate, FollowerState, StoreLink};
 use crate::steering::store::watch_role::{RoleInputs, WatchRole, millis_since, time_of_age};
 
 /// Time between two rounds of heartbeats.
@@ -242,7 +242,9 @@
 
         let hears_other_zones = knowledge.contacts.hears_others(RECENTLY_HEARD_WITHIN, now);
         let keeps_watching = self.role.keeps_watching(hears_other_zones);
-        let calls = self.store.calls(knowledge, keeps_watching, packets_wait, now).into_iter();
+        let follower =
+            FollowerState { keeps_watching, packets_wait, is_alone: self.peers.is_empty() };
+        let calls = self.store.calls(knowledge, follower, now).into_iter();
         calls.map(|(kind, call)| KeeperAction::Call(kind, call)).collect()
     }
 
@@ -337,6 +339,7 @@
         if heartbeat.zone != self.zone {
             knowledge.contacts.on_heard(&heartbeat.zone, now);
         }
+        knowledge.note_peer_version(heartbeat.version, now);
         self.store.merge_peer_failure(time_of_age(heartbeat.outage_age_ms, now));
         self.store.enter_era(heartbeat.era_head.era, now);
         knowledge.directory.record_list_position(heartbeat.era_head, now);
--- a/crates/valvestage-policy/src/steering/knowledge.rs
+++ b/crates/valvestage-policy/src/steering/knowledge.rs
@@ -34,7 +34,7 @@
 
 use std::time::{Duration, Instant};
 
-use valvestage_core::ids::ZoneName;
+use valvestage_core::ids::{ConfigurationVersion, ZoneName};
 
 use self::backend_directory::BackendDirectory;
 use self::entry_times::EntryTimes;
@@ -49,7 +49,15 @@
 
 /// Time within which this balancer catches up with a peer that knows more: two rounds of pulls to a
 /// slow VM, and a heartbeat from a peer that knows the same.
-const CATCH_UP_TIME: Duration = Duration::from_millis(700);
+pub(in crate::steering) const CATCH_UP_TIME: Duration = Duration::from_millis(700);
+
+/// Version of the configuration of a peer.
+#[derive(Debug, Clone, Copy)]
+struct ReportedVersion {
+    version: ConfigurationVersion,
+    /// When a peer last reported it.
+    reported_at: Instant,
+}
 
 /// What a balancer knows, on which placement and steering are based.
 #[derive(Debug, Default)]
@@ -74,6 +82,9 @@
     /// When entries that lapsed before the store last failed to answer have had time to return.
     /// `None` if the store never failed.
     settles_at: Option<Instant>,
+    /// The newest version of the configuration that a peer has reported; `None` before the first
+    /// report.
+    newest_reported: Option<ReportedVersion>,
     /// Since when a peer is known to know more. `None` if no peer does.
     behind_since: Option<Instant>,
     /// Whether this balancer is cut off, together with its availability zone, from the store and
@@ -170,6 +181,25 @@
         [gap_began_at, unconfirmed].into_iter().flatten().fold(learned_at, Instant::min)
     }
 
+    /// Records the version of a peer's configuration.
+    pub fn note_peer_version(&mut self, version: ConfigurationVersion, now: Instant) {
+        let is_newest = self.newest_reported.is_none_or(|newest| newest.version <= version);
+
+        if is_newest {
+            self.newest_reported = Some(ReportedVersion { version, reported_at: now });
+        }
+    }
+
+    /// Reports whether no peer is known to have a newer configuration. A version that no peer has
+    /// reported for a while no longer counts: a store that was restored may not have it.
+    #[must_use]
+    pub fn has_newest_routes(&self, now: Instant) -> bool {
+        self.newest_reported.is_none_or(|newest| {
+            let age = now.saturating_duration_since(newest.reported_at);
+            newest.version <= self.routes.version || age > CERTAIN_FOR
+        })
+    }
+
     /// Records that a peer knows more.
     pub fn note_behind(&mut self, now: Instant) {
         self.behind_since.get_or_insert(now);
--- a/crates/valvestage-policy/src/steering/packets/flow_record.rs
+++ b/crates/valvestage-policy/src/steering/packets/flow_record.rs
@@ -42,6 +42,8 @@
     request: Option<FlowRequest>,
     /// Whether a request was sent on the flow before, here or through another balancer.
     has_sent: bool,
+    /// Whether the flow had a packet here while its service address had a route.
+    had_route: bool,
 }
 
 /// What a packet shows about the liveness of the backend server of its flow.
@@ -85,6 +87,7 @@
             probed_at: None,
             request: None,
             has_sent: false,
+            had_route: true,
         }
     }
 
@@ -104,9 +107,21 @@
             probed_at: None,
             request: None,
             has_sent: true,
+            had_route: false,
         }
     }
 
+    /// Records that the service address of the flow has a route.
+    pub fn mark_routed(&mut self) {
+        self.had_route = true;
+    }
+
+    /// Reports whether the flow had a packet here while its service address had a route.
+    #[must_use]
+    pub fn had_route(&self) -> bool {
+        self.had_route
+    }
+
     /// Updates the record with a further packet, and returns what the packet shows.
     pub fn observe(&mut self, packet: &CallerPacket, now: Instant) -> LivenessSignal {
         self.last_packet = now;
--- a/crates/valvestage-policy/src/steering/packets/flow_tracker.rs
+++ b/crates/valvestage-policy/src/steering/packets/flow_tracker.rs
@@ -133,6 +133,13 @@
         FlowObservation { signal, ended, began }
     }
 
+    /// Records that the service address of a flow has a route.
+    pub fn mark_routed(&mut self, flow: &FlowAddresses) {
+        if let Some(record) = self.records.get_mut(flow) {
+            record.mark_routed();
+        }
+    }
+
     /// Returns the request of a flow that began at `started`, with its backend server, if it still
     /// waits for an answer or its answer seems complete.
     pub fn take_overdue_request(
--- a/crates/valvestage-policy/src/steering/packets/opening_packets.rs
+++ b/crates/valvestage-policy/src/steering/packets/opening_packets.rs
@@ -35,6 +35,9 @@
                 }
                 self.place(knowledge, packet.flow, service, None, now)
             }
+            // Another balancer, which knows a newer configuration, may have got the first copy, and
+            // the flow may be open by now.
+            None if packet.acknowledged > 0 => PacketVerdict::Drop(DropReason::NoRoute),
             None => no_route_verdict(knowledge, now),
         }
     }
--- a/crates/valvestage-policy/src/steering/packets/packet_verdicts.rs
+++ b/crates/valvestage-policy/src/steering/packets/packet_verdicts.rs
@@ -10,10 +10,12 @@
 use crate::steering::knowledge::Knowledge;
 use crate::steering::knowledge::backend_directory::BackendDirectory;
 
-/// Returns the verdict on a packet for a service address without a route. If the configuration may
-/// be out of date, the packet is dropped rather than refused: the caller retransmits it.
+/// Returns the verdict on a packet that may be refused because its service address has no route: a
+/// packet that asks to open a flow, or one of an open flow whose route was dropped. If the
+/// configuration may be out of date, the packet is dropped rather than refused: the caller
+/// retransmits it.
 pub(in crate::steering) fn no_route_verdict(knowledge: &Knowledge, now: Instant) -> PacketVerdict {
-    if knowledge.is_certain(now) {
+    if knowledge.is_certain(now) && knowledge.has_newest_routes(now) {
         PacketVerdict::Reset(ResetReason::NoRoute)
     } else {
         PacketVerdict::Drop(DropReason::NoRoute)
--- a/crates/valvestage-policy/src/steering/packets/steering_policy.rs
+++ b/crates/valvestage-policy/src/steering/packets/steering_policy.rs
@@ -466,21 +466,28 @@
     /// the requests in a simulation in which all balancers are restarted after a change of routes.
     /// A token that the caller did not get on this flow does no harm: the packet names one
     /// incarnation, which refuses flows that it does not have.
+    ///
+    /// For the same reason a missing route alone ends no flow: a configuration that is not known
+    /// here yet may have added it. Only a flow that was served here under a configuration with its
+    /// route has lost the route. Where neither route nor token is known, packets are not held, so
+    /// that those sent to random addresses take no place from others.
     fn on_established(
         &mut self,
         knowledge: &Knowledge,
         packet: &CallerPacket,
         now: Instant,
     ) -> PacketVerdict {
-        if !knowledge.routes.routes.contains_key(&packet.flow.service) {
+        let has_route = knowledge.routes.routes.contains_key(&packet.flow.service);
+        if !has_route && self.flows.get(&packet.flow).is_some_and(FlowRecord::had_route) {
             return no_route_verdict(knowledge, now);
         }
+        let unknown = if has_route { DropReason::UnknownToken } else { DropReason::NoRoute };
         let Some(instance) = instance_of(&self.flows, knowledge, packet) else {
-            return PacketVerdict::Drop(DropReason::UnknownToken);
+            return PacketVerdict::Drop(unknown);
         };
         let instance = current_incarnation(knowledge, packet, instance);
         if knowledge.directory.get(instance).is_none() {
-            return PacketVerdict::Drop(DropReason::UnknownToken);
+            return PacketVerdict::Drop(unknown);
         }
 
         self.observe(knowledge, instance, packet, now);
@@ -488,6 +495,9 @@
             self.flows.remove(&packet.flow);
             return forward(knowledge, instance);
         }
+        if has_route {
+            self.flows.mark_routed(&packet.flow);
+        }
         let Some(reason) = self.flow_end_reason(knowledge, packet, instance, now) else {
             return forward(knowledge, instance);
         };
--- a/crates/valvestage-policy/src/steering/store/store_link.rs
+++ b/crates/valvestage-policy/src/steering/store/store_link.rs
@@ -30,10 +30,21 @@
 /// milliseconds, so a watch that ends exactly at that time could end too early.
 const CONFLICT_RESOLUTION_DELAY: Duration = Duration::from_millis(20);
 
-/// Period after the start in which a balancer leaves watches to others: two rounds of heartbeats to
-/// learn which balancers follow the store, and a margin.
+/// Period after the start in which a balancer that knows of others leaves watches to them: two
+/// rounds of heartbeats to learn which balancers follow the store, and a margin.
 const STARTUP_PERIOD: Duration = Duration::from_millis(1_200);
 
+/// What the calls of a follower depend on, other than its knowledge.
+#[derive(Debug, Clone, Copy)]
+pub struct FollowerState {
+    /// Whether this balancer is going to keep following the store.
+    pub keeps_watching: bool,
+    /// Whether packets wait for unknown entries, here or at other balancers.
+    pub packets_wait: bool,
+    /// Whether this balancer knows of no other one, so that it has nobody to leave watches to.
+    pub is_alone: bool,
+}
+
 /// A change of the entry of one backend server, as reported by the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct BackendUpdate {
@@ -207,8 +218,7 @@
     pub fn calls(
         &mut self,
         knowledge: &Knowledge,
-        keeps_watching: bool,
-        packets_wait: bool,
+        follower: FollowerState,
         now: Instant,
     ) -> Vec<(StoreKind, StoreCall)> {
         let known_until = knowledge.directory.complete_until();
@@ -217,9 +227,9 @@
             self.backends.relist();
         }
         let held_until = self.started_at + STARTUP_PERIOD;
-        if keeps_watching && packets_wait {
+        if follower.keeps_watching && follower.packets_wait {
             self.backends.release_watch(held_until);
-        } else if self.is_starting_up(now) {
+        } else if self.leaves_watches(follower, now) {
             self.routes.delay_watch(held_until);
             self.backends.delay_watch(held_until);
         }
@@ -233,7 +243,7 @@
             self.list_began_at = Some(now);
         }
 
-        let evacuations = self.next_evacuations(knowledge, keeps_watching, now);
+        let evacuations = self.next_evacuations(knowledge, follower, now);
 
         let routes = routes.map(|call| (StoreKind::Configuration, call));
         let backends = backends.map(|call| (StoreKind::Backends, call));
@@ -246,14 +256,14 @@
     fn next_evacuations(
         &mut self,
         knowledge: &Knowledge,
-        keeps_watching: bool,
+        follower: FollowerState,
         now: Instant,
     ) -> Option<StoreCall> {
         let is_next = if self.routes.is_failing() || self.backends.is_failing() {
             // Skips the evacuation call while other calls to the store fail.
             false
         } else if knowledge.evacuated.is_known() {
-            keeps_watching && !self.is_starting_up(now)
+            follower.keeps_watching && !self.leaves_watches(follower, now)
         } else {
             // Also while there is no configuration: otherwise all balancers would keep trying to
             // read the evacuations.
@@ -264,12 +274,12 @@
         follower.next_call(&knowledge.evacuated, now)
     }
 
-    /// Reports whether this balancer has just started. It then reads the lists that it needs and
-    /// leaves watches to others: when many balancers start at once, nearly all begin to follow the
-    /// store, and most have stopped by the end of this period. The first watch reports at once what
-    /// has changed meanwhile.
-    fn is_starting_up(&self, now: Instant) -> bool {
-        self.started_at + STARTUP_PERIOD > now
+    /// Reports whether this balancer has just started and knows of others. It then reads the lists
+    /// that it needs and leaves watches to them: when many balancers start at once, nearly all begin
+    /// to follow the store, and most have stopped by the end of this period. The first watch reports
+    /// at once what has changed meanwhile.
+    fn leaves_watches(&self, follower: FollowerState, now: Instant) -> bool {
+        !follower.is_alone && self.started_at + STARTUP_PERIOD > now
     }
 
     /// Reports whether the last call for a kind of object failed.
--- a/crates/valvestage-policy/tests/steering/main.rs
+++ b/crates/valvestage-policy/tests/steering/main.rs
@@ -40,6 +40,7 @@
 mod slow_fleet;
 mod slow_store;
 mod successors;
+mod unknown_routes;
 mod unresolved_tokens;
 mod watch_role;
 mod zone_shares;
