Simulation: flows that rest, and loss on one caller's link

Change: two new series. From 6,000,000 on flows rest for up to 14 s, half of the deployments have few callers, and half of the faults last for up to 12 s. From 6,100,000 on the link of one busy caller loses datagrams while the flows of others rest. Two mutations, each shown by a seed that holds without it.

LivingFlowsStay, unchanged, also judges the flows of the caller that loses datagrams.

--- a/crates/valvestage-policy/tests/simulation/balancers.rs
+++ b/crates/valvestage-policy/tests/simulation/balancers.rs
@@ -32,6 +32,8 @@
     pub is_outbound_cut: bool,
     /// End of the last fault that affected the balancer.
     pub disturbed_at: Millis,
+    /// End of the last unplanned fault. Planned work excuses no reset of an open flow.
+    pub unplanned_until: Millis,
     /// The highest configuration version that was in force since the last start.
     pub highest_version: u64,
     /// When the timer fires next. Timer events for earlier times are ignored.
@@ -53,6 +55,7 @@
             is_inbound_cut: false,
             is_outbound_cut: false,
             disturbed_at: 0,
+            unplanned_until: 0,
             highest_version: 0,
             wakes_at: Millis::MAX,
             held: HeldPackets::default(),
@@ -87,6 +90,12 @@
         self.policy = Some(EntryPolicy::new(options, now));
     }
 
+    /// Records an unplanned fault that affects the balancer until a time.
+    pub fn disturb(&mut self, until: Millis) {
+        self.disturbed_at = self.disturbed_at.max(until);
+        self.unplanned_until = self.unplanned_until.max(until);
+    }
+
     pub fn is_ready(&self, now: Millis) -> bool {
         self.paused_until <= now && self.policy.as_ref().is_some_and(EntryPolicy::is_ready)
     }
--- a/crates/valvestage-policy/tests/simulation/callers.rs
+++ b/crates/valvestage-policy/tests/simulation/callers.rs
@@ -6,7 +6,7 @@
 use valvestage_policy::rendezvous::mix;
 use valvestage_policy::steering::{CallerPacket, FlowAddresses};
 
-use crate::events::Millis;
+use crate::events::{BalancerNumber, Millis};
 
 /// Times after the first opening packet at which it is retransmitted, and the timeout of the
 /// opening.
@@ -28,6 +28,32 @@
 /// Sequence number of a flow's first byte.
 const FIRST_SEQUENCE: u32 = 1_000;
 
+/// How a caller uses its flows.
+#[derive(Debug, Clone, Copy)]
+pub struct CallerProfile {
+    /// Number of flows that the caller has at the same time.
+    pub flows: usize,
+    /// Number of requests of a flow. The caller closes it after the last one.
+    pub requests: u32,
+    /// Shortest pause between two requests of a flow.
+    pub min_pause: Millis,
+    /// Limit of the random time that is added to the shortest pause, in milliseconds.
+    pub extra_pause_ms: usize,
+}
+
+impl CallerProfile {
+    /// A flow with many requests and short pauses.
+    pub const LONG: Self = Self { flows: 1, requests: 40, min_pause: 200, extra_pause_ms: 1_300 };
+
+    /// One flow for each request.
+    pub const BRIEF: Self = Self { requests: 1, ..Self::LONG };
+
+    /// A flow that rests for up to 14 s between two requests. That is shorter than the idle
+    /// timeout, after which a flow may be forgotten.
+    pub const RESTING: Self =
+        Self { flows: 1, requests: 40, min_pause: 2_000, extra_pause_ms: 12_000 };
+}
+
 /// State of a flow as its caller sees it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FlowState {
@@ -53,6 +79,8 @@
     pub addresses: FlowAddresses,
     pub state: FlowState,
     pub token: u32,
+    /// The balancer that the routers chose for the last packet.
+    pub last_balancer: Option<BalancerNumber>,
     pub opened_at: Millis,
     pub opening_resends: u32,
     pub next_sequence: u32,
@@ -69,6 +97,7 @@
         caller: usize,
         zone: usize,
         service: SocketAddrV4,
+        requests: u32,
         now: Millis,
     ) -> Self {
         let [.., c, high, low] = number.to_be_bytes();
@@ -82,13 +111,14 @@
             addresses: FlowAddresses { caller: SocketAddrV4::new(caller_ip, port), service },
             state: FlowState::Opening,
             token: 0,
+            last_balancer: None,
             opened_at: now,
             opening_resends: 0,
             next_sequence: FIRST_SEQUENCE,
             acknowledged: 0,
             request: None,
             next_request_at: 0,
-            requests_left: if caller.is_multiple_of(2) { 40 } else { 1 },
+            requests_left: requests,
             last_answer_at: 0,
         }
     }
--- a/crates/valvestage-policy/tests/simulation/fault.rs
+++ b/crates/valvestage-policy/tests/simulation/fault.rs
@@ -3,6 +3,7 @@
 use valvestage_policy::steering::seeded_draw::SeededDraw;
 
 use crate::events::Millis;
+use crate::site::BUSY_CALLER;
 use crate::store::MAX_ROUTES;
 
 /// Earliest start of a fault. All processes have started by then.
@@ -14,6 +15,11 @@
 /// Longest duration of a fault, in milliseconds.
 const MAX_DURATION_MS: usize = 4_500;
 
+/// Longest duration of a fault of the series with long faults, in milliseconds, and the time by
+/// which they have ended.
+const MAX_LONG_DURATION_MS: usize = 12_000;
+const LAST_FAULT_END_AT: Millis = 19_500;
+
 /// Smallest growth of the configuration after open store calls stop being answered, in addresses,
 /// and the longest time between the two, in milliseconds.
 const MIN_LARGE_GROWTH: usize = 4_300;
@@ -82,6 +88,19 @@
     Evacuation(usize),
     /// All backend servers of a zone crash together, and cold ones replace them together.
     ColdReturn(usize),
+    /// The link of one caller loses datagrams.
+    CallerLoss(CallerLoss),
+}
+
+/// A loss on the link of one caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallerLoss {
+    /// Selects the caller, modulo their count.
+    pub caller: usize,
+    /// Share of the datagrams that are lost, in percent.
+    pub percent: usize,
+    /// Whether the caller's own datagrams are lost, besides those to it.
+    pub is_both_ways: bool,
 }
 
 /// How much a restored store has lost.
@@ -112,6 +131,14 @@
 /// that time.
 pub const RESTORE_SEEDS: u64 = 5_000_000;
 
+/// First seed of the series with flows that rest for up to 14 s, and the faults of every
+/// deployment.
+pub const RESTING_FLOW_SEEDS: u64 = 6_000_000;
+
+/// First seed of the series in which the link of one busy caller loses datagrams, again and again,
+/// while the flows of others rest.
+pub const CALLER_LOSS_SEEDS: u64 = 6_100_000;
+
 /// The set of faults that a seed draws from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FaultSeries {
@@ -127,6 +154,10 @@
     Growths,
     /// Restores of the store, with faults of all kinds around them.
     Restores,
+    /// Ordinary faults, with callers whose flows rest.
+    RestingFlows,
+    /// Losses on the link of one busy caller, and at most one ordinary fault.
+    CallerLosses,
 }
 
 impl FaultSeries {
@@ -137,7 +168,9 @@
             ZONE_FAULT_SEEDS..CUT_SEEDS => Self::ZoneFaults,
             CUT_SEEDS..GROWTH_SEEDS => Self::Cuts,
             GROWTH_SEEDS..RESTORE_SEEDS => Self::Growths,
-            RESTORE_SEEDS.. => Self::Restores,
+            RESTORE_SEEDS..RESTING_FLOW_SEEDS => Self::Restores,
+            RESTING_FLOW_SEEDS..CALLER_LOSS_SEEDS => Self::RestingFlows,
+            CALLER_LOSS_SEEDS.. => Self::CallerLosses,
         }
     }
 }
@@ -168,6 +201,8 @@
             FaultSeries::Cuts => draw_cuts(&mut draw),
             FaultSeries::Growths => draw_growth(&mut draw),
             FaultSeries::Restores => draw_restores(&mut draw),
+            FaultSeries::RestingFlows => draw_with_long_faults(&mut draw),
+            FaultSeries::CallerLosses => draw_caller_losses(&mut draw),
         };
         faults.sort_by_key(|fault| fault.at);
         Self { faults }
@@ -268,6 +303,41 @@
     Fault { for_ms: away_ms, ..with_random_time(FaultKind::StoreRestored(depth), draw) }
 }
 
+/// Draws ordinary faults, of which about half last for up to [`MAX_LONG_DURATION_MS`].
+fn draw_with_long_faults(draw: &mut SeededDraw) -> Vec<Fault> {
+    let mut faults = draw_ordinary(draw);
+
+    for fault in &mut faults {
+        let longest = usize::try_from(LAST_FAULT_END_AT - fault.at).expect("the number fits");
+        if draw.below(2) == 0 {
+            let for_ms = 500 + draw.below(longest.min(MAX_LONG_DURATION_MS) - 500);
+            fault.for_ms = u64::try_from(for_ms).expect("the number fits");
+        }
+    }
+    faults
+}
+
+/// Draws several losses on the link of the busy caller, and in half of the deployments one ordinary
+/// fault.
+fn draw_caller_losses(draw: &mut SeededDraw) -> Vec<Fault> {
+    let count = 3 + draw.below(4);
+    let others = draw.below(2);
+
+    let mut faults: Vec<_> = (0..count).map(|_| draw_caller_loss(draw)).collect();
+    faults.extend((0..others).map(|_| draw_fault(draw)));
+    faults
+}
+
+fn draw_caller_loss(draw: &mut SeededDraw) -> Fault {
+    let percent = if draw.below(2) == 0 { 100 } else { 30 + draw.below(70) };
+    let is_both_ways = draw.below(4) == 0;
+
+    with_random_time(
+        FaultKind::CallerLoss(CallerLoss { caller: BUSY_CALLER, percent, is_both_ways }),
+        draw,
+    )
+}
+
 fn draw_fault(draw: &mut SeededDraw) -> Fault {
     let pick = draw.below(1_000);
     let kind = match draw.below(20) {
--- a/crates/valvestage-policy/tests/simulation/main.rs
+++ b/crates/valvestage-policy/tests/simulation/main.rs
@@ -22,6 +22,7 @@
 //! | `mutation` | deliberate defects that show that each oracle can fail |
 //! | `seeds` | regression seeds, grouped by the failure they showed |
 //! | `trace` | what is printed while one seed runs |
+//! | `flow_series` | tests of the series with resting flows |
 //! | `world` | the simulation itself: handles one event after the other |
 
 mod backends;
@@ -29,6 +30,7 @@
 mod callers;
 mod events;
 mod fault;
+mod flow_series;
 #[path = "../steering/links.rs"]
 mod links;
 mod mutation;
@@ -319,7 +321,10 @@
 #[test]
 fn every_oracle_has_a_mutation() {
     for oracle in Oracle::ALL {
-        assert!(Mutation::ALL.iter().any(|(_, seen_as)| *seen_as == oracle), "{oracle:?}");
+        let of_flow_series = Mutation::OF_FLOW_SERIES.map(|(_, seen_as, _)| seen_as);
+        let mut seen_as =
+            Mutation::ALL.map(|(_, seen_as)| seen_as).into_iter().chain(of_flow_series);
+        assert!(seen_as.any(|seen_as| seen_as == oracle), "{oracle:?}");
     }
 }
 
--- a/crates/valvestage-policy/tests/simulation/mutation.rs
+++ b/crates/valvestage-policy/tests/simulation/mutation.rs
@@ -2,6 +2,8 @@
 
 use valvestage_policy::steering::PeerMessage;
 
+use crate::events::Millis;
+use crate::fault::{CALLER_LOSS_SEEDS, RESTING_FLOW_SEEDS};
 use crate::oracles::Oracle;
 
 /// A defect between the policy and the simulated deployment.
@@ -31,8 +33,16 @@
     HideFollowers,
     /// Each message is sent ten times.
     RepeatMessages,
+    /// Balancers reset flows that have rested for [`RESTED`].
+    ResetRestedFlows,
+    /// A retransmission of a caller whose link loses datagrams resets the other flows at its
+    /// backend server.
+    BlameBackend,
 }
 
+/// How long the flows have rested that mutations reset.
+pub const RESTED: Millis = 5_000;
+
 impl Mutation {
     /// Each mutation, with the oracle that must detect it.
     pub const ALL: [(Self, Oracle); 12] = [
@@ -50,6 +60,13 @@
         (Self::RepeatMessages, Oracle::FewMessages),
     ];
 
+    /// The mutations of the series with resting flows: each with the oracle that must detect it, and
+    /// the first seed of the series that draws the circumstances of the defect.
+    pub const OF_FLOW_SERIES: [(Self, Oracle, u64); 2] = [
+        (Self::ResetRestedFlows, Oracle::RestingFlowsStay, RESTING_FLOW_SEEDS),
+        (Self::BlameBackend, Oracle::RestingFlowsStay, CALLER_LOSS_SEEDS),
+    ];
+
     /// Returns the message as it arrives under this mutation; None if it is lost.
     pub fn on_message(self, message: PeerMessage) -> Option<PeerMessage> {
         match (self, message) {
--- a/crates/valvestage-policy/tests/simulation/oracles.rs
+++ b/crates/valvestage-policy/tests/simulation/oracles.rs
@@ -8,6 +8,8 @@
     /// A balancer resets no flow that its running backend server answered within
     /// [`ANSWERED_WITHIN`].
     LivingFlowsStay,
+    /// A balancer resets no open flow that the rules do not excuse, however long it has rested.
+    RestingFlowsStay,
     /// A balancer does not repeatedly drop packets of an open flow whose backend server is running.
     OpenFlowsGoOn,
     /// No flow opens at a service that no configuration ever allowed for its address.
@@ -33,8 +35,9 @@
 }
 
 impl Oracle {
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 13] = [
         Self::LivingFlowsStay,
+        Self::RestingFlowsStay,
         Self::OpenFlowsGoOn,
         Self::RightService,
         Self::DrainsAreKept,
@@ -60,6 +63,9 @@
 /// A flow counts as live if its backend server answered on it within this time.
 pub const ANSWERED_WITHIN: Millis = 1_500;
 
+/// The rules excuse the reset of an open flow for this time after a disruption.
+pub const CONTACT_TIME: Millis = 4_000;
+
 /// Number of packets of one request that balancers may drop.
 pub const DROPS_ALLOWED: u32 = 2;
 
--- a/crates/valvestage-policy/tests/simulation/site.rs
+++ b/crates/valvestage-policy/tests/simulation/site.rs
@@ -5,6 +5,7 @@
 use valvestage_policy::steering::seeded_draw::SeededDraw;
 use valvestage_policy::steering::{ColdLimit, ColdRate};
 
+use crate::callers::CallerProfile;
 use crate::events::Millis;
 
 /// Names of the services of every deployment.
@@ -13,6 +14,42 @@
 /// Availability zones; a deployment uses the first one, two or all three.
 pub const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 
+/// The busy caller in [`TrafficPlan::OneBusy`], and its number of flows.
+pub const BUSY_CALLER: usize = 0;
+const BUSY_FLOWS: usize = 8;
+
+/// What the callers of a deployment do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TrafficPlan {
+    /// Every second caller keeps its flow for many requests with short pauses, and the others open
+    /// a flow for each request.
+    Dense,
+    /// One caller in three has resting flows; the others are as in `Dense`.
+    Mixed,
+    /// Few callers, each with one resting flow: a service gets about one request in a second.
+    Sparse,
+    /// [`BUSY_CALLER`] has many flows with short pauses, and the others one resting flow each.
+    OneBusy,
+}
+
+impl TrafficPlan {
+    pub fn profile(self, caller: usize) -> CallerProfile {
+        let dense =
+            if caller.is_multiple_of(2) { CallerProfile::LONG } else { CallerProfile::BRIEF };
+
+        match self {
+            Self::Mixed if caller.is_multiple_of(3) => {
+                CallerProfile { flows: 2, ..CallerProfile::RESTING }
+            }
+            Self::Dense | Self::Mixed => dense,
+            Self::OneBusy if caller == BUSY_CALLER => {
+                CallerProfile { flows: BUSY_FLOWS, ..CallerProfile::LONG }
+            }
+            Self::Sparse | Self::OneBusy => CallerProfile::RESTING,
+        }
+    }
+}
+
 /// Size and network conditions of one deployment.
 #[derive(Debug, Clone)]
 pub struct SitePlan {
@@ -23,6 +60,7 @@
     pub backends_each: usize,
     /// Number of callers in each zone.
     pub callers_each: usize,
+    pub traffic: TrafficPlan,
     /// Whether routers hash consistently, so that nearly all flows keep their balancer when one is
     /// added or removed.
     pub is_steady: bool,
@@ -52,6 +90,7 @@
             balancers: balancers.max(zones),
             backends_each: 2 + draw.below(3),
             callers_each: 4 + draw.below(5),
+            traffic: TrafficPlan::Dense,
             is_steady: draw.below(2) == 0,
             has_slow_links: draw.below(2) == 0,
             places: None,
@@ -68,6 +107,33 @@
         self.places = Some(PlaceRules { limit, rate, cold_ms });
     }
 
+    /// Draws callers of which some have resting flows, in half of the deployments only few.
+    pub fn add_resting_flows(&mut self, draw: &mut SeededDraw) {
+        if draw.below(2) == 0 {
+            self.make_sparse(draw);
+        } else {
+            self.traffic = TrafficPlan::Mixed;
+        }
+    }
+
+    /// Reports whether some flows rest for longer than the oracles of the other traffic allow for.
+    pub fn has_resting_flows(&self) -> bool {
+        self.traffic != TrafficPlan::Dense
+    }
+
+    /// Leaves one or two callers in each zone, whose flows rest.
+    pub fn make_sparse(&mut self, draw: &mut SeededDraw) {
+        self.traffic = TrafficPlan::Sparse;
+        self.callers_each = 1 + draw.below(2);
+    }
+
+    /// Draws one busy caller among resting ones, and few backend servers, so that several of its
+    /// flows are at the same one.
+    pub fn add_busy_caller(&mut self, draw: &mut SeededDraw) {
+        self.traffic = TrafficPlan::OneBusy;
+        self.backends_each = 1 + draw.below(2);
+    }
+
     pub fn zone_of(&self, balancer: usize) -> usize {
         balancer % self.zones
     }
--- a/crates/valvestage-policy/tests/simulation/world.rs
+++ b/crates/valvestage-policy/tests/simulation/world.rs
@@ -1,7 +1,10 @@
 //! The simulation of one seed: its state, and the loop that handles one event after the other.
 
+mod caller_links;
 mod checks;
 mod faults;
+mod flow_mutations;
+mod flow_rules;
 mod flows;
 mod knowledge;
 
@@ -9,6 +12,7 @@
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
+use caller_links::LinkLoss;
 use valvestage_core::ids::InstanceId;
 use valvestage_policy::steering::seeded_draw::SeededDraw;
 use valvestage_policy::steering::{FlowAddresses, RouteMap, RouteTarget};
@@ -62,6 +66,10 @@
     links: Option<LinkTable>,
     router: RouterTable,
     cut_zones: Vec<bool>,
+    /// End of the last cut of each zone; 0 without one.
+    zone_cut_until: Vec<Millis>,
+    /// Present or last loss on the links of callers.
+    link_losses: BTreeMap<usize, LinkLoss>,
     /// When the present evacuation of each zone was stored; None without one.
     evacuated_since: Vec<Option<Millis>>,
     backends: BTreeMap<InstanceId, Backend>,
@@ -90,8 +98,11 @@
     pub fn new(seed: u64, faults: FaultPlan, mutation: Option<Mutation>) -> Self {
         let mut draw = SeededDraw::new(seed);
         let mut plan = SitePlan::draw(&mut draw);
-        if matches!(FaultSeries::of(seed), FaultSeries::ZoneFaults | FaultSeries::Restores) {
-            plan.add_cold_limits(&mut draw);
+        match FaultSeries::of(seed) {
+            FaultSeries::ZoneFaults | FaultSeries::Restores => plan.add_cold_limits(&mut draw),
+            FaultSeries::RestingFlows => plan.add_resting_flows(&mut draw),
+            FaultSeries::CallerLosses => plan.add_busy_caller(&mut draw),
+            _ => {}
         }
         let slow = Some(SLOW_LINK).filter(|_| plan.has_slow_links);
         let links = slow.map(|limits: LinkLimits| LinkTable::new(plan.balancers, limits));
@@ -109,6 +120,8 @@
             links,
             router: RouterTable::new(&plan),
             cut_zones: vec![false; plan.zones],
+            zone_cut_until: vec![0; plan.zones],
+            link_losses: BTreeMap::new(),
             evacuated_since: vec![None; plan.zones],
             backends: BTreeMap::new(),
             flows: Vec::new(),
@@ -150,8 +163,10 @@
         self.queue.add(1, Event::StoreScan);
         self.queue.add(2, Event::Probe);
         for caller in 0..self.plan.callers_each * self.plan.zones {
-            let later = u64::try_from(self.draw.below(1_000)).expect("the number fits");
-            self.queue.add(CALLERS_AT + later, Event::CallerStart(caller));
+            for _ in 0..self.plan.traffic.profile(caller).flows {
+                let later = u64::try_from(self.draw.below(1_000)).expect("the number fits");
+                self.queue.add(CALLERS_AT + later, Event::CallerStart(caller));
+            }
         }
         for (number, fault) in self.faults.iter().enumerate() {
             self.queue.add(fault.at, Event::FaultBegins(number));
--- a/crates/valvestage-policy/tests/simulation/world/faults.rs
+++ b/crates/valvestage-policy/tests/simulation/world/faults.rs
@@ -100,7 +100,7 @@
             FaultKind::StoreCut(pick) => {
                 let node = &mut self.balancers[pick % self.plan.balancers];
                 node.is_cut_from_store = true;
-                node.disturbed_at = node.disturbed_at.max(until);
+                node.disturb(until);
             }
             FaultKind::PeerCut { balancer, is_deaf } => {
                 let node = &mut self.balancers[balancer % self.plan.balancers];
@@ -109,18 +109,19 @@
                 } else {
                     node.is_outbound_cut = true;
                 }
-                node.disturbed_at = node.disturbed_at.max(until);
+                node.disturb(until);
             }
             FaultKind::ZoneCut(pick) => self.cut_zone(pick % self.plan.zones, until),
+            FaultKind::CallerLoss(loss) => self.begin_caller_loss(loss, until),
             FaultKind::Freeze(pick) => {
                 let node = &mut self.balancers[pick % self.plan.balancers];
                 node.paused_until = node.paused_until.max(until);
-                node.disturbed_at = node.disturbed_at.max(until);
+                node.disturb(until);
             }
             FaultKind::SilentCalls => {
                 self.store.calls.iter_mut().for_each(|call| call.is_silent = true);
                 for node in &mut self.balancers {
-                    node.disturbed_at = node.disturbed_at.max(self.now);
+                    node.disturb(self.now);
                 }
             }
             FaultKind::StoreRefuses => self.disturb_store(StoreMode::Refuses, until),
@@ -226,7 +227,7 @@
         let node = &mut self.balancers[balancer];
 
         node.policy = None;
-        node.disturbed_at = node.disturbed_at.max(until);
+        node.disturb(until);
     }
 
     fn start_if_down(&mut self, balancer: usize) {
@@ -241,10 +242,11 @@
         }
 
         self.cut_zones[zone] = true;
+        self.zone_cut_until[zone] = self.zone_cut_until[zone].max(until);
         for balancer in 0..self.plan.balancers {
             if self.plan.zone_of(balancer) == zone {
                 let node = &mut self.balancers[balancer];
-                node.disturbed_at = node.disturbed_at.max(until);
+                node.disturb(until);
             }
         }
     }
--- /dev/null
+++ b/crates/valvestage-policy/tests/simulation/world/flow_mutations.rs
@@ -0,0 +1,71 @@
+//! The mutations of the series with resting flows.
+
+use valvestage_core::ids::InstanceId;
+use valvestage_policy::steering::CallerPacket;
+
+use super::World;
+use crate::callers::{CallerFlow, FIRST_RESEND_DELAY, FlowState};
+use crate::events::{BalancerNumber, FlowNumber};
+use crate::mutation::{Mutation, RESTED};
+
+impl World {
+    /// Applies mutations of what a balancer does by itself.
+    pub(super) fn mutate_wake(&mut self, balancer: BalancerNumber) {
+        if self.mutation == Some(Mutation::ResetRestedFlows) {
+            let has_rested = |flow: &CallerFlow| {
+                flow.last_balancer == Some(balancer) && flow.last_answer_at + RESTED < self.now
+            };
+            self.reset_flows(balancer, self.open_flows_where(has_rested));
+        }
+    }
+
+    /// Applies mutations of what a balancer does about a caller's packet.
+    pub(super) fn mutate_packet(
+        &mut self,
+        balancer: BalancerNumber,
+        number: FlowNumber,
+        packet: &CallerPacket,
+    ) {
+        let FlowState::Open(instance) = self.flows[number].state else { return };
+
+        if self.mutation == Some(Mutation::BlameBackend)
+            && self.link_lost_until(number) > 0
+            && self.is_retransmission(number, packet)
+        {
+            self.reset_flows(balancer, self.flows_of_others(number, instance));
+        }
+    }
+
+    /// Reports whether a packet carries a request that was sent before.
+    fn is_retransmission(&self, number: FlowNumber, packet: &CallerPacket) -> bool {
+        let request = self.flows[number].request;
+
+        packet.data_length > 0
+            && request.is_some_and(|request| request.started_at + FIRST_RESEND_DELAY <= self.now)
+    }
+
+    /// Returns the open flows of other callers at the backend server of a flow.
+    fn flows_of_others(&self, number: FlowNumber, instance: InstanceId) -> Vec<FlowNumber> {
+        let caller = self.flows[number].caller;
+
+        self.open_flows_where(|flow| {
+            flow.state == FlowState::Open(instance) && flow.caller != caller
+        })
+    }
+
+    fn open_flows_where(&self, is_selected: impl Fn(&CallerFlow) -> bool) -> Vec<FlowNumber> {
+        let is_open = |flow: &CallerFlow| matches!(flow.state, FlowState::Open(_));
+        let flows = self.flows.iter().enumerate();
+
+        flows
+            .filter(|(_, flow)| is_open(flow) && is_selected(flow))
+            .map(|(number, _)| number)
+            .collect()
+    }
+
+    fn reset_flows(&mut self, balancer: BalancerNumber, flows: Vec<FlowNumber>) {
+        for number in flows {
+            self.reset_flow(balancer, self.flows[number].addresses);
+        }
+    }
+}
--- a/crates/valvestage-policy/tests/simulation/world/flows.rs
+++ b/crates/valvestage-policy/tests/simulation/world/flows.rs
@@ -9,8 +9,8 @@
 use crate::backends::{HeldFlow, REQUEST_MS};
 use crate::balancers::HeldCopies;
 use crate::callers::{
-    ANSWER_BYTES, CallerFlow, FIRST_RESEND_DELAY, FlowState, MAX_RESEND_DELAY, OPENING_RESENDS_AT,
-    OPENING_TIMEOUT, OpenRequest, REQUEST_BYTES, REQUEST_DEADLINE,
+    ANSWER_BYTES, CallerFlow, CallerProfile, FIRST_RESEND_DELAY, FlowState, MAX_RESEND_DELAY,
+    OPENING_RESENDS_AT, OPENING_TIMEOUT, OpenRequest, REQUEST_BYTES, REQUEST_DEADLINE,
 };
 use crate::events::{Answer, BalancerNumber, Event, FlowNumber, Millis};
 use crate::mutation::Mutation;
@@ -32,7 +32,8 @@
 
         let number = self.flows.len();
         let zone = caller % self.plan.zones;
-        let flow = CallerFlow::new(number, caller, zone, address, self.now);
+        let requests = self.plan.traffic.profile(caller).requests;
+        let flow = CallerFlow::new(number, caller, zone, address, requests, self.now);
         self.flow_numbers.insert(flow.addresses, number);
         let packet = flow.opening_packet();
         self.flows.push(flow);
@@ -43,6 +44,10 @@
     fn send_packet(&mut self, flow: FlowNumber, packet: CallerPacket) {
         let sender = &self.flows[flow];
         let balancer = self.router.choose(sender.zone, sender.hash());
+        self.flows[flow].last_balancer = Some(balancer);
+        if self.loses_packet(flow) {
+            return;
+        }
 
         self.queue.add(self.now + HOP_MS, Event::Packet(balancer, flow, packet));
     }
@@ -64,6 +69,7 @@
         let Some(policy) = &mut self.balancers[balancer].policy else { return };
         let verdict = policy.on_packet(&packet, now);
         let verdict = self.apply_mutation(verdict, flow, &packet);
+        self.mutate_packet(balancer, flow, &packet);
         if self.trace.flow == Some(flow) {
             println!("{} ms, balancer {balancer}: {packet:?} -> {verdict:?}", self.now);
         }
@@ -150,6 +156,10 @@
             // The flow is open once its backend server has received a packet after the opening one.
             let held = self.backends[&instance].flows.get(&number);
             let is_open = held.is_some_and(|held| held.is_open);
+            if is_open {
+                self.check_open_flow_reset(balancer, number, instance);
+            }
+            let flow = &self.flows[number];
             if is_open && ago <= ANSWERED_WITHIN && self.can_go_on(balancer, instance, flow) {
                 let what = format!(
                     "balancer {balancer} resets flow {number} at {instance:x}, answered {ago} ms ago"
@@ -336,6 +346,9 @@
         if self.trace.flow == Some(number) {
             println!("{} ms, caller: {answer:?}", self.now);
         }
+        if self.loses_answer(number) {
+            return;
+        }
         let flow = &mut self.flows[number];
         match (flow.state, answer) {
             (FlowState::Closed, _) => {}
@@ -364,7 +377,10 @@
 
     /// Schedules the next request after a pause, or closes the flow if it is over.
     fn pause_or_close(&mut self, number: FlowNumber, is_over: bool) {
-        let pause = 200 + u64::try_from(self.draw.below(1_300)).expect("the number fits");
+        let CallerProfile { min_pause, extra_pause_ms, .. } =
+            self.plan.traffic.profile(self.flows[number].caller);
+        let extra = self.draw.below(extra_pause_ms);
+        let pause = min_pause + u64::try_from(extra).expect("the number fits");
         if is_over {
             self.close_flow(number, pause);
             return;
--- a/crates/valvestage-policy/tests/simulation/world/knowledge.rs
+++ b/crates/valvestage-policy/tests/simulation/world/knowledge.rs
@@ -25,6 +25,7 @@
 
         let now = self.instant();
         self.run_policy(balancer, |policy| policy.on_tick(now));
+        self.mutate_wake(balancer);
     }
 
     /// Runs one call of a balancer's policy, carries out the actions that it returns, and schedules
