Simulation: new routes, broken entries, late processors, joins, few flows

Change: six more series from 6,200,000 on, a test each in flow_series.rs, and five mutations, each shown by a seed that holds without it. A broken entry becomes what read_entry of the platform makes of it: without a birth, or with another one, it is another incarnation. The routers, and the check of what all know at the end, count members of the deployment only; all balancers of the former series are members.

--- a/crates/valvestage-policy/tests/simulation/balancers.rs
+++ b/crates/valvestage-policy/tests/simulation/balancers.rs
@@ -1,5 +1,6 @@
 //! The simulated balancers: their policy, and the faults that affect them.
 
+use std::net::SocketAddrV4;
 use std::time::Instant;
 
 use valvestage_policy::steering::{EntryOptions, EntryPolicy, HeldPackets, SteeringOptions};
@@ -20,6 +21,11 @@
 pub struct Balancer {
     /// The policy of the running process; None while the balancer is down.
     pub policy: Option<EntryPolicy>,
+    /// Whether the balancer is part of the deployment. One that is to be added is not yet, and one
+    /// that has left is not any more.
+    pub is_member: bool,
+    /// Whether the balancer has been told to stop, and still runs.
+    pub is_leaving: bool,
     /// Number of starts so far.
     pub start_count: u32,
     /// When the present process first became ready.
@@ -45,9 +51,11 @@
 }
 
 impl Balancer {
-    pub fn new() -> Self {
+    pub fn new(is_member: bool) -> Self {
         Self {
             policy: None,
+            is_member,
+            is_leaving: false,
             start_count: 0,
             ready_at: None,
             paused_until: 0,
@@ -64,7 +72,14 @@
     }
 
     /// Starts a new process without any knowledge.
-    pub fn start(&mut self, number: BalancerNumber, plan: &SitePlan, seed: u64, now: Instant) {
+    pub fn start(
+        &mut self,
+        number: BalancerNumber,
+        plan: &SitePlan,
+        seeds: Vec<SocketAddrV4>,
+        seed: u64,
+        now: Instant,
+    ) {
         self.start_count += 1;
         self.highest_version = 0;
         self.ready_at = None;
@@ -76,12 +91,12 @@
                 ..Default::default()
             },
             peer_address: balancer_address(number),
-            seeds: (0..plan.balancers.min(3)).map(balancer_address).collect(),
+            seeds,
             link_mbps: if plan.has_slow_links { 10.0 } else { 1_000.0 },
             evacuable_zones: plan
                 .places
                 .map(|_| ZONES[..plan.zones].iter().map(|zone| (*zone).to_owned()).collect()),
-            is_first_start: self.start_count == 1,
+            is_first_start: self.start_count == 1 && plan.is_founder(number),
             seed: seed
                 ^ u64::try_from(number << 8).expect("the number fits")
                 ^ u64::from(self.start_count),
@@ -97,6 +112,8 @@
     }
 
     pub fn is_ready(&self, now: Millis) -> bool {
-        self.paused_until <= now && self.policy.as_ref().is_some_and(EntryPolicy::is_ready)
+        !self.is_leaving
+            && self.paused_until <= now
+            && self.policy.as_ref().is_some_and(EntryPolicy::is_ready)
     }
 }
--- a/crates/valvestage-policy/tests/simulation/callers.rs
+++ b/crates/valvestage-policy/tests/simulation/callers.rs
@@ -48,6 +48,9 @@
     /// One flow for each request.
     pub const BRIEF: Self = Self { requests: 1, ..Self::LONG };
 
+    /// Flows of a second or two.
+    pub const SHORT: Self = Self { flows: 3, requests: 10, min_pause: 60, extra_pause_ms: 200 };
+
     /// A flow that rests for up to 14 s between two requests. That is shorter than the idle
     /// timeout, after which a flow may be forgotten.
     pub const RESTING: Self =
--- a/crates/valvestage-policy/tests/simulation/fault.rs
+++ b/crates/valvestage-policy/tests/simulation/fault.rs
@@ -3,23 +3,22 @@
 use valvestage_policy::steering::seeded_draw::SeededDraw;
 
 use crate::events::Millis;
-use crate::site::BUSY_CALLER;
+use crate::flow_faults::{
+    draw_broken_entries, draw_caller_losses, draw_joins, draw_new_routes, draw_stale_seeds,
+    draw_starvations, draw_with_long_faults,
+};
+use crate::foreign_entry::BrokenEntry;
 use crate::store::MAX_ROUTES;
 
 /// Earliest start of a fault. All processes have started by then.
-const FIRST_FAULT_AT: Millis = 5_000;
+pub const FIRST_FAULT_AT: Millis = 5_000;
 
 /// Randomly drawn start times lie before this time.
-const LAST_FAULT_AT: Millis = 15_000;
+pub const LAST_FAULT_AT: Millis = 15_000;
 
 /// Longest duration of a fault, in milliseconds.
 const MAX_DURATION_MS: usize = 4_500;
 
-/// Longest duration of a fault of the series with long faults, in milliseconds, and the time by
-/// which they have ended.
-const MAX_LONG_DURATION_MS: usize = 12_000;
-const LAST_FAULT_END_AT: Millis = 19_500;
-
 /// Smallest growth of the configuration after open store calls stop being answered, in addresses,
 /// and the longest time between the two, in milliseconds.
 const MIN_LARGE_GROWTH: usize = 4_300;
@@ -90,6 +89,34 @@
     ColdReturn(usize),
     /// The link of one caller loses datagrams.
     CallerLoss(CallerLoss),
+    /// Another writer overwrites an entry with one that has a broken field.
+    BrokenEntry(BrokenEntry),
+    /// Configurations come in quick succession, and each adds an address.
+    RouteStorm,
+    /// A configuration adds an address.
+    RouteAddition,
+    /// Balancers leave, and others join.
+    Handover(Handover),
+    /// A balancer is told to stop, and ends at the end of the fault.
+    Leave(usize),
+    /// A spare balancer joins. At the end of the fault the settings of all balancers name some that
+    /// run as seeds.
+    Join(usize),
+    /// Some balancers get processor time late and in bursts, for at most `stall_ms` not at all.
+    Starvation { first: usize, count: usize, stall_ms: usize },
+    /// A balancer gets no processor time.
+    Stall(usize),
+}
+
+/// Balancers that leave one after the other, and the spare ones that join some time after that.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Handover {
+    /// Number of balancers that leave: the first ones, which are the seeds.
+    pub leaving: usize,
+    /// Time from the first leave to the joins.
+    pub join_after_ms: Millis,
+    /// Time after the joins at which the settings name balancers that run as seeds.
+    pub seeds_for_ms: Millis,
 }
 
 /// A loss on the link of one caller.
@@ -139,6 +166,29 @@
 /// while the flows of others rest.
 pub const CALLER_LOSS_SEEDS: u64 = 6_100_000;
 
+/// First seed of the series with only planned work: configurations that add addresses, callers that
+/// use them at once, and balancers that leave and join.
+pub const NEW_ROUTE_SEEDS: u64 = 6_200_000;
+
+/// First seed of the series with entries of other writers that have one broken field, and with
+/// backend servers that drain some time after.
+pub const BROKEN_ENTRY_SEEDS: u64 = 6_300_000;
+
+/// First seed of the series with balancers that get processor time late and in bursts.
+pub const LATE_PROCESSOR_SEEDS: u64 = 6_400_000;
+
+/// First seed of the series with balancers that join after their seeds have left, and ordinary
+/// faults.
+pub const JOIN_SEEDS: u64 = 6_500_000;
+
+/// First seed of the series with about one request in a second for a service, and the faults of
+/// every deployment.
+pub const FEW_FLOW_SEEDS: u64 = 6_600_000;
+
+/// First seed of the series with balancers that join after their seeds have left, while no settings
+/// ever name others.
+pub const STALE_SEED_SEEDS: u64 = 6_700_000;
+
 /// The set of faults that a seed draws from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FaultSeries {
@@ -158,6 +208,18 @@
     RestingFlows,
     /// Losses on the link of one busy caller, and at most one ordinary fault.
     CallerLosses,
+    /// Additions of addresses, and balancers that leave and join.
+    NewRoutes,
+    /// Entries with a broken field, and backend servers that drain.
+    BrokenEntries,
+    /// Balancers that get processor time late, and ordinary faults.
+    LateProcessors,
+    /// Balancers whose seeds leave before they join, and ordinary faults.
+    Joins,
+    /// Ordinary faults, with few requests.
+    FewFlows,
+    /// Balancers whose seeds leave before they join, for good.
+    StaleSeeds,
 }
 
 impl FaultSeries {
@@ -170,7 +232,13 @@
             GROWTH_SEEDS..RESTORE_SEEDS => Self::Growths,
             RESTORE_SEEDS..RESTING_FLOW_SEEDS => Self::Restores,
             RESTING_FLOW_SEEDS..CALLER_LOSS_SEEDS => Self::RestingFlows,
-            CALLER_LOSS_SEEDS.. => Self::CallerLosses,
+            CALLER_LOSS_SEEDS..NEW_ROUTE_SEEDS => Self::CallerLosses,
+            NEW_ROUTE_SEEDS..BROKEN_ENTRY_SEEDS => Self::NewRoutes,
+            BROKEN_ENTRY_SEEDS..LATE_PROCESSOR_SEEDS => Self::BrokenEntries,
+            LATE_PROCESSOR_SEEDS..JOIN_SEEDS => Self::LateProcessors,
+            JOIN_SEEDS..FEW_FLOW_SEEDS => Self::Joins,
+            FEW_FLOW_SEEDS..STALE_SEED_SEEDS => Self::FewFlows,
+            STALE_SEED_SEEDS.. => Self::StaleSeeds,
         }
     }
 }
@@ -203,13 +271,19 @@
             FaultSeries::Restores => draw_restores(&mut draw),
             FaultSeries::RestingFlows => draw_with_long_faults(&mut draw),
             FaultSeries::CallerLosses => draw_caller_losses(&mut draw),
+            FaultSeries::NewRoutes => draw_new_routes(&mut draw),
+            FaultSeries::BrokenEntries => draw_broken_entries(&mut draw),
+            FaultSeries::LateProcessors => draw_starvations(&mut draw),
+            FaultSeries::Joins => draw_joins(&mut draw),
+            FaultSeries::FewFlows => draw_ordinary(&mut draw),
+            FaultSeries::StaleSeeds => draw_stale_seeds(&mut draw),
         };
         faults.sort_by_key(|fault| fault.at);
         Self { faults }
     }
 }
 
-fn draw_ordinary(draw: &mut SeededDraw) -> Vec<Fault> {
+pub fn draw_ordinary(draw: &mut SeededDraw) -> Vec<Fault> {
     let count = 2 + draw.below(7);
 
     (0..count).map(|_| draw_fault(draw)).collect()
@@ -303,42 +377,7 @@
     Fault { for_ms: away_ms, ..with_random_time(FaultKind::StoreRestored(depth), draw) }
 }
 
-/// Draws ordinary faults, of which about half last for up to [`MAX_LONG_DURATION_MS`].
-fn draw_with_long_faults(draw: &mut SeededDraw) -> Vec<Fault> {
-    let mut faults = draw_ordinary(draw);
-
-    for fault in &mut faults {
-        let longest = usize::try_from(LAST_FAULT_END_AT - fault.at).expect("the number fits");
-        if draw.below(2) == 0 {
-            let for_ms = 500 + draw.below(longest.min(MAX_LONG_DURATION_MS) - 500);
-            fault.for_ms = u64::try_from(for_ms).expect("the number fits");
-        }
-    }
-    faults
-}
-
-/// Draws several losses on the link of the busy caller, and in half of the deployments one ordinary
-/// fault.
-fn draw_caller_losses(draw: &mut SeededDraw) -> Vec<Fault> {
-    let count = 3 + draw.below(4);
-    let others = draw.below(2);
-
-    let mut faults: Vec<_> = (0..count).map(|_| draw_caller_loss(draw)).collect();
-    faults.extend((0..others).map(|_| draw_fault(draw)));
-    faults
-}
-
-fn draw_caller_loss(draw: &mut SeededDraw) -> Fault {
-    let percent = if draw.below(2) == 0 { 100 } else { 30 + draw.below(70) };
-    let is_both_ways = draw.below(4) == 0;
-
-    with_random_time(
-        FaultKind::CallerLoss(CallerLoss { caller: BUSY_CALLER, percent, is_both_ways }),
-        draw,
-    )
-}
-
-fn draw_fault(draw: &mut SeededDraw) -> Fault {
+pub fn draw_fault(draw: &mut SeededDraw) -> Fault {
     let pick = draw.below(1_000);
     let kind = match draw.below(20) {
         0 | 1 => FaultKind::RouteChange(pick),
@@ -396,7 +435,7 @@
     with_random_time(kind, draw)
 }
 
-fn with_random_time(kind: FaultKind, draw: &mut SeededDraw) -> Fault {
+pub fn with_random_time(kind: FaultKind, draw: &mut SeededDraw) -> Fault {
     let window = usize::try_from(LAST_FAULT_AT - FIRST_FAULT_AT).expect("the number fits");
     let at = FIRST_FAULT_AT + u64::try_from(draw.below(window)).expect("the number fits");
     let for_ms = u64::try_from(500 + draw.below(MAX_DURATION_MS - 500)).expect("the number fits");
--- a/crates/valvestage-policy/tests/simulation/flow_series.rs
+++ b/crates/valvestage-policy/tests/simulation/flow_series.rs
@@ -1,6 +1,9 @@
 //! The series with flows that rest for up to 14 s, one test each, and their mutations.
 
-use crate::fault::{CALLER_LOSS_SEEDS, RESTING_FLOW_SEEDS};
+use crate::fault::{
+    BROKEN_ENTRY_SEEDS, CALLER_LOSS_SEEDS, FEW_FLOW_SEEDS, JOIN_SEEDS, LATE_PROCESSOR_SEEDS,
+    NEW_ROUTE_SEEDS, RESTING_FLOW_SEEDS, STALE_SEED_SEEDS,
+};
 use crate::mutation::Mutation;
 use crate::{report, run_seed, run_seeds};
 
@@ -31,6 +34,43 @@
     assert_series_holds(CALLER_LOSS_SEEDS);
 }
 
+/// Guards against a reset by a balancer that has just joined and does not know the newest routes.
+#[test]
+fn no_seed_with_callers_on_new_routes_violates_anything() {
+    assert_series_holds(NEW_ROUTE_SEEDS);
+}
+
+/// Guards against taking an entry that another writer left with a broken field for the end of the
+/// backend server, or for another process.
+#[test]
+fn no_seed_with_a_broken_field_in_an_entry_violates_anything() {
+    assert_series_holds(BROKEN_ENTRY_SEEDS);
+}
+
+/// Guards against taking what waits while a balancer gets no processor time for silence.
+#[test]
+fn no_seed_with_processor_time_that_comes_late_violates_anything() {
+    assert_series_holds(LATE_PROCESSOR_SEEDS);
+}
+
+/// Guards against decisions of a balancer that reaches nobody when it starts.
+#[test]
+fn no_seed_with_joins_after_the_seeds_have_left_violates_anything() {
+    assert_series_holds(JOIN_SEEDS);
+}
+
+/// Guards against taking the silence of a service that gets few requests for a fault.
+#[test]
+fn no_seed_with_few_flows_violates_anything() {
+    assert_series_holds(FEW_FLOW_SEEDS);
+}
+
+/// Guards against balancers that join and are never heard by the others.
+#[test]
+fn no_seed_with_seeds_that_stay_stale_violates_anything() {
+    assert_series_holds(STALE_SEED_SEEDS);
+}
+
 /// A mutation has to turn a seed red that holds without it.
 #[test]
 fn each_mutation_of_the_flow_series_is_detected() {
--- a/crates/valvestage-policy/tests/simulation/main.rs
+++ b/crates/valvestage-policy/tests/simulation/main.rs
@@ -14,6 +14,8 @@
 //! | `site` | size and topology of a deployment |
 //! | `events` | simulated time and the event queue |
 //! | `fault` | fault kinds, and the fault plan of a seed |
+//! | `flow_faults` | fault plans of the series with resting flows |
+//! | `foreign_entry` | entries that another writer leaves with a broken field |
 //! | `store` | fake of the platform's store |
 //! | `balancers`, `links` | balancers, and the network links between them |
 //! | `router` | the routers' choice of a balancer for each packet |
@@ -30,7 +32,9 @@
 mod callers;
 mod events;
 mod fault;
+mod flow_faults;
 mod flow_series;
+mod foreign_entry;
 #[path = "../steering/links.rs"]
 mod links;
 mod mutation;
--- a/crates/valvestage-policy/tests/simulation/mutation.rs
+++ b/crates/valvestage-policy/tests/simulation/mutation.rs
@@ -3,7 +3,10 @@
 use valvestage_policy::steering::PeerMessage;
 
 use crate::events::Millis;
-use crate::fault::{CALLER_LOSS_SEEDS, RESTING_FLOW_SEEDS};
+use crate::fault::{
+    BROKEN_ENTRY_SEEDS, CALLER_LOSS_SEEDS, FEW_FLOW_SEEDS, JOIN_SEEDS, LATE_PROCESSOR_SEEDS,
+    NEW_ROUTE_SEEDS, RESTING_FLOW_SEEDS,
+};
 use crate::oracles::Oracle;
 
 /// A defect between the policy and the simulated deployment.
@@ -38,6 +41,16 @@
     /// A retransmission of a caller whose link loses datagrams resets the other flows at its
     /// backend server.
     BlameBackend,
+    /// A balancer that has just joined resets open flows on routes that were just added.
+    ResetOnNewRoutes,
+    /// The store deletes an entry that another writer left with a broken field.
+    DeleteBrokenEntries,
+    /// Packets that waited while a balancer got no processor time are answered with resets.
+    ResetLatePackets,
+    /// Balancers that have joined hear of no configuration that comes after.
+    MissRoutesOnceJoined,
+    /// The first packet of a flow that has rested for [`RESTED`] is answered with a reset.
+    ResetReturningFlows,
 }
 
 /// How long the flows have rested that mutations reset.
@@ -62,9 +75,14 @@
 
     /// The mutations of the series with resting flows: each with the oracle that must detect it, and
     /// the first seed of the series that draws the circumstances of the defect.
-    pub const OF_FLOW_SERIES: [(Self, Oracle, u64); 2] = [
+    pub const OF_FLOW_SERIES: [(Self, Oracle, u64); 7] = [
         (Self::ResetRestedFlows, Oracle::RestingFlowsStay, RESTING_FLOW_SEEDS),
         (Self::BlameBackend, Oracle::RestingFlowsStay, CALLER_LOSS_SEEDS),
+        (Self::ResetOnNewRoutes, Oracle::RestingFlowsStay, NEW_ROUTE_SEEDS),
+        (Self::DeleteBrokenEntries, Oracle::RestingFlowsStay, BROKEN_ENTRY_SEEDS),
+        (Self::ResetLatePackets, Oracle::RestingFlowsStay, LATE_PROCESSOR_SEEDS),
+        (Self::MissRoutesOnceJoined, Oracle::RoutesInTime, JOIN_SEEDS),
+        (Self::ResetReturningFlows, Oracle::RestingFlowsStay, FEW_FLOW_SEEDS),
     ];
 
     /// Returns the message as it arrives under this mutation; None if it is lost.
--- a/crates/valvestage-policy/tests/simulation/router.rs
+++ b/crates/valvestage-policy/tests/simulation/router.rs
@@ -10,6 +10,8 @@
     zones: Vec<usize>,
     /// Consecutive failed probes of each balancer, up to 2. A balancer with two gets no packets.
     failed_probes: Vec<u32>,
+    /// Which balancers are part of the deployment.
+    is_member: Vec<bool>,
 }
 
 impl RouterTable {
@@ -18,9 +20,20 @@
             is_steady: plan.is_steady,
             zones: (0..plan.balancers).map(|balancer| plan.zone_of(balancer)).collect(),
             failed_probes: vec![2; plan.balancers],
+            is_member: (0..plan.balancers).map(|balancer| plan.is_founder(balancer)).collect(),
         }
     }
 
+    /// Adds a balancer, which gets packets once it is ready.
+    pub fn add(&mut self, balancer: usize) {
+        self.is_member[balancer] = true;
+    }
+
+    pub fn remove(&mut self, balancer: usize) {
+        self.is_member[balancer] = false;
+        self.failed_probes[balancer] = 2;
+    }
+
     pub fn on_probe(&mut self, balancer: usize, is_ready: bool) {
         self.failed_probes[balancer] =
             if is_ready { 0 } else { (self.failed_probes[balancer] + 1).min(2) };
@@ -30,7 +43,8 @@
     /// the zone has none. If fewer than half of the zone's balancers are healthy, but at least one,
     /// or if there is no healthy balancer at all, the choice ignores health within the zone.
     pub fn choose(&self, zone: usize, flow_hash: u64) -> usize {
-        let is_in_zone = |balancer: &usize| self.zones[*balancer] == zone;
+        let is_in_zone =
+            |balancer: &usize| self.zones[*balancer] == zone && self.is_member[*balancer];
         let is_healthy = |balancer: &usize| self.failed_probes[*balancer] < 2;
         let in_zone: Vec<_> = (0..self.zones.len()).filter(is_in_zone).collect();
         let healthy_in_zone: Vec<_> = in_zone.iter().copied().filter(is_healthy).collect();
--- a/crates/valvestage-policy/tests/simulation/site.rs
+++ b/crates/valvestage-policy/tests/simulation/site.rs
@@ -18,6 +18,14 @@
 pub const BUSY_CALLER: usize = 0;
 const BUSY_FLOWS: usize = 8;
 
+/// Number of balancers, the first ones, that are the seeds of all.
+pub const SEED_COUNT: usize = 3;
+
+/// Fewest and most balancers that a deployment starts with if others are added. The seeds may leave
+/// before these come.
+const MIN_FOUNDERS: usize = SEED_COUNT + 2;
+const MAX_FOUNDERS: usize = 12;
+
 /// What the callers of a deployment do.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum TrafficPlan {
@@ -26,6 +34,8 @@
     Dense,
     /// One caller in three has resting flows; the others are as in `Dense`.
     Mixed,
+    /// Every caller has several flows with few requests and short pauses.
+    Brisk,
     /// Few callers, each with one resting flow: a service gets about one request in a second.
     Sparse,
     /// [`BUSY_CALLER`] has many flows with short pauses, and the others one resting flow each.
@@ -41,6 +51,7 @@
             Self::Mixed if caller.is_multiple_of(3) => {
                 CallerProfile { flows: 2, ..CallerProfile::RESTING }
             }
+            Self::Brisk => CallerProfile::SHORT,
             Self::Dense | Self::Mixed => dense,
             Self::OneBusy if caller == BUSY_CALLER => {
                 CallerProfile { flows: BUSY_FLOWS, ..CallerProfile::LONG }
@@ -56,6 +67,8 @@
     pub zones: usize,
     /// Number of balancers; they are assigned to the zones round-robin.
     pub balancers: usize,
+    /// How many of them, the last ones, are added only later.
+    pub spares: usize,
     /// Number of backend servers of each service in each zone.
     pub backends_each: usize,
     /// Number of callers in each zone.
@@ -88,6 +101,7 @@
         Self {
             zones,
             balancers: balancers.max(zones),
+            spares: 0,
             backends_each: 2 + draw.below(3),
             callers_each: 4 + draw.below(5),
             traffic: TrafficPlan::Dense,
@@ -116,6 +130,22 @@
         }
     }
 
+    /// Draws one to three balancers that are added later, and many short flows or resting ones.
+    pub fn add_spares(&mut self, draw: &mut SeededDraw) {
+        self.spares = 1 + draw.below(3);
+        self.balancers = self.balancers.clamp(MIN_FOUNDERS, MAX_FOUNDERS) + self.spares;
+        match draw.below(4) {
+            0 => self.make_sparse(draw),
+            1 => self.traffic = TrafficPlan::Mixed,
+            _ => self.traffic = TrafficPlan::Brisk,
+        }
+    }
+
+    /// Reports whether a balancer is there from the start.
+    pub fn is_founder(&self, balancer: usize) -> bool {
+        balancer < self.balancers - self.spares
+    }
+
     /// Reports whether some flows rest for longer than the oracles of the other traffic allow for.
     pub fn has_resting_flows(&self) -> bool {
         self.traffic != TrafficPlan::Dense
--- a/crates/valvestage-policy/tests/simulation/store.rs
+++ b/crates/valvestage-policy/tests/simulation/store.rs
@@ -68,6 +68,9 @@
     pub revision: u64,
     pub routes: RouteMap,
     pub entries: BTreeMap<InstanceId, BackendEntry>,
+    /// Incarnations that no process is, from entries of other writers, each with the one whose entry
+    /// was overwritten.
+    pub foreign_incarnations: BTreeMap<InstanceId, InstanceId>,
     /// For each backend server whose entry was deleted, the last period without an entry.
     absences: BTreeMap<InstanceId, Absence>,
     route_changes: Vec<(u64, RouteMap)>,
@@ -99,6 +102,7 @@
             revision: 0,
             routes: RouteMap::default(),
             entries: BTreeMap::new(),
+            foreign_incarnations: BTreeMap::new(),
             absences: BTreeMap::new(),
             route_changes: Vec::new(),
             entry_changes: Vec::new(),
@@ -176,6 +180,42 @@
         self.entry_changes.push(BackendUpdate { name, position, change: EntryChange::Unusable });
     }
 
+    /// Overwrites an entry as another writer does, with what balancers read from its value.
+    pub fn overwrite_entry(&mut self, instance: InstanceId, change: EntryChange) {
+        let EntryChange::Written(mut entry) = change else {
+            self.make_entry_unusable(instance);
+            return;
+        };
+        if !self.entries.contains_key(&instance) {
+            return;
+        }
+
+        self.revision += 1;
+        let (name, position) = (entry.name, self.position());
+        entry.position = position;
+        if entry.instance != instance {
+            self.foreign_incarnations.insert(entry.instance, instance);
+        }
+        self.entries.remove(&instance);
+        self.entries.insert(entry.instance, entry.clone());
+        self.entry_changes.push(BackendUpdate {
+            name,
+            position,
+            change: EntryChange::Written(entry),
+        });
+    }
+
+    /// Deletes the entry that another writer left in place of a backend server's, if it is still
+    /// there.
+    pub fn delete_foreign_entry(&mut self, instance: InstanceId, now: Millis) {
+        let owned = self.foreign_incarnations.iter().filter(|(_, owner)| **owner == instance);
+        let foreign: Vec<_> = owned.map(|(foreign, _)| *foreign).collect();
+
+        for incarnation in foreign {
+            self.delete_entry(incarnation, now);
+        }
+    }
+
     /// Returns the last period without an entry of a backend server; None if its entry was never
     /// deleted.
     pub fn absence(&self, instance: InstanceId) -> Option<Absence> {
--- a/crates/valvestage-policy/tests/simulation/world.rs
+++ b/crates/valvestage-policy/tests/simulation/world.rs
@@ -7,6 +7,8 @@
 mod flow_rules;
 mod flows;
 mod knowledge;
+mod membership;
+mod stalls;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddrV4;
@@ -26,7 +28,7 @@
 use crate::mutation::Mutation;
 use crate::oracles::Violation;
 use crate::router::RouterTable;
-use crate::site::{SERVICES, SitePlan, service_address};
+use crate::site::{SEED_COUNT, SERVICES, SitePlan, balancer_address, service_address};
 use crate::store::FakeStore;
 use crate::trace::TraceOptions;
 
@@ -63,6 +65,8 @@
     /// Whether entries lapse although the store is unavailable.
     entries_lapse_while_away: bool,
     balancers: Vec<Balancer>,
+    /// Addresses of other balancers that the settings name.
+    peer_seeds: Vec<SocketAddrV4>,
     links: Option<LinkTable>,
     router: RouterTable,
     cut_zones: Vec<bool>,
@@ -82,6 +86,8 @@
     dropped_at: BTreeMap<SocketAddrV4, Millis>,
     /// Every pair of address and service that any configuration has allowed.
     ever_allowed: BTreeSet<(SocketAddrV4, usize)>,
+    /// The addresses that configurations have added one by one, the newest last.
+    added_addresses: Vec<SocketAddrV4>,
     /// Configuration versions, and when the store acknowledged them.
     acknowledged: Vec<(u64, Millis)>,
     /// The newest configuration that the operator has written, even if a restore has lost it.
@@ -102,7 +108,17 @@
             FaultSeries::ZoneFaults | FaultSeries::Restores => plan.add_cold_limits(&mut draw),
             FaultSeries::RestingFlows => plan.add_resting_flows(&mut draw),
             FaultSeries::CallerLosses => plan.add_busy_caller(&mut draw),
-            _ => {}
+            FaultSeries::NewRoutes | FaultSeries::Joins | FaultSeries::StaleSeeds => {
+                plan.add_spares(&mut draw);
+            }
+            FaultSeries::BrokenEntries | FaultSeries::LateProcessors => {
+                plan.add_resting_flows(&mut draw);
+            }
+            FaultSeries::FewFlows => plan.make_sparse(&mut draw),
+            FaultSeries::Ordinary
+            | FaultSeries::BackendRestarts
+            | FaultSeries::Cuts
+            | FaultSeries::Growths => {}
         }
         let slow = Some(SLOW_LINK).filter(|_| plan.has_slow_links);
         let links = slow.map(|limits: LinkLimits| LinkTable::new(plan.balancers, limits));
@@ -116,7 +132,10 @@
             store: FakeStore::default(),
             store_disturbed_at: 0,
             entries_lapse_while_away: false,
-            balancers: (0..plan.balancers).map(|_| Balancer::new()).collect(),
+            balancers: (0..plan.balancers)
+                .map(|number| Balancer::new(plan.is_founder(number)))
+                .collect(),
+            peer_seeds: (0..plan.balancers.min(SEED_COUNT)).map(balancer_address).collect(),
             links,
             router: RouterTable::new(&plan),
             cut_zones: vec![false; plan.zones],
@@ -130,6 +149,7 @@
             wanted_routes: (0..ADDRESS_COUNT).map(|n| (service_address(n), n % 2)).collect(),
             dropped_at: BTreeMap::new(),
             ever_allowed: BTreeSet::new(),
+            added_addresses: Vec::new(),
             acknowledged: Vec::new(),
             newest_routes: RouteMap::default(),
             wanted_evacuations: vec![false; plan.zones],
@@ -157,7 +177,7 @@
                 }
             }
         }
-        for balancer in 0..self.plan.balancers {
+        for balancer in 0..self.plan.balancers - self.plan.spares {
             self.start_balancer(balancer);
         }
         self.queue.add(1, Event::StoreScan);
@@ -276,7 +296,8 @@
 
     fn start_balancer(&mut self, balancer: BalancerNumber) {
         let now = self.instant();
-        self.balancers[balancer].start(balancer, &self.plan, self.seed, now);
+        let seeds = self.peer_seeds.clone();
+        self.balancers[balancer].start(balancer, &self.plan, seeds, self.seed, now);
 
         self.balancers[balancer].wakes_at = self.now;
         self.queue.add(self.now, Event::Wake(balancer));
--- a/crates/valvestage-policy/tests/simulation/world/checks.rs
+++ b/crates/valvestage-policy/tests/simulation/world/checks.rs
@@ -182,6 +182,9 @@
 
     fn check_knowledge(&mut self) {
         for balancer in 0..self.plan.balancers {
+            if !self.balancers[balancer].is_member {
+                continue;
+            }
             if let Some(what) = self.find_difference(balancer) {
                 self.record_violation(Oracle::KnowledgeConverges, what);
             }
--- a/crates/valvestage-policy/tests/simulation/world/faults.rs
+++ b/crates/valvestage-policy/tests/simulation/world/faults.rs
@@ -5,10 +5,14 @@
 use valvestage_core::ids::InstanceId;
 use valvestage_policy::steering::BackendPhase;
 
+use super::membership::membership_changes;
+use super::stalls::stalls;
 use super::{ADDRESS_COUNT, World};
 use crate::backends::{Backend, DRAIN_MS, next_incarnation};
 use crate::events::{Event, Millis};
 use crate::fault::{Fault, FaultKind, RestoreDepth};
+use crate::foreign_entry::BrokenEntry;
+use crate::mutation::Mutation;
 use crate::oracles::Oracle;
 use crate::site::{SitePlan, ZONES, service_address};
 use crate::store::{MAX_ROUTES, StoreMode};
@@ -20,6 +24,9 @@
 /// Duration of a rolling restart of all balancers.
 const ROLLING_RESTART_MS: Millis = 4_000;
 
+/// Interval between two configurations that add an address, in milliseconds.
+const ROUTE_ADDITION_STEP: usize = 260;
+
 /// After a restore of the store, the operator writes again within the first of these times, and
 /// backend servers within the second one plus `WRITE_INTERVAL_MS`. Both are in milliseconds.
 const OPERATOR_WRITES_WITHIN: usize = 2_000;
@@ -47,6 +54,20 @@
             }
             FaultKind::Restart(_) => all.push(Fault { for_ms: for_ms.min(MAX_DOWN_MS), ..*fault }),
             FaultKind::Herd => all.push(Fault { for_ms: for_ms.min(MAX_ALL_DOWN_MS), ..*fault }),
+            FaultKind::Handover(handover) => all.extend(membership_changes(fault, handover, plan)),
+            FaultKind::RouteStorm => {
+                let additions = (at..at + for_ms).step_by(ROUTE_ADDITION_STEP);
+                all.extend(additions.map(|at| Fault {
+                    kind: FaultKind::RouteAddition,
+                    at,
+                    for_ms: 0,
+                }));
+            }
+            FaultKind::Starvation { first, count, stall_ms } => {
+                let starved = first..first + count.min(plan.balancers);
+                let starved = starved.map(|number| number % plan.balancers);
+                all.extend(starved.flat_map(|number| stalls(number, fault, stall_ms)));
+            }
             FaultKind::BackendReplaced(_) => all.push(Fault { for_ms: DRAIN_MS, ..*fault }),
             FaultKind::AddressReused(_) => {
                 all.push(Fault { for_ms: for_ms.max(REUSE_AFTER), ..*fault });
@@ -96,7 +117,15 @@
                     self.stop_balancer(balancer, until);
                 }
             }
-            FaultKind::RollingRestart => {}
+            FaultKind::RollingRestart
+            | FaultKind::Handover(_)
+            | FaultKind::RouteStorm
+            | FaultKind::Starvation { .. } => {}
+            FaultKind::RouteAddition => self.add_address(),
+            FaultKind::Leave(balancer) => self.begin_leave(balancer),
+            FaultKind::Join(balancer) => self.join(balancer),
+            FaultKind::Stall(balancer) => self.stall(balancer, until),
+            FaultKind::BrokenEntry(entry) => self.break_entry(entry),
             FaultKind::StoreCut(pick) => {
                 let node = &mut self.balancers[pick % self.plan.balancers];
                 node.is_cut_from_store = true;
@@ -185,6 +214,8 @@
 
         match kind {
             FaultKind::Restart(pick) => self.start_if_down(pick % balancers),
+            FaultKind::Leave(balancer) => self.end_leave(balancer),
+            FaultKind::Join(_) => self.refresh_seeds(),
             FaultKind::Herd => (0..balancers).for_each(|balancer| self.start_if_down(balancer)),
             FaultKind::StoreCut(pick) => {
                 self.balancers[pick % balancers].is_cut_from_store = false;
@@ -225,17 +256,34 @@
 
     fn stop_balancer(&mut self, balancer: usize, until: Millis) {
         let node = &mut self.balancers[balancer];
+        if !node.is_member {
+            return;
+        }
 
         node.policy = None;
         node.disturb(until);
     }
 
     fn start_if_down(&mut self, balancer: usize) {
-        if self.balancers[balancer].policy.is_none() {
+        let node = &self.balancers[balancer];
+        if node.is_member && node.policy.is_none() {
             self.start_balancer(balancer);
         }
     }
 
+    /// Overwrites the entry of a backend server with one that has a broken field.
+    fn break_entry(&mut self, broken: BrokenEntry) {
+        let Some(instance) = self.choose_backend(broken.backend) else { return };
+        let Some(entry) = self.store.entries.get(&instance) else { return };
+
+        let change = broken.as_read(entry);
+        if self.mutation == Some(Mutation::DeleteBrokenEntries) {
+            self.store.delete_entry(instance, self.now);
+        } else {
+            self.store.overwrite_entry(instance, change);
+        }
+    }
+
     fn cut_zone(&mut self, zone: usize, until: Millis) {
         if self.plan.zones == 1 {
             return;
--- a/crates/valvestage-policy/tests/simulation/world/flow_mutations.rs
+++ b/crates/valvestage-policy/tests/simulation/world/flow_mutations.rs
@@ -1,13 +1,16 @@
 //! The mutations of the series with resting flows.
 
 use valvestage_core::ids::InstanceId;
-use valvestage_policy::steering::CallerPacket;
+use valvestage_policy::steering::{CallerPacket, PacketVerdict, PeerMessage, ResetReason};
 
 use super::World;
 use crate::callers::{CallerFlow, FIRST_RESEND_DELAY, FlowState};
-use crate::events::{BalancerNumber, FlowNumber};
+use crate::events::{BalancerNumber, FlowNumber, Millis};
 use crate::mutation::{Mutation, RESTED};
 
+/// How long a balancer counts as one that has just joined.
+const JUST_JOINED: Millis = 2_000;
+
 impl World {
     /// Applies mutations of what a balancer does by itself.
     pub(super) fn mutate_wake(&mut self, balancer: BalancerNumber) {
@@ -19,6 +22,41 @@
         }
     }
 
+    /// Returns the verdict on a packet of an open flow as it is under the mutation.
+    pub(super) fn mutate_open_verdict(
+        &self,
+        verdict: PacketVerdict,
+        balancer: BalancerNumber,
+        number: FlowNumber,
+    ) -> PacketVerdict {
+        let flow = &self.flows[number];
+        let node = &self.balancers[balancer];
+        let is_selected = match self.mutation {
+            Some(Mutation::ResetOnNewRoutes) => {
+                !self.plan.is_founder(balancer)
+                    && node.disturbed_at + JUST_JOINED > self.now
+                    && self.added_addresses.contains(&flow.addresses.service)
+            }
+            Some(Mutation::ResetLatePackets) => node.paused_until == self.now,
+            Some(Mutation::ResetReturningFlows) => {
+                flow.last_answer_at > 0 && flow.last_answer_at + RESTED < self.now
+            }
+            _ => false,
+        };
+
+        if is_selected { PacketVerdict::Reset(ResetReason::BackendGone) } else { verdict }
+    }
+
+    /// Reports whether the mutation keeps a message from a balancer that has joined.
+    pub(super) fn misses_message(&self, balancer: BalancerNumber, message: &PeerMessage) -> bool {
+        self.has_joined_without_news(balancer) && matches!(message, PeerMessage::RoutesIndex(_))
+    }
+
+    /// Reports whether a balancer hears of no further configurations, because it has joined.
+    pub(super) fn has_joined_without_news(&self, balancer: BalancerNumber) -> bool {
+        self.mutation == Some(Mutation::MissRoutesOnceJoined) && !self.plan.is_founder(balancer)
+    }
+
     /// Applies mutations of what a balancer does about a caller's packet.
     pub(super) fn mutate_packet(
         &mut self,
--- a/crates/valvestage-policy/tests/simulation/world/flows.rs
+++ b/crates/valvestage-policy/tests/simulation/world/flows.rs
@@ -5,7 +5,7 @@
     BackendPhase, CallerPacket, DropReason, FlowAddresses, HeldPacket, PacketVerdict,
 };
 
-use super::{ADDRESS_COUNT, END_AT, HOP_MS, TO_CALLER_MS, World};
+use super::{END_AT, HOP_MS, TO_CALLER_MS, World};
 use crate::backends::{HeldFlow, REQUEST_MS};
 use crate::balancers::HeldCopies;
 use crate::callers::{
@@ -15,7 +15,6 @@
 use crate::events::{Answer, BalancerNumber, Event, FlowNumber, Millis};
 use crate::mutation::Mutation;
 use crate::oracles::{ANSWERED_WITHIN, DROPS_ALLOWED, KNOWN_WITHIN, Oracle};
-use crate::site::service_address;
 
 impl World {
     /// Opens a caller's flow to one of the addresses with traffic. If the configuration lacks the
@@ -24,7 +23,7 @@
         if self.now + 500 > END_AT {
             return;
         }
-        let address = service_address(self.draw.below(ADDRESS_COUNT));
+        let address = self.choose_address(caller);
         if !self.wanted_routes.contains_key(&address) {
             self.queue.add(self.now + 100, Event::CallerStart(caller));
             return;
@@ -68,7 +67,10 @@
         let now = self.base + std::time::Duration::from_millis(self.now);
         let Some(policy) = &mut self.balancers[balancer].policy else { return };
         let verdict = policy.on_packet(&packet, now);
-        let verdict = self.apply_mutation(verdict, flow, &packet);
+        let mut verdict = self.apply_mutation(verdict, flow, &packet);
+        if !packet.opening {
+            verdict = self.mutate_open_verdict(verdict, balancer, flow);
+        }
         self.mutate_packet(balancer, flow, &packet);
         if self.trace.flow == Some(flow) {
             println!("{} ms, balancer {balancer}: {packet:?} -> {verdict:?}", self.now);
@@ -76,6 +78,7 @@
 
         match verdict {
             PacketVerdict::Forward { instance, token, .. } => {
+                let instance = self.owner_of(instance);
                 let from = self.plan.zone_of(balancer);
                 let is_connected =
                     self.backends.get(&instance).is_some_and(|b| self.is_connected(from, b.zone));
@@ -319,6 +322,12 @@
         }
     }
 
+    /// Returns the backend server that takes the packets for an incarnation. Packets name a number,
+    /// so one that another writer made up is that of its name.
+    fn owner_of(&self, instance: InstanceId) -> InstanceId {
+        self.store.foreign_incarnations.get(&instance).copied().unwrap_or(instance)
+    }
+
     /// Returns the latest incarnation under the same name.
     fn latest_incarnation(&self, instance: InstanceId) -> InstanceId {
         let successor = self.backends.get(&instance).and_then(|backend| backend.successor);
--- a/crates/valvestage-policy/tests/simulation/world/knowledge.rs
+++ b/crates/valvestage-policy/tests/simulation/world/knowledge.rs
@@ -147,6 +147,9 @@
             return;
         }
 
+        if self.misses_message(to, &message) {
+            return;
+        }
         let message = match self.mutation {
             Some(mutation) => mutation.on_message(message),
             None => Some(message),
@@ -219,7 +222,8 @@
 
     fn deliver_reply(&mut self, balancer: BalancerNumber, answer: StoreAnswer) {
         let now = self.instant();
-        let misses = self.mutation == Some(Mutation::MissRoutes) && self.now > 4_000;
+        let misses = self.mutation == Some(Mutation::MissRoutes) && self.now > 4_000
+            || self.has_joined_without_news(balancer);
 
         self.run_policy(balancer, |policy| match answer {
             StoreAnswer::Routes(StoreReply::Changes { position, .. }) if misses => {
@@ -261,6 +265,7 @@
             let backend = &self.backends[&instance];
             if backend.last_written_at + LAPSE_MS <= self.now {
                 self.store.delete_entry(instance, self.now);
+                self.store.delete_foreign_entry(instance, self.now);
             }
         }
     }
