Simulation: settings name balancers that stay, also while they are down

Why: where all balancers were down when the settings got new seeds, they got none, and each followed the store on its own after the restart (FewFollowers). That was a fault of the simulation.

Change: the settings name members that are not leaving, whether they run or not.

--- a/crates/valvestage-policy/tests/simulation/fault.rs
+++ b/crates/valvestage-policy/tests/simulation/fault.rs
@@ -100,7 +100,7 @@
     /// A balancer is told to stop, and ends at the end of the fault.
     Leave(usize),
     /// A spare balancer joins. At the end of the fault the settings of all balancers name some that
-    /// run as seeds.
+    /// stay as seeds.
     Join(usize),
     /// Some balancers get processor time late and in bursts, for at most `stall_ms` not at all.
     Starvation { first: usize, count: usize, stall_ms: usize },
@@ -115,7 +115,7 @@
     pub leaving: usize,
     /// Time from the first leave to the joins.
     pub join_after_ms: Millis,
-    /// Time after the joins at which the settings name balancers that run as seeds.
+    /// Time after the joins at which the settings name balancers that stay as seeds.
     pub seeds_for_ms: Millis,
 }
 
--- a/crates/valvestage-policy/tests/simulation/world/membership.rs
+++ b/crates/valvestage-policy/tests/simulation/world/membership.rs
@@ -59,14 +59,15 @@
         self.start_balancer(balancer);
     }
 
-    /// Writes the addresses of balancers that run into the settings of all.
+    /// Writes the addresses of balancers that stay into the settings of all. Some of them may be
+    /// down.
     pub(super) fn refresh_seeds(&mut self) {
-        let is_running = |balancer: &BalancerNumber| {
+        let stays = |balancer: &BalancerNumber| {
             let node = &self.balancers[*balancer];
-            node.policy.is_some() && !node.is_leaving
+            node.is_member && !node.is_leaving
         };
-        let running = (0..self.plan.balancers).filter(is_running);
-        self.peer_seeds = running.take(SEED_COUNT).map(balancer_address).collect();
+        let staying = (0..self.plan.balancers).filter(stays);
+        self.peer_seeds = staying.take(SEED_COUNT).map(balancer_address).collect();
 
         for policy in self.balancers.iter_mut().filter_map(|node| node.policy.as_mut()) {
             policy.on_seeds(&self.peer_seeds);
