--- a/crates/valvestage-policy/tests/simulation/fault.rs
+++ b/crates/valvestage-policy/tests/simulation/fault.rs
@@ -3,13 +3,18 @@
 use valvestage_policy::steering::seeded_draw::SeededDraw;
 
 use crate::events::Millis;
+use crate::flow_faults::{
+    draw_broken_entries, draw_caller_losses, draw_joins, draw_new_routes, draw_stale_seeds,
+    draw_starvations, draw_with_long_faults,
+};
+use crate::foreign_entry::BrokenEntry;
 use crate::store::MAX_ROUTES;
 
 /// Earliest start of a fault. All processes have started by then.
-const FIRST_FAULT_AT: Millis = 5_000;
+pub const FIRST_FAULT_AT: Millis = 5_000;
 
 /// Randomly drawn start times lie before this time.
-const LAST_FAULT_AT: Millis = 15_000;
+pub const LAST_FAULT_AT: Millis = 15_000;
 
 /// Longest duration of a fault, in milliseconds.
 const MAX_DURATION_MS: usize = 4_500;
@@ -82,6 +87,47 @@
     Evacuation(usize),
     /// All backend servers of a zone crash together, and cold ones replace them together.
     ColdReturn(usize),
+    /// The link of one caller loses datagrams.
+    CallerLoss(CallerLoss),
+    /// Another writer overwrites an entry with one that has a broken field.
+    BrokenEntry(BrokenEntry),
+    /// Configurations come in quick succession, and each adds an address.
+    RouteStorm,
+    /// A configuration adds an address.
+    RouteAddition,
+    /// Balancers leave, and others join.
+    Handover(Handover),
+    /// A balancer is told to stop, and ends at the end of the fault.
+    Leave(usize),
+    /// A spare balancer joins. At the end of the fault the settings of all balancers name some that
+    /// stay as seeds.
+    Join(usize),
+    /// Some balancers get processor time late and in bursts, for at most `stall_ms` not at all.
+    Starvation { first: usize, count: usize, stall_ms: usize },
+    /// A balancer gets no processor time.
+    Stall(usize),
+}
+
+/// Balancers that leave one after the other, and the spare ones that join some time after that.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Handover {
+    /// Number of balancers that leave: the first ones, which are the seeds.
+    pub leaving: usize,
+    /// Time from the first leave to the joins.
+    pub join_after_ms: Millis,
+    /// Time after the joins at which the settings name balancers that stay as seeds.
+    pub seeds_for_ms: Millis,
+}
+
+/// A loss on the link of one caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallerLoss {
+    /// Selects the caller, modulo their count.
+    pub caller: usize,
+    /// Share of the datagrams that are lost, in percent.
+    pub percent: usize,
+    /// Whether the caller's own datagrams are lost, besides those to it.
+    pub is_both_ways: bool,
 }
 
 /// How much a restored store has lost.
@@ -112,6 +158,36 @@
 /// that time.
 pub const RESTORE_SEEDS: u64 = 5_000_000;
 
+/// First seed of the series with flows that rest for up to 14 s, and the faults of every
+/// deployment.
+pub const RESTING_FLOW_SEEDS: u64 = 6_000_000;
+
+/// First seed of the series in which the link of one busy caller loses datagrams, again and again,
+/// while the flows of others rest.
+pub const CALLER_LOSS_SEEDS: u64 = 6_100_000;
+
+/// First seed of the series with only planned work: configurations that add addresses, callers that
+/// use them at once, and balancers that leave and join.
+pub const NEW_ROUTE_SEEDS: u64 = 6_200_000;
+
+/// First seed of the series with entries of other writers that have one broken field, and with
+/// backend servers that drain some time after.
+pub const BROKEN_ENTRY_SEEDS: u64 = 6_300_000;
+
+/// First seed of the series with balancers that get processor time late and in bursts.
+pub const LATE_PROCESSOR_SEEDS: u64 = 6_400_000;
+
+/// First seed of the series with balancers that join after their seeds have left, and ordinary
+/// faults.
+pub const JOIN_SEEDS: u64 = 6_500_000;
+
+/// First seed of the series with few new flows in a second, and the faults of every deployment.
+pub const FEW_FLOW_SEEDS: u64 = 6_600_000;
+
+/// First seed of the series with balancers that join after their seeds have left, while no settings
+/// ever name others.
+pub const STALE_SEED_SEEDS: u64 = 6_700_000;
+
 /// The set of faults that a seed draws from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FaultSeries {
@@ -127,6 +203,22 @@
     Growths,
     /// Restores of the store, with faults of all kinds around them.
     Restores,
+    /// Ordinary faults, with callers whose flows rest.
+    RestingFlows,
+    /// Losses on the link of one busy caller, and at most one ordinary fault.
+    CallerLosses,
+    /// Additions of addresses, and balancers that leave and join.
+    NewRoutes,
+    /// Entries with a broken field, and backend servers that drain.
+    BrokenEntries,
+    /// Balancers that get processor time late, and ordinary faults.
+    LateProcessors,
+    /// Balancers whose seeds leave before they join, and ordinary faults.
+    Joins,
+    /// Ordinary faults, with few new flows.
+    FewFlows,
+    /// Balancers whose seeds leave before they join, for good.
+    StaleSeeds,
 }
 
 impl FaultSeries {
@@ -137,7 +229,15 @@
             ZONE_FAULT_SEEDS..CUT_SEEDS => Self::ZoneFaults,
             CUT_SEEDS..GROWTH_SEEDS => Self::Cuts,
             GROWTH_SEEDS..RESTORE_SEEDS => Self::Growths,
-            RESTORE_SEEDS.. => Self::Restores,
+            RESTORE_SEEDS..RESTING_FLOW_SEEDS => Self::Restores,
+            RESTING_FLOW_SEEDS..CALLER_LOSS_SEEDS => Self::RestingFlows,
+            CALLER_LOSS_SEEDS..NEW_ROUTE_SEEDS => Self::CallerLosses,
+            NEW_ROUTE_SEEDS..BROKEN_ENTRY_SEEDS => Self::NewRoutes,
+            BROKEN_ENTRY_SEEDS..LATE_PROCESSOR_SEEDS => Self::BrokenEntries,
+            LATE_PROCESSOR_SEEDS..JOIN_SEEDS => Self::LateProcessors,
+            JOIN_SEEDS..FEW_FLOW_SEEDS => Self::Joins,
+            FEW_FLOW_SEEDS..STALE_SEED_SEEDS => Self::FewFlows,
+            STALE_SEED_SEEDS.. => Self::StaleSeeds,
         }
     }
 }
@@ -168,13 +268,21 @@
             FaultSeries::Cuts => draw_cuts(&mut draw),
             FaultSeries::Growths => draw_growth(&mut draw),
             FaultSeries::Restores => draw_restores(&mut draw),
+            FaultSeries::RestingFlows => draw_with_long_faults(&mut draw),
+            FaultSeries::CallerLosses => draw_caller_losses(&mut draw),
+            FaultSeries::NewRoutes => draw_new_routes(&mut draw),
+            FaultSeries::BrokenEntries => draw_broken_entries(&mut draw),
+            FaultSeries::LateProcessors => draw_starvations(&mut draw),
+            FaultSeries::Joins => draw_joins(&mut draw),
+            FaultSeries::FewFlows => draw_ordinary(&mut draw),
+            FaultSeries::StaleSeeds => draw_stale_seeds(&mut draw),
         };
         faults.sort_by_key(|fault| fault.at);
         Self { faults }
     }
 }
 
-fn draw_ordinary(draw: &mut SeededDraw) -> Vec<Fault> {
+pub fn draw_ordinary(draw: &mut SeededDraw) -> Vec<Fault> {
     let count = 2 + draw.below(7);
 
     (0..count).map(|_| draw_fault(draw)).collect()
@@ -268,7 +376,7 @@
     Fault { for_ms: away_ms, ..with_random_time(FaultKind::StoreRestored(depth), draw) }
 }
 
-fn draw_fault(draw: &mut SeededDraw) -> Fault {
+pub fn draw_fault(draw: &mut SeededDraw) -> Fault {
     let pick = draw.below(1_000);
     let kind = match draw.below(20) {
         0 | 1 => FaultKind::RouteChange(pick),
@@ -326,7 +434,7 @@
     with_random_time(kind, draw)
 }
 
-fn with_random_time(kind: FaultKind, draw: &mut SeededDraw) -> Fault {
+pub fn with_random_time(kind: FaultKind, draw: &mut SeededDraw) -> Fault {
     let window = usize::try_from(LAST_FAULT_AT - FIRST_FAULT_AT).expect("the number fits");
     let at = FIRST_FAULT_AT + u64::try_from(draw.below(window)).expect("the number fits");
     let for_ms = u64::try_from(500 + draw.below(MAX_DURATION_MS - 500)).expect("the number fits");
--- a/crates/valvestage-policy/tests/simulation/main.rs
+++ b/crates/valvestage-policy/tests/simulation/main.rs
@@ -14,6 +14,8 @@
 //! | `site` | size and topology of a deployment |
 //! | `events` | simulated time and the event queue |
 //! | `fault` | fault kinds, and the fault plan of a seed |
+//! | `flow_faults` | fault plans of the series with resting flows |
+//! | `foreign_entry` | entries that another writer leaves with a broken field |
 //! | `store` | fake of the platform's store |
 //! | `balancers`, `links` | balancers, and the network links between them |
 //! | `router` | the routers' choice of a balancer for each packet |
@@ -22,6 +24,7 @@
 //! | `mutation` | deliberate defects that show that each oracle can fail |
 //! | `seeds` | regression seeds, grouped by the failure they showed |
 //! | `trace` | what is printed while one seed runs |
+//! | `flow_series` | tests of the series with resting flows |
 //! | `world` | the simulation itself: handles one event after the other |
 
 mod backends;
@@ -29,6 +32,9 @@
 mod callers;
 mod events;
 mod fault;
+mod flow_faults;
+mod flow_series;
+mod foreign_entry;
 #[path = "../steering/links.rs"]
 mod links;
 mod mutation;
@@ -319,7 +325,10 @@
 #[test]
 fn every_oracle_has_a_mutation() {
     for oracle in Oracle::ALL {
-        assert!(Mutation::ALL.iter().any(|(_, seen_as)| *seen_as == oracle), "{oracle:?}");
+        let of_flow_series = Mutation::OF_FLOW_SERIES.map(|(_, seen_as, _)| seen_as);
+        let mut seen_as =
+            Mutation::ALL.map(|(_, seen_as)| seen_as).into_iter().chain(of_flow_series);
+        assert!(seen_as.any(|seen_as| seen_as == oracle), "{oracle:?}");
     }
 }
 
--- a/crates/valvestage-policy/tests/simulation/site.rs
+++ b/crates/valvestage-policy/tests/simulation/site.rs
@@ -5,6 +5,7 @@
 use valvestage_policy::steering::seeded_draw::SeededDraw;
 use valvestage_policy::steering::{ColdLimit, ColdRate};
 
+use crate::callers::CallerProfile;
 use crate::events::Millis;
 
 /// Names of the services of every deployment.
@@ -13,16 +14,70 @@
 /// Availability zones; a deployment uses the first one, two or all three.
 pub const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 
+/// The busy caller in [`TrafficPlan::OneBusy`], and its number of flows.
+pub const BUSY_CALLER: usize = 0;
+const BUSY_FLOWS: usize = 8;
+
+/// Number of balancers, the first ones, that are the seeds of all.
+pub const SEED_COUNT: usize = 3;
+
+/// Fewest and most balancers that a deployment starts with if others are added. The seeds may leave
+/// before these come.
+const MIN_FOUNDERS: usize = SEED_COUNT + 2;
+const MAX_FOUNDERS: usize = 12;
+
+/// What the callers of a deployment do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TrafficPlan {
+    /// Every second caller keeps its flow for many requests with short pauses, and the others open
+    /// a flow for each request.
+    Dense,
+    /// One caller in three has resting flows; the others are as in `Dense`.
+    Mixed,
+    /// Every caller has several flows with few requests and short pauses.
+    Brisk,
+    /// Few callers, each with one resting flow: a service gets less than one request in a second.
+    Sparse,
+    /// Few callers, of which every second one opens a flow for each request, and the others have one
+    /// resting flow each: a service gets a few new flows in a second at most.
+    Trickle,
+    /// [`BUSY_CALLER`] has many flows with short pauses, and the others one resting flow each.
+    OneBusy,
+}
+
+impl TrafficPlan {
+    pub fn profile(self, caller: usize) -> CallerProfile {
+        let dense =
+            if caller.is_multiple_of(2) { CallerProfile::LONG } else { CallerProfile::BRIEF };
+
+        match self {
+            Self::Mixed if caller.is_multiple_of(3) => {
+                CallerProfile { flows: 2, ..CallerProfile::RESTING }
+            }
+            Self::Brisk => CallerProfile::SHORT,
+            Self::Dense | Self::Mixed => dense,
+            Self::OneBusy if caller == BUSY_CALLER => {
+                CallerProfile { flows: BUSY_FLOWS, ..CallerProfile::LONG }
+            }
+            Self::Trickle if !caller.is_multiple_of(2) => CallerProfile::BRIEF,
+            Self::Sparse | Self::Trickle | Self::OneBusy => CallerProfile::RESTING,
+        }
+    }
+}
+
 /// Size and network conditions of one deployment.
 #[derive(Debug, Clone)]
 pub struct SitePlan {
     pub zones: usize,
     /// Number of balancers; they are assigned to the zones round-robin.
     pub balancers: usize,
+    /// How many of them, the last ones, are added only later.
+    pub spares: usize,
     /// Number of backend servers of each service in each zone.
     pub backends_each: usize,
     /// Number of callers in each zone.
     pub callers_each: usize,
+    pub traffic: TrafficPlan,
     /// Whether routers hash consistently, so that nearly all flows keep their balancer when one is
     /// added or removed.
     pub is_steady: bool,
@@ -50,8 +105,10 @@
         Self {
             zones,
             balancers: balancers.max(zones),
+            spares: 0,
             backends_each: 2 + draw.below(3),
             callers_each: 4 + draw.below(5),
+            traffic: TrafficPlan::Dense,
             is_steady: draw.below(2) == 0,
             has_slow_links: draw.below(2) == 0,
             places: None,
@@ -68,6 +125,56 @@
         self.places = Some(PlaceRules { limit, rate, cold_ms });
     }
 
+    /// Draws callers of which some have resting flows, in half of the deployments only few.
+    pub fn add_resting_flows(&mut self, draw: &mut SeededDraw) {
+        if draw.below(2) == 0 {
+            self.make_sparse(draw);
+        } else {
+            self.traffic = TrafficPlan::Mixed;
+        }
+    }
+
+    /// Draws one to three balancers that are added later, and many short flows or resting ones.
+    pub fn add_spares(&mut self, draw: &mut SeededDraw) {
+        self.spares = 1 + draw.below(3);
+        self.balancers = self.balancers.clamp(MIN_FOUNDERS, MAX_FOUNDERS) + self.spares;
+        match draw.below(4) {
+            0 => self.make_sparse(draw),
+            1 => self.traffic = TrafficPlan::Mixed,
+            _ => self.traffic = TrafficPlan::Brisk,
+        }
+    }
+
+    /// Reports whether a balancer is there from the start.
+    pub fn is_founder(&self, balancer: usize) -> bool {
+        balancer < self.balancers - self.spares
+    }
+
+    /// Reports whether resets of open flows are judged by the excuses of the rules, which apply to
+    /// flows that rest, too.
+    pub fn judges_by_rules(&self) -> bool {
+        self.traffic != TrafficPlan::Dense
+    }
+
+    /// Leaves one or two callers in each zone, whose flows rest.
+    pub fn make_sparse(&mut self, draw: &mut SeededDraw) {
+        self.traffic = TrafficPlan::Sparse;
+        self.callers_each = 1 + draw.below(2);
+    }
+
+    /// Leaves two or three callers in each zone, with few new flows.
+    pub fn make_trickle(&mut self, draw: &mut SeededDraw) {
+        self.traffic = TrafficPlan::Trickle;
+        self.callers_each = 2 + draw.below(2);
+    }
+
+    /// Draws one busy caller among resting ones, and few backend servers, so that several of its
+    /// flows are at the same one.
+    pub fn add_busy_caller(&mut self, draw: &mut SeededDraw) {
+        self.traffic = TrafficPlan::OneBusy;
+        self.backends_each = 1 + draw.below(2);
+    }
+
     pub fn zone_of(&self, balancer: usize) -> usize {
         balancer % self.zones
     }
--- a/crates/valvestage-policy/tests/simulation/world/flows.rs
+++ b/crates/valvestage-policy/tests/simulation/world/flows.rs
@@ -5,17 +5,16 @@
     BackendPhase, CallerPacket, DropReason, FlowAddresses, HeldPacket, PacketVerdict,
 };
 
-use super::{ADDRESS_COUNT, END_AT, HOP_MS, TO_CALLER_MS, World};
+use super::{END_AT, HOP_MS, TO_CALLER_MS, World};
 use crate::backends::{HeldFlow, REQUEST_MS};
 use crate::balancers::HeldCopies;
 use crate::callers::{
-    ANSWER_BYTES, CallerFlow, FIRST_RESEND_DELAY, FlowState, MAX_RESEND_DELAY, OPENING_RESENDS_AT,
-    OPENING_TIMEOUT, OpenRequest, REQUEST_BYTES, REQUEST_DEADLINE,
+    ANSWER_BYTES, CallerFlow, CallerProfile, FIRST_RESEND_DELAY, FlowState, MAX_RESEND_DELAY,
+    OPENING_RESENDS_AT, OPENING_TIMEOUT, OpenRequest, REQUEST_BYTES, REQUEST_DEADLINE,
 };
 use crate::events::{Answer, BalancerNumber, Event, FlowNumber, Millis};
 use crate::mutation::Mutation;
 use crate::oracles::{ANSWERED_WITHIN, DROPS_ALLOWED, KNOWN_WITHIN, Oracle};
-use crate::site::service_address;
 
 impl World {
     /// Opens a caller's flow to one of the addresses with traffic. If the configuration lacks the
@@ -24,7 +23,7 @@
         if self.now + 500 > END_AT {
             return;
         }
-        let address = service_address(self.draw.below(ADDRESS_COUNT));
+        let address = self.choose_address(caller);
         if !self.wanted_routes.contains_key(&address) {
             self.queue.add(self.now + 100, Event::CallerStart(caller));
             return;
@@ -32,7 +31,8 @@
 
         let number = self.flows.len();
         let zone = caller % self.plan.zones;
-        let flow = CallerFlow::new(number, caller, zone, address, self.now);
+        let requests = self.plan.traffic.profile(caller).requests;
+        let flow = CallerFlow::new(number, caller, zone, address, requests, self.now);
         self.flow_numbers.insert(flow.addresses, number);
         let packet = flow.opening_packet();
         self.flows.push(flow);
@@ -43,6 +43,10 @@
     fn send_packet(&mut self, flow: FlowNumber, packet: CallerPacket) {
         let sender = &self.flows[flow];
         let balancer = self.router.choose(sender.zone, sender.hash());
+        self.flows[flow].last_balancer = Some(balancer);
+        if self.loses_packet(flow) {
+            return;
+        }
 
         self.queue.add(self.now + HOP_MS, Event::Packet(balancer, flow, packet));
     }
@@ -63,13 +67,18 @@
         let now = self.base + std::time::Duration::from_millis(self.now);
         let Some(policy) = &mut self.balancers[balancer].policy else { return };
         let verdict = policy.on_packet(&packet, now);
-        let verdict = self.apply_mutation(verdict, flow, &packet);
+        let mut verdict = self.apply_mutation(verdict, flow, &packet);
+        if !packet.opening {
+            verdict = self.mutate_open_verdict(verdict, balancer, flow);
+        }
+        self.mutate_packet(balancer, flow, &packet);
         if self.trace.flow == Some(flow) {
             println!("{} ms, balancer {balancer}: {packet:?} -> {verdict:?}", self.now);
         }
 
         match verdict {
             PacketVerdict::Forward { instance, token, .. } => {
+                let instance = self.owner_of(instance);
                 let from = self.plan.zone_of(balancer);
                 let is_connected =
                     self.backends.get(&instance).is_some_and(|b| self.is_connected(from, b.zone));
@@ -150,6 +159,10 @@
             // The flow is open once its backend server has received a packet after the opening one.
             let held = self.backends[&instance].flows.get(&number);
             let is_open = held.is_some_and(|held| held.is_open);
+            if is_open {
+                self.check_open_flow_reset(balancer, number, instance);
+            }
+            let flow = &self.flows[number];
             if is_open && ago <= ANSWERED_WITHIN && self.can_go_on(balancer, instance, flow) {
                 let what = format!(
                     "balancer {balancer} resets flow {number} at {instance:x}, answered {ago} ms ago"
@@ -309,6 +322,12 @@
         }
     }
 
+    /// Returns the backend server that takes the packets for an incarnation. Packets name a number,
+    /// so one that another writer made up is that of its name.
+    fn owner_of(&self, instance: InstanceId) -> InstanceId {
+        self.store.foreign_incarnations.get(&instance).copied().unwrap_or(instance)
+    }
+
     /// Returns the latest incarnation under the same name.
     fn latest_incarnation(&self, instance: InstanceId) -> InstanceId {
         let successor = self.backends.get(&instance).and_then(|backend| backend.successor);
@@ -336,6 +355,9 @@
         if self.trace.flow == Some(number) {
             println!("{} ms, caller: {answer:?}", self.now);
         }
+        if self.loses_answer(number) {
+            return;
+        }
         let flow = &mut self.flows[number];
         match (flow.state, answer) {
             (FlowState::Closed, _) => {}
@@ -364,7 +386,10 @@
 
     /// Schedules the next request after a pause, or closes the flow if it is over.
     fn pause_or_close(&mut self, number: FlowNumber, is_over: bool) {
-        let pause = 200 + u64::try_from(self.draw.below(1_300)).expect("the number fits");
+        let CallerProfile { min_pause, extra_pause_ms, .. } =
+            self.plan.traffic.profile(self.flows[number].caller);
+        let extra = self.draw.below(extra_pause_ms);
+        let pause = min_pause + u64::try_from(extra).expect("the number fits");
         if is_over {
             self.close_flow(number, pause);
             return;
