--- a/crates/valvestage-policy/tests/steering/comparisons.rs
+++ b/crates/valvestage-policy/tests/steering/comparisons.rs
@@ -293,3 +293,18 @@
     assert!(!entry.is_gone(), "{entry:?}");
     assert!(directory.complete_until() < later);
 }
+
+/// Guards against an end that stays for good although it was never read: one balancer concludes it
+/// wrongly, all others take it over, and the entry in the store does not change.
+#[test]
+fn a_list_of_the_store_corrects_a_wrong_end() {
+    let mut deployment = settled(8);
+    report_gone(&mut deployment, 3, 2);
+    deployment.run_until(|now| count_live_views(now, 2) == 0);
+
+    deployment.store_down = true;
+    deployment.run(millis(1_000));
+    deployment.store_down = false;
+    let took = deployment.run_until(|now| count_live_views(now, 2) == 8);
+    assert!(took <= millis(5_000), "{took:?}");
+}
--- a/crates/valvestage-policy/tests/steering/ends_at_one_position.rs
+++ b/crates/valvestage-policy/tests/steering/ends_at_one_position.rs
@@ -4,14 +4,13 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use valvestage_policy::steering::peers::backend_parts::backends_messages;
-use valvestage_policy::steering::peers::peer_message::{
-    BackendsPull, ChangeCursor, HealthReport, PeerHeartbeat, WalkScope,
-};
+use valvestage_policy::steering::peers::peer_message::{BackendsPull, ChangeCursor, WalkScope};
 use valvestage_policy::steering::{BackendDirectory, BackendEntry, EntryPolicy, PeerMessage};
 
-use crate::deployment::{Deployment, node_address};
+use crate::deployment::Deployment;
 use crate::fixtures::{OWN_ZONE, at, backend, millis, routes, start};
 use crate::links::{LinkLimits, LinkTable};
+use crate::scripted_peer::{alone, deliver, heartbeat_of};
 
 /// Links with room for everything.
 const WIDE_LINK: LinkLimits =
@@ -25,34 +24,7 @@
     BackendEntry { address, position: at(position), ..backend(instance, "core", OWN_ZONE) }
 }
 
-fn heartbeat_of(sender: &BackendDirectory) -> PeerMessage {
-    PeerMessage::Heartbeat(PeerHeartbeat {
-        zone: OWN_ZONE.to_owned(),
-        wants_answer: false,
-        version: 0,
-        complete_until: sender.complete_until(),
-        changed_at: sender.changed_at(),
-        era_head: sender.era_head(),
-        live_digest: sender.live_digest(),
-        age_ms: 0,
-        outage_age_ms: u32::MAX,
-        watchers: Vec::new(),
-        peers: Vec::new(),
-        health: HealthReport::default(),
-        evacuations: None,
-        demands: None,
-        loads: Vec::new(),
-        unresolved_tokens: Vec::new(),
-    })
-}
-
-/// Delivers a message of another balancer.
-fn deliver(deployment: &mut Deployment, message: PeerMessage) {
-    let now = deployment.now;
-
-    deployment.nodes[0].as_mut().expect("it runs").on_message(node_address(5), message, now);
-}
-
+/// Returns the answer of a directory's balancer to a pull of everything from a place on.
 fn answer(
     sender: &BackendDirectory,
     after: ChangeCursor,
@@ -65,14 +37,6 @@
     deployment.node(0).knowledge().directory.get(instance).map(BackendEntry::is_gone)
 }
 
-/// Returns a balancer whose calls to the store are not answered, and have not failed yet.
-fn alone() -> Deployment {
-    let mut deployment = Deployment::new(1);
-    deployment.disconnected_from_store = vec![0];
-    deployment.run(millis(500));
-    deployment
-}
-
 /// Returns a directory with a datagram of live entries, and then one live entry and 70 ends at
 /// position 100.
 fn ends_at_one_position() -> BackendDirectory {
@@ -95,12 +59,12 @@
 fn parts_that_wait_for_the_first_one_are_all_applied() {
     let mut deployment = alone();
     let sender = ends_at_one_position();
-    deliver(&mut deployment, heartbeat_of(&sender));
+    deliver(&mut deployment, 5, heartbeat_of(&sender));
 
     let parts = answer(&sender, ChangeCursor::START, &deployment);
     assert!(parts.len() > 3, "{} parts", parts.len());
     for part in parts.iter().skip(1).chain(&parts) {
-        deliver(&mut deployment, part.clone());
+        deliver(&mut deployment, 5, part.clone());
     }
     assert_eq!(deployment.node(0).knowledge().directory.complete_until(), at(100));
     assert_eq!(is_gone(&deployment, 100), Some(false));
@@ -112,11 +76,11 @@
     for lost in 0..4 {
         let mut deployment = alone();
         let sender = ends_at_one_position();
-        deliver(&mut deployment, heartbeat_of(&sender));
+        deliver(&mut deployment, 5, heartbeat_of(&sender));
 
         let parts = answer(&sender, ChangeCursor::START, &deployment);
         for (_, part) in parts.into_iter().enumerate().filter(|(index, _)| *index != lost) {
-            deliver(&mut deployment, part);
+            deliver(&mut deployment, 5, part);
         }
         assert!(deployment.node(0).knowledge().directory.complete_until() < at(100), "{lost}");
     }
@@ -147,7 +111,7 @@
         sender.put(entry.clone());
     }
     sender.complete(at(deployment.store.revision));
-    deliver(&mut deployment, heartbeat_of(&sender));
+    deliver(&mut deployment, 5, heartbeat_of(&sender));
     let mut parts = answer(&sender, ChangeCursor::START, &deployment);
     parts.pop();
     let mut cursor = ChangeCursor::START;
@@ -155,7 +119,7 @@
         if let PeerMessage::Backends(part) = &part {
             cursor = part.covers_until.expect("further parts follow");
         }
-        deliver(&mut deployment, part);
+        deliver(&mut deployment, 5, part);
     }
 
     deployment.store.put_backend(numbered(2, 0));
@@ -164,7 +128,7 @@
     sender.apply_entry(returned, start());
     sender.complete(at(deployment.store.revision));
     for part in answer(&sender, cursor, &deployment) {
-        deliver(&mut deployment, part);
+        deliver(&mut deployment, 5, part);
     }
     assert_eq!(is_gone(&deployment, 2), Some(false));
 }
--- a/crates/valvestage-policy/tests/steering/lost_answers.rs
+++ b/crates/valvestage-policy/tests/steering/lost_answers.rs
@@ -3,11 +3,14 @@
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 
-use valvestage_policy::steering::{BackendEntry, EntryPolicy};
+use valvestage_policy::steering::peers::backend_parts::backends_messages;
+use valvestage_policy::steering::peers::peer_message::{BackendsPull, ChangeCursor, WalkScope};
+use valvestage_policy::steering::{BackendDirectory, BackendEntry, EntryPolicy, PeerMessage};
 
 use crate::deployment::Deployment;
-use crate::fixtures::{OWN_ZONE, backend, millis, routes};
+use crate::fixtures::{OWN_ZONE, at, backend, millis, routes};
 use crate::links::LinkLimits;
+use crate::scripted_peer::{alone, deliver, heartbeat_of};
 
 /// Backend servers that register at once; their entries take a whole answer of a balancer.
 const BATCH: u64 = 500;
@@ -69,3 +72,40 @@
 fn backend_servers_that_register_slowly_while_datagrams_are_lost_are_not_gone() {
     check_registrations(90, 500);
 }
+
+/// Returns the answer of a directory's balancer to a pull of everything.
+fn answer(sender: &BackendDirectory, deployment: &Deployment) -> Vec<PeerMessage> {
+    let pull = BackendsPull { after: ChangeCursor::START, scope: WalkScope::Everything };
+
+    backends_messages(sender, pull, deployment.now)
+}
+
+/// Guards against an entry that is not known and counts as gone: the later parts of an answer were
+/// sent before their sender filled a gap, and the first part after that. The change that filled the
+/// gap is not the latest one that the sender knows.
+#[test]
+fn an_entry_that_moves_while_its_sender_fills_a_gap_is_not_gone() {
+    let mut deployment = alone();
+    let mut sender = BackendDirectory::default();
+    for instance in 1..=60 {
+        sender.put(numbered_backend(instance));
+    }
+    sender.complete(at(100));
+    sender.put(BackendEntry { position: at(200), ..numbered_backend(61) });
+    deliver(&mut deployment, 5, heartbeat_of(&sender));
+    for part in answer(&sender, &deployment).into_iter().skip(1) {
+        deliver(&mut deployment, 5, part);
+    }
+    sender.apply_entry(BackendEntry { position: at(150), ..numbered_backend(20) }, deployment.now);
+    let first = answer(&sender, &deployment).remove(0);
+    deliver(&mut deployment, 5, first);
+
+    // Another balancer does not know the change at 150.
+    let mut other = BackendDirectory::default();
+    other.put(numbered_backend(20));
+    other.complete(at(100));
+    for part in answer(&other, &deployment) {
+        deliver(&mut deployment, 6, part);
+    }
+    assert_eq!(count_gone_views(&deployment), 0);
+}
--- a/crates/valvestage-policy/tests/steering/main.rs
+++ b/crates/valvestage-policy/tests/steering/main.rs
@@ -38,6 +38,7 @@
 mod requests;
 mod restarts;
 mod restored_store;
+mod scripted_peer;
 mod shared_pace;
 mod silent_callers;
 mod silent_connections;
