Count parts as consistent only in the order in which they arrived

Cause: parts of one sender count as one statement if its latest change is the same at each. A part that waited for its predecessor was sent before it; if the sender filled a gap in between, the entry concerned is in neither part, and its latest change need not have changed. Change: a walk numbers its parts by arrival; one that is applied after a later one makes the walk inconsistent, so that it shows something only if no sender knew a change beyond what is covered.

--- a/crates/valvestage-policy/src/steering/peers/backend_walk.rs
+++ b/crates/valvestage-policy/src/steering/peers/backend_walk.rs
@@ -68,6 +68,8 @@
 /// A part that has arrived.
 #[derive(Debug)]
 struct ArrivedPart {
+    /// Number in the order of arrival.
+    arrival: u32,
     range: PartRange,
     reported: ReportedBackends,
 }
@@ -157,6 +159,8 @@
     reported: ReportedBackends,
     /// Parts that arrived before their predecessors, by their beginnings.
     out_of_order: BTreeMap<ChangeCursor, ArrivedPart>,
+    /// Number of parts that have arrived.
+    arrivals: u32,
     /// When the walk expires.
     expires_at: Instant,
 }
@@ -171,6 +175,7 @@
             coverage: PartCoverage::new(after),
             reported: ReportedBackends::default(),
             out_of_order: BTreeMap::new(),
+            arrivals: 0,
             expires_at: now + WALK_TIMEOUT,
         }
     }
@@ -186,16 +191,18 @@
     }
 
     /// Adds a part. Returns whether all parts have arrived.
-    fn apply_part(&mut self, part: ArrivedPart) -> bool {
-        self.out_of_order.insert(part.range.after, part);
+    fn apply_part(&mut self, range: PartRange, reported: ReportedBackends) -> bool {
+        self.arrivals += 1;
+        let part = ArrivedPart { arrival: self.arrivals, range, reported };
+        self.out_of_order.insert(range.after, part);
 
         while let Some(first) = self.out_of_order.first_entry() {
             if *first.key() > self.cursor {
                 return false;
             }
-            let ArrivedPart { range, reported } = first.remove();
+            let ArrivedPart { arrival, range, reported } = first.remove();
             self.reported.extend(reported);
-            self.coverage.add(&range, self.peer);
+            self.coverage.add(&range, self.peer, arrival);
             let Some(until) = range.covers_until else { return true };
             self.cursor = self.cursor.max(until);
         }
@@ -322,7 +329,7 @@
 
         let Some(walk) = self.walk_of(sender, scope, range.after, now) else { return update };
         let cursor = walk.cursor;
-        let is_walk_complete = walk.apply_part(ArrivedPart { range, reported });
+        let is_walk_complete = walk.apply_part(range, reported);
         let has_more = number.index + 1 >= number.count && walk.cursor > walk.pulled_from;
         if walk.cursor > cursor {
             self.advanced_at = Some(now);
--- a/crates/valvestage-policy/src/steering/peers/part_coverage.rs
+++ b/crates/valvestage-policy/src/steering/peers/part_coverage.rs
@@ -53,6 +53,8 @@
     changed_at: StorePosition,
     /// The sender of the latest part; `None` before the first one.
     sender: Option<SocketAddrV4>,
+    /// Number of the latest part in the order of arrival.
+    arrival: u32,
     /// Whether all parts are of one sender that knew as much at each part as at the one before.
     is_consistent: bool,
 }
@@ -64,6 +66,7 @@
             certain_until: after,
             changed_at: StorePosition::START,
             sender: None,
+            arrival: 0,
             is_consistent: true,
         }
     }
@@ -78,12 +81,15 @@
         self.certain_until = self.certain_until.max(ChangeCursor::after(until));
     }
 
-    /// Adds a part.
-    pub(super) fn add(&mut self, range: &PartRange, sender: SocketAddrV4) {
+    /// Adds a part, given its number in the order of arrival. A part that arrived before its
+    /// predecessor may have been sent when less was known.
+    pub(super) fn add(&mut self, range: &PartRange, sender: SocketAddrV4, arrival: u32) {
         let is_other_sender = self.sender.is_some_and(|former| former != sender);
+        let is_in_order = arrival >= self.arrival && range.changed_at >= self.changed_at;
 
-        self.is_consistent &= !is_other_sender && range.changed_at >= self.changed_at;
+        self.is_consistent &= !is_other_sender && is_in_order;
         self.sender = Some(sender);
+        self.arrival = arrival;
         self.changed_at = self.changed_at.max(range.changed_at);
         if range.after <= self.certain_until {
             self.certain_until = self.certain_until.max(range.certain_until());
