Send no empty part of an answer before one that is too large

Cause: entries are split into datagrams by size. One that is larger than a datagram by itself left an empty part before it, and a part without a last entry counts as the last one of an answer: what follows counted as known not to exist. Evidence: an_entry_larger_than_a_datagram_hides_no_other_entry failed before. Change: no empty part is made; the first entry of a part is always added.

--- a/crates/valvestage-policy/src/steering/peers/part_size.rs
+++ b/crates/valvestage-policy/src/steering/peers/part_size.rs
@@ -28,7 +28,11 @@
 
     for (index, entry) in entries.iter().enumerate() {
         if !size.add(entry) {
-            parts.push(&entries[begin..index]);
+            // An entry that is too large for a datagram gets one of its own. An empty part would
+            // count as the last one.
+            if index > begin {
+                parts.push(&entries[begin..index]);
+            }
             begin = index;
             size = PartSize::default();
             size.add(entry);
@@ -47,7 +51,8 @@
 }
 
 impl<'a> PartSize<'a> {
-    /// Adds an entry. Returns false, and leaves the part as it is, if it does not fit.
+    /// Adds an entry. Returns false, and leaves the part as it is, if it does not fit. The first
+    /// entry is always added.
     fn add(&mut self, entry: &'a BackendEntry) -> bool {
         let is_new = |name: &&str| !self.names.contains(name);
         let names = [entry.service.as_str(), entry.zone.as_str()].into_iter().filter(is_new);
@@ -55,7 +60,7 @@
         let name_bytes: usize = names.iter().map(|name| name.len() + length_bytes(name)).sum();
         let bytes = self.bytes + name_bytes + change_bytes(entry);
         let fits = self.changes < CHANGES_PER_PART && HEADER_BYTES + bytes <= MAX_MESSAGE_BYTES;
-        if !fits {
+        if self.changes > 0 && !fits {
             return false;
         }
 
--- a/crates/valvestage-policy/tests/steering/ends_at_one_position.rs
+++ b/crates/valvestage-policy/tests/steering/ends_at_one_position.rs
@@ -86,6 +86,34 @@
     }
 }
 
+/// Guards against an empty part, which counts as the last one of an answer: an entry of another
+/// writer is larger than a datagram.
+#[test]
+fn an_entry_larger_than_a_datagram_hides_no_other_entry() {
+    for large in [1, 20, 40] {
+        let mut deployment = alone();
+        let mut sender = BackendDirectory::default();
+        for instance in 1..=40 {
+            let name = if instance == large { "x".repeat(2_000) } else { "core".to_owned() };
+            sender.put(BackendEntry { service: name, ..numbered(instance, instance) });
+        }
+        sender.complete(at(100));
+        deliver(&mut deployment, 5, heartbeat_of(&sender));
+
+        let parts = answer(&sender, ChangeCursor::START, &deployment);
+        let last = parts.len() - 1;
+        for (index, part) in parts.into_iter().enumerate() {
+            let PeerMessage::Backends(part) = part else { panic!("{part:?} is no part") };
+            assert!(!part.changes.is_empty(), "entry {large}, part {index}");
+            assert_eq!(part.covers_until.is_none(), index == last, "entry {large}, part {index}");
+            deliver(&mut deployment, 5, PeerMessage::Backends(part));
+        }
+        let directory = &deployment.node(0).knowledge().directory;
+        assert_eq!(directory.complete_until(), at(100));
+        assert_eq!(directory.iter().count(), 40, "entry {large}");
+    }
+}
+
 /// Guards against an end that is applied although the entry has returned: one part of a walk reports
 /// the entry as gone, and it returns before the last part.
 #[test]
