Conclude nothing from a walk without a result, and from versions that are no longer reported

A walk whose parts show nothing counted as an update, so that the balancer no longer counted as behind; and a version of the configuration that no peer reports any more kept lower ones from counting, after a restore of the store. The tests a_walk_that_shows_nothing_is_no_update and a_lower_version_counts_once_the_higher_one_is_no_longer_reported failed before.

--- a/crates/valvestage-policy/src/steering/keeper/keeper_exchange.rs
+++ b/crates/valvestage-policy/src/steering/keeper/keeper_exchange.rs
@@ -190,8 +190,10 @@
         // 60 balancers that start in front of 1,500 backend servers send each other 309 messages
         // each; with announcements only at the end of a walk, 107.
         self.has_unannounced_changes |= is_new_era || !step.changed.is_empty();
-        if step.is_walk_complete {
+        if step.is_conclusive {
             knowledge.note_caught_up();
+        }
+        if step.is_walk_complete {
             updates.notify_if(std::mem::take(&mut self.has_unannounced_changes));
         }
         for removals in step.removals {
--- a/crates/valvestage-policy/src/steering/knowledge.rs
+++ b/crates/valvestage-policy/src/steering/knowledge.rs
@@ -185,7 +185,11 @@
 
     /// Records the version of a peer's configuration.
     pub fn note_peer_version(&mut self, version: ConfigurationVersion, now: Instant) {
-        let is_newest = self.newest_reported.is_none_or(|newest| newest.version <= version);
+        // A version that is no longer reported may not exist any more.
+        let is_newest = self.newest_reported.is_none_or(|newest| {
+            let age = now.saturating_duration_since(newest.reported_at);
+            newest.version <= version || age > CERTAIN_FOR
+        });
 
         if is_newest {
             self.newest_reported = Some(ReportedVersion { version, reported_at: now });
--- a/crates/valvestage-policy/src/steering/knowledge/backend_entry.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/backend_entry.rs
@@ -98,7 +98,8 @@
         )
     }
 
-    /// Reports whether the incarnation never returns, whatever the store shows later.
+    /// Reports whether the incarnation was draining when it went, or was superseded. It returns only
+    /// with an entry that it writes afterwards.
     #[must_use]
     pub fn has_ended_for_good(&self) -> bool {
         matches!(
--- a/crates/valvestage-policy/src/steering/knowledge/incarnation_order.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/incarnation_order.rs
@@ -70,8 +70,9 @@
     /// Reports whether a later incarnation has followed the one that an entry describes.
     ///
     /// Incarnations are ordered by store position, once a restored store has settled. Within one
-    /// era a superseded incarnation never returns, whatever the revision of a write that it sent
-    /// before its end. But an entry from the backup of a restored store does not permanently end an
+    /// era a superseded incarnation without a birth never returns, whatever the revision of a write
+    /// that it sent before its end. One with a birth returns with an entry that it writes after its
+    /// end. But an entry from the backup of a restored store does not permanently end an
     /// incarnation whose entry is written after the restore.
     pub(super) fn is_older_incarnation(&self, entry: &BackendEntry, now: Instant) -> bool {
         let era = entry.position.era;
@@ -244,8 +245,8 @@
     }
 
     /// Records that the entry of a name was removed from the store, and returns the superseded
-    /// incarnations whose removal was not known. A superseded incarnation does not return, whenever
-    /// its entry is removed. The removal is recorded at its own position: if it were recorded only
+    /// incarnations whose removal was not known. The removal of its entry does not bring a
+    /// superseded incarnation back. The removal is recorded at its own position: if it were recorded only
     /// with the next list, it would have a revision that peers already take for known, and a
     /// balancer might consider the incarnation live permanently.
     pub(in crate::steering) fn mark_superseded_gone(
--- a/crates/valvestage-policy/src/steering/peers/backend_walk.rs
+++ b/crates/valvestage-policy/src/steering/peers/backend_walk.rs
@@ -1,7 +1,8 @@
 //! Reads the backend servers that another balancer knows, window by window.
 //!
-//! Changes arrive in the order of their revisions, so what has arrived is not sent again: the next
-//! answer continues from there. Only at the end of the walk is everything known up to a position.
+//! Changes are ordered by position and incarnation, so what has arrived is not sent again: the next
+//! answer continues from there. At the end of the walk everything is known up to a position, unless
+//! its parts have a gap.
 //!
 //! The parts of a walk are given at different moments, by balancers that may have gaps in what they
 //! know. See [`PartCoverage`] for what they show together.
@@ -46,7 +47,9 @@
     pub next_pull: Option<(SocketAddrV4, PeerMessage)>,
     /// Whether everything that the peer knows has arrived.
     pub is_walk_complete: bool,
-    /// What was concluded from the part about backend servers that it does not report as removed.
+    /// Whether everything up to a position is known with the walk.
+    pub is_conclusive: bool,
+    /// Backend servers that were concluded to be removed, by what shows it.
     pub removals: Vec<ConcludedRemovals>,
 }
 
@@ -393,6 +396,7 @@
         let Some(walk) = self.walk.take() else { return };
         let directory = &mut knowledge.directory;
         let Some(until) = walk.coverage.complete_until() else { return };
+        update.is_conclusive = true;
 
         if walk.scope == WalkScope::Everything {
             self.has_history = true;
--- a/crates/valvestage-policy/src/steering/peers/part_coverage.rs
+++ b/crates/valvestage-policy/src/steering/peers/part_coverage.rs
@@ -55,7 +55,8 @@
     sender: Option<SocketAddrV4>,
     /// Number of the latest part in the order of arrival.
     arrival: u32,
-    /// Whether all parts are of one sender that knew as much at each part as at the one before.
+    /// Whether all parts are of one sender, in the order of their arrival, and each was sent when the
+    /// sender knew at least as much as at the one before.
     is_consistent: bool,
 }
 
--- a/crates/valvestage-policy/src/steering/peers/part_size.rs
+++ b/crates/valvestage-policy/src/steering/peers/part_size.rs
@@ -1,6 +1,6 @@
 //! How many changes of backend servers go into one datagram.
 
-use super::peer_message::{MAX_MESSAGE_BYTES, number_bytes};
+use super::peer_message::{MAX_MESSAGE_BYTES, long_varint_bytes};
 use crate::steering::knowledge::backend_entry::BackendEntry;
 
 /// Maximum number of changes in one datagram.
@@ -72,7 +72,7 @@
 }
 
 fn length_bytes(name: &str) -> usize {
-    number_bytes(u64::try_from(name.len()).unwrap_or(u64::MAX))
+    long_varint_bytes(u64::try_from(name.len()).unwrap_or(u64::MAX))
 }
 
 /// Returns the maximum size of the change that describes an entry.
@@ -90,5 +90,8 @@
         entry.slots.into(),
     ];
 
-    numbers.into_iter().map(number_bytes).sum::<usize>() + cold_bytes + phase_bytes + FIXED_BYTES
+    numbers.into_iter().map(long_varint_bytes).sum::<usize>()
+        + cold_bytes
+        + phase_bytes
+        + FIXED_BYTES
 }
--- a/crates/valvestage-policy/src/steering/peers/peer_message.rs
+++ b/crates/valvestage-policy/src/steering/peers/peer_message.rs
@@ -628,14 +628,7 @@
 
 /// Returns the size of a number in the codec's encoding, which stores seven bits per byte.
 pub(super) fn varint_bytes(number: u32) -> usize {
-    number_bytes(number.into())
-}
-
-/// As [`varint_bytes`], for larger numbers.
-pub(super) fn number_bytes(number: u64) -> usize {
-    let bits = usize::try_from(u64::BITS - number.leading_zeros()).unwrap_or(0);
-
-    bits.div_ceil(7).max(1)
+    long_varint_bytes(number.into())
 }
 
 /// Returns the size of a 64-bit number in the codec's encoding.
--- a/crates/valvestage-policy/src/steering/peers/report_budget.rs
+++ b/crates/valvestage-policy/src/steering/peers/report_budget.rs
@@ -4,9 +4,8 @@
     BalancerReport, HealthReport, ServiceDemand, SuspicionReport, long_varint_bytes, varint_bytes,
 };
 
-/// Maximum size of the observations in a heartbeat that reports load or paces, in bytes: a VM may send 4 KB
-/// of control traffic per second in some ten heartbeats, of which the rest and the headers take 140
-/// bytes each.
+/// Maximum size of the observations in a heartbeat, in bytes: a VM may send 4 KB of control traffic
+/// per second in some ten heartbeats, of which the rest and the headers take 140 bytes each.
 pub const REPORT_BYTES: usize = 4_000 / 10 - 140;
 
 /// Shortens a report to [`REPORT_BYTES`]. Beside load, the counts of outcomes go first, since in a
--- a/crates/valvestage-policy/src/steering/store/store_link.rs
+++ b/crates/valvestage-policy/src/steering/store/store_link.rs
@@ -34,7 +34,7 @@
 /// rounds of heartbeats to learn which balancers follow the store, and a margin.
 const STARTUP_PERIOD: Duration = Duration::from_millis(1_200);
 
-/// What the calls of a follower depend on, other than its knowledge.
+/// State of this balancer, other than its knowledge, that decides which calls are due.
 #[derive(Debug, Clone, Copy)]
 pub struct FollowerState {
     /// Whether this balancer is going to keep following the store.
@@ -229,7 +229,7 @@
     pub fn calls(
         &mut self,
         knowledge: &Knowledge,
-        follower: FollowerState,
+        state: FollowerState,
         now: Instant,
     ) -> Vec<(StoreKind, StoreCall)> {
         let known_until = knowledge.directory.complete_until();
@@ -238,9 +238,9 @@
             self.backends.relist();
         }
         let held_until = self.started_at + STARTUP_PERIOD;
-        if follower.keeps_watching && follower.packets_wait {
+        if state.keeps_watching && state.packets_wait {
             self.backends.release_watch(held_until);
-        } else if self.leaves_watches(follower, now) {
+        } else if self.leaves_watches(state, now) {
             self.routes.delay_watch(held_until);
             self.backends.delay_watch(held_until);
         }
@@ -254,7 +254,7 @@
             self.list_began_at = Some(now);
         }
 
-        let evacuations = self.next_evacuations(knowledge, follower, now);
+        let evacuations = self.next_evacuations(knowledge, state, now);
 
         let routes = routes.map(|call| (StoreKind::Configuration, call));
         let backends = backends.map(|call| (StoreKind::Backends, call));
@@ -267,14 +267,14 @@
     fn next_evacuations(
         &mut self,
         knowledge: &Knowledge,
-        follower: FollowerState,
+        state: FollowerState,
         now: Instant,
     ) -> Option<StoreCall> {
         let is_next = if self.routes.is_failing() || self.backends.is_failing() {
             // Skips the evacuation call while other calls to the store fail.
             false
         } else if knowledge.evacuated.is_known() {
-            follower.keeps_watching && !self.leaves_watches(follower, now)
+            state.keeps_watching && !self.leaves_watches(state, now)
         } else {
             // Also while there is no configuration: otherwise all balancers would keep trying to
             // read the evacuations.
@@ -289,8 +289,8 @@
     /// that it needs and leaves watches to them: when many balancers start at once, nearly all begin
     /// to follow the store, and most have stopped by the end of this period. The first watch reports
     /// at once what has changed meanwhile.
-    fn leaves_watches(&self, follower: FollowerState, now: Instant) -> bool {
-        !follower.is_alone && self.started_at + STARTUP_PERIOD > now
+    fn leaves_watches(&self, state: FollowerState, now: Instant) -> bool {
+        !state.is_alone && self.started_at + STARTUP_PERIOD > now
     }
 
     /// Reports whether the last call for a kind of object failed.
--- a/crates/valvestage-policy/tests/steering/lost_answers.rs
+++ b/crates/valvestage-policy/tests/steering/lost_answers.rs
@@ -109,3 +109,31 @@
     }
     assert_eq!(count_gone_views(&deployment), 0);
 }
+
+/// Guards against a balancer that counts as up to date after a walk which shows nothing, since its
+/// parts come from two balancers with gaps. It would then end flows of backend servers whose entries
+/// have returned.
+#[test]
+fn a_walk_that_shows_nothing_is_no_update() {
+    let mut deployment = alone();
+    let mut sender = BackendDirectory::default();
+    for instance in 1..=60 {
+        sender.put(numbered_backend(instance));
+    }
+    sender.complete(at(100));
+    sender.put(BackendEntry { position: at(200), ..numbered_backend(61) });
+    deliver(&mut deployment, 5, heartbeat_of(&sender));
+    let parts = answer(&sender, &deployment);
+    deliver(&mut deployment, 5, parts[0].clone());
+    // The balancer asks the first sender again, which does not answer.
+    deployment.run(millis(400));
+
+    deliver(&mut deployment, 6, heartbeat_of(&sender));
+    for part in parts.into_iter().skip(1) {
+        deliver(&mut deployment, 6, part);
+    }
+    deployment.run(millis(800));
+    let knowledge = deployment.node(0).knowledge();
+    assert!(!knowledge.directory.is_complete());
+    assert!(knowledge.is_behind(deployment.now));
+}
--- a/crates/valvestage-policy/tests/steering/unknown_routes.rs
+++ b/crates/valvestage-policy/tests/steering/unknown_routes.rs
@@ -274,3 +274,18 @@
     policy.on_tick(now + millis(900));
     assert!(policy.is_ready());
 }
+
+/// Guards against versions that are ignored since a higher one was reported before the store was
+/// restored.
+#[test]
+fn a_lower_version_counts_once_the_higher_one_is_no_longer_reported() {
+    let mut knowledge = knowledge(&[]);
+    let now = start();
+    knowledge.note_peer_version(9, now);
+    assert!(!knowledge.has_newest_routes(now));
+
+    let later = now + millis(6_000);
+    assert!(knowledge.has_newest_routes(later));
+    knowledge.note_peer_version(4, later);
+    assert!(!knowledge.has_newest_routes(later));
+}
--- a/crates/valvestage-soak/src/site_plan.rs
+++ b/crates/valvestage-soak/src/site_plan.rs
@@ -47,7 +47,7 @@
     if service == SERVICES[0] { SERVICES[1] } else { SERVICES[0] }
 }
 
-// The kind of an address is the third octet of its lowest numbers.
+// Kinds of addresses: the third octet of the first 250 addresses of each kind.
 const BALANCERS: u8 = 0;
 const RELAYS: u8 = 10;
 const BACKENDS: u8 = 20;
@@ -56,9 +56,9 @@
 /// Kind of the address at which ports are held; nothing else uses it.
 const HOLDERS: u8 = 60;
 
-/// Address plan of a run. Runs of one process share a loopback network, as some processes do, and
-/// are told apart by their ports. The kernel chooses the ports, which are the same for all simulated
-/// VMs, and are held until the last copy of the plan is dropped.
+/// Address plan of a run. Concurrent runs may share a loopback network, also those of different
+/// processes; their ports differ. The kernel chooses the ports, which are the same for all simulated
+/// VMs and are reserved until the last copy of the plan is dropped.
 #[derive(Debug, Clone)]
 pub struct SitePlan {
     /// Second octet of all addresses.
--- a/crates/valvestage-story/src/sentences.rs
+++ b/crates/valvestage-story/src/sentences.rs
@@ -123,6 +123,14 @@
             text("backend"),
             text("revision")
         ),
+        "removals_concluded" => format!(
+            "{} backend servers are taken for removed as of revision {}, though no removal was read \
+             ({}, from {}).",
+            text("count"),
+            text("revision"),
+            text("basis"),
+            text("source")
+        ),
         "routes_in_force" => format!(
             "Configuration {} with {} addresses came into force after {} (told by {}).",
             text("version"),
