Share the tests' heartbeat and directory with a gap, and name entries with and without a birth

Read once more: comparisons.rs built the heartbeat that scripted_peer.rs has, and two tests the same directory. Names and comments on births in the usual terms; has_ended_for_good was no longer true and is has_left_or_was_superseded.

--- a/crates/valvestage-policy/src/steering/knowledge/backend_directory.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/backend_directory.rs
@@ -407,8 +407,8 @@
     }
 
     /// Applies the entries that a peer reports as gone, with the positions of their ends, if both
-    /// balancers know every change up to the same position. Returns those that were known as live: they are now gone, or missing if a
-    /// time is given until which they may return.
+    /// balancers know every change up to the same position. Returns those that were known as live:
+    /// they are now gone, or missing if a time is given until which they may return.
     pub fn apply_peer_removals(
         &mut self,
         gone: &HashMap<InstanceId, StorePosition>,
--- a/crates/valvestage-policy/src/steering/knowledge/backend_entry.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/backend_entry.rs
@@ -101,7 +101,7 @@
     /// Reports whether the incarnation was draining when it went, or was superseded. It returns only
     /// with an entry that it writes afterwards.
     #[must_use]
-    pub fn has_ended_for_good(&self) -> bool {
+    pub fn has_left_or_was_superseded(&self) -> bool {
         matches!(
             self.phase,
             BackendPhase::Gone { end: BackendEnd::Left | BackendEnd::Superseded, .. }
--- a/crates/valvestage-policy/src/steering/knowledge/births.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/births.rs
@@ -23,10 +23,10 @@
 
 impl BackendDirectory {
     /// Reports whether an entry does not say when its process was born, although the deployment's
-    /// processes do. Most of the known ones decide, so that a single entry of another writer takes
-    /// nothing from a deployment whose processes don't.
+    /// processes do. The majority of the known entries decides, so that one entry of another writer
+    /// does not make those of a deployment without births unusable.
     pub(super) fn lacks_birth(&self, entry: &BackendEntry) -> bool {
-        !entry.is_gone() && entry.born.is_none() && self.entries.births().is_mostly_told()
+        !entry.is_gone() && entry.born.is_none() && self.entries.births().has_majority_with_birth()
     }
 
     /// Reports whether an entry of the store names no backend server since it does not say when its
@@ -40,14 +40,15 @@
     fn is_in_use(&self, entry: &BackendEntry) -> bool {
         let known = self.entries.get(entry.instance);
 
-        known.is_some_and(|known| !known.has_ended_for_good()) && !self.contradicts_birth(entry)
+        known.is_some_and(|known| !known.has_left_or_was_superseded())
+            && !self.contradicts_birth(entry)
     }
 
     /// Reports whether a process that may be alive and has told its birth has the name or the
     /// address of an entry.
     pub(super) fn contradicts_birth(&self, entry: &BackendEntry) -> bool {
         self.with_name_or_address_of(entry)
-            .any(|other| other.born.is_some() && !other.has_ended_for_good())
+            .any(|other| other.born.is_some() && !other.has_left_or_was_superseded())
     }
 
     /// Reports whether an entry has an earlier birth than a process that may be alive at its name or
@@ -60,7 +61,7 @@
         let was_superseded = known.is_some_and(BackendEntry::is_superseded);
         let contradicts = |other: &BackendEntry| {
             entry.is_born_before(other)
-                && (was_superseded || !other.has_ended_for_good())
+                && (was_superseded || !other.has_left_or_was_superseded())
                 && self.last_own_position(other) <= entry.position
         };
 
@@ -82,8 +83,8 @@
     }
 
     /// Leaves out an entry with a doubtful birth until a time. The entry of the process at its name
-    /// was overwritten, and cannot be used meanwhile. An unusable entry, as peers tell of, does not say
-    /// whose it is, and is not applied later either. Returns the incarnations whose known state
+    /// was overwritten, and cannot be used meanwhile. An unusable entry, as peers report it, does not
+    /// say whose it is, and is not applied later either. Returns the incarnations whose known state
     /// changed.
     pub(super) fn apply_doubtful_entry(
         &mut self,
@@ -114,8 +115,8 @@
         self.other_incarnations(entry).filter(is_rival).map(|other| other.instance).collect()
     }
 
-    /// Applies the entry of a process together with the doubt that it casts on others. Returns the
-    /// incarnations whose known state changed.
+    /// Applies an entry, and leaves out the entries of the same name that contradict its birth.
+    /// Returns the incarnations whose known state changed.
     pub(super) fn displace_rivals(
         &mut self,
         entry: BackendEntry,
@@ -144,9 +145,8 @@
         }
     }
 
-    /// Applies a conflicting entry whose time is over. One that another process with a later birth
-    /// keeps from its address goes on waiting: that process has no reason to write its own entry
-    /// again. Returns the incarnations whose known state changed.
+    /// Applies a conflicting entry whose time is over. An entry whose address another process with a
+    /// later birth holds stays left out: that process has no reason to write its own entry again. Returns the incarnations whose known state changed.
     pub(super) fn resolve_conflict(
         &mut self,
         entry: BackendEntry,
--- a/crates/valvestage-policy/src/steering/knowledge/entry_table.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/entry_table.rs
@@ -21,21 +21,24 @@
 /// Counts of entries that say when their processes were born, and of those that don't.
 #[derive(Debug, Default, Clone, Copy)]
 pub(super) struct BirthCount {
-    told: usize,
-    untold: usize,
+    /// Number of entries with a birth whose processes may be alive.
+    with_birth: usize,
+    /// Number of such entries without a birth.
+    without_birth: usize,
 }
 
 impl BirthCount {
     /// Reports whether most entries say when their processes were born.
-    pub(super) fn is_mostly_told(self) -> bool {
-        self.told > self.untold
+    pub(super) fn has_majority_with_birth(self) -> bool {
+        self.with_birth > self.without_birth
     }
 
     /// Returns the count to which an entry belongs; `None` if its process has ended for good.
     fn count_of(&mut self, entry: &BackendEntry) -> Option<&mut usize> {
-        let count = if entry.born.is_some() { &mut self.told } else { &mut self.untold };
+        let count =
+            if entry.born.is_some() { &mut self.with_birth } else { &mut self.without_birth };
 
-        (!entry.has_ended_for_good()).then_some(count)
+        (!entry.has_left_or_was_superseded()).then_some(count)
     }
 }
 
--- a/crates/valvestage-policy/src/steering/knowledge/store_restores.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/store_restores.rs
@@ -151,7 +151,8 @@
         let Some(known) = self.entries.get(reported.instance) else { return false };
         let is_from_backup =
             reported.position.era < known.position.era || reported.position == known.position;
-        let departs = reported.phase == BackendPhase::Draining || reported.has_ended_for_good();
+        let departs =
+            reported.phase == BackendPhase::Draining || reported.has_left_or_was_superseded();
         if !is_from_backup || !departs || known.phase != BackendPhase::Ready {
             return false;
         }
@@ -209,7 +210,7 @@
         let is_former = |known: &BackendEntry| known.position.era < entry.position.era;
         let known = self.entries.get(entry.instance).filter(|known| is_former(known));
         match known {
-            Some(known) if known.has_ended_for_good() => return true,
+            Some(known) if known.has_left_or_was_superseded() => return true,
             Some(known) if !known.is_gone() => return false,
             _ => {}
         }
--- a/crates/valvestage-policy/tests/steering/comparisons.rs
+++ b/crates/valvestage-policy/tests/steering/comparisons.rs
@@ -8,7 +8,7 @@
 
 use valvestage_policy::steering::peers::backend_parts::backends_messages;
 use valvestage_policy::steering::peers::peer_message::{
-    BackendsPart, BackendsPull, ChangeCursor, HealthReport, PeerHeartbeat, WalkScope,
+    BackendsPart, BackendsPull, ChangeCursor, PeerHeartbeat, WalkScope,
 };
 use valvestage_policy::steering::{
     BackendDirectory, BackendEntry, BackendPhase, EntryPolicy, PeerMessage,
@@ -16,6 +16,7 @@
 
 use crate::deployment::{Deployment, node_address};
 use crate::fixtures::{OWN_ZONE, at, backend, millis, name_of, routes, start};
+use crate::scripted_peer::heartbeat_of;
 
 fn settled(count: usize) -> Deployment {
     let mut deployment = Deployment::new(count);
@@ -56,25 +57,8 @@
 /// Sends a balancer the heartbeat of a peer that knows what a directory contains.
 fn announce_directory(deployment: &mut Deployment, node: usize, sender: &BackendDirectory) {
     let now = deployment.now;
-    let known = deployment.node(node).knowledge();
-    let heartbeat = PeerHeartbeat {
-        zone: OWN_ZONE.to_owned(),
-        wants_answer: false,
-        version: known.routes.version,
-        complete_until: sender.complete_until(),
-        changed_at: sender.changed_at(),
-        era_head: sender.era_head(),
-        live_digest: sender.live_digest(),
-        age_ms: 0,
-        outage_age_ms: u32::MAX,
-        watchers: Vec::new(),
-        peers: Vec::new(),
-        health: HealthReport::default(),
-        evacuations: None,
-        demands: None,
-        loads: Vec::new(),
-        unresolved_tokens: Vec::new(),
-    };
+    let version = deployment.node(node).knowledge().routes.version;
+    let heartbeat = PeerHeartbeat { version, ..heartbeat_of(sender) };
 
     let policy = deployment.nodes[node].as_mut().expect("the balancer runs");
     policy.on_message(node_address(5), PeerMessage::Heartbeat(heartbeat), now);
--- a/crates/valvestage-policy/tests/steering/ends_at_one_position.rs
+++ b/crates/valvestage-policy/tests/steering/ends_at_one_position.rs
@@ -59,7 +59,7 @@
 fn parts_that_wait_for_the_first_one_are_all_applied() {
     let mut deployment = alone();
     let sender = ends_at_one_position();
-    deliver(&mut deployment, 5, heartbeat_of(&sender));
+    deliver(&mut deployment, 5, PeerMessage::Heartbeat(heartbeat_of(&sender)));
 
     let parts = answer(&sender, ChangeCursor::START, &deployment);
     assert!(parts.len() > 3, "{} parts", parts.len());
@@ -76,7 +76,7 @@
     for lost in 0..4 {
         let mut deployment = alone();
         let sender = ends_at_one_position();
-        deliver(&mut deployment, 5, heartbeat_of(&sender));
+        deliver(&mut deployment, 5, PeerMessage::Heartbeat(heartbeat_of(&sender)));
 
         let parts = answer(&sender, ChangeCursor::START, &deployment);
         for (_, part) in parts.into_iter().enumerate().filter(|(index, _)| *index != lost) {
@@ -98,7 +98,7 @@
             sender.put(BackendEntry { service: name, ..numbered(instance, instance) });
         }
         sender.complete(at(100));
-        deliver(&mut deployment, 5, heartbeat_of(&sender));
+        deliver(&mut deployment, 5, PeerMessage::Heartbeat(heartbeat_of(&sender)));
 
         let parts = answer(&sender, ChangeCursor::START, &deployment);
         let last = parts.len() - 1;
@@ -139,7 +139,7 @@
         sender.put(entry.clone());
     }
     sender.complete(at(deployment.store.revision));
-    deliver(&mut deployment, 5, heartbeat_of(&sender));
+    deliver(&mut deployment, 5, PeerMessage::Heartbeat(heartbeat_of(&sender)));
     let mut parts = answer(&sender, ChangeCursor::START, &deployment);
     parts.pop();
     let mut cursor = ChangeCursor::START;
--- a/crates/valvestage-policy/tests/steering/lost_answers.rs
+++ b/crates/valvestage-policy/tests/steering/lost_answers.rs
@@ -80,19 +80,25 @@
     backends_messages(sender, pull, deployment.now)
 }
 
+/// Returns a directory that is complete up to 100, and knows a change at 200.
+fn directory_with_gap() -> BackendDirectory {
+    let mut directory = BackendDirectory::default();
+    for instance in 1..=60 {
+        directory.put(numbered_backend(instance));
+    }
+    directory.complete(at(100));
+    directory.put(BackendEntry { position: at(200), ..numbered_backend(61) });
+    directory
+}
+
 /// Guards against an entry that is not known and counts as gone: the later parts of an answer were
 /// sent before their sender filled a gap, and the first part after that. The change that filled the
 /// gap is not the latest one that the sender knows.
 #[test]
 fn an_entry_that_moves_while_its_sender_fills_a_gap_is_not_gone() {
     let mut deployment = alone();
-    let mut sender = BackendDirectory::default();
-    for instance in 1..=60 {
-        sender.put(numbered_backend(instance));
-    }
-    sender.complete(at(100));
-    sender.put(BackendEntry { position: at(200), ..numbered_backend(61) });
-    deliver(&mut deployment, 5, heartbeat_of(&sender));
+    let mut sender = directory_with_gap();
+    deliver(&mut deployment, 5, PeerMessage::Heartbeat(heartbeat_of(&sender)));
     for part in answer(&sender, &deployment).into_iter().skip(1) {
         deliver(&mut deployment, 5, part);
     }
@@ -116,19 +122,14 @@
 #[test]
 fn a_walk_that_shows_nothing_is_no_update() {
     let mut deployment = alone();
-    let mut sender = BackendDirectory::default();
-    for instance in 1..=60 {
-        sender.put(numbered_backend(instance));
-    }
-    sender.complete(at(100));
-    sender.put(BackendEntry { position: at(200), ..numbered_backend(61) });
-    deliver(&mut deployment, 5, heartbeat_of(&sender));
+    let sender = directory_with_gap();
+    deliver(&mut deployment, 5, PeerMessage::Heartbeat(heartbeat_of(&sender)));
     let parts = answer(&sender, &deployment);
     deliver(&mut deployment, 5, parts[0].clone());
     // The balancer asks the first sender again, which does not answer.
     deployment.run(millis(400));
 
-    deliver(&mut deployment, 6, heartbeat_of(&sender));
+    deliver(&mut deployment, 6, PeerMessage::Heartbeat(heartbeat_of(&sender)));
     for part in parts.into_iter().skip(1) {
         deliver(&mut deployment, 6, part);
     }
--- a/crates/valvestage-policy/tests/steering/scripted_peer.rs
+++ b/crates/valvestage-policy/tests/steering/scripted_peer.rs
@@ -15,8 +15,8 @@
 }
 
 /// Returns the heartbeat of a balancer that knows what a directory contains, and no configuration.
-pub fn heartbeat_of(sender: &BackendDirectory) -> PeerMessage {
-    PeerMessage::Heartbeat(PeerHeartbeat {
+pub fn heartbeat_of(sender: &BackendDirectory) -> PeerHeartbeat {
+    PeerHeartbeat {
         zone: OWN_ZONE.to_owned(),
         wants_answer: false,
         version: 0,
@@ -33,7 +33,7 @@
         demands: None,
         loads: Vec::new(),
         unresolved_tokens: Vec::new(),
-    })
+    }
 }
 
 /// Delivers a message of the balancer with a number to the first balancer of a deployment.
