End no backend server by an entry that is read before the configuration

Callers: a balancer that had just started reset open flows of a living backend server, if another writer had left an entry of an unnamed service at its address or under its name, and the balancer read that before its first configuration.

Cause: has_unknown_service took every service for known while there was no configuration.

Ruled out: balancers with a configuration, where such an entry ends nothing.

Change: without a configuration no service is known. Such an entry ends nothing until a configuration names its service; then it ends the ones before it, at once and before the next packet. That holds for later configurations, too, where only the lapse of the former entry did so at an address.

--- a/crates/valvestage-policy/src/steering/keeper/knowledge_keeper.rs
+++ b/crates/valvestage-policy/src/steering/keeper/knowledge_keeper.rs
@@ -113,6 +113,7 @@
     ) -> Vec<KeeperAction> {
         self.extend_missing_deadlines(knowledge);
         self.resolve_conflicts(knowledge, now);
+        self.resolve_named_services(knowledge, now);
         self.step_role(knowledge, now);
         let packets_wait = !report.unresolved_tokens.is_empty()
             || self.resolving_for_peers_until.is_some_and(|until| until > now);
@@ -222,6 +223,14 @@
         }
     }
 
+    /// Ends the backend servers whose successors' services have become known. Every other balancer
+    /// concludes the same from its own configuration.
+    fn resolve_named_services(&mut self, knowledge: &mut Knowledge, now: Instant) {
+        for instance in knowledge.directory.resolve_named_services(now) {
+            self.updates.record_backend(knowledge, instance, UpdateSource::Store);
+        }
+    }
+
     /// Extends the deadlines of missing entries. Their time to return counts from the store's last
     /// failure, since the store may have been unavailable again before they could return.
     fn extend_missing_deadlines(&self, knowledge: &mut Knowledge) {
--- a/crates/valvestage-policy/src/steering/knowledge.rs
+++ b/crates/valvestage-policy/src/steering/knowledge.rs
@@ -13,6 +13,7 @@
 //! | [`ready_backends`] | backend servers that take new flows, by service and availability zone |
 //! | `incarnation_order` | the order of incarnations at one address and under one name |
 //! | `births` | what the births of processes say about entries |
+//! | `unknown_services` | entries of services that no configuration is known to name |
 //! | `store_restores` | what stays known after the store is restored from a backup |
 //! | [`evacuated_zones`] | availability zones that get no new flows at the operator's request |
 //! | [`zone_contacts`] | since when the other availability zones have been heard from |
@@ -32,6 +33,7 @@
 pub mod request_class;
 pub mod route_map;
 mod store_restores;
+mod unknown_services;
 pub mod zone_contacts;
 
 use std::time::{Duration, Instant};
--- a/crates/valvestage-policy/src/steering/knowledge/backend_directory.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/backend_directory.rs
@@ -56,6 +56,9 @@
     /// Last position of each incarnation before its entry became unusable. An unusable entry does
     /// not say which incarnation wrote it last.
     pub(super) positions_before_unusable: HashMap<InstanceId, StorePosition>,
+    /// Incarnations whose entries were applied while their service was unknown and others had their
+    /// name or address; true for those that were new to this balancer.
+    pub(super) awaiting_service: BTreeMap<InstanceId, bool>,
     /// How soon entries lapse and are written again.
     times: EntryTimes,
     /// Incarnations that became gone since the last call of [`Self::take_newly_gone`].
@@ -512,6 +515,7 @@
 
         self.history_begins_at = self.history_begins_at.max(entry.position);
         self.positions_before_unusable.remove(&instance);
+        self.awaiting_service.remove(&instance);
         if self.tokens.get(&token) == Some(&instance) {
             self.tokens.remove(&token);
         }
--- a/crates/valvestage-policy/src/steering/knowledge/incarnation_order.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/incarnation_order.rs
@@ -1,10 +1,9 @@
 //! The order of incarnations at one address and under one name.
 
-use std::collections::HashSet;
 use std::time::Instant;
 
 use valvestage_core::StorePosition;
-use valvestage_core::ids::{InstanceId, ServiceName};
+use valvestage_core::ids::InstanceId;
 
 use super::backend_directory::BackendDirectory;
 use super::backend_entry::{BackendEnd, BackendEntry, BackendPhase};
@@ -135,37 +134,6 @@
         }
     }
 
-    /// Reports whether an entry's service is neither named by the configuration nor the service of
-    /// a known entry with the same name or address.
-    pub(super) fn has_unknown_service(&self, entry: &BackendEntry) -> bool {
-        let is_named =
-            self.services.as_ref().is_none_or(|services| services.contains(&entry.service));
-        let is_known = |other: &BackendEntry| other.service == entry.service;
-
-        !is_named && !self.with_name_or_address_of(entry).any(is_known)
-    }
-
-    /// Applies an entry of an unknown service. Another writer may have left it at the address or
-    /// under the name of a live backend server, whose flows therefore stay. If the entry belongs to
-    /// a real successor, the successor ends that backend server once the configuration names its
-    /// service, or the old entry lapses.
-    pub(super) fn apply_unknown_service_entry(&mut self, entry: BackendEntry) -> Vec<InstanceId> {
-        let mut changed: Vec<_> =
-            self.other_incarnations(&entry).map(|other| other.instance).collect();
-        changed.retain(|other| self.mark_unusable(*other, entry.position));
-
-        let instance = entry.instance;
-        if self.put(entry) {
-            changed.push(instance);
-        }
-        changed
-    }
-
-    /// Sets which services the configuration in force names.
-    pub fn set_services(&mut self, services: HashSet<ServiceName>) {
-        self.services = Some(services);
-    }
-
     /// Records an incarnation that preceded the present one of its name as gone, so that the
     /// callers of its flows can be sent resets.
     pub(super) fn apply_older_incarnation(
--- a/crates/valvestage-policy/tests/steering/backend_restarts.rs
+++ b/crates/valvestage-policy/tests/steering/backend_restarts.rs
@@ -57,6 +57,7 @@
 #[test]
 fn a_new_incarnation_at_another_address_for_another_service_ends_the_one_before_it() {
     let mut directory = directory();
+    directory.set_services(["core", "photos"].map(str::to_owned).into());
     let elsewhere = BackendEntry {
         address: backend(9, "core", OWN_ZONE).address,
         service: "photos".to_owned(),
--- a/crates/valvestage-policy/tests/steering/main.rs
+++ b/crates/valvestage-policy/tests/steering/main.rs
@@ -46,6 +46,7 @@
 mod slow_store;
 mod successors;
 mod unknown_routes;
+mod unknown_services;
 mod unresolved_tokens;
 mod watch_role;
 mod zone_shares;
