Correct ends of backend servers that a list of the store contradicts

Callers: once any balancer had concluded an end wrongly, the living backend server was gone at all of them, and stayed so: its open flows were reset wherever they appeared, and it got no new ones.

Cause: the higher position wins, and an end that was concluded has one at or after that of the entry, which does not change in the store while its process lives. So nothing that is read later counts, a list included.

Ruled out: a higher position for the corrected entry (a quiet store's position is that of the wrong end), and the entry winning at equal positions (an end may rightly be told at the position of its entry).

Change: a list of the store that shows an entry at a position at or after that of its end makes it live again, and the entry carries the position of that list, so that other balancers follow. A removal that is read after a wrong end gives that end its position. A follower of the store that is told of an end which it should have known lists the store, once in 10 s at most. Messages between balancers have version 11 (one byte more a change).

Two tests in comparisons.rs play how an end reaches all balancers while the store still had the entry, which is the fault; there the store has lost the entry without telling any watch, and what they demand is unchanged.

--- a/crates/valvestage-entry/src/decision_log.rs
+++ b/crates/valvestage-entry/src/decision_log.rs
@@ -116,6 +116,7 @@
         Decision::Isolated { .. } => "isolated",
         Decision::BackendMissing { .. } => "backend_missing",
         Decision::BirthMissing { .. } => "birth_missing",
+        Decision::EndCorrected { .. } => "end_corrected",
         Decision::WatchRole { .. } => "watch_role",
         Decision::StoreLink { .. } => "store_link",
         Decision::StoreEra { .. } => "store_era",
@@ -256,6 +257,11 @@
             line.put_instance("backend", name.number);
             line.put_position("revision", *position);
         }
+        Decision::EndCorrected { instance, ended_at, listed_at } => {
+            line.put_backend(*instance);
+            line.put_position("revision", *ended_at);
+            line.put("listed_revision", listed_at.revision);
+        }
         Decision::RoutesInForce { version, former, addresses, source } => {
             line.put("version", *version);
             line.put("former_version", *former);
--- a/crates/valvestage-entry/src/peer_codec.rs
+++ b/crates/valvestage-entry/src/peer_codec.rs
@@ -4,7 +4,7 @@
 use valvestage_policy::steering::PeerMessage;
 
 /// Version of the message format. Messages of any other version are ignored.
-const VERSION: u8 = 10;
+const VERSION: u8 = 11;
 
 /// Length of the receive buffer, which holds the longest datagram.
 pub const MAX_DATAGRAM_BYTES: usize = 2_048;
--- a/crates/valvestage-entry/tests/load_metrics.rs
+++ b/crates/valvestage-entry/tests/load_metrics.rs
@@ -59,6 +59,7 @@
         cold_until: None,
         phase: BackendPhase::Ready,
         missing_until: None,
+        listed_at: None,
     };
 
     BackendUpdate { name, position, change: EntryChange::Written(entry) }
--- a/crates/valvestage-entry/tests/peer_codec.rs
+++ b/crates/valvestage-entry/tests/peer_codec.rs
@@ -86,6 +86,7 @@
         incarnation_digest: 0xff_ffff,
         born: Some(u64::MAX),
         position: store_position(u64::MAX),
+        listed_at: Some(store_position(u64::MAX)),
         record,
     });
     let part = MessagePart { index: 0, count: 1 };
@@ -253,6 +254,7 @@
         cold_until: None,
         phase: BackendPhase::Ready,
         missing_until: None,
+        listed_at: None,
     }
 }
 
--- a/crates/valvestage-entry/tests/suspicion_traffic.rs
+++ b/crates/valvestage-entry/tests/suspicion_traffic.rs
@@ -72,6 +72,7 @@
             cold_until: None,
             phase: BackendPhase::Ready,
             missing_until: None,
+            listed_at: None,
         };
         BackendUpdate { name, position, change: EntryChange::Written(entry) }
     };
--- a/crates/valvestage-experiment/src/fleet/store.rs
+++ b/crates/valvestage-experiment/src/fleet/store.rs
@@ -220,6 +220,7 @@
         cold_until: None,
         phase: BackendPhase::Ready,
         missing_until: None,
+        listed_at: None,
     }
 }
 
--- a/crates/valvestage-policy/src/steering/decision.rs
+++ b/crates/valvestage-policy/src/steering/decision.rs
@@ -189,6 +189,15 @@
         /// Position of the entry.
         position: StorePosition,
     },
+    /// A list of the store has shown the entry of a backend server that was taken for gone.
+    EndCorrected {
+        /// The backend server, which is live again.
+        instance: InstanceId,
+        /// Position of the wrong end.
+        ended_at: StorePosition,
+        /// Position of the list.
+        listed_at: StorePosition,
+    },
     /// This balancer has begun or ceased to follow the store.
     WatchRole {
         /// Whether it follows the store now.
--- a/crates/valvestage-policy/src/steering/keeper/keeper_exchange.rs
+++ b/crates/valvestage-policy/src/steering/keeper/keeper_exchange.rs
@@ -21,12 +21,25 @@
     exchange: PeerExchange,
     /// Whether other balancers have reported changes in a walk that has not ended yet.
     has_unannounced_changes: bool,
+    /// Whether another balancer has reported the end of a backend server that should have been known
+    /// here since the last call of [`Self::take_has_unexpected_end`].
+    has_unexpected_end: bool,
 }
 
 impl KeeperExchange {
     /// Creates an exchange that answers over a link of `link_mbps` megabits per second.
     pub(in crate::steering) fn new(link_mbps: f64) -> Self {
-        Self { exchange: PeerExchange::new(link_mbps), has_unannounced_changes: false }
+        Self {
+            exchange: PeerExchange::new(link_mbps),
+            has_unannounced_changes: false,
+            has_unexpected_end: false,
+        }
+    }
+
+    /// Reports whether another balancer has reported the end of a backend server that should have
+    /// been known here since the last call.
+    pub(in crate::steering) fn take_has_unexpected_end(&mut self) -> bool {
+        std::mem::take(&mut self.has_unexpected_end)
     }
 
     /// Returns when the next answer is due. `None` if no balancer waits for one.
@@ -196,6 +209,7 @@
         if step.is_walk_complete {
             updates.notify_if(std::mem::take(&mut self.has_unannounced_changes));
         }
+        self.has_unexpected_end |= step.has_unexpected_end;
         for removals in step.removals {
             updates.record(Decision::RemovalsConcluded {
                 source: UpdateSource::Peer(sender),
--- a/crates/valvestage-policy/src/steering/keeper/knowledge_keeper.rs
+++ b/crates/valvestage-policy/src/steering/keeper/knowledge_keeper.rs
@@ -331,7 +331,12 @@
             message => {
                 let missing_until = self.store.missing_until(now);
                 let Self { exchange, updates, .. } = self;
-                exchange.on_message(knowledge, updates, (sender, message), missing_until, now)
+                let actions =
+                    exchange.on_message(knowledge, updates, (sender, message), missing_until, now);
+                if exchange.take_has_unexpected_end() && self.role.is_watching() {
+                    self.store.verify_ends(now);
+                }
+                actions
             }
         }
     }
--- a/crates/valvestage-policy/src/steering/knowledge.rs
+++ b/crates/valvestage-policy/src/steering/knowledge.rs
@@ -13,6 +13,7 @@
 //! | [`ready_backends`] | backend servers that take new flows, by service and availability zone |
 //! | `incarnation_order` | the order of incarnations at one address and under one name |
 //! | `births` | what the births of processes say about entries |
+//! | `end_corrections` | ends that a list of the store contradicts |
 //! | `unknown_services` | entries of services that no configuration is known to name |
 //! | `store_restores` | what stays known after the store is restored from a backup |
 //! | [`evacuated_zones`] | availability zones that get no new flows at the operator's request |
@@ -24,6 +25,7 @@
 pub mod backend_name;
 mod births;
 pub mod cold_rate;
+mod end_corrections;
 mod entry_table;
 pub mod entry_times;
 pub mod evacuated_zones;
--- a/crates/valvestage-policy/src/steering/knowledge/backend_directory.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/backend_directory.rs
@@ -198,6 +198,12 @@
     /// removed, or considers it missing, too.
     pub fn apply_peer_entry(&mut self, entry: BackendEntry, now: Instant) -> Vec<InstanceId> {
         let (instance, position) = (entry.instance, entry.position);
+        if entry.is_gone() && self.is_end_refuted(instance, position) {
+            return Vec::new();
+        }
+        if entry.listed_at.is_some_and(|listed_at| self.correct_end(&entry, listed_at)) {
+            return vec![instance];
+        }
         let known = self.entries.get(instance);
         if known.is_some_and(|known| known.position >= position) {
             return if self.apply_peer_drain(&entry, now) { vec![instance] } else { Vec::new() };
@@ -319,7 +325,7 @@
         !entry.is_gone()
             && !self.may_be_written_again(entry, now)
             && !self.conflicting.contains_key(&entry.instance)
-            && entry.position <= self.complete_until
+            && entry.listed_at.unwrap_or(entry.position) <= self.complete_until
             && !self.entries.contains(entry.instance)
             && !self.may_own_unusable_entry(entry)
             && self.doubtful_rivals(entry).is_empty()
@@ -421,7 +427,8 @@
     ) -> Vec<InstanceId> {
         // An entry that is known at a later position than its end has returned since.
         let is_ended = |entry: &BackendEntry| {
-            gone.get(&entry.instance).is_some_and(|end| *end >= entry.position)
+            let end = gone.get(&entry.instance).copied();
+            end.is_some_and(|end| end >= entry.position && entry.listed_at < Some(end))
         };
         let absent = self.live_until(at, is_ended);
 
@@ -533,6 +540,12 @@
         self.entries.get(instance)
     }
 
+    /// Reports whether the entry of an incarnation is known, and not gone.
+    #[must_use]
+    pub fn is_live(&self, instance: InstanceId) -> bool {
+        self.entries.get(instance).is_some_and(|entry| !entry.is_gone())
+    }
+
     /// Returns the entry of the incarnation that holds a token.
     #[must_use]
     pub fn by_token(&self, token: ShortToken) -> Option<&BackendEntry> {
--- a/crates/valvestage-policy/src/steering/knowledge/backend_entry.rs
+++ b/crates/valvestage-policy/src/steering/knowledge/backend_entry.rs
@@ -69,6 +69,9 @@
     /// Set while its entry is missing after a store outage: when the entry counts as gone unless it
     /// has returned.
     pub missing_until: Option<Instant>,
+    /// Position of a list of the store that showed the entry although its end was known at an
+    /// earlier position. `None` if no end of it was corrected.
+    pub listed_at: Option<StorePosition>,
 }
 
 impl BackendEntry {
@@ -108,10 +111,12 @@
         )
     }
 
-    /// Reports whether two entries agree in everything but their position.
+    /// Reports whether two entries agree in everything but their positions.
     #[must_use]
     pub fn is_same(&self, other: &Self) -> bool {
-        *self == Self { position: self.position, ..other.clone() }
+        let Self { position, listed_at, .. } = *self;
+
+        *self == Self { position, listed_at, ..other.clone() }
     }
 
     /// Reports whether the entry was removed from the store.
--- a/crates/valvestage-policy/src/steering/peers/backend_parts.rs
+++ b/crates/valvestage-policy/src/steering/peers/backend_parts.rs
@@ -124,6 +124,7 @@
         incarnation_digest: entry.name.incarnation_digest(entry.instance),
         born: entry.born,
         position: entry.position,
+        listed_at: entry.listed_at,
         record: BackendRecord {
             service: index_of_name(names, &entry.service),
             zone: index_of_name(names, &entry.zone),
@@ -144,7 +145,7 @@
 }
 
 fn entry_of(change: BackendChange, names: &[String], now: Instant) -> Option<BackendEntry> {
-    let BackendChange { name, incarnation_digest, born, position, record } = change;
+    let BackendChange { name, incarnation_digest, born, position, listed_at, record } = change;
     let cold_for = Duration::from_millis(record.cold_for_ms.into());
     let phase = match record.phase {
         RecordedPhase::Ready => BackendPhase::Ready,
@@ -169,5 +170,6 @@
         cold_until: (!cold_for.is_zero()).then(|| now + cold_for),
         phase,
         missing_until: None,
+        listed_at,
     })
 }
--- a/crates/valvestage-policy/src/steering/peers/backend_walk.rs
+++ b/crates/valvestage-policy/src/steering/peers/backend_walk.rs
@@ -51,6 +51,9 @@
     pub is_conclusive: bool,
     /// Backend servers that were concluded to be removed, by what shows it.
     pub removals: Vec<ConcludedRemovals>,
+    /// Whether a backend server ended that was known as live, by an end up to the position up to
+    /// which everything was known. This balancer should have known such an end.
+    pub has_unexpected_end: bool,
 }
 
 impl WalkUpdate {
@@ -119,7 +122,10 @@
 
         match until.cmp(&directory.complete_until()) {
             Ordering::Greater => {
-                let absent = directory.retain_listed(live, until, missing_until, now);
+                let refuted = gone.iter().filter(|(id, end)| directory.is_end_refuted(**id, **end));
+                let live = live.iter().chain(refuted.map(|(instance, _)| instance));
+                let live = live.copied().collect();
+                let absent = directory.retain_listed(&live, until, missing_until, now);
                 Some((RemovalBasis::AbsentFromList, absent))
             }
             Ordering::Equal => {
@@ -319,13 +325,17 @@
         let entries = entries_of(part, now);
         let reported = ReportedBackends::of(&entries);
         let mut obsolete = Vec::new();
+        let complete_until = knowledge.directory.complete_until();
         for entry in entries {
             let directory = &mut knowledge.directory;
+            let instance = entry.instance;
+            let may_be_unexpected = entry.position <= complete_until && directory.is_live(instance);
             if directory.is_obsolete(&entry, now) {
                 obsolete.extend(directory.apply_obsolete_entry(entry, now));
             } else {
                 update.changed.extend(directory.apply_peer_entry(entry, now));
             }
+            update.has_unexpected_end |= may_be_unexpected && !directory.is_live(instance);
         }
         let known_until = knowledge.directory.complete_until();
         update.add_removals(RemovalBasis::UnknownHere, known_until, obsolete);
@@ -405,6 +415,7 @@
                 .shows_absence()
                 .then(|| walk.reported.apply_removals(directory, until, missing_until, now));
             if let Some((basis, removed)) = removals.flatten() {
+                update.has_unexpected_end |= !removed.is_empty();
                 update.add_removals(basis, until, removed);
             }
         }
--- a/crates/valvestage-policy/src/steering/peers/part_size.rs
+++ b/crates/valvestage-policy/src/steering/peers/part_size.rs
@@ -12,8 +12,9 @@
 const HEADER_BYTES: usize = 114;
 
 /// Size in bytes of the fields of a change whose size does not vary: two indexes of names, of which
-/// a part has less than 128, an address of 7 bytes, and the option byte of the start time.
-const FIXED_BYTES: usize = 10;
+/// a part has less than 128, an address of 7 bytes, and the option bytes of the start time and of
+/// the position of a list.
+const FIXED_BYTES: usize = 11;
 
 /// Maximum size in bytes of a remaining slow start, and of the time since a lapse.
 const TIME_BYTES: usize = 5;
@@ -89,8 +90,9 @@
         entry.position.revision,
         entry.slots.into(),
     ];
+    let listed_at = entry.listed_at.into_iter().flat_map(|at| [at.era, at.revision]);
 
-    numbers.into_iter().map(long_varint_bytes).sum::<usize>()
+    numbers.into_iter().chain(listed_at).map(long_varint_bytes).sum::<usize>()
         + cold_bytes
         + phase_bytes
         + FIXED_BYTES
--- a/crates/valvestage-policy/src/steering/peers/peer_message.rs
+++ b/crates/valvestage-policy/src/steering/peers/peer_message.rs
@@ -586,6 +586,8 @@
     pub born: Option<StartMillis>,
     /// The store's position at the change.
     pub position: StorePosition,
+    /// The position of a list that showed the entry after an end of it was reported.
+    pub listed_at: Option<StorePosition>,
     /// The entry after the change.
     pub record: BackendRecord,
 }
--- a/crates/valvestage-policy/src/steering/store/store_follower.rs
+++ b/crates/valvestage-policy/src/steering/store/store_follower.rs
@@ -305,11 +305,15 @@
         }
     }
 
-    /// Restarts with a list unless a watch is in flight. A list that has begun is continued.
-    pub fn relist(&mut self) {
-        if !self.has_call_in_flight && matches!(self.phase, Phase::Watching { .. }) {
+    /// Restarts with a list unless a call is in flight. A list that has begun is continued. Returns
+    /// whether a list begins.
+    pub fn relist(&mut self) -> bool {
+        let can_begin = !self.has_call_in_flight && matches!(self.phase, Phase::Watching { .. });
+
+        if can_begin {
             self.restart_list();
         }
+        can_begin
     }
 
     /// Restarts with a list as after failures: no balancer has followed the store for a while, so
--- a/crates/valvestage-policy/src/steering/store/store_link.rs
+++ b/crates/valvestage-policy/src/steering/store/store_link.rs
@@ -34,6 +34,10 @@
 /// rounds of heartbeats to learn which balancers follow the store, and a margin.
 const STARTUP_PERIOD: Duration = Duration::from_millis(1_200);
 
+/// Shortest time between two lists that verify ends which other balancers have reported, so that
+/// balancers that disagree do not keep reading the store.
+const VERIFICATION_INTERVAL: Duration = Duration::from_secs(10);
+
 /// State of this balancer, other than its knowledge, that decides which calls are due.
 #[derive(Debug, Clone, Copy)]
 pub struct FollowerState {
@@ -91,6 +95,10 @@
     last_failure: Option<Instant>,
     /// Whether a call has failed since this balancer last began to follow the store.
     has_failed_since_begin: bool,
+    /// Whether a list is to verify ends that other balancers have reported.
+    is_verification_due: bool,
+    /// Earliest time of the next such list; `None` before the first one.
+    next_verification_at: Option<Instant>,
     /// When this balancer started.
     started_at: Instant,
     /// What was decided on entries since the last call of [`Self::take_decisions`].
@@ -111,6 +119,8 @@
             era: None,
             last_failure: None,
             has_failed_since_begin: false,
+            is_verification_due: false,
+            next_verification_at: None,
             started_at: now,
             decisions: Vec::new(),
         }
@@ -212,6 +222,15 @@
         }
     }
 
+    /// Requests a list of the backend servers, since another balancer has reported the end of one that
+    /// should have been known here. The list confirms the end or corrects it.
+    pub(in crate::steering) fn verify_ends(&mut self, now: Instant) {
+        if self.next_verification_at.is_none_or(|at| at <= now) {
+            self.next_verification_at = Some(now + VERIFICATION_INTERVAL);
+            self.is_verification_due = true;
+        }
+    }
+
     /// Records the era of the store, as reported by the store or by another balancer. A restored
     /// store counts as unreachable until now, since entries that its backup lacks may be written
     /// again.
@@ -234,8 +253,9 @@
     ) -> Vec<(StoreKind, StoreCall)> {
         let known_until = knowledge.directory.complete_until();
         // A watch may report a returned entry late; a list shows it at once.
-        if knowledge.directory.has_expired_missing(now) {
-            self.backends.relist();
+        let needs_list = knowledge.directory.has_expired_missing(now) || self.is_verification_due;
+        if needs_list && self.backends.relist() {
+            self.is_verification_due = false;
         }
         let held_until = self.started_at + STARTUP_PERIOD;
         if state.keeps_watching && state.packets_wait {
@@ -334,8 +354,10 @@
     ) -> Vec<InstanceId> {
         self.note_reply(&reply, now);
         let mut reply = reply;
+        let mut listed_at = None;
         if let StoreReply::Page { position, objects, .. } = &mut reply {
             knowledge.directory.record_list_position(*position, now);
+            listed_at = Some(*position);
             // Whether the deployment's processes tell their births is known from the other entries
             // of the page, where nothing was known before.
             objects.sort_by_key(BackendUpdate::lacks_birth);
@@ -352,6 +374,7 @@
         let mut changed = Vec::new();
         for update in objects {
             let name = update.name;
+            changed.extend(self.correct_end(knowledge, &update, listed_at));
             changed.extend(self.apply_backend_update(knowledge, update, now));
             self.listed.extend(knowledge.directory.live_of(name));
             self.listed.extend(knowledge.directory.conflicting_incarnations(name));
@@ -360,6 +383,28 @@
         changed
     }
 
+    /// Makes the backend server of a listed entry live again if the list contradicts its end. Returns
+    /// it in that case.
+    fn correct_end(
+        &mut self,
+        knowledge: &mut Knowledge,
+        update: &BackendUpdate,
+        listed_at: Option<StorePosition>,
+    ) -> Option<InstanceId> {
+        let directory = &mut knowledge.directory;
+        let EntryChange::Written(entry) = &update.change else { return None };
+        let (instance, listed_at) = (entry.instance, listed_at?);
+        if directory.is_unusable_without_birth(entry) {
+            return None;
+        }
+
+        let ended_at = directory.get(instance).map(|known| known.position)?;
+        directory.correct_end(entry, listed_at).then(|| {
+            self.decisions.push(Decision::EndCorrected { instance, ended_at, listed_at });
+            instance
+        })
+    }
+
     /// Applies the change of one backend server's entry. Returns the backend servers whose known
     /// state has changed.
     fn apply_backend_update(
@@ -373,6 +418,7 @@
         let mut live = directory.live_of(name);
         let conflicting = match &change {
             EntryChange::Deleted => {
+                directory.record_removal_after_end(name, position);
                 directory.drop_removed_conflicts(|entry| entry.name == name, position, now)
             }
             _ => Vec::new(),
--- a/crates/valvestage-policy/tests/simulation/backends.rs
+++ b/crates/valvestage-policy/tests/simulation/backends.rs
@@ -113,6 +113,7 @@
             cold_until: self.cold_until.map(|at| base + Duration::from_millis(at)),
             phase,
             missing_until: None,
+            listed_at: None,
         }
     }
 }
--- a/crates/valvestage-policy/tests/steering/comparisons.rs
+++ b/crates/valvestage-policy/tests/steering/comparisons.rs
@@ -18,7 +18,7 @@
 use crate::fixtures::{OWN_ZONE, at, backend, millis, name_of, routes, start};
 use crate::scripted_peer::heartbeat_of;
 
-fn settled(count: usize) -> Deployment {
+pub fn settled(count: usize) -> Deployment {
     let mut deployment = Deployment::new(count);
     deployment.store.put_routes(routes(3, &[(443, "core")]));
     for instance in 1..=4 {
@@ -32,7 +32,7 @@
 
 /// Reports to a balancer that a backend server is gone, at the revision up to which all balancers
 /// know everything.
-fn report_gone(deployment: &mut Deployment, node: usize, instance: u64) {
+pub fn report_gone(deployment: &mut Deployment, node: usize, instance: u64) {
     let now = deployment.now;
     let revision = deployment.node(node).knowledge().directory.complete_until();
     let mut sender = BackendDirectory::default();
@@ -75,7 +75,7 @@
     send_directory(deployment, node, sender);
 }
 
-fn count_live_views(deployment: &Deployment, instance: u64) -> usize {
+pub fn count_live_views(deployment: &Deployment, instance: u64) -> usize {
     let is_live = |node: &&EntryPolicy| {
         let entry = node.knowledge().directory.get(instance);
         entry.is_some_and(|entry| !entry.is_gone())
@@ -87,6 +87,8 @@
 #[test]
 fn an_end_that_one_balancer_concluded_reaches_all_at_the_same_revision() {
     let mut deployment = settled(8);
+    // No watch reports the removal.
+    deployment.store.backends.remove(&2);
 
     report_gone(&mut deployment, 3, 2);
     assert_eq!(count_live_views(&deployment, 2), 7);
@@ -97,6 +99,7 @@
 #[test]
 fn two_different_ends_at_one_revision_reach_all_balancers() {
     let mut deployment = settled(8);
+    deployment.store.backends.retain(|instance, _| *instance != 2 && *instance != 3);
 
     report_gone(&mut deployment, 3, 2);
     report_gone(&mut deployment, 6, 3);
--- a/crates/valvestage-policy/tests/steering/fixtures.rs
+++ b/crates/valvestage-policy/tests/steering/fixtures.rs
@@ -82,6 +82,7 @@
         cold_until: None,
         phase: BackendPhase::Ready,
         missing_until: None,
+        listed_at: None,
     }
 }
 
--- a/crates/valvestage-policy/tests/steering/main.rs
+++ b/crates/valvestage-policy/tests/steering/main.rs
@@ -6,6 +6,7 @@
 mod births;
 mod cold_backends;
 mod comparisons;
+mod corrected_ends;
 mod deployment;
 mod directory;
 mod ended_flows;
--- a/crates/valvestage-story/src/sentences.rs
+++ b/crates/valvestage-story/src/sentences.rs
@@ -123,6 +123,13 @@
             text("backend"),
             text("revision")
         ),
+        "end_corrected" => format!(
+            "Backend server {} was taken for gone as of revision {}, and is live: the store listed \
+             its entry at revision {}.",
+            text("backend"),
+            text("revision"),
+            text("listed_revision")
+        ),
         "removals_concluded" => format!(
             "{} backend servers are taken for removed as of revision {}, though no removal was read \
              ({}, from {}).",
