Check the own link before concluding from silence that a backend server is dead

Callers: the link of one balancer loses what it sends for 0.3 s, and all open flows at backend servers of its zone are reset there, those that rest, too.

Cause: the callers of a living backend server then miss answers, as many as there are, and the questions to other balancers are lost on the same link, so that nobody refutes.

Ruled out: answers of other backend servers as the sign of a working link, and questions that go out later than a retransmission: both may come after the outage.

Change: evidence from own flows alone counts once another balancer has acknowledged a query that went out together with a retransmission. Queries are numbered, and each receiver acknowledges. Callers that other balancers report need no check. None is made while there is nobody to ask.

Tests: own_link.rs.

--- a/crates/valvestage-entry/tests/peer_codec.rs
+++ b/crates/valvestage-entry/tests/peer_codec.rs
@@ -129,10 +129,14 @@
             changes: changes.to_vec(),
         }),
         PeerMessage::SuspicionQuery(SuspicionQuery {
+            number: u16::MAX,
             suspects: vec![suspicion(u64::MAX); MAX_QUERIED],
             doubted: vec![u64::MAX; MAX_QUERIED],
         }),
-        PeerMessage::Refutation(SuspicionRefutation { alive: lives(MAX_QUERIED) }),
+        PeerMessage::Refutation(SuspicionRefutation {
+            acknowledged: Some(u16::MAX),
+            alive: lives(MAX_QUERIED),
+        }),
     ]
 }
 
--- a/crates/valvestage-entry/tests/suspicion_traffic.rs
+++ b/crates/valvestage-entry/tests/suspicion_traffic.rs
@@ -263,7 +263,7 @@
                 let suspects = (0..8).map(|next| FIRST + (steps + 2 * next + 1) % BACKENDS);
                 let suspects: Vec<_> = suspects.map(suspicion).collect();
                 balancer.hear(number, suspects.clone());
-                let query = SuspicionQuery { suspects, doubted: Vec::new() };
+                let query = SuspicionQuery { number: u16::MAX, suspects, doubted: Vec::new() };
                 balancer.receive(number + 1, PeerMessage::SuspicionQuery(query));
             }
             steps += 1;
--- a/crates/valvestage-policy/src/steering/entry_policy.rs
+++ b/crates/valvestage-policy/src/steering/entry_policy.rs
@@ -253,7 +253,7 @@
                 if let Some(stall) = self.stall.filter(|stall| stall.read_until > now) {
                     refutation.add_age(now.saturating_duration_since(stall.since));
                 }
-                self.steering.on_refutation(sender, &refutation.alive, now);
+                self.steering.on_refutation(sender, refutation, now);
                 // Heartbeats before the next tick would report the refuted suspicion again.
                 self.report = self.steering.report(now);
             }
@@ -338,6 +338,7 @@
         }
 
         self.note_gap(now);
+        self.steering.set_can_ask(self.keeper.has_recent_peers(now));
         // After a stall, the acknowledgement that a request seems to miss, or the refutation of a
         // suspicion, may be among the packets and messages that are not read yet.
         if !std::mem::take(&mut self.is_gap_noted) {
--- a/crates/valvestage-policy/src/steering/health.rs
+++ b/crates/valvestage-policy/src/steering/health.rs
@@ -5,6 +5,7 @@
 //! | [`backend_observer`] | entry point that feeds all detectors |
 //! | [`backend_health`] | detection of backend servers that seem dead |
 //! | [`caller_digest`] | identification of callers in messages about suspicions |
+//! | [`link_check`] | checks of this balancer's own link before it concludes anything from silence |
 //! | `health_record` | state of one backend server for that detection |
 //! | [`refutation_queue`] | questions to other balancers about suspicions, and the answers |
 //! | `byte_budget` | limit on the bytes of these messages |
@@ -31,6 +32,7 @@
 pub mod fleet_pace;
 pub mod flow_request;
 mod health_record;
+pub mod link_check;
 pub mod outcome_count;
 pub mod outlier_detector;
 pub(in crate::steering) mod outlier_record;
--- a/crates/valvestage-policy/src/steering/health/backend_health.rs
+++ b/crates/valvestage-policy/src/steering/health/backend_health.rs
@@ -18,13 +18,16 @@
 use valvestage_core::ids::InstanceId;
 
 use super::health_record::HealthRecord;
+use super::link_check::LinkCheck;
 use super::refutation_queue::{
     LIFE_TTL, RefutationQueue, SuspicionMessages, is_recent, life_report,
 };
 use crate::steering::decision::Decision;
 use crate::steering::packets::caller_packet::FlowAddresses;
 use crate::steering::packets::flow_record::LivenessSignal;
-use crate::steering::peers::peer_message::{LifeReport, SuspicionReport};
+use crate::steering::peers::peer_message::{
+    LifeReport, QueryNumber, SuspicionQuery, SuspicionReport,
+};
 
 /// Maximum number of suspects and signs of life reported in a heartbeat, the latest first. More
 /// suspects mean that the fault is elsewhere, and together with counts and avoidances this limit
@@ -38,6 +41,9 @@
     /// Backend servers that may come to be considered dead if nobody refutes that.
     doubtful: BTreeSet<InstanceId>,
     refutations: RefutationQueue,
+    link_check: LinkCheck,
+    /// Whether there are other balancers to ask. If there are none, the own link is not checked.
+    can_ask: bool,
 }
 
 impl BackendHealth {
@@ -162,10 +168,59 @@
         }
     }
 
+    /// Sets whether there are other balancers to ask.
+    pub fn set_can_ask(&mut self, can_ask: bool) {
+        self.can_ask = can_ask;
+    }
+
+    /// Records that a query of another balancer has arrived, which is to be acknowledged.
+    pub fn on_query(&mut self, peer: SocketAddrV4, number: QueryNumber) {
+        self.refutations.on_query(peer, number);
+    }
+
+    /// Records that another balancer has acknowledged a query of this one, so that what was sent
+    /// together with the query has left this VM.
+    pub fn on_acknowledged(&mut self, number: QueryNumber) {
+        let Some((sent_at, instances)) = self.link_check.on_acknowledged(number) else { return };
+
+        for instance in instances {
+            if let Some(record) = self.records.get_mut(&instance) {
+                record.on_link_checked(sent_at);
+            }
+        }
+    }
+
+    /// Returns the backend servers whose latest missing answers may have been lost on the own link.
+    fn unchecked(&self, now: Instant) -> impl Iterator<Item = InstanceId> {
+        let needs_check = move |instance: &InstanceId| {
+            self.can_ask
+                && self.records.get(instance).is_some_and(|record| record.needs_link_check(now))
+        };
+
+        self.doubtful.iter().copied().filter(needs_check)
+    }
+
+    /// Adds the query that checks the own link, if one is needed, and numbers the query.
+    fn add_link_check(&mut self, messages: &mut SuspicionMessages, now: Instant) {
+        let unchecked: Vec<_> = self.unchecked(now).collect();
+        let is_due = !unchecked.is_empty() && self.link_check.next_at(now) <= now;
+        if messages.query.is_none() && is_due {
+            messages.query = Some(SuspicionQuery::default());
+        }
+        let Some(query) = &mut messages.query else { return };
+
+        for instance in &unchecked {
+            if let Some(record) = self.records.get_mut(instance) {
+                record.on_link_check_sent(now);
+            }
+        }
+        query.number = self.link_check.on_sent(unchecked, now);
+    }
+
     fn note_doubt(&mut self, instance: InstanceId, now: Instant) {
         let Some(record) = self.records.get(&instance) else { return };
 
-        if record.dead_from(true, now).is_some() {
+        if record.evidence_since(true, now).is_some() {
             self.doubtful.insert(instance);
         }
     }
@@ -180,12 +235,13 @@
         now: Instant,
     ) -> Vec<InstanceId> {
         let mut dead = Vec::new();
+        let can_ask = self.can_ask;
 
         self.doubtful.retain(|instance| {
             let Some(record) = self.records.get_mut(instance) else { return false };
-            let is_dead = record.step(counts_openings(*instance), now);
+            let is_dead = record.step(counts_openings(*instance), can_ask, now);
             dead.extend(is_dead.then_some(*instance));
-            !is_dead && record.dead_from(true, now).is_some()
+            !is_dead && record.evidence_since(true, now).is_some()
         });
         dead
     }
@@ -201,11 +257,12 @@
     pub fn next_due(&self, now: Instant) -> Option<Instant> {
         let dead_from = |instance| {
             let record: &HealthRecord = self.records.get(instance)?;
-            record.dead_from(false, now).filter(|at| *at > now)
+            record.dead_from(false, self.can_ask, now).filter(|at| *at > now)
         };
         let questions = self.refutations.is_due(now).then_some(now);
+        let check = self.unchecked(now).next().map(|_| self.link_check.next_at(now));
 
-        self.doubtful.iter().filter_map(dead_from).chain(questions).min()
+        self.doubtful.iter().filter_map(dead_from).chain(questions).chain(check).min()
     }
 
     /// Returns the questions and refutations to send now.
@@ -215,7 +272,9 @@
             record.is_own_suspect(now).then(|| suspicion_report(instance, record, now))
         };
 
-        self.refutations.take_messages(suspicion, now)
+        let mut messages = self.refutations.take_messages(suspicion, now);
+        self.add_link_check(&mut messages, now);
+        messages
     }
 
     /// Returns the signs of life of backend servers that other balancers suspect, the latest first.
--- a/crates/valvestage-policy/src/steering/health/backend_observer.rs
+++ b/crates/valvestage-policy/src/steering/health/backend_observer.rs
@@ -20,7 +20,7 @@
 use crate::steering::packets::flow_record::LivenessSignal;
 use crate::steering::packets::flow_tracker::{FlowObservation, FlowTracker};
 use crate::steering::peers::peer_message::{
-    HealthReport, LifeReport, PaceReport, SuspicionQuery, SuspicionReport,
+    HealthReport, LifeReport, PaceReport, SuspicionQuery, SuspicionRefutation, SuspicionReport,
 };
 
 /// Detects the backend servers that seem dead, fail too many requests, or are slow.
@@ -146,6 +146,7 @@
 
     /// Handles the question of another balancer about backend servers that seem dead to it.
     pub fn on_query(&mut self, peer: SocketAddrV4, query: &SuspicionQuery, now: Instant) {
+        self.health.on_query(peer, query.number);
         self.on_suspicions(peer, &query.suspects, now);
         for instance in &query.doubted {
             self.health.on_question(peer, *instance, now);
@@ -159,10 +160,26 @@
         }
     }
 
-    /// Records signs of life by which another balancer refutes suspicions, its own among them.
-    pub fn on_refutation(&mut self, peer: SocketAddrV4, lives: &[LifeReport], now: Instant) {
-        self.health.on_retractions(peer, lives, now);
-        self.on_lives(peer, lives, now);
+    /// Records the acknowledgement of a query, and signs of life by which another balancer refutes
+    /// suspicions, its own among them.
+    pub fn on_refutation(
+        &mut self,
+        peer: SocketAddrV4,
+        refutation: &SuspicionRefutation,
+        now: Instant,
+    ) {
+        let SuspicionRefutation { acknowledged, alive } = refutation;
+
+        self.health.on_retractions(peer, alive, now);
+        self.on_lives(peer, alive, now);
+        if let Some(number) = acknowledged {
+            self.health.on_acknowledged(*number);
+        }
+    }
+
+    /// Sets whether there are other balancers to ask about suspicions.
+    pub fn set_can_ask(&mut self, can_ask: bool) {
+        self.health.set_can_ask(can_ask);
     }
 
     /// Records that another balancer was told of suspicions.
--- a/crates/valvestage-policy/src/steering/health/health_record.rs
+++ b/crates/valvestage-policy/src/steering/health/health_record.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use super::caller_digest::{CallerDigest, caller_digest};
+use super::link_check::CHECK_WINDOW;
 use crate::steering::packets::caller_packet::FlowAddresses;
 use crate::steering::placement::flow_placer::MAX_ANSWER_TIME;
 
@@ -85,6 +86,10 @@
     /// Suspicions of other balancers, one each, the latest report last; at most
     /// [`MAX_PEER_SUSPICIONS`].
     peer_suspicions: Vec<PeerSuspicion>,
+    /// When the last query was sent that checks the own link for this backend server.
+    link_check_sent_at: Option<Instant>,
+    /// When the last such query was sent that another balancer has acknowledged.
+    link_checked_at: Option<Instant>,
     /// Time until which the backend server is considered dead, as long as enough callers miss an
     /// answer.
     dead_until: Option<Instant>,
@@ -213,6 +218,48 @@
         callers.get(CALLERS_TO_GIVE_UP - 1).map(|(_, since)| first_seen.max(*since))
     }
 
+    /// Returns when the caller of a missing answer that counts last retransmitted through this
+    /// balancer.
+    fn last_retransmission(&self, now: Instant) -> Option<Instant> {
+        let counting = self.misses.iter().filter(|miss| miss.counts(now));
+
+        counting.map(|miss| miss.repeated_at).max()
+    }
+
+    /// Reports whether the missing answers may all have been lost on the own link, since no other
+    /// balancer reports callers that miss answers, and none has acknowledged a query that was sent
+    /// once the evidence was complete.
+    fn may_be_own_link(&self, evidence_since: Instant, now: Instant) -> bool {
+        let mut reported = self.peer_suspicions.iter().filter(|suspicion| suspicion.counts(now));
+
+        reported.all(|suspicion| suspicion.callers.is_empty())
+            && self.link_checked_at < Some(evidence_since)
+    }
+
+    /// Reports whether a query has to be sent now to check the own link: there is enough evidence
+    /// that may come from the own link, and a caller has just retransmitted. What was sent before is
+    /// not checked by a query.
+    pub(super) fn needs_link_check(&self, now: Instant) -> bool {
+        let Some(retransmitted_at) = self.last_retransmission(now) else { return false };
+        let is_recent = now.saturating_duration_since(retransmitted_at) <= CHECK_WINDOW;
+        let is_checked = self.link_check_sent_at >= Some(retransmitted_at);
+        let evidence =
+            [true, false].into_iter().filter_map(|openings| self.evidence_since(openings, now));
+
+        is_recent && !is_checked && evidence.into_iter().any(|at| self.may_be_own_link(at, now))
+    }
+
+    /// Records that a query is being sent that checks the own link.
+    pub(super) fn on_link_check_sent(&mut self, now: Instant) {
+        self.link_check_sent_at = Some(now);
+    }
+
+    /// Records that another balancer has acknowledged a query that was sent at a time to check the
+    /// own link.
+    pub(super) fn on_link_checked(&mut self, sent_at: Instant) {
+        self.link_checked_at = self.link_checked_at.max(Some(sent_at));
+    }
+
     /// No longer considers the backend server dead if the evidence for that is gone, so that others
     /// have time to refute further evidence as well.
     fn drop_conclusion(&mut self, now: Instant) {
@@ -222,10 +269,10 @@
     }
 
     /// Considers the backend server dead if nobody has refuted that for [`REFUTATION_TIME`]. Returns
-    /// whether that is the case.
-    pub(super) fn step(&mut self, counts_openings: bool, now: Instant) -> bool {
-        let evidence_since = self.evidence_since(counts_openings, now);
-        let is_dead = evidence_since.is_some_and(|since| since + REFUTATION_TIME <= now);
+    /// whether that is the case. `can_ask` reports whether there are other balancers to ask.
+    pub(super) fn step(&mut self, counts_openings: bool, can_ask: bool, now: Instant) -> bool {
+        let dead_from = self.dead_from(counts_openings, can_ask, now);
+        let is_dead = dead_from.is_some_and(|at| at <= now);
 
         if is_dead {
             self.dead_until = Some(now + MISS_WINDOW);
@@ -234,8 +281,20 @@
     }
 
     /// Returns when the backend server may come to be considered dead, if nobody refutes that.
-    pub(super) fn dead_from(&self, counts_openings: bool, now: Instant) -> Option<Instant> {
-        self.evidence_since(counts_openings, now).map(|since| since + REFUTATION_TIME)
+    /// `None` while there is too little evidence, or the own link may have lost what was sent.
+    pub(super) fn dead_from(
+        &self,
+        counts_openings: bool,
+        can_ask: bool,
+        now: Instant,
+    ) -> Option<Instant> {
+        let since = self.evidence_since(counts_openings, now)?;
+        if can_ask && self.may_be_own_link(since, now) {
+            return None;
+        }
+
+        let checked_at = self.link_checked_at.filter(|_| can_ask);
+        Some(checked_at.map_or(since, |at| at.max(since)) + REFUTATION_TIME)
     }
 
     /// Reports whether the backend server is considered dead.
--- a/crates/valvestage-policy/src/steering/health/refutation_queue.rs
+++ b/crates/valvestage-policy/src/steering/health/refutation_queue.rs
@@ -12,7 +12,10 @@
 
 use super::byte_budget::ByteBudget;
 use super::health_record::{MAX_REPORTED_CALLERS, PEER_REPORT_TTL};
-use crate::steering::peers::peer_message::{LifeReport, SuspicionQuery, SuspicionReport};
+use super::link_check::BALANCERS_TO_CHECK;
+use crate::steering::peers::peer_message::{
+    LifeReport, QueryNumber, SuspicionQuery, SuspicionReport,
+};
 
 /// Number of balancers that are asked about a suspicion.
 pub const BALANCERS_TO_ASK: u8 = 8;
@@ -38,8 +41,9 @@
 /// KB per second also while half of the backend servers are suspected at once.
 const BYTES_PER_SECOND: u32 = 500;
 
-/// Bytes of the headers of a datagram and of the fields before the first backend server.
-const HEADER_BYTES: u32 = 31;
+/// Bytes of the headers of a datagram and of the fields before the first backend server, with the
+/// number of a query.
+const HEADER_BYTES: u32 = 35;
 
 /// Maximum number of bytes of a backend server with or without the age of its sign of life.
 const ITEM_BYTES: u32 = 9;
@@ -58,8 +62,11 @@
 /// Messages about suspicions that are due, other than heartbeats.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub struct SuspicionMessages {
-    /// A question to [`BALANCERS_TO_ASK`] other balancers.
+    /// A question to [`BALANCERS_TO_ASK`] other balancers, or to [`BALANCERS_TO_CHECK`] if it names
+    /// no backend server and only checks the link.
     pub query: Option<SuspicionQuery>,
+    /// Queries of other balancers to acknowledge.
+    pub acknowledgements: Vec<(SocketAddrV4, QueryNumber)>,
     /// Signs of life to report to the balancers that suspect the backend servers.
     pub refutations: Vec<(SocketAddrV4, Vec<LifeReport>)>,
 }
@@ -70,8 +77,9 @@
     pub fn bytes(&self) -> u32 {
         let query = self.query.as_ref().map_or(0, query_bytes);
         let refutations = self.refutations.iter().map(|(_, lives)| message_bytes(lives.len()));
+        let acknowledgements = self.acknowledgements.iter().map(|_| message_bytes(0));
 
-        query + refutations.sum::<u32>()
+        query + refutations.sum::<u32>() + acknowledgements.sum::<u32>()
     }
 }
 
@@ -82,6 +90,8 @@
     suspects: Vec<InstanceId>,
     /// Signs of life to report, by receiver.
     refutations: BTreeMap<SocketAddrV4, Vec<(InstanceId, Instant)>>,
+    /// Queries to acknowledge, the latest one of each balancer.
+    acknowledgements: BTreeMap<SocketAddrV4, QueryNumber>,
     /// Balancers that are told of the next sign of life.
     waiting: HashMap<InstanceId, Vec<WaitingPeer>>,
     /// Balancers that were told of suspicions, and until when these count there.
@@ -97,6 +107,7 @@
         Self {
             suspects: Vec::new(),
             refutations: BTreeMap::new(),
+            acknowledgements: BTreeMap::new(),
             waiting: HashMap::new(),
             told: HashMap::new(),
             repeated: BTreeMap::new(),
@@ -114,6 +125,11 @@
         }
     }
 
+    /// Records that a query of another balancer has arrived.
+    pub(super) fn on_query(&mut self, peer: SocketAddrV4, number: QueryNumber) {
+        self.acknowledgements.insert(peer, number);
+    }
+
     /// Records that another balancer suspects a backend server, given its last sign of life that is
     /// known here.
     pub(super) fn on_suspicion(
@@ -187,7 +203,8 @@
     /// Reports whether messages are waiting that may be sent now.
     pub(super) fn is_due(&self, now: Instant) -> bool {
         !self.suspects.is_empty() && self.query_budget.is_open(now)
-            || !self.refutations.is_empty() && self.refutation_budget.is_open(now)
+            || !(self.refutations.is_empty() && self.acknowledgements.is_empty())
+                && self.refutation_budget.is_open(now)
     }
 
     /// Returns the messages to send now, as far as their budgets allow. The latest suspicions go
@@ -206,10 +223,16 @@
             let suspects: Vec<_> = asked.iter().copied().filter_map(&suspicion).collect();
             let is_doubted = |instance: &InstanceId| suspicion(*instance).is_none();
             let doubted = asked.into_iter().filter(is_doubted).collect();
-            let query = SuspicionQuery { suspects, doubted };
+            let query = SuspicionQuery { number: 0, suspects, doubted };
             self.query_budget.spend(query_bytes(&query), now);
             messages.query = Some(query);
         }
+        while self.refutation_budget.is_open(now)
+            && let Some(acknowledgement) = self.acknowledgements.pop_first()
+        {
+            self.refutation_budget.spend(message_bytes(0), now);
+            messages.acknowledgements.push(acknowledgement);
+        }
         while self.refutation_budget.is_open(now)
             && let Some((peer, lives)) = self.refutations.pop_first()
         {
@@ -252,12 +275,19 @@
     items
 }
 
-/// Returns the size of a query to all balancers that are asked.
+/// Returns the number of balancers that a query is sent to.
+pub(in crate::steering) fn receivers_of(query: &SuspicionQuery) -> u8 {
+    let is_check = query.suspects.is_empty() && query.doubted.is_empty();
+
+    if is_check { BALANCERS_TO_CHECK } else { BALANCERS_TO_ASK }
+}
+
+/// Returns the size of a query to all balancers that it is sent to.
 fn query_bytes(query: &SuspicionQuery) -> u32 {
     let items = message_bytes(query.suspects.len() + query.doubted.len());
     let suspects = u32::try_from(query.suspects.len()).unwrap_or(u32::MAX);
 
-    (items + CALLERS_BYTES * suspects) * u32::from(BALANCERS_TO_ASK)
+    (items + CALLERS_BYTES * suspects) * u32::from(receivers_of(query))
 }
 
 fn message_bytes(items: usize) -> u32 {
--- a/crates/valvestage-policy/src/steering/keeper/knowledge_keeper.rs
+++ b/crates/valvestage-policy/src/steering/keeper/knowledge_keeper.rs
@@ -1,5 +1,6 @@
 //! Keeping knowledge up to date, from the store and from other balancers.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
@@ -10,7 +11,7 @@
 use super::keeper_updates::KeeperUpdates;
 use crate::steering::decision::{Decision, UpdateSource};
 use crate::steering::entry_policy::EntryOptions;
-use crate::steering::health::refutation_queue::{BALANCERS_TO_ASK, SuspicionMessages};
+use crate::steering::health::refutation_queue::{SuspicionMessages, receivers_of};
 use crate::steering::knowledge::Knowledge;
 use crate::steering::knowledge::route_map::RouteMap;
 use crate::steering::peers::backend_parts::requested_entries_message;
@@ -141,22 +142,36 @@
         /// What control traffic may cost a VM.
         const BYTES_PER_SECOND: u32 = 4_000;
         self.next_heartbeat += Duration::from_secs(1) * messages.bytes() / BYTES_PER_SECOND;
-        let SuspicionMessages { query, refutations } = messages;
+        let SuspicionMessages { query, acknowledgements, refutations } = messages;
         let mut actions = Vec::new();
 
         if let Some(query) = query {
             let draw = self.draw.below(1 << 16);
-            let asked = self.peers.sample_recent(BALANCERS_TO_ASK.into(), draw, now);
+            let asked = self.peers.sample_recent(receivers_of(&query).into(), draw, now);
             let query = PeerMessage::SuspicionQuery(query);
             actions.extend(asked.into_iter().map(|peer| KeeperAction::Send(peer, query.clone())));
         }
-        let refutations = refutations.into_iter().map(|(peer, alive)| {
-            KeeperAction::Send(peer, PeerMessage::Refutation(SuspicionRefutation { alive }))
-        });
-        actions.extend(refutations);
+        let mut answers: BTreeMap<SocketAddrV4, SuspicionRefutation> = BTreeMap::new();
+        for (peer, number) in acknowledgements {
+            answers.entry(peer).or_default().acknowledged = Some(number);
+        }
+        for (peer, alive) in refutations {
+            answers.entry(peer).or_default().alive = alive;
+        }
+        actions.extend(
+            answers
+                .into_iter()
+                .map(|(peer, answer)| KeeperAction::Send(peer, PeerMessage::Refutation(answer))),
+        );
         actions
     }
 
+    /// Reports whether another balancer was heard from recently, so that it can be asked.
+    #[must_use]
+    pub fn has_recent_peers(&self, now: Instant) -> bool {
+        self.peers.recent_count(now) > 0
+    }
+
     /// Handles a pause of the process: other balancers may know more by now.
     pub fn on_pause(&mut self, now: Instant) {
         self.updates.notify_if(true);
--- a/crates/valvestage-policy/src/steering/packets/steering_policy.rs
+++ b/crates/valvestage-policy/src/steering/packets/steering_policy.rs
@@ -23,8 +23,8 @@
 use crate::steering::load::load_meter::LoadMeter;
 use crate::steering::load::usable_slots::usable_slots;
 use crate::steering::peers::peer_message::{
-    BalancerReport, HealthReport, LifeReport, PaceReport, ServiceDemand, ServiceLoadReport,
-    SuspicionQuery, SuspicionReport,
+    BalancerReport, HealthReport, PaceReport, ServiceDemand, ServiceLoadReport, SuspicionQuery,
+    SuspicionRefutation, SuspicionReport,
 };
 use crate::steering::peers::peer_table::FORGET_AFTER;
 use crate::steering::peers::report_budget::fit_report;
@@ -290,9 +290,19 @@
         self.backends.on_query(peer, query, now);
     }
 
-    /// Records signs of life by which another balancer refutes suspicions.
-    pub fn on_refutation(&mut self, peer: SocketAddrV4, lives: &[LifeReport], now: Instant) {
-        self.backends.on_refutation(peer, lives, now);
+    /// Records the answer of another balancer to a query, or signs of life that it reports later.
+    pub fn on_refutation(
+        &mut self,
+        peer: SocketAddrV4,
+        refutation: &SuspicionRefutation,
+        now: Instant,
+    ) {
+        self.backends.on_refutation(peer, refutation, now);
+    }
+
+    /// Sets whether there are other balancers to ask about suspicions.
+    pub fn set_can_ask(&mut self, can_ask: bool) {
+        self.backends.set_can_ask(can_ask);
     }
 
     /// Records that another balancer is being told of suspicions.
--- a/crates/valvestage-policy/src/steering/peers/peer_message.rs
+++ b/crates/valvestage-policy/src/steering/peers/peer_message.rs
@@ -339,9 +339,14 @@
     pub answered_ago_ms: u32,
 }
 
-/// Asks for signs of life of backend servers. Only balancers that know of one answer.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+/// Number of a query among those of its sender; begins again at 0 after the largest one.
+pub type QueryNumber = u16;
+
+/// Asks for signs of life of backend servers. Each receiver acknowledges the query.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspicionQuery {
+    /// Number by which the receivers acknowledge it.
+    pub number: QueryNumber,
     /// The backend servers that the sender has begun to suspect.
     pub suspects: Vec<SuspicionReport>,
     /// Backend servers that others suspect, and of which a flow misses an answer at the sender. That
@@ -349,9 +354,12 @@
     pub doubted: Vec<InstanceId>,
 }
 
-/// Signs of life of backend servers that the receiver suspects.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+/// Acknowledgement of a query, and signs of life of backend servers that the receiver suspects.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspicionRefutation {
+    /// The query of the receiver that has just arrived; `None` if the message answers no query or
+    /// one that was acknowledged before.
+    pub acknowledged: Option<QueryNumber>,
     /// The signs of life.
     pub alive: Vec<LifeReport>,
 }
--- a/crates/valvestage-policy/tests/steering/deployment.rs
+++ b/crates/valvestage-policy/tests/steering/deployment.rs
@@ -263,6 +263,8 @@
     pub disconnected_from_peers: Vec<usize>,
     /// Balancers that receive no messages of peers; their own messages are delivered.
     pub disconnected_inbound: Vec<usize>,
+    /// Balancers whose link loses what they send; what others send to them is delivered.
+    pub disconnected_outbound: Vec<usize>,
     /// Balancers that are paused: they do not tick, and lose the datagrams that arrive meanwhile.
     pub paused: Vec<usize>,
     /// Whether the store fails every call.
@@ -302,6 +304,7 @@
             disconnected_from_store: Vec::new(),
             disconnected_from_peers: Vec::new(),
             disconnected_inbound: Vec::new(),
+            disconnected_outbound: Vec::new(),
             paused: Vec::new(),
             store_down: false,
             configuration_time: Duration::ZERO,
@@ -418,7 +421,9 @@
                 self.calls.push(call);
                 continue;
             }
-            let is_cut = call.is_silent || self.disconnected_from_store.contains(&call.node);
+            let is_cut = call.is_silent
+                || self.disconnected_from_store.contains(&call.node)
+                || self.disconnected_outbound.contains(&call.node);
             let is_over = call.ends_at <= self.now;
             if self.store_down || is_cut && call.times_out_at <= self.now {
                 self.reply(&call, None);
@@ -474,6 +479,9 @@
     }
 
     fn send(&mut self, from: usize, to: usize, message: PeerMessage) {
+        if self.disconnected_outbound.contains(&from) {
+            return;
+        }
         let sent_at = match &mut self.links {
             Some(links) => links.send(from, &message, self.now),
             None => Some(self.now),
--- a/crates/valvestage-policy/tests/steering/main.rs
+++ b/crates/valvestage-policy/tests/steering/main.rs
@@ -26,6 +26,7 @@
 mod load;
 mod lost_answers;
 mod outliers;
+mod own_link;
 mod pace;
 mod pace_baseline;
 mod pace_model;
--- a/crates/valvestage-policy/tests/steering/refutations.rs
+++ b/crates/valvestage-policy/tests/steering/refutations.rs
@@ -236,6 +236,7 @@
 fn a_query_about_unknown_backend_servers_is_harmless() {
     let mut deployment = Deployment::new(2);
     let query = SuspicionQuery {
+        number: u16::MAX,
         suspects: vec![SuspicionReport { instance: u64::MAX, callers: vec![9; 500] }; 500],
         doubted: vec![u64::MAX - 1; 500],
     };
