Check the own link for each missing answer, and draw losses of what a balancer sends

Callers: resting flows were reset, still, where the links of two balancers failed one after the other, or a loss ended just before the check.

Cause: the check of the own link was made only for complete evidence, and not where another balancer reported callers; those may have missed answers on the reporter's own link.

Change: each missing answer on an open flow counts only once a query was acknowledged that left together with the retransmission, or between two acknowledged queries at most 100 ms apart. Heartbeats report only such callers. After a stall, checks before it and while old messages are read show nothing. A balancer that knows others but hears none does not count as alone.

--- a/crates/valvestage-policy/src/steering/entry_policy.rs
+++ b/crates/valvestage-policy/src/steering/entry_policy.rs
@@ -338,7 +338,7 @@
         }
 
         self.note_gap(now);
-        self.steering.set_can_ask(self.keeper.has_recent_peers(now));
+        self.steering.set_has_peers(self.keeper.has_peers());
         // After a stall, the acknowledgement that a request seems to miss, or the refutation of a
         // suspicion, may be among the packets and messages that are not read yet.
         if !std::mem::take(&mut self.is_gap_noted) {
@@ -401,7 +401,7 @@
         self.is_gap_noted = true;
         let read_until = now + TICK_INTERVAL;
         self.stall = Some(Stall { since: self.last_tick, read_until });
-        self.steering.on_stall(now);
+        self.steering.on_stall(read_until, now);
         // After a longer gap the knowledge is outdated, so other balancers are asked at once.
         if gap >= MIN_PAUSE {
             self.decisions.push(Decision::Paused { time: gap });
--- a/crates/valvestage-policy/src/steering/health/backend_health.rs
+++ b/crates/valvestage-policy/src/steering/health/backend_health.rs
@@ -40,10 +40,12 @@
     records: HashMap<InstanceId, HealthRecord>,
     /// Backend servers that may come to be considered dead if nobody refutes that.
     doubtful: BTreeSet<InstanceId>,
+    /// Backend servers that have just missed an answer on an open flow, since the last query.
+    unanswered: BTreeSet<InstanceId>,
     refutations: RefutationQueue,
     link_check: LinkCheck,
-    /// Whether there are other balancers to ask. If there are none, the own link is not checked.
-    can_ask: bool,
+    /// Whether other balancers are known. If there are none, the own link cannot be checked.
+    has_peers: bool,
 }
 
 impl BackendHealth {
@@ -87,6 +89,9 @@
         let is_new = record.on_miss(flow, is_opening, since, now);
         let flows = record.miss_count();
 
+        if self.has_peers && !is_opening {
+            self.unanswered.insert(instance);
+        }
         let has_evidence = record.evidence_since(false, now).is_some();
         if is_new || has_evidence && !had_evidence {
             self.refutations.ask(instance);
@@ -168,9 +173,9 @@
         }
     }
 
-    /// Sets whether there are other balancers to ask.
-    pub fn set_can_ask(&mut self, can_ask: bool) {
-        self.can_ask = can_ask;
+    /// Sets whether other balancers are known.
+    pub fn set_has_peers(&mut self, has_peers: bool) {
+        self.has_peers = has_peers;
     }
 
     /// Records that a query of another balancer has arrived, which is to be acknowledged.
@@ -181,23 +186,32 @@
     /// Records that another balancer has acknowledged a query of this one, so that what was sent
     /// together with the query has left this VM.
     pub fn on_acknowledged(&mut self, number: QueryNumber) {
-        let Some((sent_at, instances)) = self.link_check.on_acknowledged(number) else { return };
+        let Some((time, instances)) = self.link_check.on_acknowledged(number) else { return };
 
         for instance in instances {
             if let Some(record) = self.records.get_mut(&instance) {
-                record.on_link_checked(sent_at);
+                record.on_link_checked(time);
             }
         }
     }
 
+    /// Records that the process was stalled. Refutations may be among the messages that are read until
+    /// `read_until`, and how old they are is not known. So the missing answers that were seen up to
+    /// then count only once further retransmissions were checked.
+    pub fn on_stall(&mut self, read_until: Instant) {
+        self.link_check.on_stall(read_until);
+        self.records.values_mut().for_each(HealthRecord::on_stall);
+    }
+
     /// Returns the backend servers whose latest missing answers may have been lost on the own link.
     fn unchecked(&self, now: Instant) -> impl Iterator<Item = InstanceId> {
         let needs_check = move |instance: &InstanceId| {
-            self.can_ask
+            self.has_peers
+                && self.link_check.is_usable(now)
                 && self.records.get(instance).is_some_and(|record| record.needs_link_check(now))
         };
 
-        self.doubtful.iter().copied().filter(needs_check)
+        self.unanswered.iter().copied().filter(needs_check)
     }
 
     /// Adds the query that checks the own link, if one is needed, and numbers the query.
@@ -209,6 +223,7 @@
         }
         let Some(query) = &mut messages.query else { return };
 
+        self.unanswered.clear();
         for instance in &unchecked {
             if let Some(record) = self.records.get_mut(instance) {
                 record.on_link_check_sent(now);
@@ -235,11 +250,11 @@
         now: Instant,
     ) -> Vec<InstanceId> {
         let mut dead = Vec::new();
-        let can_ask = self.can_ask;
+        let has_peers = self.has_peers;
 
         self.doubtful.retain(|instance| {
             let Some(record) = self.records.get_mut(instance) else { return false };
-            let is_dead = record.step(counts_openings(*instance), can_ask, now);
+            let is_dead = record.step(counts_openings(*instance), has_peers, now);
             dead.extend(is_dead.then_some(*instance));
             !is_dead && record.evidence_since(true, now).is_some()
         });
@@ -257,7 +272,7 @@
     pub fn next_due(&self, now: Instant) -> Option<Instant> {
         let dead_from = |instance| {
             let record: &HealthRecord = self.records.get(instance)?;
-            record.dead_from(false, self.can_ask, now).filter(|at| *at > now)
+            record.dead_from(false, self.has_peers, now).filter(|at| *at > now)
         };
         let questions = self.refutations.is_due(now).then_some(now);
         let check = self.unchecked(now).next().map(|_| self.link_check.next_at(now));
@@ -269,7 +284,10 @@
     pub fn take_messages(&mut self, now: Instant) -> SuspicionMessages {
         let suspicion = |instance: InstanceId| {
             let record = self.records.get(&instance)?;
-            record.is_own_suspect(now).then(|| suspicion_report(instance, record, now))
+            // That the query arrives shows that the callers' last retransmissions did not get lost here.
+            record
+                .is_own_suspect(now)
+                .then(|| SuspicionReport { instance, callers: record.reported_callers(false, now) })
         };
 
         let mut messages = self.refutations.take_messages(suspicion, now);
@@ -308,12 +326,13 @@
     #[must_use]
     pub fn suspicions(&self, count: usize, now: Instant) -> Vec<SuspicionReport> {
         let suspects = self.suspects(now).into_iter().take(count);
-        let record = |instance| Some((instance, self.records.get(&instance)?));
+        let report = |instance| {
+            let record = self.records.get(&instance)?;
+            let callers = record.reported_callers(self.has_peers, now);
+            Some(SuspicionReport { instance, callers })
+        };
 
-        suspects
-            .filter_map(record)
-            .map(|(instance, record)| suspicion_report(instance, record, now))
-            .collect()
+        suspects.filter_map(report).collect()
     }
 
     /// Returns the backend servers that are suspected from packets seen here or by reports of other
@@ -395,10 +414,7 @@
     /// Removes the records of all backend servers for which `keep` returns false.
     pub fn forget(&mut self, keep: impl Fn(InstanceId) -> bool, now: Instant) {
         self.records.retain(|instance, _| keep(*instance));
+        self.unanswered.retain(|instance| keep(*instance));
         self.refutations.forget(now);
     }
 }
-
-fn suspicion_report(instance: InstanceId, record: &HealthRecord, now: Instant) -> SuspicionReport {
-    SuspicionReport { instance, callers: record.reported_callers(now) }
-}
--- a/crates/valvestage-policy/src/steering/health/backend_observer.rs
+++ b/crates/valvestage-policy/src/steering/health/backend_observer.rs
@@ -177,9 +177,9 @@
         }
     }
 
-    /// Sets whether there are other balancers to ask about suspicions.
-    pub fn set_can_ask(&mut self, can_ask: bool) {
-        self.health.set_can_ask(can_ask);
+    /// Sets whether other balancers are known, which can be asked about suspicions.
+    pub fn set_has_peers(&mut self, has_peers: bool) {
+        self.health.set_has_peers(has_peers);
     }
 
     /// Records that another balancer was told of suspicions.
@@ -290,9 +290,11 @@
     }
 
     /// Records that the process was stalled until now. Answers to requests that were under way may
-    /// have arrived at any time since, so their times are unknown.
-    pub fn on_stall(&mut self, now: Instant) {
+    /// have arrived at any time since, so their times are unknown. What has arrived may be read until
+    /// `read_until`.
+    pub fn on_stall(&mut self, read_until: Instant, now: Instant) {
         self.timed_from = Some(now);
+        self.health.on_stall(read_until);
     }
 
     /// Records that the process was paused for long. Packets that acknowledge answers may have been
--- a/crates/valvestage-policy/src/steering/health/health_record.rs
+++ b/crates/valvestage-policy/src/steering/health/health_record.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use super::caller_digest::{CallerDigest, caller_digest};
-use super::link_check::CHECK_WINDOW;
+use super::link_check::{CHECK_WINDOW, CheckedTime};
 use crate::steering::packets::caller_packet::FlowAddresses;
 use crate::steering::placement::flow_placer::MAX_ANSWER_TIME;
 
@@ -57,6 +57,27 @@
     noticed_at: Instant,
     /// When the latest retransmission showed it.
     repeated_at: Instant,
+    /// When a query was sent that shows that a retransmission was not lost on the own link.
+    checked_at: Option<Instant>,
+}
+
+/// That a caller misses an answer, here or at another balancer.
+#[derive(Debug, Clone, Copy)]
+struct CallerMiss {
+    caller: CallerDigest,
+    /// When it became known.
+    since: Instant,
+    /// When the own link was checked for it.
+    checked_at: Option<Instant>,
+}
+
+/// Enough callers that miss an answer for the flows of a backend server to be ended.
+#[derive(Debug, Clone, Copy)]
+struct Evidence {
+    /// Since when there is enough.
+    since: Instant,
+    /// When the own link was last checked for it.
+    checked_at: Option<Instant>,
 }
 
 /// Suspicion of another balancer.
@@ -88,8 +109,6 @@
     peer_suspicions: Vec<PeerSuspicion>,
     /// When the last query was sent that checks the own link for this backend server.
     link_check_sent_at: Option<Instant>,
-    /// When the last such query was sent that another balancer has acknowledged.
-    link_checked_at: Option<Instant>,
     /// Time until which the backend server is considered dead, as long as enough callers miss an
     /// answer.
     dead_until: Option<Instant>,
@@ -189,8 +208,16 @@
         self.drop_conclusion(now);
         let former = self.misses.iter().find(|miss| miss.flow == flow && miss.since == since);
         let noticed_at = former.map_or(now, |miss| miss.noticed_at);
+        let checked_at = former.and_then(|miss| miss.checked_at);
         self.misses.retain(|miss| miss.flow != flow && miss.counts(now));
-        self.misses.push(MissingAnswer { flow, is_opening, since, noticed_at, repeated_at: now });
+        self.misses.push(MissingAnswer {
+            flow,
+            is_opening,
+            since,
+            noticed_at,
+            repeated_at: now,
+            checked_at,
+        });
         if !have_callers(self.misses.iter(), CALLERS_TO_SUSPECT) {
             return false;
         }
@@ -206,47 +233,46 @@
     /// the flows of the backend server to be ended; `None` if they are too few. Missing answers to
     /// opening packets count only if `counts_openings`.
     pub(super) fn evidence_since(&self, counts_openings: bool, now: Instant) -> Option<Instant> {
-        let counting =
-            |miss: &&MissingAnswer| miss.counts(now) && (counts_openings || !miss.is_opening);
-        let seen = || self.misses.iter().filter(counting);
-        let first_seen = seen().map(|miss| miss.noticed_at).min()?;
-
-        let seen = seen().map(|miss| (caller_digest(miss.caller()), miss.noticed_at));
-        let suspicions = self.peer_suspicions.iter().filter(|suspicion| suspicion.counts(now));
-        let reported = suspicions.flat_map(|suspicion| suspicion.callers.iter().copied());
-        let callers = first_callers(seen.chain(reported));
-        callers.get(CALLERS_TO_GIVE_UP - 1).map(|(_, since)| first_seen.max(*since))
-    }
-
-    /// Returns when the caller of a missing answer that counts last retransmitted through this
-    /// balancer.
-    fn last_retransmission(&self, now: Instant) -> Option<Instant> {
-        let counting = self.misses.iter().filter(|miss| miss.counts(now));
-
-        counting.map(|miss| miss.repeated_at).max()
+        self.evidence(counts_openings, false, now).map(|evidence| evidence.since)
     }
 
-    /// Reports whether the missing answers may all have been lost on the own link, since no other
-    /// balancer reports callers that miss answers, and none has acknowledged a query that was sent
-    /// once the evidence was complete.
-    fn may_be_own_link(&self, evidence_since: Instant, now: Instant) -> bool {
-        let mut reported = self.peer_suspicions.iter().filter(|suspicion| suspicion.counts(now));
+    /// Returns the evidence of [`Self::evidence_since`]. With `is_checked`, missing answers on open
+    /// flows count only if the own link was checked for them.
+    fn evidence(&self, counts_openings: bool, is_checked: bool, now: Instant) -> Option<Evidence> {
+        let is_counted = |miss: &&MissingAnswer| match miss.is_opening {
+            // The entry is missing or gone as well, which does not come over the own link.
+            true => counts_openings,
+            false => !is_checked || miss.checked_at.is_some(),
+        };
+        let seen = || self.misses.iter().filter(|miss| miss.counts(now)).filter(is_counted);
+        let first_seen = seen().map(|miss| miss.noticed_at).min()?;
 
-        reported.all(|suspicion| suspicion.callers.is_empty())
-            && self.link_checked_at < Some(evidence_since)
+        let suspicions = self.peer_suspicions.iter().filter(|suspicion| suspicion.counts(now));
+        let reported = suspicions.flat_map(|suspicion| suspicion.callers.iter());
+        let reported = reported.map(|(caller, since)| CallerMiss {
+            caller: *caller,
+            since: *since,
+            checked_at: None,
+        });
+        let callers = first_callers(seen().map(MissingAnswer::of_caller).chain(reported));
+        let last = callers.get(CALLERS_TO_GIVE_UP - 1)?;
+        Some(Evidence {
+            since: first_seen.max(last.since),
+            checked_at: callers.iter().filter_map(|miss| miss.checked_at).max(),
+        })
     }
 
-    /// Reports whether a query has to be sent now to check the own link: there is enough evidence
-    /// that may come from the own link, and a caller has just retransmitted. What was sent before is
-    /// not checked by a query.
+    /// Reports whether a query has to be sent now to check the own link: a caller has just
+    /// retransmitted on an open flow, and no retransmission of it was checked before.
     pub(super) fn needs_link_check(&self, now: Instant) -> bool {
-        let Some(retransmitted_at) = self.last_retransmission(now) else { return false };
-        let is_recent = now.saturating_duration_since(retransmitted_at) <= CHECK_WINDOW;
-        let is_checked = self.link_check_sent_at >= Some(retransmitted_at);
-        let evidence =
-            [true, false].into_iter().filter_map(|openings| self.evidence_since(openings, now));
-
-        is_recent && !is_checked && evidence.into_iter().any(|at| self.may_be_own_link(at, now))
+        let needs_check = |miss: &MissingAnswer| {
+            !miss.is_opening
+                && miss.checked_at.is_none()
+                && self.link_check_sent_at < Some(miss.repeated_at)
+                && now.saturating_duration_since(miss.repeated_at) <= CHECK_WINDOW
+        };
+
+        self.misses.iter().any(needs_check)
     }
 
     /// Records that a query is being sent that checks the own link.
@@ -254,10 +280,18 @@
         self.link_check_sent_at = Some(now);
     }
 
-    /// Records that another balancer has acknowledged a query that was sent at a time to check the
-    /// own link.
-    pub(super) fn on_link_checked(&mut self, sent_at: Instant) {
-        self.link_checked_at = self.link_checked_at.max(Some(sent_at));
+    /// Records that the process was stalled, so that answers and refutations are read late.
+    pub(super) fn on_stall(&mut self) {
+        self.misses.iter_mut().for_each(|miss| miss.checked_at = None);
+    }
+
+    /// Records that the own link has worked for some time.
+    pub(super) fn on_link_checked(&mut self, time: CheckedTime) {
+        for miss in &mut self.misses {
+            if (time.from..=time.until).contains(&miss.repeated_at) {
+                miss.checked_at.get_or_insert(time.until);
+            }
+        }
     }
 
     /// No longer considers the backend server dead if the evidence for that is gone, so that others
@@ -269,9 +303,9 @@
     }
 
     /// Considers the backend server dead if nobody has refuted that for [`REFUTATION_TIME`]. Returns
-    /// whether that is the case. `can_ask` reports whether there are other balancers to ask.
-    pub(super) fn step(&mut self, counts_openings: bool, can_ask: bool, now: Instant) -> bool {
-        let dead_from = self.dead_from(counts_openings, can_ask, now);
+    /// whether that is the case. `has_peers` reports whether other balancers are known.
+    pub(super) fn step(&mut self, counts_openings: bool, has_peers: bool, now: Instant) -> bool {
+        let dead_from = self.dead_from(counts_openings, has_peers, now);
         let is_dead = dead_from.is_some_and(|at| at <= now);
 
         if is_dead {
@@ -285,16 +319,13 @@
     pub(super) fn dead_from(
         &self,
         counts_openings: bool,
-        can_ask: bool,
+        has_peers: bool,
         now: Instant,
     ) -> Option<Instant> {
-        let since = self.evidence_since(counts_openings, now)?;
-        if can_ask && self.may_be_own_link(since, now) {
-            return None;
-        }
+        let evidence = self.evidence(counts_openings, has_peers, now)?;
 
-        let checked_at = self.link_checked_at.filter(|_| can_ask);
-        Some(checked_at.map_or(since, |at| at.max(since)) + REFUTATION_TIME)
+        let since = evidence.checked_at.map_or(evidence.since, |at| at.max(evidence.since));
+        Some(since + REFUTATION_TIME)
     }
 
     /// Reports whether the backend server is considered dead.
@@ -303,13 +334,16 @@
     }
 
     /// Returns the callers that miss an answer on an open flow, the first ones first, at most
-    /// [`MAX_REPORTED_CALLERS`].
-    pub(super) fn reported_callers(&self, now: Instant) -> Vec<CallerDigest> {
-        let misses = self.misses.iter().filter(|miss| miss.counts(now) && !miss.is_opening);
-        let seen = misses.map(|miss| (caller_digest(miss.caller()), miss.noticed_at));
-
-        let callers = first_callers(seen).into_iter().map(|(caller, _)| caller);
-        callers.take(MAX_REPORTED_CALLERS).collect()
+    /// [`MAX_REPORTED_CALLERS`]; with `is_checked` only those whose retransmissions were not lost on
+    /// the own link.
+    pub(super) fn reported_callers(&self, is_checked: bool, now: Instant) -> Vec<CallerDigest> {
+        let is_reported = |miss: &&MissingAnswer| {
+            miss.counts(now) && !miss.is_opening && (!is_checked || miss.checked_at.is_some())
+        };
+        let misses = self.misses.iter().filter(is_reported);
+
+        let callers = first_callers(misses.map(MissingAnswer::of_caller)).into_iter();
+        callers.map(|miss| miss.caller).take(MAX_REPORTED_CALLERS).collect()
     }
 
     /// Returns the open flows that miss an answer.
@@ -367,6 +401,15 @@
 }
 
 impl MissingAnswer {
+    /// Returns what this says of its caller.
+    fn of_caller(&self) -> CallerMiss {
+        CallerMiss {
+            caller: caller_digest(self.caller()),
+            since: self.noticed_at,
+            checked_at: self.checked_at,
+        }
+    }
+
     fn caller(&self) -> Ipv4Addr {
         *self.flow.caller.ip()
     }
@@ -397,21 +440,18 @@
     false
 }
 
-/// Returns the first [`CALLERS_TO_GIVE_UP`] callers, each with its earliest time.
-fn first_callers(
-    times: impl Iterator<Item = (CallerDigest, Instant)>,
-) -> Vec<(CallerDigest, Instant)> {
-    let mut firsts: Vec<(CallerDigest, Instant)> = Vec::with_capacity(CALLERS_TO_GIVE_UP + 1);
+/// Returns the first [`CALLERS_TO_GIVE_UP`] callers, each with its earliest miss.
+fn first_callers(misses: impl Iterator<Item = CallerMiss>) -> Vec<CallerMiss> {
+    let mut firsts: Vec<CallerMiss> = Vec::with_capacity(CALLERS_TO_GIVE_UP + 1);
 
-    for (caller, at) in times {
-        if let Some(place) = firsts.iter().position(|(known, _)| *known == caller) {
-            if firsts[place].1 <= at {
-                continue;
-            }
-            firsts.remove(place);
+    for mut miss in misses {
+        if let Some(place) = firsts.iter().position(|known| known.caller == miss.caller) {
+            let known = firsts.remove(place);
+            miss.since = miss.since.min(known.since);
+            miss.checked_at = miss.checked_at.or(known.checked_at);
         }
-        let place = firsts.partition_point(|(_, first)| *first <= at);
-        firsts.insert(place, (caller, at));
+        let place = firsts.partition_point(|first| first.since <= miss.since);
+        firsts.insert(place, miss);
         firsts.truncate(CALLERS_TO_GIVE_UP);
     }
     firsts
--- a/crates/valvestage-policy/src/steering/keeper/knowledge_keeper.rs
+++ b/crates/valvestage-policy/src/steering/keeper/knowledge_keeper.rs
@@ -166,10 +166,11 @@
         actions
     }
 
-    /// Reports whether another balancer was heard from recently, so that it can be asked.
+    /// Reports whether another balancer is known. If none was heard from recently, the link of this
+    /// one may have failed.
     #[must_use]
-    pub fn has_recent_peers(&self, now: Instant) -> bool {
-        self.peers.recent_count(now) > 0
+    pub fn has_peers(&self) -> bool {
+        !self.peers.is_empty()
     }
 
     /// Handles a pause of the process: other balancers may know more by now.
--- a/crates/valvestage-policy/src/steering/packets/steering_policy.rs
+++ b/crates/valvestage-policy/src/steering/packets/steering_policy.rs
@@ -265,9 +265,9 @@
     }
 
     /// Records that the process was stalled until now. When the packets that arrived meanwhile were
-    /// sent is not known.
-    pub fn on_stall(&mut self, now: Instant) {
-        self.backends.on_stall(now);
+    /// sent is not known. They may be read until `read_until`.
+    pub fn on_stall(&mut self, read_until: Instant, now: Instant) {
+        self.backends.on_stall(read_until, now);
     }
 
     /// Records that the process was paused: it was stalled for so long that packets that
@@ -300,9 +300,9 @@
         self.backends.on_refutation(peer, refutation, now);
     }
 
-    /// Sets whether there are other balancers to ask about suspicions.
-    pub fn set_can_ask(&mut self, can_ask: bool) {
-        self.backends.set_can_ask(can_ask);
+    /// Sets whether other balancers are known, which can be asked about suspicions.
+    pub fn set_has_peers(&mut self, has_peers: bool) {
+        self.backends.set_has_peers(has_peers);
     }
 
     /// Records that another balancer is being told of suspicions.
--- a/crates/valvestage-policy/tests/simulation/balancers.rs
+++ b/crates/valvestage-policy/tests/simulation/balancers.rs
@@ -36,6 +36,8 @@
     /// Whether messages of other balancers are lost, and whether messages to them are lost.
     pub is_inbound_cut: bool,
     pub is_outbound_cut: bool,
+    /// Whether everything is lost that the balancer sends.
+    pub is_uplink_cut: bool,
     /// End of the last fault that affected the balancer.
     pub disturbed_at: Millis,
     /// End of the last unplanned fault. Planned work excuses no reset of an open flow.
@@ -62,6 +64,7 @@
             is_cut_from_store: false,
             is_inbound_cut: false,
             is_outbound_cut: false,
+            is_uplink_cut: false,
             disturbed_at: 0,
             unplanned_until: 0,
             highest_version: 0,
--- a/crates/valvestage-policy/tests/simulation/fault.rs
+++ b/crates/valvestage-policy/tests/simulation/fault.rs
@@ -5,7 +5,7 @@
 use crate::events::Millis;
 use crate::flow_faults::{
     draw_broken_entries, draw_caller_losses, draw_joins, draw_new_routes, draw_stale_seeds,
-    draw_starvations, draw_with_long_faults,
+    draw_starvations, draw_uplink_losses, draw_with_long_faults,
 };
 use crate::foreign_entry::BrokenEntry;
 use crate::store::MAX_ROUTES;
@@ -106,6 +106,9 @@
     Starvation { first: usize, count: usize, stall_ms: usize },
     /// A balancer gets no processor time.
     Stall(usize),
+    /// The link of a balancer loses all that it sends, to backend servers, callers, other balancers
+    /// and the store.
+    UplinkLoss(usize),
 }
 
 /// Balancers that leave one after the other, and the spare ones that join some time after that.
@@ -188,6 +191,10 @@
 /// ever name others.
 pub const STALE_SEED_SEEDS: u64 = 6_700_000;
 
+/// First seed of the series in which the links of balancers lose what they send for moments, while
+/// flows rest.
+pub const UPLINK_LOSS_SEEDS: u64 = 6_800_000;
+
 /// The set of faults that a seed draws from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FaultSeries {
@@ -219,6 +226,8 @@
     FewFlows,
     /// Balancers whose seeds leave before they join, for good.
     StaleSeeds,
+    /// Losses of what balancers send, and at most one ordinary fault.
+    UplinkLosses,
 }
 
 impl FaultSeries {
@@ -237,7 +246,8 @@
             LATE_PROCESSOR_SEEDS..JOIN_SEEDS => Self::LateProcessors,
             JOIN_SEEDS..FEW_FLOW_SEEDS => Self::Joins,
             FEW_FLOW_SEEDS..STALE_SEED_SEEDS => Self::FewFlows,
-            STALE_SEED_SEEDS.. => Self::StaleSeeds,
+            STALE_SEED_SEEDS..UPLINK_LOSS_SEEDS => Self::StaleSeeds,
+            UPLINK_LOSS_SEEDS.. => Self::UplinkLosses,
         }
     }
 }
@@ -276,6 +286,7 @@
             FaultSeries::Joins => draw_joins(&mut draw),
             FaultSeries::FewFlows => draw_ordinary(&mut draw),
             FaultSeries::StaleSeeds => draw_stale_seeds(&mut draw),
+            FaultSeries::UplinkLosses => draw_uplink_losses(&mut draw),
         };
         faults.sort_by_key(|fault| fault.at);
         Self { faults }
--- a/crates/valvestage-policy/tests/simulation/flow_faults.rs
+++ b/crates/valvestage-policy/tests/simulation/flow_faults.rs
@@ -37,6 +37,10 @@
 const SHORT_STALL_MS: usize = 250;
 const LONG_STALL_MS: usize = 900;
 
+/// Shortest loss of what a balancer sends, and the most that chance adds, in milliseconds.
+const MIN_UPLINK_LOSS_MS: Millis = 200;
+const MAX_UPLINK_LOSS_MS: usize = 1_800;
+
 /// Longest time between the overwriting of an entry and the drain of its backend server, in
 /// milliseconds.
 const MAX_DRAIN_DELAY_MS: usize = 5_000;
@@ -154,6 +158,24 @@
     with_random_time(kind, draw)
 }
 
+/// Draws three to six losses of all that a balancer sends. Half of the deployments have an ordinary
+/// fault, too.
+pub fn draw_uplink_losses(draw: &mut SeededDraw) -> Vec<Fault> {
+    let count = 3 + draw.below(4);
+    let others = draw.below(2);
+
+    let mut faults: Vec<_> = (0..count).map(|_| draw_uplink_loss(draw)).collect();
+    faults.extend((0..others).map(|_| draw_fault(draw)));
+    faults
+}
+
+fn draw_uplink_loss(draw: &mut SeededDraw) -> Fault {
+    let for_ms = MIN_UPLINK_LOSS_MS + millis_below(MAX_UPLINK_LOSS_MS, draw);
+    let fault = with_random_time(FaultKind::UplinkLoss(draw.below(1_000)), draw);
+
+    Fault { for_ms, ..fault }
+}
+
 fn millis_below(limit: usize, draw: &mut SeededDraw) -> Millis {
     Millis::try_from(draw.below(limit)).expect("the number fits")
 }
--- a/crates/valvestage-policy/tests/simulation/flow_series.rs
+++ b/crates/valvestage-policy/tests/simulation/flow_series.rs
@@ -2,7 +2,7 @@
 
 use crate::fault::{
     BROKEN_ENTRY_SEEDS, CALLER_LOSS_SEEDS, FEW_FLOW_SEEDS, JOIN_SEEDS, LATE_PROCESSOR_SEEDS,
-    NEW_ROUTE_SEEDS, RESTING_FLOW_SEEDS, STALE_SEED_SEEDS,
+    NEW_ROUTE_SEEDS, RESTING_FLOW_SEEDS, STALE_SEED_SEEDS, UPLINK_LOSS_SEEDS,
 };
 use crate::mutation::Mutation;
 use crate::{report, run_seed, run_seeds};
@@ -71,6 +71,12 @@
     assert_series_holds(STALE_SEED_SEEDS);
 }
 
+/// Guards against taking what the own link of a balancer loses for the silence of backend servers.
+#[test]
+fn no_seed_with_losses_of_what_balancers_send_violates_anything() {
+    assert_series_holds(UPLINK_LOSS_SEEDS);
+}
+
 /// A mutation has to turn a seed red that holds without it.
 #[test]
 fn each_mutation_of_the_flow_series_is_detected() {
--- a/crates/valvestage-policy/tests/simulation/main.rs
+++ b/crates/valvestage-policy/tests/simulation/main.rs
@@ -114,6 +114,18 @@
         1_016_567,
         "allowed: a balancer that starts while an entry is unusable cannot know the backend server's address",
     ),
+    (
+        6_800_046,
+        "callers were reported that had missed answers on the link of the balancer that reported them",
+    ),
+    (6_800_058, "as seed 6800046"),
+    (6_800_665, "the check of the link came after the loss of a retransmission had ended"),
+    (6_801_127, "as seed 6800665"),
+    (
+        6_803_929,
+        "after a stall a refutation was taken for older than it was, and the link was checked meanwhile",
+    ),
+    (6_811_925, "a balancer that heard no other one concluded as if there were none"),
 ];
 
 /// Runs one seed; returns its violations.
--- a/crates/valvestage-policy/tests/simulation/mutation.rs
+++ b/crates/valvestage-policy/tests/simulation/mutation.rs
@@ -5,7 +5,7 @@
 use crate::events::Millis;
 use crate::fault::{
     BROKEN_ENTRY_SEEDS, CALLER_LOSS_SEEDS, FEW_FLOW_SEEDS, JOIN_SEEDS, LATE_PROCESSOR_SEEDS,
-    NEW_ROUTE_SEEDS, RESTING_FLOW_SEEDS,
+    NEW_ROUTE_SEEDS, RESTING_FLOW_SEEDS, UPLINK_LOSS_SEEDS,
 };
 use crate::oracles::Oracle;
 
@@ -51,6 +51,8 @@
     MissRoutesOnceJoined,
     /// The first packet of a flow that has rested for [`RESTED`] is answered with a reset.
     ResetReturningFlows,
+    /// Queries that are lost on the link of their sender are acknowledged all the same.
+    AcknowledgeLostQueries,
 }
 
 /// How long the flows have rested that mutations reset.
@@ -75,7 +77,7 @@
 
     /// The mutations of the series with resting flows: each with the oracle that must detect it, and
     /// the first seed of the series that draws the circumstances of the defect.
-    pub const OF_FLOW_SERIES: [(Self, Oracle, u64); 7] = [
+    pub const OF_FLOW_SERIES: [(Self, Oracle, u64); 8] = [
         (Self::ResetRestedFlows, Oracle::RestingFlowsStay, RESTING_FLOW_SEEDS),
         (Self::BlameBackend, Oracle::RestingFlowsStay, CALLER_LOSS_SEEDS),
         (Self::ResetOnNewRoutes, Oracle::RestingFlowsStay, NEW_ROUTE_SEEDS),
@@ -83,6 +85,7 @@
         (Self::ResetLatePackets, Oracle::RestingFlowsStay, LATE_PROCESSOR_SEEDS),
         (Self::MissRoutesOnceJoined, Oracle::RoutesInTime, JOIN_SEEDS),
         (Self::ResetReturningFlows, Oracle::RestingFlowsStay, FEW_FLOW_SEEDS),
+        (Self::AcknowledgeLostQueries, Oracle::RestingFlowsStay, UPLINK_LOSS_SEEDS),
     ];
 
     /// Returns the message as it arrives under this mutation; None if it is lost.
--- a/crates/valvestage-policy/tests/simulation/site.rs
+++ b/crates/valvestage-policy/tests/simulation/site.rs
@@ -175,6 +175,15 @@
         self.backends_each = 1 + draw.below(2);
     }
 
+    /// Draws many callers, some with resting flows, and few balancers and backend servers, so that
+    /// several callers use the same backend server through the same balancer.
+    pub fn gather_callers(&mut self, draw: &mut SeededDraw) {
+        self.traffic = TrafficPlan::Mixed;
+        self.balancers = 2 + self.zones + draw.below(3);
+        self.backends_each = 1;
+        self.callers_each = 9 + draw.below(6);
+    }
+
     pub fn zone_of(&self, balancer: usize) -> usize {
         balancer % self.zones
     }
--- a/crates/valvestage-policy/tests/simulation/world.rs
+++ b/crates/valvestage-policy/tests/simulation/world.rs
@@ -111,6 +111,7 @@
             FaultSeries::NewRoutes | FaultSeries::Joins | FaultSeries::StaleSeeds => {
                 plan.add_spares(&mut draw);
             }
+            FaultSeries::UplinkLosses => plan.gather_callers(&mut draw),
             FaultSeries::BrokenEntries | FaultSeries::LateProcessors => {
                 plan.add_resting_flows(&mut draw);
             }
--- a/crates/valvestage-policy/tests/simulation/world/faults.rs
+++ b/crates/valvestage-policy/tests/simulation/world/faults.rs
@@ -141,6 +141,12 @@
                 node.disturb(until);
             }
             FaultKind::ZoneCut(pick) => self.cut_zone(pick % self.plan.zones, until),
+            FaultKind::UplinkLoss(pick) => {
+                // Nothing excuses that the balancer resets open flows.
+                let node = &mut self.balancers[pick % self.plan.balancers];
+                node.is_uplink_cut = true;
+                node.disturbed_at = node.disturbed_at.max(until);
+            }
             FaultKind::CallerLoss(loss) => self.begin_caller_loss(loss, until),
             FaultKind::Freeze(pick) => {
                 let node = &mut self.balancers[pick % self.plan.balancers];
@@ -224,6 +230,7 @@
                 let node = &mut self.balancers[balancer % balancers];
                 if is_deaf { node.is_inbound_cut = false } else { node.is_outbound_cut = false }
             }
+            FaultKind::UplinkLoss(pick) => self.balancers[pick % balancers].is_uplink_cut = false,
             FaultKind::ZoneCut(pick) => {
                 let zone = pick % self.plan.zones;
                 self.cut_zones[zone] = false;
--- a/crates/valvestage-policy/tests/simulation/world/flow_mutations.rs
+++ b/crates/valvestage-policy/tests/simulation/world/flow_mutations.rs
@@ -1,11 +1,12 @@
 //! The mutations of the series with resting flows.
 
 use valvestage_core::ids::InstanceId;
+use valvestage_policy::steering::peers::peer_message::SuspicionRefutation;
 use valvestage_policy::steering::{CallerPacket, PacketVerdict, PeerMessage, ResetReason};
 
-use super::World;
+use super::{HOP_MS, World};
 use crate::callers::{CallerFlow, FIRST_RESEND_DELAY, FlowState};
-use crate::events::{BalancerNumber, FlowNumber, Millis};
+use crate::events::{BalancerNumber, Event, FlowNumber, Millis};
 use crate::mutation::{Mutation, RESTED};
 
 /// How long a balancer counts as one that has just joined.
@@ -57,6 +58,23 @@
         self.mutation == Some(Mutation::MissRoutesOnceJoined) && !self.plan.is_founder(balancer)
     }
 
+    /// Applies mutations of a message that is lost on its way.
+    pub(super) fn mutate_lost_message(
+        &mut self,
+        from: BalancerNumber,
+        to: BalancerNumber,
+        message: &PeerMessage,
+    ) {
+        let PeerMessage::SuspicionQuery(query) = message else { return };
+
+        if self.mutation == Some(Mutation::AcknowledgeLostQueries) {
+            let acknowledged = Some(query.number);
+            let answer = SuspicionRefutation { acknowledged, ..Default::default() };
+            self.queue
+                .add(self.now + HOP_MS, Event::Message(to, from, PeerMessage::Refutation(answer)));
+        }
+    }
+
     /// Applies mutations of what a balancer does about a caller's packet.
     pub(super) fn mutate_packet(
         &mut self,
--- a/crates/valvestage-policy/tests/simulation/world/flows.rs
+++ b/crates/valvestage-policy/tests/simulation/world/flows.rs
@@ -82,7 +82,7 @@
                 let from = self.plan.zone_of(balancer);
                 let is_connected =
                     self.backends.get(&instance).is_some_and(|b| self.is_connected(from, b.zone));
-                if is_connected {
+                if is_connected && !self.balancers[balancer].is_uplink_cut {
                     let sent_at = self.now - HOP_MS;
                     let event = Event::Forwarded {
                         through: balancer,
@@ -143,7 +143,7 @@
     /// another balancer meanwhile, its caller ignores the reset: the sequence number of the reset
     /// is near that of the flow's first byte, and the open flow is far beyond it.
     fn refuse_opening(&mut self, balancer: BalancerNumber, flow: FlowNumber) {
-        if self.flows[flow].state == FlowState::Opening {
+        if self.flows[flow].state == FlowState::Opening && !self.balancers[balancer].is_uplink_cut {
             let answer = Answer::BalancerReset(balancer);
             self.queue.add(self.now + TO_CALLER_MS, Event::Answer(flow, answer));
         }
@@ -171,8 +171,10 @@
             }
         }
 
-        self.queue
-            .add(self.now + TO_CALLER_MS, Event::Answer(number, Answer::BalancerReset(balancer)));
+        if !self.balancers[balancer].is_uplink_cut {
+            let answer = Answer::BalancerReset(balancer);
+            self.queue.add(self.now + TO_CALLER_MS, Event::Answer(number, answer));
+        }
     }
 
     /// Reports whether a flow could go on through a balancer: its backend server is running and has
--- a/crates/valvestage-policy/tests/simulation/world/knowledge.rs
+++ b/crates/valvestage-policy/tests/simulation/world/knowledge.rs
@@ -136,9 +136,11 @@
         message: PeerMessage,
     ) {
         let is_cut = self.balancers[from].is_outbound_cut
+            || self.balancers[from].is_uplink_cut
             || self.balancers[to].is_inbound_cut
             || !self.is_connected(self.plan.zone_of(from), self.plan.zone_of(to));
         if is_cut {
+            self.mutate_lost_message(from, to, &message);
             return;
         }
         let paused_until = self.balancers[to].paused_until;
@@ -185,7 +187,7 @@
         }
 
         let zone = self.plan.zone_of(call.balancer);
-        let is_cut = node.is_cut_from_store || self.cut_zones[zone];
+        let is_cut = node.is_cut_from_store || node.is_uplink_cut || self.cut_zones[zone];
         if call.is_silent || is_cut || self.store.mode == StoreMode::Silent {
             if call.times_out_at > self.now {
                 return Some(call);
