Acknowledge no query before the refutation that goes to the same balancer

Callers: none yet; found by reading the diff. A balancer whose bytes for refutations are spent would have acknowledged a query at once and refuted the suspicion up to a second later. The one that asked would have taken the acknowledgement for the end of its wait, and reset open flows.

Cause: acknowledgements were sent first, out of the same budget.

Change: refutations go first. The acknowledgement of a balancer that is to get one goes with it or waits.

--- a/crates/valvestage-policy/src/steering/health/refutation_queue.rs
+++ b/crates/valvestage-policy/src/steering/health/refutation_queue.rs
@@ -37,7 +37,7 @@
 /// Maximum number of balancers that are told when a suspicion is withdrawn.
 const MAX_TOLD: usize = 16;
 
-/// Bytes per second for questions and for answers. With heartbeats, control traffic stays below 4
+/// Bytes per second for questions, and for answers with acknowledgements. With heartbeats, control traffic stays below 4
 /// KB per second also while half of the backend servers are suspected at once.
 const BYTES_PER_SECOND: u32 = 500;
 
@@ -227,12 +227,6 @@
             self.query_budget.spend(query_bytes(&query), now);
             messages.query = Some(query);
         }
-        while self.refutation_budget.is_open(now)
-            && let Some(acknowledgement) = self.acknowledgements.pop_first()
-        {
-            self.refutation_budget.spend(message_bytes(0), now);
-            messages.acknowledgements.push(acknowledgement);
-        }
         while self.refutation_budget.is_open(now)
             && let Some((peer, lives)) = self.refutations.pop_first()
         {
@@ -244,9 +238,35 @@
                 messages.refutations.push((peer, reports));
             }
         }
+        messages.acknowledgements = self.take_acknowledgements(&messages.refutations, now);
         messages
     }
 
+    /// Returns the acknowledgements to send now. One for a balancer that is also to get a refutation
+    /// goes with it or waits: alone it would show that nothing refutes the suspicion.
+    fn take_acknowledgements(
+        &mut self,
+        refutations: &[(SocketAddrV4, Vec<LifeReport>)],
+        now: Instant,
+    ) -> Vec<(SocketAddrV4, QueryNumber)> {
+        let mut taken = Vec::new();
+
+        self.acknowledgements.retain(|peer, number| {
+            if self.refutations.contains_key(peer) {
+                return true;
+            }
+            if !refutations.iter().any(|(receiver, _)| receiver == peer) {
+                if !self.refutation_budget.is_open(now) {
+                    return true;
+                }
+                self.refutation_budget.spend(message_bytes(0), now);
+            }
+            taken.push((*peer, *number));
+            false
+        });
+        taken
+    }
+
     /// Drops what is outdated.
     pub(super) fn forget(&mut self, now: Instant) {
         self.repeated.retain(|_, until| *until > now);
--- a/crates/valvestage-policy/tests/steering/refutations.rs
+++ b/crates/valvestage-policy/tests/steering/refutations.rs
@@ -78,6 +78,32 @@
     assert_eq!(health.take_messages(now + millis(1_000)), SuspicionMessages::default());
 }
 
+/// Guards against an acknowledgement that overtakes the sign of life: to the balancer that asked it
+/// would show that nobody refutes the suspicion.
+#[test]
+fn a_query_is_not_acknowledged_before_its_refutation() {
+    let (mut health, now) = (BackendHealth::default(), start());
+    health.observe(SERVER, flow(1), ALIVE, now);
+    // The bytes for refutations are spent.
+    for number in 100..118 {
+        health.on_peer_suspicion(peer(number), &reported(), now);
+    }
+    assert!(health.take_messages(now).refutations.len() < 18);
+
+    health.on_query(peer(151), 7);
+    health.on_peer_suspicion(peer(151), &reported(), now);
+    assert_eq!(health.take_messages(now), SuspicionMessages::default());
+
+    let is_refuted = |messages: &SuspicionMessages| {
+        messages.refutations.iter().any(|(receiver, _)| *receiver == peer(151))
+    };
+    let mut later = (1..10).map(|step| health.take_messages(now + millis(step * 100)));
+    let told = later.find(|messages| !messages.acknowledgements.is_empty());
+    let told = told.expect("the query is acknowledged");
+    assert_eq!(told.acknowledgements, [(peer(151), 7)]);
+    assert!(is_refuted(&told));
+}
+
 #[test]
 fn a_balancer_that_asked_is_told_of_the_next_sign_of_life() {
     let (mut health, now) = (BackendHealth::default(), start());
